--- /dev/null
+++ b/packages/observe/tests/test_metrics.c
@@ -0,0 +1,117 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <cmocka.h>
+#include <glib.h>
+
+#include "sas/limits.h"
+#include "sas/metrics.h"
+
+static int
+setup(void **state)
+{
+    *state = SasMetrics_New();
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    SasMetrics_Free(*state);
+    return 0;
+}
+
+static void
+test_same_name_and_value_share_a_handle(void **state)
+{
+    struct sas_metrics *metrics = *state;
+    int a = SasMetrics_Register(metrics, "x_total", "reason", "a", "help");
+    int b = SasMetrics_Register(metrics, "x_total", "reason", "b", "help");
+    assert_int_not_equal(a, b);
+    SasMetrics_Add(metrics, a, 3);
+    assert_int_equal(
+        SasMetrics_Register(metrics, "x_total", "reason", "a", "help"), a);
+    assert_true(SasMetrics_Get(metrics, a) == 3);
+    assert_true(SasMetrics_Get(metrics, b) == 0);
+}
+
+static void
+test_wrong_names_and_clashes_are_refused(void **state)
+{
+    struct sas_metrics *metrics = *state;
+    int counter = SasMetrics_Register(metrics, "x_total", NULL, NULL, "h");
+    assert_int_not_equal(counter, SasModel_NONE);
+    const char *names[] = {"", "1x", "a b", "a-b", "a\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        assert_int_equal(
+            SasMetrics_Register(metrics, names[i], NULL, NULL, "h"),
+            SasModel_NONE);
+    }
+    assert_int_equal(SasMetrics_Register(metrics, "y", "a:b", "v", "h"),
+                     SasModel_NONE);
+    assert_int_equal(SasMetrics_Register(metrics, "y", "a", NULL, "h"),
+                     SasModel_NONE);
+    assert_int_equal(SasMetrics_Register(metrics, "x_total", "a", "v", "h"),
+                     SasModel_NONE);
+    assert_int_equal(
+        SasMetrics_RegisterGauge(metrics, "x_total", NULL, NULL, "h"),
+        SasModel_NONE);
+    SasMetrics_Add(metrics, SasModel_NONE, 1);
+    SasMetrics_Set(metrics, SasModel_NONE, 1);
+    SasMetrics_Set(metrics, counter, 1); /* not a gauge */
+    assert_true(SasMetrics_Get(metrics, counter) == 0);
+}
+
+static void
+test_format_is_ordered_and_escaped(void **state)
+{
+    struct sas_metrics *metrics = *state;
+    SasMetrics_Register(metrics, "z_total", "reason", "b", "last");
+    int a = SasMetrics_Register(metrics, "z_total", "reason", "a\"\\\n", "x");
+    int gauge = SasMetrics_RegisterGauge(metrics, "level", NULL, NULL,
+                                         "line\nand \\ \"");
+    SasMetrics_Add(metrics, a, 18446744073709551615ULL);
+    SasMetrics_Set(metrics, gauge, 0.25);
+    g_autofree char *text = SasMetrics_Format(metrics);
+    assert_string_equal(text, "# HELP level line\\nand \\\\ \"\n"
+                              "# TYPE level gauge\n"
+                              "level 0.25\n"
+                              "# HELP z_total last\n"
+                              "# TYPE z_total counter\n"
+                              "z_total{reason=\"a\\\"\\\\\\n\"} "
+                              "18446744073709551615\n"
+                              "z_total{reason=\"b\"} 0\n");
+}
+
+static void
+test_table_is_bounded(void **state)
+{
+    struct sas_metrics *metrics = *state;
+    char value[16];
+    for (int i = 0; i < SasMetrics_MAX_METRICS; i++) {
+        snprintf(value, sizeof(value), "%d", i);
+        assert_int_equal(
+            SasMetrics_Register(metrics, "x_total", "v", value, "h"), i);
+    }
+    assert_int_equal(SasMetrics_Register(metrics, "x_total", "v", "n", "h"),
+                     SasModel_NONE);
+    assert_int_equal(SasMetrics_Register(metrics, "x_total", "v", "7", "h"),
+                     7);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(
+            test_same_name_and_value_share_a_handle, setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_wrong_names_and_clashes_are_refused, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_format_is_ordered_and_escaped,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_table_is_bounded, setup,
+                                        teardown),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
