net: an HTTP client that tells whole answers from cut ones

What: http-parser's message-complete on a libuv stream; close-framed answers are reported as not provably whole; late bytes end the connection. Ruled out: libcurl multi, which may resend by itself on a reused connection.

--- /dev/null
+++ b/packages/net/src/http.c
@@ -0,0 +1,498 @@
+#include "sas/http.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <http_parser.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#define READ_BUFFER_SIZE 65536
+
+enum conn_state {
+    CONN_CONNECTING,
+    CONN_IDLE,
+    CONN_BUSY,
+    CONN_CLOSING,
+};
+
+struct sas_http_conn {
+    uv_tcp_t tcp;
+    uv_timer_t timer;
+    uv_connect_t connect;
+    uv_write_t write;
+    int open_handles;
+    enum conn_state state;
+    struct sas_http_owner *owner;
+    struct sas_http_user *user;
+    char peer[SasModel_IP_SIZE + 8];
+    int64_t opened_at;
+    int64_t last_read_at;
+
+    /* the current request */
+    GString *out_head;
+    const char *out_body;
+    size_t out_body_size;
+    int64_t request_timeout_ms;
+    bool head_method;
+    bool sent;
+    bool writing;
+    bool begun;
+    bool paused;
+
+    /* the current answer */
+    http_parser parser;
+    GString *header_text; /* NUL-separated names and values */
+    GArray *header_offsets;
+    bool last_was_value;
+    bool framed_by_close;
+    bool ended;
+    char read_buffer[READ_BUFFER_SIZE];
+};
+
+static void begin_write(struct sas_http_conn *conn);
+static void fail(struct sas_http_conn *conn, enum sas_code code,
+                 const char *step, const char *text);
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data);
+static void on_connect(uv_connect_t *request, int status);
+static void on_timer(uv_timer_t *timer);
+static const http_parser_settings *get_parser_settings(void);
+
+struct sas_http_conn *
+SasHttp_Connect(uv_loop_t *loop, const struct sas_address *address,
+                int64_t connect_timeout_ms, struct sas_http_owner *owner)
+{
+    struct sas_http_conn *conn = g_new0(struct sas_http_conn, 1);
+    conn->owner = owner;
+    conn->state = CONN_CONNECTING;
+    conn->opened_at = (int64_t)uv_now(loop);
+    conn->last_read_at = conn->opened_at;
+    conn->out_head = g_string_new(NULL);
+    conn->header_text = g_string_new(NULL);
+    conn->header_offsets = g_array_new(FALSE, FALSE, sizeof(size_t));
+    snprintf(conn->peer, sizeof(conn->peer), "%s:%d", address->ip,
+             address->port);
+    uv_tcp_init(loop, &conn->tcp);
+    uv_timer_init(loop, &conn->timer);
+    conn->open_handles = 2;
+    conn->tcp.data = conn;
+    conn->timer.data = conn;
+    uv_timer_start(&conn->timer, on_timer,
+                   (uint64_t)MAX(connect_timeout_ms, 1), 0);
+    struct sockaddr_storage storage;
+    /* A refused address is reported by the timer's next turn, so that the
+     * caller has set the user by then. */
+    if (SasHttp_GetSockaddr(address, &storage) != 0 ||
+        uv_tcp_connect(&conn->connect, &conn->tcp,
+                       (const struct sockaddr *)&storage, on_connect) != 0) {
+        uv_timer_start(&conn->timer, on_timer, 0, 0);
+        return conn;
+    }
+    uv_tcp_nodelay(&conn->tcp, 1);
+    return conn;
+}
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+    struct sas_http_conn *conn = handle->data;
+    conn->open_handles--;
+    if (conn->open_handles > 0) {
+        return;
+    }
+    g_string_free(conn->out_head, TRUE);
+    g_string_free(conn->header_text, TRUE);
+    g_array_free(conn->header_offsets, TRUE);
+    g_free(conn);
+}
+
+void
+SasHttp_Close(struct sas_http_conn *conn)
+{
+    if (conn->state == CONN_CLOSING) {
+        return;
+    }
+    conn->state = CONN_CLOSING;
+    conn->user = NULL;
+    uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
+    uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
+    if (conn->owner != NULL) {
+        conn->owner->on_closed(conn->owner, conn);
+    }
+}
+
+void
+SasHttp_Send(struct sas_http_conn *conn,
+             const struct sas_http_request *request, int64_t timeout_ms,
+             struct sas_http_user *user)
+{
+    conn->user = user;
+    conn->out_body = request->body;
+    conn->out_body_size = request->body_size;
+    conn->request_timeout_ms = MAX(timeout_ms, 1);
+    conn->head_method = strcmp(request->method, "HEAD") == 0;
+    conn->sent = false;
+    conn->begun = false;
+    conn->ended = false;
+    conn->framed_by_close = false;
+    conn->last_was_value = false;
+    g_string_truncate(conn->header_text, 0);
+    g_array_set_size(conn->header_offsets, 0);
+    http_parser_init(&conn->parser, HTTP_RESPONSE);
+    conn->parser.data = conn;
+
+    g_string_printf(conn->out_head, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+                    request->method, request->target, conn->peer);
+    for (int i = 0; i < request->header_count; i++) {
+        g_string_append_printf(conn->out_head, "%s: %s\r\n",
+                               request->headers[i].name,
+                               request->headers[i].value);
+    }
+    if (request->body_size > 0 || strcmp(request->method, "POST") == 0 ||
+        strcmp(request->method, "PUT") == 0) {
+        g_string_append_printf(conn->out_head, "Content-Length: %zu\r\n",
+                               request->body_size);
+    }
+    g_string_append(conn->out_head, "\r\n");
+    if (conn->state == CONN_IDLE) {
+        begin_write(conn);
+    }
+}
+
+void
+SasHttp_Pause(struct sas_http_conn *conn)
+{
+    if (conn->state == CONN_BUSY && !conn->paused) {
+        conn->paused = true;
+        uv_read_stop((uv_stream_t *)&conn->tcp);
+    }
+}
+
+void
+SasHttp_Resume(struct sas_http_conn *conn)
+{
+    if (conn->state == CONN_BUSY && conn->paused) {
+        conn->paused = false;
+        uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+    }
+}
+
+bool
+SasHttp_IsConnected(const struct sas_http_conn *conn)
+{
+    return conn->state == CONN_IDLE || conn->state == CONN_BUSY;
+}
+
+bool
+SasHttp_IsIdle(const struct sas_http_conn *conn)
+{
+    return conn->state == CONN_IDLE && conn->user == NULL;
+}
+
+int64_t
+SasHttp_GetOpenedAt(const struct sas_http_conn *conn)
+{
+    return conn->opened_at;
+}
+
+int64_t
+SasHttp_GetLastReadAt(const struct sas_http_conn *conn)
+{
+    return conn->last_read_at;
+}
+
+const char *
+SasHttp_FindHeader(const struct sas_http_header *headers, int header_count,
+                   const char *name)
+{
+    for (int i = 0; i < header_count; i++) {
+        if (strcasecmp(headers[i].name, name) == 0) {
+            return headers[i].value;
+        }
+    }
+    return NULL;
+}
+
+int
+SasHttp_GetSockaddr(const struct sas_address *address,
+                    struct sockaddr_storage *out)
+{
+    memset(out, 0, sizeof(*out));
+    if (uv_ip4_addr(address->ip, address->port, (struct sockaddr_in *)out) ==
+        0) {
+        return 0;
+    }
+    return uv_ip6_addr(address->ip, address->port, (struct sockaddr_in6 *)out);
+}
+
+/* Writing. */
+
+static void
+on_written(uv_write_t *write, int status)
+{
+    struct sas_http_conn *conn = write->data;
+    conn->writing = false;
+    if (conn->state == CONN_CLOSING || status == UV_ECANCELED) {
+        return;
+    }
+    /* A failed write is no verdict: the backend server may have refused the
+     * body early and its answer may still be waiting to be read. The read
+     * side reports the end of the connection. */
+}
+
+static void
+begin_write(struct sas_http_conn *conn)
+{
+    conn->state = CONN_BUSY;
+    conn->sent = true;
+    conn->writing = true;
+    conn->write.data = conn;
+    uv_timer_start(&conn->timer, on_timer, (uint64_t)conn->request_timeout_ms,
+                   0);
+    uv_buf_t buffers[2];
+    buffers[0] =
+        uv_buf_init(conn->out_head->str, (unsigned int)conn->out_head->len);
+    buffers[1] =
+        uv_buf_init((char *)conn->out_body, (unsigned int)conn->out_body_size);
+    unsigned int count = conn->out_body_size > 0 ? 2 : 1;
+    int rc = uv_write(&conn->write, (uv_stream_t *)&conn->tcp, buffers, count,
+                      on_written);
+    if (rc != 0) {
+        conn->writing = false;
+        fail(conn, SAS_EIO, "http.write", uv_strerror(rc));
+    }
+}
+
+static void
+on_connect(uv_connect_t *request, int status)
+{
+    struct sas_http_conn *conn = ((uv_handle_t *)request->handle)->data;
+    if (conn->state == CONN_CLOSING) {
+        return;
+    }
+    if (status != 0) {
+        fail(conn, SAS_EUNAVAILABLE, "http.connect", uv_strerror(status));
+        return;
+    }
+    uv_timer_stop(&conn->timer);
+    conn->state = CONN_IDLE;
+    conn->last_read_at = (int64_t)uv_now(conn->tcp.loop);
+    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+    if (conn->user != NULL) {
+        begin_write(conn);
+    }
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    struct sas_http_conn *conn = timer->data;
+    if (conn->state == CONN_CONNECTING) {
+        fail(conn, SAS_EUNAVAILABLE, "http.connect", "no connection in time");
+        return;
+    }
+    fail(conn, SAS_ETIMEOUT, "http.answer", "no whole answer in time");
+}
+
+/* Ends the connection and tells the user, once. */
+static void
+fail(struct sas_http_conn *conn, enum sas_code code, const char *step,
+     const char *text)
+{
+    struct sas_http_user *user = conn->user;
+    struct sas_http_failure failure = {
+        .sent = conn->sent,
+        .written = conn->sent && !conn->writing,
+        .begun = conn->begun,
+    };
+    SasError_Set(&failure.error, code, step, conn->peer, "%s", text);
+    SasHttp_Close(conn);
+    if (user != NULL) {
+        user->vtable->on_fail(user, &failure);
+    }
+}
+
+/* Reading. */
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    (void)suggested;
+    struct sas_http_conn *conn = handle->data;
+    *buffer = uv_buf_init(conn->read_buffer, sizeof(conn->read_buffer));
+}
+
+static void
+finish(struct sas_http_conn *conn, bool reusable)
+{
+    struct sas_http_user *user = conn->user;
+    bool whole = !conn->framed_by_close;
+    conn->user = NULL;
+    conn->sent = false;
+    uv_timer_stop(&conn->timer);
+    reusable = reusable && whole && !conn->writing &&
+               http_should_keep_alive(&conn->parser);
+    if (reusable) {
+        conn->state = CONN_IDLE;
+    }
+    else {
+        SasHttp_Close(conn);
+    }
+    user->vtable->on_end(user, whole, reusable);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
+{
+    struct sas_http_conn *conn = stream->data;
+    if (count == 0 || conn->state == CONN_CLOSING) {
+        return;
+    }
+    if (conn->user == NULL) {
+        /* Bytes of an earlier answer that come late, or the peer's close:
+         * this connection must not carry another request. */
+        SasHttp_Close(conn);
+        return;
+    }
+    size_t size = count > 0 ? (size_t)count : 0;
+    if (count > 0) {
+        conn->begun = true;
+        conn->last_read_at = (int64_t)uv_now(stream->loop);
+    }
+    else if (count != UV_EOF) {
+        fail(conn, SAS_EIO, "http.read", uv_strerror((int)count));
+        return;
+    }
+    size_t used = http_parser_execute(&conn->parser, get_parser_settings(),
+                                      data->base, size);
+    if (conn->state == CONN_CLOSING) {
+        return; /* a callback's user closed it */
+    }
+    if (conn->ended) {
+        finish(conn, count > 0 && used == size);
+        return;
+    }
+    if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+        fail(conn, SAS_EIO, "http.parse",
+             http_errno_description(HTTP_PARSER_ERRNO(&conn->parser)));
+    }
+    else if (count < 0) {
+        fail(conn, SAS_EIO, "http.read",
+             "the connection ended before the answer did");
+    }
+}
+
+/* Parser callbacks. */
+
+static void
+append_text(struct sas_http_conn *conn, const char *at, size_t length,
+            bool is_value)
+{
+    bool first = conn->header_offsets->len == 0;
+    if (first || is_value != conn->last_was_value) {
+        if (!first) {
+            g_string_append_c(conn->header_text, '\0');
+        }
+        g_array_append_val(conn->header_offsets, conn->header_text->len);
+        conn->last_was_value = is_value;
+    }
+    g_string_append_len(conn->header_text, at, (gssize)length);
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_conn *conn = parser->data;
+    if (parser->flags & F_TRAILING) {
+        return 0;
+    }
+    if (conn->header_text->len + length > SasHttp_MAX_HEADER_BYTES ||
+        conn->header_offsets->len >= 2 * SasHttp_MAX_HEADERS) {
+        return -1;
+    }
+    append_text(conn, at, length, false);
+    return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_conn *conn = parser->data;
+    if (parser->flags & F_TRAILING) {
+        return 0;
+    }
+    if (conn->header_text->len + length > SasHttp_MAX_HEADER_BYTES) {
+        return -1;
+    }
+    append_text(conn, at, length, true);
+    return 0;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    struct sas_http_conn *conn = parser->data;
+    if (parser->status_code / 100 == 1) {
+        return 0;
+    }
+    bool no_body = conn->head_method || parser->status_code == 204 ||
+                   parser->status_code == 304;
+    conn->framed_by_close = !no_body && !(parser->flags & F_CHUNKED) &&
+                            !(parser->flags & F_CONTENTLENGTH);
+    struct sas_http_header headers[SasHttp_MAX_HEADERS];
+    int count = 0;
+    for (guint i = 0;
+         i + 1 < conn->header_offsets->len && count < SasHttp_MAX_HEADERS;
+         i += 2) {
+        headers[count].name = conn->header_text->str +
+                              g_array_index(conn->header_offsets, size_t, i);
+        headers[count].value =
+            conn->header_text->str +
+            g_array_index(conn->header_offsets, size_t, i + 1);
+        count++;
+    }
+    conn->user->vtable->on_head(conn->user, (int)parser->status_code, headers,
+                                count);
+    if (conn->state == CONN_CLOSING) {
+        return -1;
+    }
+    return no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_conn *conn = parser->data;
+    conn->user->vtable->on_body(conn->user, at, length);
+    return conn->state == CONN_CLOSING ? -1 : 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    struct sas_http_conn *conn = parser->data;
+    if (parser->status_code / 100 == 1) {
+        g_string_truncate(conn->header_text, 0);
+        g_array_set_size(conn->header_offsets, 0);
+        conn->last_was_value = false;
+        return 0;
+    }
+    conn->ended = true;
+    /* Stop here: what follows belongs to nobody. */
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings *
+get_parser_settings(void)
+{
+    static const http_parser_settings settings = {
+        .on_header_field = on_header_field,
+        .on_header_value = on_header_value,
+        .on_headers_complete = on_headers_complete,
+        .on_body = on_body,
+        .on_message_complete = on_message_complete,
+    };
+    return &settings;
+}
--- /dev/null
+++ b/packages/net/tests/test_http.c
@@ -0,0 +1,304 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "sas/http.h"
+
+/* A server that answers every connection with fixed bytes, then closes it
+ * when told to. */
+struct server {
+    uv_tcp_t listener;
+    uv_tcp_t conn;
+    uv_write_t write;
+    const char *answer;
+    bool close_after;
+    int port;
+};
+
+struct client {
+    struct sas_http_user user;
+    struct sas_http_owner owner;
+    struct sas_http_conn *conn;
+    struct server *server;
+    int status;
+    int ends;
+    int fails;
+    int closes;
+    bool whole;
+    bool reusable;
+    GString *body;
+    struct sas_http_failure failure;
+};
+
+static void
+server_closed(uv_handle_t *handle)
+{
+    (void)handle;
+}
+
+static void
+stop_server(struct server *server)
+{
+    if (!uv_is_closing((uv_handle_t *)&server->listener)) {
+        uv_close((uv_handle_t *)&server->listener, server_closed);
+    }
+    if (server->conn.data != NULL &&
+        !uv_is_closing((uv_handle_t *)&server->conn)) {
+        uv_close((uv_handle_t *)&server->conn, server_closed);
+    }
+}
+
+static void
+server_written(uv_write_t *write, int status)
+{
+    (void)status;
+    struct server *server = write->data;
+    if (server->close_after) {
+        stop_server(server);
+    }
+}
+
+static void
+server_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    (void)handle;
+    static char scratch[65536];
+    (void)suggested;
+    *buffer = uv_buf_init(scratch, sizeof(scratch));
+}
+
+static void
+server_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
+{
+    (void)data;
+    struct server *server = stream->data;
+    if (count <= 0) {
+        stop_server(server);
+        return;
+    }
+    uv_buf_t buffer = uv_buf_init((char *)server->answer,
+                                  (unsigned int)strlen(server->answer));
+    server->write.data = server;
+    uv_write(&server->write, stream, &buffer, 1, server_written);
+}
+
+static void
+server_accept(uv_stream_t *listener, int status)
+{
+    assert_int_equal(status, 0);
+    struct server *server = listener->data;
+    uv_tcp_init(listener->loop, &server->conn);
+    server->conn.data = server;
+    uv_accept(listener, (uv_stream_t *)&server->conn);
+    uv_read_start((uv_stream_t *)&server->conn, server_alloc, server_read);
+}
+
+static void
+start_server(uv_loop_t *loop, struct server *server)
+{
+    struct sockaddr_in address;
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_tcp_init(loop, &server->listener);
+    server->listener.data = server;
+    uv_tcp_bind(&server->listener, (struct sockaddr *)&address, 0);
+    uv_listen((uv_stream_t *)&server->listener, 8, server_accept);
+    int size = sizeof(address);
+    uv_tcp_getsockname(&server->listener, (struct sockaddr *)&address, &size);
+    server->port = ntohs(address.sin_port);
+}
+
+static void
+client_head(struct sas_http_user *user, int status,
+            const struct sas_http_header *headers, int header_count)
+{
+    struct client *client = (struct client *)user;
+    client->status = status;
+    assert_non_null(SasHttp_FindHeader(headers, header_count, "x-test"));
+}
+
+static void
+client_body(struct sas_http_user *user, const char *data, size_t size)
+{
+    struct client *client = (struct client *)user;
+    g_string_append_len(client->body, data, (gssize)size);
+}
+
+static void
+client_end(struct sas_http_user *user, bool whole, bool reusable)
+{
+    struct client *client = (struct client *)user;
+    client->ends++;
+    client->whole = whole;
+    client->reusable = reusable;
+    if (reusable) {
+        SasHttp_Close(client->conn);
+    }
+    stop_server(client->server);
+}
+
+static void
+client_fail(struct sas_http_user *user, const struct sas_http_failure *failure)
+{
+    struct client *client = (struct client *)user;
+    client->fails++;
+    client->failure = *failure;
+    stop_server(client->server);
+}
+
+static void
+client_closed(struct sas_http_owner *owner, struct sas_http_conn *conn)
+{
+    (void)conn;
+    struct client *client =
+        (struct client *)((char *)owner - offsetof(struct client, owner));
+    client->closes++;
+}
+
+static const struct sas_http_user_vtable client_vtable = {
+    client_head, client_body, client_end, client_fail};
+
+static struct client
+exchange(const char *answer, bool close_after, const char *method)
+{
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    struct server server = {.answer = answer, .close_after = close_after};
+    start_server(&loop, &server);
+    struct client client = {
+        .user.vtable = &client_vtable,
+        .owner.on_closed = client_closed,
+        .server = &server,
+        .body = g_string_new(NULL),
+    };
+    struct sas_address address = {"127.0.0.1", server.port};
+    struct sas_http_request request = {.method = method, .target = "/"};
+    client.conn = SasHttp_Connect(&loop, &address, 5000, &client.owner);
+    SasHttp_Send(client.conn, &request, 5000, &client.user);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&loop), 0);
+    assert_int_equal(client.closes, 1);
+    assert_int_equal(client.ends + client.fails, 1);
+    return client;
+}
+
+static void
+expect(struct client *client, int ends, bool whole, bool reusable,
+       const char *body)
+{
+    assert_int_equal(client->ends, ends);
+    if (ends > 0) {
+        assert_int_equal(client->whole, whole);
+        assert_int_equal(client->reusable, reusable);
+        assert_string_equal(client->body->str, body);
+    }
+    g_string_free(client->body, TRUE);
+}
+
+static void
+test_whole_answers_leave_the_connection_reusable(void **state)
+{
+    (void)state;
+    struct client client =
+        exchange("HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 2\r\n\r\nhi",
+                 false, "GET");
+    expect(&client, 1, true, true, "hi");
+    client = exchange("HTTP/1.1 200 OK\r\nX-Test: 1\r\n"
+                      "transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+                      false, "GET");
+    expect(&client, 1, true, true, "hi");
+    client =
+        exchange("HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 20\r\n\r\n",
+                 false, "HEAD");
+    expect(&client, 1, true, true, "");
+}
+
+/* A crew's browser would show half a job history as if it were whole: the
+ * backend server dies before the last chunk (or before content-length bytes)
+ * and some HTTP clients report that as a clean end. */
+static void
+test_cut_answers_fail(void **state)
+{
+    (void)state;
+    struct client client =
+        exchange("HTTP/1.1 200 OK\r\nx-test: 1\r\n"
+                 "transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n",
+                 true, "GET");
+    assert_true(client.failure.begun);
+    expect(&client, 0, false, false, "");
+    client =
+        exchange("HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 9\r\n\r\nhi",
+                 true, "GET");
+    expect(&client, 0, false, false, "");
+}
+
+/* An answer that ends only with its connection looks the same when its
+ * sender crashed half way: it must never be reported as whole. */
+static void
+test_close_framed_answer_is_not_whole(void **state)
+{
+    (void)state;
+    struct client client =
+        exchange("HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nhi", true, "GET");
+    expect(&client, 1, false, false, "hi");
+}
+
+/* Bytes of an earlier answer arrive after its end. The next caller on this
+ * connection would read them as the head of its own answer. */
+static void
+test_late_bytes_end_the_connection(void **state)
+{
+    (void)state;
+    struct client client = exchange(
+        "HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 2\r\n\r\nhiLATE",
+        false, "GET");
+    expect(&client, 1, true, false, "hi");
+}
+
+static void
+test_informational_answers_are_skipped(void **state)
+{
+    (void)state;
+    struct client client =
+        exchange("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+                 "HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 2\r\n\r\nhi",
+                 false, "GET");
+    assert_int_equal(client.status, 200);
+    expect(&client, 1, true, true, "hi");
+}
+
+static void
+test_refused_connection_sent_nothing(void **state)
+{
+    (void)state;
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    struct server server = {.answer = ""};
+    start_server(&loop, &server);
+    stop_server(&server);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+    struct sas_address address = {"127.0.0.1", server.port};
+    struct sas_http_request request = {.method = "GET", .target = "/"};
+    struct sas_http_response response;
+    struct sas_error error;
+    assert_int_equal(
+        SasHttp_Fetch(&address, &request, 2000, &response, &error), -1);
+    assert_int_equal(error.code, SAS_EUNAVAILABLE);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_whole_answers_leave_the_connection_reusable),
+        cmocka_unit_test(test_cut_answers_fail),
+        cmocka_unit_test(test_close_framed_answer_is_not_whole),
+        cmocka_unit_test(test_late_bytes_end_the_connection),
+        cmocka_unit_test(test_informational_answers_are_skipped),
+        cmocka_unit_test(test_refused_connection_sent_nothing),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
