--- /dev/null
+++ b/packages/platform/src/http_store.c
@@ -0,0 +1,352 @@
+/* The platform's store over HTTP. A small pool of connections; calls wait
+ * for a free one in a bounded queue. */
+#include "sas/store.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "sas/http.h"
+
+#define CONNECT_TIMEOUT_MS 500
+#define MAX_VALUE (32u * 1024 * 1024)
+
+struct http_store {
+    struct sas_store base;       /* first: the vtable */
+    struct sas_http_owner owner; /* of all connections */
+    uv_loop_t *loop;
+    struct sas_address address;
+    GQueue idle; /* of struct sas_http_conn */
+    int open_connections;
+    GQueue waiting; /* of struct operation */
+    GList *running; /* of struct operation */
+    uv_idle_t turn; /* delivers refusals on the loop's next turn */
+    GQueue refused; /* of struct operation */
+    bool closing;
+};
+
+struct operation {
+    struct sas_http_user user; /* first: the vtable */
+    struct http_store *store;
+    struct sas_store_call *call;
+    struct sas_http_conn *conn;
+    bool is_write;
+    bool on_old_connection;
+    bool retried;
+    char *target;
+    char *value;
+    size_t size;
+    char condition_name[16];
+    char condition_value[SasStore_ETAG_SIZE];
+    int64_t queued_at;
+    int status;
+    char etag[SasStore_ETAG_SIZE];
+    GString *body;
+};
+
+static void start_next(struct http_store *store);
+
+static void
+free_operation(struct operation *operation)
+{
+    g_free(operation->target);
+    g_free(operation->value);
+    g_string_free(operation->body, TRUE);
+    g_free(operation);
+}
+
+static void
+deliver(struct operation *operation, enum sas_store_status status,
+        const struct sas_error *error)
+{
+    struct sas_store_result result = {
+        .status = status,
+        .value = operation->body->str,
+        .size = operation->body->len,
+        .etag = operation->etag,
+    };
+    if (error != NULL) {
+        result.error = *error;
+    }
+    operation->call->on_result(operation->call, &result);
+    free_operation(operation);
+}
+
+static void
+on_head(struct sas_http_user *user, int status,
+        const struct sas_http_header *headers, int header_count)
+{
+    struct operation *operation = (struct operation *)user;
+    operation->status = status;
+    const char *etag = SasHttp_FindHeader(headers, header_count, "etag");
+    snprintf(operation->etag, sizeof(operation->etag), "%s",
+             etag != NULL ? etag : "");
+}
+
+static void
+on_body(struct sas_http_user *user, const char *data, size_t size)
+{
+    struct operation *operation = (struct operation *)user;
+    if (operation->body->len + size <= MAX_VALUE) {
+        g_string_append_len(operation->body, data, (gssize)size);
+    }
+}
+
+static void
+on_end(struct sas_http_user *user, bool whole, bool reusable)
+{
+    struct operation *operation = (struct operation *)user;
+    struct http_store *store = operation->store;
+    store->running = g_list_remove(store->running, operation);
+    if (reusable) {
+        g_queue_push_head(&store->idle, operation->conn);
+    }
+    enum sas_store_status status = SAS_STORE_UNKNOWN;
+    if (whole && operation->status / 100 == 2) {
+        status = SAS_STORE_OK;
+    }
+    else if (whole && operation->status == 404 && !operation->is_write) {
+        status = SAS_STORE_NOT_FOUND;
+    }
+    else if (whole && operation->status == 412) {
+        status = SAS_STORE_CONFLICT;
+    }
+    struct sas_error error = {.code = SAS_OK};
+    if (status == SAS_STORE_UNKNOWN) {
+        SasError_Set(&error, SAS_EIO, "store.answer", store->address.ip,
+                     "status %d", operation->status);
+    }
+    deliver(operation, status, &error);
+    start_next(store);
+}
+
+static void
+on_fail(struct sas_http_user *user, const struct sas_http_failure *failure)
+{
+    struct operation *operation = (struct operation *)user;
+    struct http_store *store = operation->store;
+    store->running = g_list_remove(store->running, operation);
+    /* A kept connection may have died while idle, or something between the
+     * ends may have lost track of it. A read harms nothing, so it goes once
+     * more, over a new connection; the old ones are all under suspicion. */
+    if (operation->on_old_connection && !operation->is_write &&
+        !operation->retried) {
+        operation->retried = true;
+        g_string_truncate(operation->body, 0);
+        while (!g_queue_is_empty(&store->idle)) {
+            SasHttp_Close(g_queue_peek_head(&store->idle));
+        }
+        g_queue_push_head(&store->waiting, operation);
+        start_next(store);
+        return;
+    }
+    deliver(operation,
+            failure->sent ? SAS_STORE_UNKNOWN : SAS_STORE_UNAVAILABLE,
+            &failure->error);
+    start_next(store);
+}
+
+static const struct sas_http_user_vtable operation_vtable = {
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_end = on_end,
+    .on_fail = on_fail,
+};
+
+static void
+on_conn_closed(struct sas_http_owner *owner, struct sas_http_conn *conn)
+{
+    struct http_store *store =
+        (struct http_store *)((char *)owner -
+                              offsetof(struct http_store, owner));
+    g_queue_remove(&store->idle, conn);
+    store->open_connections--;
+}
+
+static void
+start(struct http_store *store, struct operation *operation)
+{
+    /* A write whose acknowledgement is lost has to be read back, so it goes
+     * only over a connection that is new or has just been heard from. */
+    struct sas_http_conn *conn = g_queue_pop_head(&store->idle);
+    if (conn != NULL && operation->is_write &&
+        (int64_t)uv_now(store->loop) - SasHttp_GetLastReadAt(conn) > 1000) {
+        SasHttp_Close(conn);
+        conn = NULL;
+    }
+    operation->on_old_connection = conn != NULL;
+    if (conn == NULL) {
+        conn = SasHttp_Connect(store->loop, &store->address,
+                               CONNECT_TIMEOUT_MS, &store->owner);
+        store->open_connections++;
+    }
+    operation->conn = conn;
+    store->running = g_list_prepend(store->running, operation);
+    struct sas_http_header header = {operation->condition_name,
+                                     operation->condition_value};
+    struct sas_http_request request = {
+        .method = operation->is_write ? "PUT" : "GET",
+        .target = operation->target,
+        .headers = &header,
+        .header_count = operation->is_write ? 1 : 0,
+        .body = operation->value,
+        .body_size = operation->size,
+    };
+    SasHttp_Send(conn, &request, SasStore_TIMEOUT_MS, &operation->user);
+}
+
+static void
+start_next(struct http_store *store)
+{
+    while (!g_queue_is_empty(&store->waiting) && !store->closing) {
+        if (g_queue_is_empty(&store->idle) &&
+            store->open_connections >= SasStore_MAX_CONNECTIONS) {
+            return;
+        }
+        struct operation *operation = g_queue_pop_head(&store->waiting);
+        if ((int64_t)uv_now(store->loop) - operation->queued_at >
+            SasStore_TIMEOUT_MS) {
+            g_queue_push_tail(&store->refused, operation);
+            continue;
+        }
+        start(store, operation);
+    }
+}
+
+static void
+on_turn(uv_idle_t *turn)
+{
+    struct http_store *store = turn->data;
+    struct operation *operation = g_queue_pop_head(&store->refused);
+    if (operation == NULL) {
+        uv_idle_stop(turn);
+        return;
+    }
+    struct sas_error error;
+    SasError_Set(&error, SAS_EUNAVAILABLE, "store.queue", store->address.ip,
+                 "too many calls wait for the store");
+    deliver(operation, SAS_STORE_UNAVAILABLE, &error);
+}
+
+static struct operation *
+create_operation(struct sas_store *base, const char *space, const char *key,
+                 struct sas_store_call *call)
+{
+    struct http_store *store = (struct http_store *)base;
+    struct operation *operation = g_new0(struct operation, 1);
+    operation->user.vtable = &operation_vtable;
+    operation->store = store;
+    operation->call = call;
+    operation->target = g_strdup_printf("/%s%s", space, key);
+    operation->body = g_string_new(NULL);
+    operation->queued_at = (int64_t)uv_now(store->loop);
+    return operation;
+}
+
+static void
+enqueue(struct http_store *store, struct operation *operation)
+{
+    if (g_queue_get_length(&store->waiting) >= SasStore_MAX_WAITING) {
+        g_queue_push_tail(&store->refused, operation);
+    }
+    else {
+        g_queue_push_tail(&store->waiting, operation);
+        start_next(store);
+    }
+    if (!g_queue_is_empty(&store->refused)) {
+        uv_idle_start(&store->turn, on_turn);
+    }
+}
+
+static const char *
+get_space_name(enum sas_store_space space)
+{
+    return space == SAS_STORE_TABLE ? "table/" : "objects/";
+}
+
+static void
+http_read(struct sas_store *base, enum sas_store_space space, const char *key,
+          struct sas_store_call *call)
+{
+    enqueue((struct http_store *)base,
+            create_operation(base, get_space_name(space), key, call));
+}
+
+static void
+http_write(struct sas_store *base, enum sas_store_space space, const char *key,
+           const char *value, size_t size, enum sas_store_condition condition,
+           const char *etag, struct sas_store_call *call)
+{
+    struct operation *operation =
+        create_operation(base, get_space_name(space), key, call);
+    operation->is_write = true;
+    operation->value = g_memdup2(value, size);
+    operation->size = size;
+    bool absent = condition == SAS_STORE_ABSENT;
+    snprintf(operation->condition_name, sizeof(operation->condition_name),
+             "%s", absent ? "If-None-Match" : "If-Match");
+    snprintf(operation->condition_value, sizeof(operation->condition_value),
+             "%s", absent ? "*" : etag);
+    enqueue((struct http_store *)base, operation);
+}
+
+static void
+http_read_vms(struct sas_store *base, struct sas_store_call *call)
+{
+    enqueue((struct http_store *)base,
+            create_operation(base, "", "vms", call));
+}
+
+static void
+on_turn_closed(uv_handle_t *handle)
+{
+    struct http_store *store = handle->data;
+    g_free(store);
+}
+
+static void
+http_close(struct sas_store *base)
+{
+    struct http_store *store = (struct http_store *)base;
+    store->closing = true;
+    struct operation *operation;
+    while (store->running != NULL) {
+        operation = store->running->data;
+        SasHttp_Close(operation->conn);
+        store->running = g_list_delete_link(store->running, store->running);
+        free_operation(operation);
+    }
+    while ((operation = g_queue_pop_head(&store->waiting)) != NULL) {
+        free_operation(operation);
+    }
+    while ((operation = g_queue_pop_head(&store->refused)) != NULL) {
+        free_operation(operation);
+    }
+    while (!g_queue_is_empty(&store->idle)) {
+        SasHttp_Close(g_queue_peek_head(&store->idle));
+    }
+    uv_close((uv_handle_t *)&store->turn, on_turn_closed);
+}
+
+static const struct sas_store_vtable http_vtable = {
+    .read = http_read,
+    .write = http_write,
+    .read_vms = http_read_vms,
+    .close = http_close,
+};
+
+struct sas_store *
+SasStore_OpenHttp(uv_loop_t *loop, const struct sas_address *address)
+{
+    struct http_store *store = g_new0(struct http_store, 1);
+    store->base.vtable = &http_vtable;
+    store->owner.on_closed = on_conn_closed;
+    store->loop = loop;
+    store->address = *address;
+    g_queue_init(&store->idle);
+    g_queue_init(&store->waiting);
+    g_queue_init(&store->refused);
+    uv_idle_init(loop, &store->turn);
+    store->turn.data = store;
+    return &store->base;
+}
