--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -390,6 +390,49 @@
     assert_non_null(strstr(error.text, "/nowhere.toml"));
 }
 
+static void
+assert_example(const char *file, const char *services[2], const int counts[2],
+               int once_routes)
+{
+    g_autofree char *path = g_build_filename(SAS_EXAMPLES, file, NULL);
+    struct sas_settings settings;
+    struct sas_error error = {0};
+    if (SasSettings_Load(&settings, path, &error) != 0) {
+        fail_msg("%s", error.text);
+    }
+    const struct sas_model *model = &settings.model;
+    assert_int_equal(model->region_count, 3);
+    assert_int_equal(model->domain_count, 6);
+    assert_int_equal(model->link_count, 6);
+    assert_int_equal(model->vm_count, 9);
+    assert_int_equal(model->backend_count, counts[0] + counts[1]);
+    for (int i = 0; i < 2; i++) {
+        int service = SasModel_FindService(model, services[i]);
+        int slots = 0;
+        for (int region = 0; region < model->region_count; region++) {
+            slots += SasModel_CountSlots(model, service, region);
+        }
+        assert_int_equal(slots, 3 * counts[i]);
+    }
+    assert_int_equal(model->services[0].once_route_count, once_routes);
+    SasSettings_Unload(&settings);
+}
+
+static void
+test_examples_load_at_their_sizes(void **state)
+{
+    (void)state;
+    assert_example("hottes.toml", (const char *[]){"dossiers", "galerie"},
+                   (const int[]){24, 12}, 2);
+    assert_example("qureshi.toml",
+                   (const char *[]){"filing-desk", "scan-vault"},
+                   (const int[]){22, 12}, 1);
+    struct sas_settings settings;
+    assert_int_equal(
+        SasSettings_Load(&settings, SAS_EXAMPLES "/minimal.toml", NULL), 0);
+    SasSettings_Unload(&settings);
+}
+
 int
 main(void)
 {
@@ -405,6 +448,7 @@
         cmocka_unit_test(test_all_problems_are_listed_in_order),
         cmocka_unit_test(test_vm_is_found_by_name),
         cmocka_unit_test(test_absent_file_is_an_io_error),
+        cmocka_unit_test(test_examples_load_at_their_sizes),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
