--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -13,4 +13,23 @@
 #define SasModel_MAX_SERVICES 32
 #define SasModel_NONE (-1)
 
+/* Connections to backend servers. */
+#define SasUpstream_CONNECT_TIMEOUT_MS 1000
+#define SasUpstream_PROBE_TIMEOUT_MS 1000
+#define SasUpstream_IDLE_LIMIT_MS 30000
+#define SasUpstream_PROVED_MS 1000
+#define SasUpstream_STALL_MS 1000
+#define SasUpstream_SWEEP_MS 100
+
+/* Requests. */
+#define SasForward_MAX_DEADLINE_MS 300000
+#define SasForward_MAX_ATTEMPTS 3
+#define SasForward_HOLD_BYTES 65536
+#define SasForward_PENDING_HIGH 262144
+#define SasForward_PENDING_LOW 65536
+#define SasForward_MAX_WAITING 512
+#define SasCaller_MAX_CONNECTIONS 4096
+#define SasCaller_SWEEP_MS 50
+#define SasCaller_READ_TIMEOUT_MS 30000
+
 #endif
--- /dev/null
+++ b/packages/node/src/caller.h
@@ -0,0 +1,35 @@
+/* caller - the task that owns the caller port: look-ups and requests.
+ */
+#ifndef SAS_CALLER_H
+#define SAS_CALLER_H
+
+#include "forward.h"
+#include "server.h"
+#include "steer.h"
+
+struct sas_caller;
+
+struct sas_caller_parts {
+    uv_loop_t *loop;
+    const struct sas_model *model;
+    const struct sas_counters *counters;
+    struct sas_steer *steer;
+    struct sas_forward *forward;
+    struct sas_server_limits limits;
+};
+
+struct sas_caller *SasCaller_Open(const struct sas_caller_parts *parts,
+                                  const struct sas_address *address,
+                                  struct sas_error *error);
+void SasCaller_Close(struct sas_caller *caller);
+
+/* Stopping: answers end their connections, health says not ready. */
+void SasCaller_StartStopping(struct sas_caller *caller);
+
+/* From now on new requests are refused as not run. */
+void SasCaller_RefuseRequests(struct sas_caller *caller);
+
+/* Answers that are not yet with their callers. */
+int SasCaller_CountActive(const struct sas_caller *caller);
+
+#endif
--- /dev/null
+++ b/packages/node/src/configure.c
@@ -0,0 +1,698 @@
+#include "configure.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "sas/log.h"
+#include "sas/plan.h"
+
+#define HEAD_KEY "config/head"
+#define HISTORY_LENGTH 64
+#define MIN_POLL_MS 1000
+/* All nodes together use a tenth of the store's reads. */
+#define POLLS_PER_SECOND 100
+#define PUT_LIMIT_MS 6000
+#define PUT_PAUSE_MS 200
+#define DIGEST_SIZE 17
+
+/* Reads the head, then the object it names. */
+struct poll {
+    struct sas_store_call call; /* first: the store's callback */
+    struct sas_configure *configure;
+    bool running;
+    json_t *head;
+};
+
+struct list_poll {
+    struct sas_store_call call;
+    struct sas_configure *configure;
+    bool running;
+};
+
+struct sas_configure {
+    struct sas_configure_parts parts;
+    struct sas_config *current;
+    bool known;
+    struct poll poll;
+    struct list_poll list_poll;
+    uv_timer_t timer;
+    int ticks;
+    GList *puts; /* of struct put */
+};
+
+enum put_step {
+    PUT_READ_HEAD,
+    PUT_WRITE_OBJECT,
+    PUT_WRITE_HEAD
+};
+
+struct put {
+    struct sas_store_call call; /* first: the store's callback */
+    struct sas_configure *configure;
+    struct sas_put_user *user;
+    uv_timer_t pause;
+    enum put_step step;
+    char *sheet;
+    size_t sheet_size;
+    struct sas_put request;
+    int64_t started_at;
+    bool uncertain; /* a head write may have taken effect */
+    char operation[SasConfig_NAME_SIZE];
+    char operator_name[SasConfig_NAME_SIZE];
+    char etag[SasStore_ETAG_SIZE]; /* of the head, "" when absent */
+    json_t *head;
+    struct sas_config *base; /* what the new version is made from */
+    struct sas_config *config;
+    char *object_key;
+};
+
+struct history_read {
+    struct sas_store_call call;
+    struct sas_history_user *user;
+};
+
+static void on_timer(uv_timer_t *timer);
+static void on_head(struct sas_store_call *call,
+                    const struct sas_store_result *result);
+static void put_on_result(struct sas_store_call *call,
+                          const struct sas_store_result *result);
+static void read_head(struct put *put);
+
+struct sas_configure *
+SasConfigure_Open(const struct sas_configure_parts *parts)
+{
+    struct sas_configure *configure = g_new0(struct sas_configure, 1);
+    configure->parts = *parts;
+    configure->poll.configure = configure;
+    configure->list_poll.configure = configure;
+    uv_timer_init(parts->loop, &configure->timer);
+    configure->timer.data = configure;
+    uv_timer_start(&configure->timer, on_timer, 0, 0);
+    return configure;
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+static void
+free_put(struct put *put)
+{
+    put->configure->puts = g_list_remove(put->configure->puts, put);
+    json_decref(put->head);
+    SasConfig_Unref(put->base);
+    SasConfig_Unref(put->config);
+    g_free(put->object_key);
+    g_free(put->sheet);
+    put->pause.data = put;
+    uv_close((uv_handle_t *)&put->pause, on_timer_closed);
+}
+
+void
+SasConfigure_Close(struct sas_configure *configure)
+{
+    while (configure->puts != NULL) {
+        free_put(configure->puts->data);
+    }
+    json_decref(configure->poll.head);
+    SasConfig_Unref(configure->current);
+    uv_close((uv_handle_t *)&configure->timer, on_timer_closed);
+}
+
+struct sas_config *
+SasConfigure_GetCurrent(struct sas_configure *configure)
+{
+    return configure->current;
+}
+
+bool
+SasConfigure_IsKnown(const struct sas_configure *configure)
+{
+    return configure->known;
+}
+
+bool
+SasConfigure_Offer(struct sas_configure *configure, struct sas_config *config)
+{
+    int64_t number =
+        configure->current != NULL ? configure->current->number : 0;
+    /* The store may answer with an old row, and a peer may be behind. Taking
+     * a lower version would show as an accepted change that reverts; so
+     * only a higher one is ever adopted, whoever offers it. */
+    if (!SasConfig_MayReplace(number, config->number)) {
+        return false;
+    }
+    SasConfig_Unref(configure->current);
+    configure->current = SasConfig_Ref(config);
+    configure->known = true;
+    SasLog_Write(SasLog_INFO, "config.adopt", NULL,
+                 "version %" G_GINT64_FORMAT " of operation %s is in force",
+                 config->number, config->operation);
+    configure->parts.listener->on_config(configure->parts.listener, config);
+    return true;
+}
+
+/* Polling the store. */
+
+static void
+on_object(struct sas_store_call *call, const struct sas_store_result *result)
+{
+    struct poll *poll = (struct poll *)call;
+    struct sas_configure *configure = poll->configure;
+    poll->running = false;
+    g_clear_pointer(&poll->head, json_decref);
+    if (result->status != SAS_STORE_OK) {
+        return;
+    }
+    struct sas_error error = {0};
+    struct sas_config *config = SasConfig_Decode(
+        configure->parts.model, result->value, result->size, &error);
+    if (config == NULL) {
+        SasLog_WriteError(SasLog_ERROR, &error);
+        return;
+    }
+    SasConfigure_Offer(configure, config);
+    SasConfig_Unref(config);
+}
+
+static void
+on_head(struct sas_store_call *call, const struct sas_store_result *result)
+{
+    struct poll *poll = (struct poll *)call;
+    struct sas_configure *configure = poll->configure;
+    poll->running = false;
+    if (result->status == SAS_STORE_NOT_FOUND) {
+        if (!configure->known) {
+            configure->known = true;
+            configure->parts.listener->on_config(configure->parts.listener,
+                                                 NULL);
+        }
+        return;
+    }
+    if (result->status != SAS_STORE_OK) {
+        SasLog_WriteError(SasLog_WARN, &result->error);
+        return;
+    }
+    json_t *head = json_loadb(result->value, result->size, 0, NULL);
+    int64_t version =
+        json_integer_value(json_object_get(head, "version"));
+    const char *object =
+        json_string_value(json_object_get(head, "object"));
+    int64_t current =
+        configure->current != NULL ? configure->current->number : 0;
+    if (object == NULL || !SasConfig_MayReplace(current, version)) {
+        json_decref(head);
+        return;
+    }
+    poll->running = true;
+    poll->head = head;
+    poll->call.on_result = on_object;
+    SasStore_Read(configure->parts.store, SAS_STORE_OBJECT, object,
+                  &poll->call);
+}
+
+static void
+on_vm_list(struct sas_store_call *call,
+           const struct sas_store_result *result)
+{
+    struct list_poll *poll = (struct list_poll *)call;
+    struct sas_configure_listener *listener =
+        poll->configure->parts.listener;
+    poll->running = false;
+    if (result->status != SAS_STORE_OK) {
+        return;
+    }
+    json_t *list = json_loadb(result->value, result->size, 0, NULL);
+    if (json_is_object(list)) {
+        listener->on_vms(listener, list);
+    }
+    json_decref(list);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    struct sas_configure *configure = timer->data;
+    const struct sas_configure_parts *parts = &configure->parts;
+    int64_t interval = MAX(MIN_POLL_MS, (int64_t)parts->model->vm_count *
+                                            1000 / POLLS_PER_SECOND);
+    double jitter = g_rand_double_range(parts->random, 0.75, 1.25);
+    uv_timer_start(timer, on_timer, (uint64_t)((double)interval * jitter), 0);
+    if (!configure->poll.running) {
+        configure->poll.running = true;
+        configure->poll.call.on_result = on_head;
+        SasStore_Read(parts->store, SAS_STORE_TABLE, HEAD_KEY,
+                      &configure->poll.call);
+    }
+    if (!configure->list_poll.running && configure->ticks++ % 2 == 0) {
+        configure->list_poll.running = true;
+        configure->list_poll.call.on_result = on_vm_list;
+        SasStore_ReadVms(parts->store, &configure->list_poll.call);
+    }
+}
+
+/* Putting a version. */
+
+static void
+end_put(struct put *put, struct sas_put_answer *answer)
+{
+    struct sas_put_user *user = put->user;
+    if (answer->operation[0] == '\0') {
+        g_strlcpy(answer->operation, put->operation,
+                  sizeof(answer->operation));
+    }
+    free_put(put);
+    user->on_answer(user, answer);
+}
+
+static void
+end_put_unsettled(struct put *put)
+{
+    struct sas_put_answer answer = {
+        .result = put->uncertain ? SAS_PUT_UNKNOWN : SAS_PUT_UNAVAILABLE,
+    };
+    end_put(put, &answer);
+}
+
+static void
+end_put_done(struct put *put, int64_t version)
+{
+    struct sas_put_answer answer = {
+        .result = SAS_PUT_DONE,
+        .version = version,
+    };
+    end_put(put, &answer);
+}
+
+/* The head names the object that this put wrote, so what it built is the
+ * version in force. The same operation put through another node has another
+ * object, with other resolved times. */
+static void
+adopt_own(struct put *put)
+{
+    SasConfigure_Offer(put->configure, put->config);
+}
+
+static void
+end_put_conflict(struct put *put)
+{
+    struct sas_put_answer answer = {.result = SAS_PUT_CONFLICT};
+    const char *operation =
+        json_string_value(json_object_get(put->head, "operation"));
+    const char *operator_name =
+        json_string_value(json_object_get(put->head, "operator"));
+    answer.version =
+        json_integer_value(json_object_get(put->head, "version"));
+    g_strlcpy(answer.operation, operation != NULL ? operation : "?",
+              sizeof(answer.operation));
+    g_strlcpy(answer.operator_name,
+              operator_name != NULL ? operator_name : "",
+              sizeof(answer.operator_name));
+    end_put(put, &answer);
+}
+
+static void
+end_put_bad_sheet(struct put *put, const struct sas_sheet_error *error)
+{
+    struct sas_put_answer answer = {
+        .result = SAS_PUT_BAD_SHEET,
+        .sheet_error = *error,
+    };
+    end_put(put, &answer);
+}
+
+/* The row of an operation in the head's history, or NULL. */
+static const json_t *
+find_operation(const json_t *head, const char *operation)
+{
+    const json_t *history = json_object_get(head, "history");
+    size_t index;
+    json_t *row;
+    json_array_foreach(history, index, row) {
+        const char *id = json_string_value(json_object_get(row, "operation"));
+        if (id != NULL && strcmp(id, operation) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/* What identifies a request, so that an operation id that is used again for
+ * another one is not answered as done. */
+static void
+format_request_digest(const struct put *put, char *text, size_t size)
+{
+    uint64_t digest =
+        put->sheet != NULL
+            ? XXH3_64bits(put->sheet, put->sheet_size)
+            : XXH3_64bits_withSeed(&put->request.drain_target,
+                                   sizeof(put->request.drain_target),
+                                   (uint64_t)put->request.drain_kind);
+    snprintf(text, size, "%016" PRIx64, digest);
+}
+
+/* The operation is in the history: this put is a repetition of it. */
+static void
+end_put_found(struct put *put, const json_t *row)
+{
+    char digest[DIGEST_SIZE];
+    format_request_digest(put, digest, sizeof(digest));
+    const char *known = json_string_value(json_object_get(row, "digest"));
+    if (known == NULL || strcmp(known, digest) != 0) {
+        struct sas_sheet_error error = {0};
+        g_strlcpy(error.reason,
+                  "the operation id was used for another request",
+                  sizeof(error.reason));
+        end_put_bad_sheet(put, &error);
+        return;
+    }
+    const char *object =
+        json_string_value(json_object_get(put->head, "object"));
+    if (object != NULL && put->object_key != NULL &&
+        strcmp(object, put->object_key) == 0) {
+        adopt_own(put);
+    }
+    end_put_done(put,
+                 json_integer_value(json_object_get(row, "version")));
+}
+
+static int
+compare_times(const void *left, const void *right)
+{
+    const struct sas_intention *a = left;
+    const struct sas_intention *b = right;
+    return (a->at_ms > b->at_ms) - (a->at_ms < b->at_ms);
+}
+
+/* The rows in force and one drain row, with the times they already have. */
+static int
+build_drain_sheet(struct put *put, struct sas_sheet *sheet, GString *text,
+                  struct sas_sheet_error *error)
+{
+    const struct sas_model *model = put->configure->parts.model;
+    int64_t now = put->configure->parts.get_wall_ms();
+    int count = put->base != NULL ? put->base->sheet.row_count : 0;
+    sheet->rows = g_new0(struct sas_intention, count + 1);
+    for (int i = 0; i < count; i++) {
+        sheet->rows[i] = put->base->sheet.rows[i];
+    }
+    struct sas_intention *row = &sheet->rows[count];
+    row->at_ms = now;
+    row->service = SasModel_NONE;
+    row->from = SasModel_NONE;
+    row->to = SasModel_NONE;
+    row->drain_kind = put->request.drain_kind;
+    row->drain_target = put->request.drain_target;
+    sheet->row_count = count + 1;
+    qsort(sheet->rows, (size_t)sheet->row_count, sizeof(*row), compare_times);
+    bool is_vm = row->drain_kind == SAS_DRAIN_VM;
+    const char *name =
+        is_vm ? model->vms[put->request.drain_target].name
+              : model->backends[put->request.drain_target].name;
+    g_autoptr(GDateTime) time = g_date_time_new_from_unix_utc(now / 1000);
+    g_autofree char *stamp = g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ");
+    g_string_assign(text, put->base != NULL
+                              ? put->base->sheet_text
+                              : "time,service,from,to,share,cap,drain,"
+                                "limits\n");
+    if (text->len > 0 && text->str[text->len - 1] != '\n') {
+        g_string_append_c(text, '\n');
+    }
+    g_string_append_printf(text, "%s,,,,,,%s,\n", stamp, name);
+    if (SasSheet_Check(sheet, model, error) != 0) {
+        SasSheet_Free(sheet);
+        return -1;
+    }
+    return 0;
+}
+
+/* Makes the new version from the head that was just read. */
+static int
+build_config(struct put *put, int64_t base_version,
+             struct sas_sheet_error *error)
+{
+    const struct sas_configure_parts *parts = &put->configure->parts;
+    struct sas_sheet sheet = {0};
+    g_autoptr(GString) text = g_string_new(NULL);
+    if (put->sheet == NULL) {
+        if (build_drain_sheet(put, &sheet, text, error) != 0) {
+            return -1;
+        }
+    }
+    else {
+        g_string_append_len(text, put->sheet, (gssize)put->sheet_size);
+        if (SasSheet_Parse(&sheet, parts->model, put->sheet, put->sheet_size,
+                           parts->get_wall_ms(), parts->utc_offset_s,
+                           error) != 0) {
+            return -1;
+        }
+    }
+    struct sas_error reason = {0};
+    SasConfig_Unref(put->config);
+    put->config = SasConfig_New(base_version + 1, put->operation,
+                                put->operator_name, parts->get_wall_ms(),
+                                &sheet, text->str, &reason);
+    if (put->config == NULL) {
+        SasSheet_Free(&sheet);
+        snprintf(error->reason, sizeof(error->reason), "%.*s",
+                 (int)sizeof(error->reason) - 1, reason.text);
+        return -1;
+    }
+    if (SasPlan_CheckCapacity(parts->model, put->config, NULL, error,
+                              &reason) != 0) {
+        return -1;
+    }
+    return 0;
+}
+
+static char *
+encode_head(const struct put *put)
+{
+    const struct sas_config *config = put->config;
+    json_t *history = json_array();
+    const json_t *old = json_object_get(put->head, "history");
+    size_t count = json_array_size(old);
+    size_t first = count >= HISTORY_LENGTH ? count - HISTORY_LENGTH + 1 : 0;
+    for (size_t i = first; i < count; i++) {
+        json_array_append(history, json_array_get(old, i));
+    }
+    char digest[DIGEST_SIZE];
+    format_request_digest(put, digest, sizeof(digest));
+    json_array_append_new(
+        history,
+        json_pack("{s:I, s:s, s:s, s:I, s:s}", "version",
+                  (json_int_t)config->number, "operation", config->operation,
+                  "operator", config->operator_name, "accepted_ms",
+                  (json_int_t)config->accepted_ms, "digest", digest));
+    json_t *head = json_pack(
+        "{s:I, s:s, s:s, s:s, s:o}", "version", (json_int_t)config->number,
+        "operation", config->operation, "operator", config->operator_name,
+        "object", put->object_key, "history", history);
+    char *text = json_dumps(head, JSON_COMPACT);
+    json_decref(head);
+    return text;
+}
+
+static void
+write_object(struct put *put)
+{
+    const struct sas_configure_parts *parts = &put->configure->parts;
+    g_free(put->object_key);
+    char *text = SasConfig_Encode(put->config, parts->model);
+    put->object_key = g_strdup_printf(
+        "config/%" G_GINT64_FORMAT "-%s-%016" PRIx64, put->config->number,
+        put->config->operation, XXH3_64bits(text, strlen(text)));
+    put->step = PUT_WRITE_OBJECT;
+    SasStore_Write(parts->store, SAS_STORE_OBJECT, put->object_key, text,
+                   strlen(text), SAS_STORE_ABSENT, NULL, &put->call);
+    free(text);
+}
+
+static void
+write_head(struct put *put)
+{
+    g_autofree char *text = encode_head(put);
+    put->step = PUT_WRITE_HEAD;
+    SasStore_Write(put->configure->parts.store, SAS_STORE_TABLE, HEAD_KEY,
+                   text, strlen(text),
+                   put->etag[0] == '\0' ? SAS_STORE_ABSENT : SAS_STORE_MATCH,
+                   put->etag, &put->call);
+}
+
+static void
+on_pause_over(uv_timer_t *timer)
+{
+    read_head(timer->data);
+}
+
+static void
+read_head_later(struct put *put)
+{
+    int64_t now = (int64_t)uv_now(put->configure->parts.loop);
+    if (now - put->started_at > PUT_LIMIT_MS) {
+        end_put_unsettled(put);
+        return;
+    }
+    uv_timer_start(&put->pause, on_pause_over, PUT_PAUSE_MS, 0);
+}
+
+static void
+read_head(struct put *put)
+{
+    put->step = PUT_READ_HEAD;
+    SasStore_Read(put->configure->parts.store, SAS_STORE_TABLE, HEAD_KEY,
+                  &put->call);
+}
+
+/* The head as it is now decides what has become of the operation. */
+static void
+decide_by_head(struct put *put, const struct sas_store_result *result)
+{
+    struct sas_configure *configure = put->configure;
+    json_decref(put->head);
+    put->head = result->status == SAS_STORE_OK
+                    ? json_loadb(result->value, result->size, 0, NULL)
+                    : NULL;
+    g_strlcpy(put->etag,
+              result->status == SAS_STORE_OK ? result->etag : "",
+              sizeof(put->etag));
+    const json_t *done = find_operation(put->head, put->operation);
+    if (done != NULL) {
+        end_put_found(put, done);
+        return;
+    }
+    int64_t version =
+        json_integer_value(json_object_get(put->head, "version"));
+    bool moved = put->config != NULL && version >= put->config->number;
+    bool other_base = put->request.if_version >= 0 &&
+                      put->request.if_version != version;
+    if (moved || other_base) {
+        end_put_conflict(put);
+        return;
+    }
+    if (put->config != NULL) {
+        write_object(put); /* again: the same change on the same base */
+        return;
+    }
+    /* A drain keeps the rows in force, so it needs that very version. */
+    int64_t current =
+        configure->current != NULL ? configure->current->number : 0;
+    if (put->sheet == NULL && current != version) {
+        read_head_later(put);
+        return;
+    }
+    put->base = configure->current != NULL
+                    ? SasConfig_Ref(configure->current)
+                    : NULL;
+    struct sas_sheet_error error = {0};
+    if (build_config(put, version, &error) != 0) {
+        end_put_bad_sheet(put, &error);
+        return;
+    }
+    if (put->request.dry_run) {
+        end_put_done(put, version);
+        return;
+    }
+    write_object(put);
+}
+
+/* The store's answer to one step. A lost acknowledgement is never taken for
+ * success or failure: the head is read back, and the operation is found in
+ * its history or is written again with the same condition, which can take
+ * effect only once. */
+static void
+put_on_result(struct sas_store_call *call,
+              const struct sas_store_result *result)
+{
+    struct put *put = (struct put *)call;
+    bool unsure = result->status == SAS_STORE_UNKNOWN ||
+                  result->status == SAS_STORE_UNAVAILABLE;
+    switch (put->step) {
+    case PUT_READ_HEAD:
+        if (unsure) {
+            read_head_later(put);
+            return;
+        }
+        decide_by_head(put, result);
+        return;
+    case PUT_WRITE_OBJECT:
+        /* A conflict here: the object exists, from this same operation. */
+        if (unsure) {
+            read_head_later(put);
+            return;
+        }
+        write_head(put);
+        return;
+    case PUT_WRITE_HEAD:
+        if (result->status == SAS_STORE_OK) {
+            adopt_own(put);
+            end_put_done(put, put->config->number);
+            return;
+        }
+        put->uncertain |= result->status == SAS_STORE_UNKNOWN;
+        read_head_later(put);
+        return;
+    }
+}
+
+void
+SasConfigure_Put(struct sas_configure *configure, const struct sas_put *put,
+                 struct sas_put_user *user)
+{
+    struct put *state = g_new0(struct put, 1);
+    state->call.on_result = put_on_result;
+    state->configure = configure;
+    state->user = user;
+    state->request = *put;
+    state->sheet =
+        put->sheet != NULL ? g_strndup(put->sheet, put->sheet_size) : NULL;
+    state->sheet_size = put->sheet_size;
+    state->started_at = (int64_t)uv_now(configure->parts.loop);
+    g_strlcpy(state->operation, put->operation, sizeof(state->operation));
+    g_strlcpy(state->operator_name, put->operator_name,
+              sizeof(state->operator_name));
+    uv_timer_init(configure->parts.loop, &state->pause);
+    state->pause.data = state;
+    configure->puts = g_list_prepend(configure->puts, state);
+    read_head(state);
+}
+
+/* History. */
+
+static void
+history_on_result(struct sas_store_call *call,
+                  const struct sas_store_result *result)
+{
+    struct history_read *read = (struct history_read *)call;
+    json_t *answer = NULL;
+    if (result->status == SAS_STORE_OK) {
+        json_t *head = json_loadb(result->value, result->size, 0, NULL);
+        json_t *rows = json_object_get(head, "history");
+        answer = json_pack("{s:O}", "versions",
+                           rows != NULL ? rows : json_null());
+        json_decref(head);
+    }
+    else if (result->status == SAS_STORE_NOT_FOUND) {
+        answer = json_pack("{s:[]}", "versions");
+    }
+    read->user->on_history(read->user, answer);
+    json_decref(answer);
+    g_free(read);
+}
+
+void
+SasConfigure_ReadHistory(struct sas_configure *configure,
+                         struct sas_history_user *user)
+{
+    struct history_read *read = g_new0(struct history_read, 1);
+    read->call.on_result = history_on_result;
+    read->user = user;
+    SasStore_Read(configure->parts.store, SAS_STORE_TABLE, HEAD_KEY,
+                  &read->call);
+}
--- /dev/null
+++ b/packages/node/src/configure.h
@@ -0,0 +1,104 @@
+/* configure - the task that owns the configuration: the head row and the
+ * version objects in the store, and which version this node has adopted.
+ *
+ * A version is an immutable object; the head row names the one in force and
+ * is changed by compare-and-swap only. The head carries the last changes
+ * with their operation ids, so that a lost acknowledgement is settled by
+ * reading back. A node adopts only higher versions, whoever offers them.
+ */
+#ifndef SAS_CONFIGURE_H
+#define SAS_CONFIGURE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "sas/config.h"
+#include "sas/store.h"
+
+struct sas_configure;
+
+/* Who is told; embedded as first member. */
+struct sas_configure_listener {
+    /* A version was adopted; NULL: the store has none yet. */
+    void (*on_config)(struct sas_configure_listener *listener,
+                      struct sas_config *config);
+    /* The platform's list came, as JSON. */
+    void (*on_vms)(struct sas_configure_listener *listener,
+                   const json_t *list);
+};
+
+struct sas_configure_parts {
+    uv_loop_t *loop;
+    const struct sas_model *model;
+    struct sas_store *store;
+    struct sas_configure_listener *listener;
+    GRand *random;
+    int64_t utc_offset_s;
+    int64_t (*get_wall_ms)(void);
+};
+
+enum sas_put_result {
+    SAS_PUT_DONE,
+    SAS_PUT_BAD_SHEET, /* row, column, text */
+    SAS_PUT_CONFLICT,  /* version, operation, operator_name: who won */
+    SAS_PUT_UNAVAILABLE, /* nothing was changed, the store is not there */
+    SAS_PUT_UNKNOWN      /* may have taken effect */
+};
+
+struct sas_put_answer {
+    enum sas_put_result result;
+    int64_t version;
+    char operation[SasConfig_NAME_SIZE];
+    char operator_name[SasConfig_NAME_SIZE];
+    struct sas_sheet_error sheet_error;
+};
+
+/* A put in progress; the caller embeds it as first member. */
+struct sas_put_user {
+    void (*on_answer)(struct sas_put_user *user,
+                      const struct sas_put_answer *answer);
+};
+
+struct sas_put {
+    const char *sheet; /* NULL: the sheet in force and a drain row */
+    size_t sheet_size;
+    enum sas_drain_kind drain_kind;
+    int drain_target;
+    const char *operation;
+    const char *operator_name;
+    int64_t if_version; /* -1: whatever is in force */
+    bool dry_run;
+};
+
+struct sas_configure *
+SasConfigure_Open(const struct sas_configure_parts *parts);
+void SasConfigure_Close(struct sas_configure *configure);
+
+/* The version in force here, or NULL. */
+struct sas_config *SasConfigure_GetCurrent(struct sas_configure *configure);
+
+/* True once the store or a peer has told what is in force. */
+bool SasConfigure_IsKnown(const struct sas_configure *configure);
+
+/* Takes over a version if it is higher; true when it was. */
+bool SasConfigure_Offer(struct sas_configure *configure,
+                        struct sas_config *config);
+
+/* Puts a new version in force; the answer comes later, exactly once. */
+void SasConfigure_Put(struct sas_configure *configure,
+                      const struct sas_put *put, struct sas_put_user *user);
+
+/* The store's list of changes: {"versions":[...]}, newest last, or NULL
+ * when the store can't be read. */
+struct sas_history_user {
+    void (*on_history)(struct sas_history_user *user, const json_t *history);
+};
+
+void SasConfigure_ReadHistory(struct sas_configure *configure,
+                              struct sas_history_user *user);
+
+#endif
--- /dev/null
+++ b/packages/node/src/forward.h
@@ -0,0 +1,96 @@
+/* forward - the life of one request: claim, grant, attempts, answer.
+ *
+ * The caller task begins a call and gets exactly one end: on_refuse, on_end
+ * or on_abort. What it passed in must stay until then. After Cancel it gets
+ * none. Times are loop milliseconds.
+ */
+#ifndef SAS_FORWARD_H
+#define SAS_FORWARD_H
+
+#include "claims.h"
+#include "reasons.h"
+#include "sas/http.h"
+#include "steer.h"
+#include "upstream.h"
+
+struct sas_forward;
+struct sas_forward_call;
+struct sas_guard;
+
+struct sas_forward_request {
+    int service;
+    const char *method;
+    const char *target; /* as the backend server gets it */
+    const struct sas_http_header *headers;
+    int header_count;
+    const char *body;
+    size_t body_size;
+    uint32_t caller_ip;
+    const char *caller; /* identity for idempotency keys */
+    const char *key;    /* NULL when absent */
+    int64_t deadline_ms;
+};
+
+struct sas_forward_answer {
+    int status;
+    const struct sas_http_header *headers;
+    int header_count;
+    int64_t length; /* -1 when it is not known before the end */
+    const char *backend;
+    const char *region;
+};
+
+struct sas_forward_reply;
+
+struct sas_forward_reply_vtable {
+    void (*on_refuse)(struct sas_forward_reply *reply,
+                      enum sas_refusal reason, enum sas_outcome outcome,
+                      int retry_after_s);
+    void (*on_head)(struct sas_forward_reply *reply,
+                    const struct sas_forward_answer *answer);
+    void (*on_body)(struct sas_forward_reply *reply, const char *data,
+                    size_t size);
+    void (*on_end)(struct sas_forward_reply *reply);
+    /* The answer broke after its head was passed on. */
+    void (*on_abort)(struct sas_forward_reply *reply);
+};
+
+/* The caller task embeds it as first member. */
+struct sas_forward_reply {
+    const struct sas_forward_reply_vtable *vtable;
+};
+
+struct sas_forward_parts {
+    uv_loop_t *loop;
+    const struct sas_model *model;
+    const struct sas_counters *counters;
+    struct sas_steer *steer;
+    struct sas_upstream *upstream;
+    struct sas_claims *claims;
+    struct sas_guard *guard;
+    int64_t queue_wait_ms;
+    double retry_share;
+};
+
+struct sas_forward *SasForward_Open(const struct sas_forward_parts *parts);
+void SasForward_Close(struct sas_forward *forward);
+
+struct sas_forward_call *
+SasForward_Begin(struct sas_forward *forward,
+                 const struct sas_forward_request *request,
+                 struct sas_forward_reply *reply);
+
+/* The caller has gone. */
+void SasForward_Cancel(struct sas_forward_call *call);
+
+/* The caller's side is full, or has room again. */
+void SasForward_Pause(struct sas_forward_call *call);
+void SasForward_Resume(struct sas_forward_call *call);
+
+/* Capacity may have come free: those who wait may try again. */
+void SasForward_Wake(struct sas_forward *forward);
+
+/* Requests in progress, those whose caller has gone included. */
+int SasForward_CountActive(const struct sas_forward *forward);
+
+#endif
--- /dev/null
+++ b/packages/node/src/reasons.c
@@ -0,0 +1,111 @@
+#include "reasons.h"
+
+#include "sas/metrics.h"
+
+struct reason {
+    const char *name;
+    int status;
+    const char *help;
+};
+
+static const struct reason reasons[SAS_REFUSE_COUNT] = {
+    [SAS_REFUSE_NO_CONFIG] = {"no-config", 503, ""},
+    [SAS_REFUSE_STOPPING] = {"stopping", 503, ""},
+    [SAS_REFUSE_UNKNOWN_SERVICE] = {"unknown-service", 404, ""},
+    [SAS_REFUSE_BAD_REQUEST] = {"bad-request", 400, ""},
+    [SAS_REFUSE_MEMORY] = {"memory", 503, ""},
+    [SAS_REFUSE_NO_HEADROOM] = {"no-headroom", 503, ""},
+    [SAS_REFUSE_QUEUE_FULL] = {"queue-full", 503, ""},
+    [SAS_REFUSE_QUEUE_TIMEOUT] = {"queue-timeout", 503, ""},
+    [SAS_REFUSE_NO_BACKEND] = {"no-backend", 503, ""},
+    [SAS_REFUSE_DEADLINE] = {"deadline", 504, ""},
+    [SAS_REFUSE_SHED] = {"shed", 503, ""},
+    [SAS_REFUSE_LOST] = {"lost", 502, ""},
+    [SAS_REFUSE_ANSWER_CUT] = {"answer-cut", 502, ""},
+    [SAS_REFUSE_ANSWER_UNFRAMED] = {"answer-unframed", 502, ""},
+    [SAS_REFUSE_QUARANTINED] = {"quarantined", 503, ""},
+    [SAS_REFUSE_KEY_MISSING] = {"key-missing", 400, ""},
+    [SAS_REFUSE_KEY_REUSED] = {"key-reused", 422, ""},
+    [SAS_REFUSE_CLAIM_STORE] = {"claim-store", 503, ""},
+    [SAS_REFUSE_CLAIM_RUNNING] = {"claim-running", 503, ""},
+    [SAS_REFUSE_CLAIM_LOST] = {"claim-lost", 502, ""},
+    [SAS_REFUSE_CALLER_GONE] = {"caller-gone", 499, ""},
+};
+
+const char *
+SasReasons_GetOutcomeName(enum sas_outcome outcome)
+{
+    switch (outcome) {
+    case SAS_OUTCOME_NOT_RUN:
+        return "not-run";
+    case SAS_OUTCOME_RAN:
+        return "ran";
+    case SAS_OUTCOME_UNKNOWN:
+        break;
+    }
+    return "unknown";
+}
+
+const char *
+SasReasons_GetName(enum sas_refusal reason)
+{
+    return reasons[reason].name;
+}
+
+int
+SasReasons_GetStatus(enum sas_refusal reason)
+{
+    return reasons[reason].status;
+}
+
+static int
+register_retry(struct sas_metrics *metrics, const char *reason)
+{
+    return SasMetrics_Register(metrics, "sas_retries_total", "reason", reason,
+                               "Requests tried again, by reason");
+}
+
+static int
+register_plain(struct sas_metrics *metrics, const char *name,
+               const char *help)
+{
+    return SasMetrics_Register(metrics, name, NULL, NULL, help);
+}
+
+void
+SasReasons_RegisterCounters(struct sas_counters *counters,
+                            struct sas_metrics *metrics)
+{
+    counters->metrics = metrics;
+    for (int i = 0; i < SAS_REFUSE_COUNT; i++) {
+        counters->refusals[i] =
+            SasMetrics_Register(metrics, "sas_refusals_total", "reason",
+                                reasons[i].name, "Refused requests");
+    }
+    counters->requests = register_plain(metrics, "sas_requests_total",
+                                        "Requests for backend servers");
+    counters->answers = register_plain(
+        metrics, "sas_answers_total", "Whole answers passed to callers");
+    counters->lookups =
+        register_plain(metrics, "sas_lookups_total", "Look-ups answered");
+    counters->retry_connect = register_retry(metrics, "connect");
+    counters->retry_shed = register_retry(metrics, "shed");
+    counters->retry_lost = register_retry(metrics, "lost");
+    counters->retry_cut = register_retry(metrics, "cut");
+    counters->retry_stalled = register_retry(metrics, "stalled");
+    counters->retry_denied = register_plain(
+        metrics, "sas_retries_denied_total", "Retries the budget denied");
+    counters->late_bytes =
+        register_plain(metrics, "sas_backend_connections_ended_total",
+                       "Connections ended after an answer");
+    counters->condemned =
+        register_plain(metrics, "sas_backend_connections_condemned_total",
+                       "Connections closed because one of their age was "
+                       "silent");
+    counters->cross_region =
+        register_plain(metrics, "sas_cross_region_total",
+                       "Requests sent to another region's backend servers");
+    counters->aborted = register_plain(
+        metrics, "sas_aborted_total",
+        "Transfers to callers broken because the answer was cut");
+}
--- /dev/null
+++ b/packages/node/src/reasons.h
@@ -0,0 +1,71 @@
+/* reasons - why a request was refused or tried again; a counter for each.
+ */
+#ifndef SAS_REASONS_H
+#define SAS_REASONS_H
+
+#include <stdint.h>
+
+struct sas_metrics;
+
+/* What is known about whether a request ran. */
+enum sas_outcome {
+    SAS_OUTCOME_NOT_RUN, /* no byte reached a backend server, or it said so */
+    SAS_OUTCOME_RAN,     /* it ran; its answer is lost or kept elsewhere */
+    SAS_OUTCOME_UNKNOWN
+};
+
+enum sas_refusal {
+    SAS_REFUSE_NO_CONFIG,
+    SAS_REFUSE_STOPPING,
+    SAS_REFUSE_UNKNOWN_SERVICE,
+    SAS_REFUSE_BAD_REQUEST,
+    SAS_REFUSE_MEMORY,
+    SAS_REFUSE_NO_HEADROOM,
+    SAS_REFUSE_QUEUE_FULL,
+    SAS_REFUSE_QUEUE_TIMEOUT,
+    SAS_REFUSE_NO_BACKEND,
+    SAS_REFUSE_DEADLINE,
+    SAS_REFUSE_SHED,
+    SAS_REFUSE_LOST,
+    SAS_REFUSE_ANSWER_CUT,
+    SAS_REFUSE_ANSWER_UNFRAMED,
+    SAS_REFUSE_QUARANTINED,
+    SAS_REFUSE_KEY_MISSING,
+    SAS_REFUSE_KEY_REUSED,
+    SAS_REFUSE_CLAIM_STORE,
+    SAS_REFUSE_CLAIM_RUNNING,
+    SAS_REFUSE_CLAIM_LOST,
+    SAS_REFUSE_CALLER_GONE,
+    SAS_REFUSE_COUNT
+};
+
+/* Names as in Sas-Outcome and Sas-Reason. */
+const char *SasReasons_GetOutcomeName(enum sas_outcome outcome);
+const char *SasReasons_GetName(enum sas_refusal reason);
+
+/* The HTTP status that goes with a refusal. */
+int SasReasons_GetStatus(enum sas_refusal reason);
+
+/* Handles of all counters that the node keeps. */
+struct sas_counters {
+    struct sas_metrics *metrics;
+    int refusals[SAS_REFUSE_COUNT];
+    int requests;
+    int answers;
+    int lookups;
+    int retry_connect;
+    int retry_shed;
+    int retry_lost;
+    int retry_cut;
+    int retry_stalled;
+    int retry_denied;
+    int late_bytes;
+    int condemned;
+    int cross_region;
+    int aborted;
+};
+
+void SasReasons_RegisterCounters(struct sas_counters *counters,
+                                 struct sas_metrics *metrics);
+
+#endif
--- /dev/null
+++ b/packages/node/src/server.c
@@ -0,0 +1,316 @@
+#include "server.h"
+
+#include <glib.h>
+#include <h2o/http1.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define SWEEP_MS 50
+/* Bodies up to this size are still taken while memory is short. */
+#define SMALL_BODY 65536
+
+struct sas_server {
+    uv_loop_t *loop;
+    struct sas_server_limits limits;
+    h2o_globalconf_t config;
+    h2o_hostconf_t *host;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+    bool context_open;
+    uv_tcp_t listener;
+    bool listening;
+    uv_timer_t sweep;
+    int connections;
+    uint64_t refused_connections;
+    size_t held_bytes;
+    int open_handles;
+    bool closing;
+};
+
+struct connection {
+    uv_tcp_t tcp; /* first: libuv's handle is freed as a whole */
+    struct sas_server *server;
+};
+
+static void on_sweep(uv_timer_t *timer);
+static void on_accept(uv_stream_t *listener, int status);
+
+static int
+on_request(h2o_handler_t *base, h2o_req_t *req)
+{
+    struct sas_server_handler *handler = (struct sas_server_handler *)base;
+    return handler->on_request(handler, req);
+}
+
+struct sas_server *
+SasServer_Open(uv_loop_t *loop, const struct sas_server_limits *limits)
+{
+    struct sas_server *server = g_new0(struct sas_server, 1);
+    server->loop = loop;
+    server->limits = *limits;
+    /* VMs have no disks: bodies stay in memory. */
+    h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+    h2o_config_init(&server->config);
+    server->config.server_name = h2o_iovec_init(H2O_STRLIT("sassafrassill"));
+    server->config.max_request_entity_size = limits->body_limit;
+    server->config.http1.upgrade_to_http2 = 0;
+    server->config.http1.req_timeout = SasCaller_READ_TIMEOUT_MS;
+    server->host = h2o_config_register_host(
+        &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    uv_tcp_init(loop, &server->listener);
+    server->listener.data = server;
+    uv_timer_init(loop, &server->sweep);
+    server->sweep.data = server;
+    server->open_handles = 2;
+    return server;
+}
+
+void
+SasServer_AddHandler(struct sas_server *server, const char *path,
+                     int (*handle)(struct sas_server_handler *, h2o_req_t *),
+                     void *data)
+{
+    h2o_pathconf_t *row = h2o_config_register_path(server->host, path, 0);
+    struct sas_server_handler *handler =
+        (struct sas_server_handler *)h2o_create_handler(
+            row, sizeof(struct sas_server_handler));
+    handler->base.on_req = on_request;
+    handler->on_request = handle;
+    handler->data = data;
+}
+
+int
+SasServer_Listen(struct sas_server *server, const struct sas_address *address,
+                 struct sas_error *error)
+{
+    struct sockaddr_storage storage;
+    int rc = SasHttp_GetSockaddr(address, &storage);
+    if (rc == 0) {
+        rc = uv_tcp_bind(&server->listener, (struct sockaddr *)&storage, 0);
+    }
+    if (rc == 0) {
+        rc = uv_listen((uv_stream_t *)&server->listener, 1024, on_accept);
+    }
+    if (rc != 0) {
+        SasError_Set(error, SAS_EIO, "server.listen", address->ip,
+                     "port %d: %s", address->port, uv_strerror(rc));
+        return -1;
+    }
+    server->listening = true;
+    h2o_context_init(&server->context, server->loop, &server->config);
+    server->context_open = true;
+    server->accept.ctx = &server->context;
+    server->accept.hosts = server->config.hosts;
+    uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+    return 0;
+}
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+    struct sas_server *server = handle->data;
+    server->open_handles--;
+}
+
+void
+SasServer_StopListening(struct sas_server *server)
+{
+    if (!uv_is_closing((uv_handle_t *)&server->listener)) {
+        uv_close((uv_handle_t *)&server->listener, on_handle_closed);
+    }
+}
+
+void
+SasServer_Close(struct sas_server *server)
+{
+    server->closing = true;
+    SasServer_StopListening(server);
+    uv_close((uv_handle_t *)&server->sweep, on_handle_closed);
+    if (server->context_open) {
+        h2o_context_request_shutdown(&server->context);
+    }
+    while (server->open_handles > 0) {
+        uv_run(server->loop, UV_RUN_ONCE);
+    }
+    /* The context stays: callers' idle connections may still refer to it,
+     * and the process is about to end. */
+}
+
+static void
+on_connection_closed(uv_handle_t *handle)
+{
+    struct connection *connection = (struct connection *)handle;
+    connection->server->connections--;
+    g_free(connection);
+}
+
+static void
+on_refused_closed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+    struct sas_server *server = listener->data;
+    if (status != 0) {
+        return;
+    }
+    struct connection *connection = g_new0(struct connection, 1);
+    connection->server = server;
+    uv_tcp_init(server->loop, &connection->tcp);
+    if (uv_accept(listener, (uv_stream_t *)&connection->tcp) != 0) {
+        uv_close((uv_handle_t *)&connection->tcp, on_refused_closed);
+        return;
+    }
+    /* More callers than this would take the memory of those in progress. */
+    if (server->connections >= server->limits.max_connections) {
+        server->refused_connections++;
+        uv_close((uv_handle_t *)&connection->tcp, on_refused_closed);
+        return;
+    }
+    server->connections++;
+    uv_tcp_nodelay(&connection->tcp, 1);
+    h2o_socket_t *socket = h2o_uv_socket_create(
+        (uv_stream_t *)&connection->tcp, on_connection_closed);
+    h2o_accept(&server->accept, socket);
+}
+
+static int
+add_held_bytes(h2o_req_t *req, void *data)
+{
+    size_t *sum = data;
+    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
+    if (socket != NULL && socket->input != NULL) {
+        *sum += socket->input->size;
+    }
+    return 0;
+}
+
+/* Many large uploads at a time would fill the memory of a small VM, and it
+ * would be killed with all requests in progress. h2o bounds each body; this
+ * bounds their sum: over it, only small bodies are taken until it falls. */
+static void
+on_sweep(uv_timer_t *timer)
+{
+    struct sas_server *server = timer->data;
+    size_t sum = 0;
+    server->config.http1.callbacks.foreach_request(&server->context,
+                                                   add_held_bytes, &sum);
+    server->held_bytes = sum;
+    server->config.max_request_entity_size =
+        sum > server->limits.bodies_limit
+            ? MIN(server->limits.body_limit, SMALL_BODY)
+            : server->limits.body_limit;
+}
+
+size_t
+SasServer_GetHeldBytes(const struct sas_server *server)
+{
+    return server->held_bytes;
+}
+
+uint64_t
+SasServer_GetRefusedConnections(const struct sas_server *server)
+{
+    return server->refused_connections;
+}
+
+/* Requests. */
+
+char *
+SasServer_CopyText(h2o_req_t *req, h2o_iovec_t text)
+{
+    return h2o_strdup(&req->pool, text.base, text.len).base;
+}
+
+const char *
+SasServer_GetHeader(h2o_req_t *req, const char *name)
+{
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *header = &req->headers.entries[i];
+        if (header->name->len == strlen(name) &&
+            strncasecmp(header->name->base, name, header->name->len) == 0) {
+            return SasServer_CopyText(req, header->value);
+        }
+    }
+    return NULL;
+}
+
+char *
+SasServer_GetParameter(h2o_req_t *req, const char *name)
+{
+    if (req->query_at == SIZE_MAX) {
+        return NULL;
+    }
+    char *query = SasServer_CopyText(
+        req, h2o_iovec_init(req->path.base + req->query_at + 1,
+                            req->path.len - req->query_at - 1));
+    size_t length = strlen(name);
+    char *rest = NULL;
+    for (char *part = strtok_r(query, "&", &rest); part != NULL;
+         part = strtok_r(NULL, "&", &rest)) {
+        if (strncmp(part, name, length) == 0 && part[length] == '=') {
+            g_autofree char *decoded =
+                g_uri_unescape_string(part + length + 1, NULL);
+            if (decoded == NULL) {
+                return NULL;
+            }
+            return SasServer_CopyText(
+                req, h2o_iovec_init(decoded, strlen(decoded)));
+        }
+    }
+    return NULL;
+}
+
+void
+SasServer_AddHeader(h2o_req_t *req, const char *name, const char *value)
+{
+    h2o_iovec_t name_copy = h2o_strdup(&req->pool, name, strlen(name));
+    h2o_iovec_t copy = h2o_strdup(&req->pool, value, strlen(value));
+    h2o_strtolower(name_copy.base, name_copy.len);
+    h2o_add_header_by_str(&req->pool, &req->res.headers, name_copy.base,
+                          name_copy.len, 1, NULL, copy.base, copy.len);
+}
+
+void
+SasServer_Answer(h2o_req_t *req, int status, const char *content_type,
+                 const char *body, size_t size)
+{
+    req->res.status = status;
+    req->res.reason = status / 100 == 2 ? "OK" : "Refused";
+    SasServer_AddHeader(req, "content-type", content_type);
+    h2o_send_inline(req, body, size);
+}
+
+uint32_t
+SasServer_GetCallerIp(h2o_req_t *req, char *text, size_t text_size)
+{
+    struct sockaddr_storage storage;
+    socklen_t size = req->conn->callbacks->get_peername(
+        req->conn, (struct sockaddr *)&storage);
+    g_strlcpy(text, "unknown", text_size);
+    if (size == 0) {
+        return 0;
+    }
+    if (storage.ss_family == AF_INET6) {
+        uv_ip6_name((struct sockaddr_in6 *)&storage, text, text_size);
+        return 0;
+    }
+    struct sockaddr_in *address = (struct sockaddr_in *)&storage;
+    uv_ip4_name(address, text, text_size);
+    return ntohl(address->sin_addr.s_addr);
+}
+
+bool
+SasServer_IsGone(h2o_req_t *req)
+{
+    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
+    char byte;
+    ssize_t count = recv(h2o_socket_get_fd(socket), &byte, 1,
+                         MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 ||
+           (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
--- /dev/null
+++ b/packages/node/src/server.h
@@ -0,0 +1,78 @@
+/* server - an h2o server on one port of the loop.
+ *
+ * Handlers are added before Listen. HTTP/1.1 only; request bodies arrive
+ * whole and bounded, the sum of all bodies held is bounded too, connections
+ * are bounded, and a sender that takes too long is cut off.
+ */
+#ifndef SAS_SERVER_H
+#define SAS_SERVER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <uv.h>
+
+#include <h2o.h>
+
+#include "sas/error.h"
+#include "sas/http.h"
+#include "sas/model.h"
+
+struct sas_server;
+
+/* A handler for a path and everything below it. */
+struct sas_server_handler {
+    h2o_handler_t base; /* first: h2o's own vtable */
+    int (*on_request)(struct sas_server_handler *handler, h2o_req_t *req);
+    void *data;
+};
+
+struct sas_server_limits {
+    size_t body_limit;   /* one request's body, bytes */
+    size_t bodies_limit; /* all bodies held, bytes */
+    int max_connections;
+};
+
+struct sas_server *SasServer_Open(uv_loop_t *loop,
+                                  const struct sas_server_limits *limits);
+void SasServer_AddHandler(struct sas_server *server, const char *path,
+                          int (*on_request)(struct sas_server_handler *,
+                                            h2o_req_t *),
+                          void *data);
+int SasServer_Listen(struct sas_server *server,
+                     const struct sas_address *address,
+                     struct sas_error *error);
+void SasServer_StopListening(struct sas_server *server);
+
+/* The loop must run once more afterwards; all connections are closed. */
+void SasServer_Close(struct sas_server *server);
+
+/* Bytes of requests held now. */
+size_t SasServer_GetHeldBytes(const struct sas_server *server);
+
+/* Connections that were refused because there were too many. */
+uint64_t SasServer_GetRefusedConnections(const struct sas_server *server);
+
+/* Requests. */
+
+/* A copy with an ending NUL in the request's own memory. */
+char *SasServer_CopyText(h2o_req_t *req, h2o_iovec_t text);
+
+/* A header's value or NULL; a query parameter's value, decoded, or NULL. */
+const char *SasServer_GetHeader(h2o_req_t *req, const char *name);
+char *SasServer_GetParameter(h2o_req_t *req, const char *name);
+
+void SasServer_AddHeader(h2o_req_t *req, const char *name,
+                         const char *value);
+
+/* Answers with a text of this content type. */
+void SasServer_Answer(h2o_req_t *req, int status, const char *content_type,
+                      const char *body, size_t size);
+
+/* The caller's IPv4 address in host byte order, 0 when it is another. */
+uint32_t SasServer_GetCallerIp(h2o_req_t *req, char *text, size_t text_size);
+
+/* True when the other end has closed its connection. */
+bool SasServer_IsGone(h2o_req_t *req);
+
+#endif
--- /dev/null
+++ b/packages/node/src/upstream.c
@@ -0,0 +1,487 @@
+#include "upstream.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sas/metrics.h"
+
+struct backend_state {
+    struct sas_http_owner owner; /* first: told of closed connections */
+    struct sas_upstream *upstream;
+    int backend;
+    GQueue idle; /* of struct sas_http_conn, the latest used first */
+    int open_connections;
+    GList *calls; /* of struct sas_upstream_call */
+    struct probe *probe;  /* the one in progress, or NULL */
+    int last_reported;    /* running and queued, as last stated */
+    int64_t last_report_at;
+    int64_t last_new_answer_at; /* a connection opened at or after this
+                                   moment has answered */
+};
+
+struct sas_upstream {
+    uv_loop_t *loop;
+    const struct sas_model *model;
+    const struct sas_counters *counters;
+    struct sas_upstream_listener *listener;
+    struct backend_state *states;
+    uv_timer_t sweep;
+    bool closing;
+};
+
+struct probe {
+    struct sas_http_user user; /* first: the vtable */
+    struct sas_upstream *upstream;
+    struct sas_http_conn *conn;
+    int backend;
+    int64_t opened_at;
+    GString *body;
+};
+
+static const struct sas_http_user_vtable call_vtable;
+static const struct sas_http_user_vtable probe_vtable;
+static void on_conn_closed(struct sas_http_owner *owner,
+                           struct sas_http_conn *conn);
+static void on_sweep(uv_timer_t *timer);
+static void end_probe(struct probe *probe);
+
+struct sas_upstream *
+SasUpstream_Open(uv_loop_t *loop, const struct sas_model *model,
+                 const struct sas_counters *counters,
+                 struct sas_upstream_listener *listener)
+{
+    struct sas_upstream *upstream = g_new0(struct sas_upstream, 1);
+    upstream->loop = loop;
+    upstream->model = model;
+    upstream->counters = counters;
+    upstream->listener = listener;
+    upstream->states = g_new0(struct backend_state, model->backend_count);
+    for (int i = 0; i < model->backend_count; i++) {
+        struct backend_state *state = &upstream->states[i];
+        state->owner.on_closed = on_conn_closed;
+        state->upstream = upstream;
+        state->backend = i;
+        g_queue_init(&state->idle);
+    }
+    uv_timer_init(loop, &upstream->sweep);
+    upstream->sweep.data = upstream;
+    uv_timer_start(&upstream->sweep, on_sweep, SasUpstream_SWEEP_MS,
+                   SasUpstream_SWEEP_MS);
+    return upstream;
+}
+
+static void
+on_sweep_closed(uv_handle_t *handle)
+{
+    struct sas_upstream *upstream = handle->data;
+    g_free(upstream->states);
+    g_free(upstream);
+}
+
+void
+SasUpstream_Close(struct sas_upstream *upstream)
+{
+    upstream->closing = true;
+    for (int i = 0; i < upstream->model->backend_count; i++) {
+        struct backend_state *state = &upstream->states[i];
+        while (state->calls != NULL) {
+            SasUpstream_Cancel(state->calls->data);
+        }
+        if (state->probe != NULL) {
+            SasHttp_Close(state->probe->conn);
+            end_probe(state->probe);
+        }
+        while (!g_queue_is_empty(&state->idle)) {
+            SasHttp_Close(g_queue_peek_head(&state->idle));
+        }
+    }
+    uv_close((uv_handle_t *)&upstream->sweep, on_sweep_closed);
+}
+
+static struct sas_http_conn *
+open_connection(struct sas_upstream *upstream, int backend)
+{
+    struct backend_state *state = &upstream->states[backend];
+    state->open_connections++;
+    return SasHttp_Connect(
+        upstream->loop, &upstream->model->backends[backend].address,
+        SasUpstream_CONNECT_TIMEOUT_MS, &state->owner);
+}
+
+void
+SasUpstream_Send(struct sas_upstream *upstream, int backend,
+                 const struct sas_http_request *request, int64_t timeout_ms,
+                 bool prove, const struct sas_upstream_vtable *vtable,
+                 struct sas_upstream_call *call)
+{
+    struct backend_state *state = &upstream->states[backend];
+    int64_t now = (int64_t)uv_now(upstream->loop);
+    struct sas_http_conn *conn = g_queue_pop_head(&state->idle);
+    /* A kept connection may have gone silent without either end being told.
+     * What may not repeat can't be tried again, so it goes only over one
+     * that was heard from within the last moment, or over a new one. */
+    if (conn != NULL && prove &&
+        now - SasHttp_GetLastReadAt(conn) > SasUpstream_PROVED_MS) {
+        g_queue_push_head(&state->idle, conn);
+        conn = NULL;
+    }
+    call->user.vtable = &call_vtable;
+    call->vtable = vtable;
+    call->upstream = upstream;
+    call->backend = backend;
+    call->reused = conn != NULL;
+    call->head_seen = false;
+    call->started_at = now;
+    if (conn == NULL) {
+        conn = open_connection(upstream, backend);
+    }
+    call->conn = conn;
+    state->calls = g_list_prepend(state->calls, call);
+    SasHttp_Send(conn, request, timeout_ms, &call->user);
+}
+
+static void
+remove_call(struct sas_upstream_call *call)
+{
+    struct backend_state *state = &call->upstream->states[call->backend];
+    state->calls = g_list_remove(state->calls, call);
+}
+
+void
+SasUpstream_Cancel(struct sas_upstream_call *call)
+{
+    remove_call(call);
+    SasHttp_Close(call->conn);
+}
+
+void
+SasUpstream_Pause(struct sas_upstream_call *call)
+{
+    SasHttp_Pause(call->conn);
+}
+
+void
+SasUpstream_Resume(struct sas_upstream_call *call)
+{
+    SasHttp_Resume(call->conn);
+}
+
+int
+SasUpstream_CountConnections(const struct sas_upstream *upstream, int backend)
+{
+    return upstream->states[backend].open_connections;
+}
+
+/* Calls. */
+
+/* Keeps a report for check_call() and passes it on. */
+static void
+take_report(struct sas_upstream *upstream, int backend,
+            const struct sas_load_report *report)
+{
+    struct backend_state *state = &upstream->states[backend];
+    state->last_reported = report->running + report->queued;
+    state->last_report_at = (int64_t)uv_now(upstream->loop);
+    upstream->listener->on_load(upstream->listener, backend, report);
+}
+
+static int
+find_number(const char *text, const char *name, int otherwise)
+{
+    const char *at = strstr(text, name);
+    return at != NULL ? atoi(at + strlen(name)) : otherwise;
+}
+
+static void
+take_load_header(struct sas_upstream *upstream, int backend,
+                 const struct sas_http_header *headers, int header_count)
+{
+    const char *value =
+        SasHttp_FindHeader(headers, header_count, "sas-load");
+    if (value == NULL) {
+        return;
+    }
+    struct sas_load_report report = {
+        .running = find_number(value, "running=", 0),
+        .queued = find_number(value, "queued=", 0),
+        .slots = find_number(value, "slots=", 0),
+        .leaving = find_number(value, "leaving=", 0) != 0,
+    };
+    take_report(upstream, backend, &report);
+}
+
+/* A connection opened at this moment has just answered. */
+static void
+note_answer(struct sas_upstream *upstream, int backend, int64_t opened_at)
+{
+    struct backend_state *state = &upstream->states[backend];
+    if (opened_at > state->last_new_answer_at) {
+        state->last_new_answer_at = opened_at;
+    }
+    upstream->listener->on_health(upstream->listener, backend, true);
+}
+
+static void
+call_on_head(struct sas_http_user *user, int status,
+             const struct sas_http_header *headers, int header_count)
+{
+    struct sas_upstream_call *call = (struct sas_upstream_call *)user;
+    call->head_seen = true;
+    note_answer(call->upstream, call->backend,
+                SasHttp_GetOpenedAt(call->conn));
+    take_load_header(call->upstream, call->backend, headers, header_count);
+    call->vtable->on_head(call, status, headers, header_count);
+}
+
+static void
+call_on_body(struct sas_http_user *user, const char *data, size_t size)
+{
+    struct sas_upstream_call *call = (struct sas_upstream_call *)user;
+    call->vtable->on_body(call, data, size);
+}
+
+static void
+call_on_end(struct sas_http_user *user, bool whole, bool reusable)
+{
+    struct sas_upstream_call *call = (struct sas_upstream_call *)user;
+    struct sas_upstream *upstream = call->upstream;
+    remove_call(call);
+    if (reusable && !upstream->closing) {
+        g_queue_push_head(&upstream->states[call->backend].idle, call->conn);
+    }
+    else if (reusable) {
+        SasHttp_Close(call->conn);
+    }
+    else {
+        SasMetrics_Add(upstream->counters->metrics,
+                       upstream->counters->late_bytes, 1);
+    }
+    call->vtable->on_end(call, whole);
+}
+
+static void
+call_on_fail(struct sas_http_user *user,
+             const struct sas_http_failure *failure)
+{
+    struct sas_upstream_call *call = (struct sas_upstream_call *)user;
+    struct sas_upstream *upstream = call->upstream;
+    remove_call(call);
+    if (!failure->sent) {
+        upstream->listener->on_health(upstream->listener, call->backend,
+                                      false);
+    }
+    call->vtable->on_fail(call, failure);
+}
+
+static const struct sas_http_user_vtable call_vtable = {
+    .on_head = call_on_head,
+    .on_body = call_on_body,
+    .on_end = call_on_end,
+    .on_fail = call_on_fail,
+};
+
+static void
+on_conn_closed(struct sas_http_owner *owner, struct sas_http_conn *conn)
+{
+    struct backend_state *state = (struct backend_state *)owner;
+    state->open_connections--;
+    g_queue_remove(&state->idle, conn);
+}
+
+/* Probes. */
+
+static void
+probe_on_head(struct sas_http_user *user, int status,
+              const struct sas_http_header *headers, int header_count)
+{
+    struct probe *probe = (struct probe *)user;
+    (void)status;
+    (void)headers;
+    (void)header_count;
+    g_string_truncate(probe->body, 0);
+}
+
+static void
+probe_on_body(struct sas_http_user *user, const char *data, size_t size)
+{
+    struct probe *probe = (struct probe *)user;
+    if (probe->body->len + size < 4096) {
+        g_string_append_len(probe->body, data, (gssize)size);
+    }
+}
+
+static int
+get_integer(const json_t *object, const char *name)
+{
+    return (int)json_integer_value(json_object_get(object, name));
+}
+
+static void
+take_probe_answer(struct probe *probe)
+{
+    json_t *object =
+        json_loadb(probe->body->str, probe->body->len, 0, NULL);
+    if (!json_is_object(object)) {
+        json_decref(object);
+        return;
+    }
+    struct sas_load_report report = {
+        .running = get_integer(object, "running"),
+        .queued = get_integer(object, "queued"),
+        .slots = get_integer(object, "slots"),
+        .leaving = json_is_true(json_object_get(object, "leaving")),
+    };
+    const char *incarnation =
+        json_string_value(json_object_get(object, "incarnation"));
+    snprintf(report.incarnation, sizeof(report.incarnation), "%s",
+             incarnation != NULL ? incarnation : "");
+    json_decref(object);
+    take_report(probe->upstream, probe->backend, &report);
+}
+
+static void
+end_probe(struct probe *probe)
+{
+    probe->upstream->states[probe->backend].probe = NULL;
+    g_string_free(probe->body, TRUE);
+    g_free(probe);
+}
+
+static void
+probe_on_end(struct sas_http_user *user, bool whole, bool reusable)
+{
+    struct probe *probe = (struct probe *)user;
+    struct sas_upstream *upstream = probe->upstream;
+    if (reusable && !upstream->closing) {
+        g_queue_push_head(&upstream->states[probe->backend].idle,
+                          probe->conn);
+    }
+    else if (reusable) {
+        SasHttp_Close(probe->conn);
+    }
+    if (whole) {
+        note_answer(upstream, probe->backend, probe->opened_at);
+        take_probe_answer(probe);
+    }
+    end_probe(probe);
+}
+
+static void
+probe_on_fail(struct sas_http_user *user,
+              const struct sas_http_failure *failure)
+{
+    (void)failure;
+    struct probe *probe = (struct probe *)user;
+    struct sas_upstream_listener *listener = probe->upstream->listener;
+    listener->on_health(listener, probe->backend, false);
+    end_probe(probe);
+}
+
+static const struct sas_http_user_vtable probe_vtable = {
+    .on_head = probe_on_head,
+    .on_body = probe_on_body,
+    .on_end = probe_on_end,
+    .on_fail = probe_on_fail,
+};
+
+/* A probe always opens a connection of its own: it is also the proof that
+ * new connections work while a kept one is silent. */
+void
+SasUpstream_Probe(struct sas_upstream *upstream, int backend)
+{
+    struct backend_state *state = &upstream->states[backend];
+    if (state->probe != NULL || upstream->closing) {
+        return;
+    }
+    struct probe *probe = g_new0(struct probe, 1);
+    state->probe = probe;
+    probe->user.vtable = &probe_vtable;
+    probe->upstream = upstream;
+    probe->backend = backend;
+    probe->opened_at = (int64_t)uv_now(upstream->loop);
+    probe->body = g_string_new(NULL);
+    probe->conn = open_connection(upstream, backend);
+    struct sas_http_request request = {.method = "GET",
+                                       .target = "/v1/load"};
+    SasHttp_Send(probe->conn, &request, SasUpstream_PROBE_TIMEOUT_MS,
+                 &probe->user);
+}
+
+/* Silent connections. */
+
+/* Closes the idle connections that are as old as a silent one. */
+static void
+condemn_idle(struct sas_upstream *upstream, struct backend_state *state,
+             int64_t opened_at)
+{
+    GList *link = state->idle.head;
+    while (link != NULL) {
+        struct sas_http_conn *conn = link->data;
+        link = link->next;
+        if (SasHttp_GetOpenedAt(conn) <= opened_at) {
+            SasMetrics_Add(upstream->counters->metrics,
+                           upstream->counters->condemned, 1);
+            SasHttp_Close(conn); /* leaves the idle list by on_closed */
+        }
+    }
+}
+
+/* A device between us and a backend server may drop what it knows of old
+ * connections: writes vanish, nothing is ever read, no error comes. It shows
+ * as a kept connection without any answer while one opened later answers.
+ * So a call that waits long on a kept connection asks for a probe over a
+ * new one; once that has answered, the old connections are given up. */
+static void
+check_call(struct sas_upstream *upstream, struct backend_state *state,
+           struct sas_upstream_call *call, int64_t now)
+{
+    if (!call->reused || call->head_seen ||
+        now - call->started_at < SasUpstream_STALL_MS) {
+        return;
+    }
+    int64_t opened_at = SasHttp_GetOpenedAt(call->conn);
+    bool newer_answered = state->last_new_answer_at >= call->started_at &&
+                          state->last_report_at >= call->started_at;
+    if (!newer_answered) {
+        SasUpstream_Probe(upstream, call->backend);
+        return;
+    }
+    /* A long request looks the same from here, but the backend server then
+     * counts it among those that it runs or has queued. */
+    bool missing =
+        state->last_reported < (int)g_list_length(state->calls);
+    if (missing) {
+        condemn_idle(upstream, state, opened_at);
+    }
+    call->vtable->on_stall(call, missing);
+}
+
+static void
+sweep_backend(struct sas_upstream *upstream, struct backend_state *state,
+              int64_t now)
+{
+    GList *link = state->calls;
+    while (link != NULL) {
+        GList *next = link->next;
+        check_call(upstream, state, link->data, now);
+        link = next;
+    }
+    struct sas_http_conn *oldest = g_queue_peek_tail(&state->idle);
+    if (oldest != NULL &&
+        now - SasHttp_GetLastReadAt(oldest) > SasUpstream_IDLE_LIMIT_MS) {
+        SasHttp_Close(oldest);
+    }
+}
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+    struct sas_upstream *upstream = timer->data;
+    int64_t now = (int64_t)uv_now(upstream->loop);
+    for (int i = 0; i < upstream->model->backend_count; i++) {
+        sweep_backend(upstream, &upstream->states[i], now);
+    }
+}
