--- /dev/null
+++ b/packages/node/src/steer.c
@@ -0,0 +1,461 @@
+#include "steer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "sas/log.h"
+#include "sas/lookup.h"
+#include "sas/measure.h"
+#include "sas/plan.h"
+
+#define TICK_MS 250
+#define MIN_RETRY_MS 250
+#define MAX_RETRY_MS 5000
+#define GONE_AFTER_MS 3000
+#define UNKNOWN_HEADROOM 0.25
+
+struct backend_row {
+    int in_flight;
+    bool reserved; /* a suspect runs alone there */
+    bool leaving;
+    int failures; /* connections in a row that could not be made */
+    int64_t unreachable_until;
+    int64_t last_reached_at;
+};
+
+struct sas_steer {
+    struct sas_steer_parts parts;
+    const struct sas_model *model;
+    struct sas_steer_listener *listener;
+    bool known;
+    int64_t version;
+    struct sas_plan plan;
+    struct sas_lookup lookup;
+    struct sas_measure measure;
+    struct backend_row *backends;
+    struct sas_vm_view *views;
+    struct sas_plan_signal *signals;
+    bool *gone;
+    uv_timer_t timer;
+};
+
+static void on_tick(uv_timer_t *timer);
+static void advance(struct sas_steer *steer);
+
+struct sas_steer *
+SasSteer_Open(const struct sas_steer_parts *parts)
+{
+    struct sas_steer *steer = g_new0(struct sas_steer, 1);
+    const struct sas_model *model = &parts->settings->model;
+    steer->parts = *parts;
+    steer->model = model;
+    steer->backends = g_new0(struct backend_row, model->backend_count);
+    steer->views = g_new0(struct sas_vm_view, model->vm_count);
+    steer->signals = g_new0(struct sas_plan_signal,
+                            model->service_count * model->region_count);
+    steer->gone = g_new0(bool, model->region_count);
+    for (int i = 0; i < model->backend_count; i++) {
+        steer->backends[i].last_reached_at = (int64_t)uv_now(parts->loop);
+    }
+    SasLookup_Init(&steer->lookup, model);
+    SasMeasure_Init(&steer->measure, model, UNKNOWN_HEADROOM);
+    uv_timer_init(parts->loop, &steer->timer);
+    steer->timer.data = steer;
+    uv_timer_start(&steer->timer, on_tick, TICK_MS, TICK_MS);
+    return steer;
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+void
+SasSteer_Close(struct sas_steer *steer)
+{
+    SasPlan_Free(&steer->plan);
+    SasLookup_Close(&steer->lookup);
+    SasMeasure_Close(&steer->measure);
+    g_free(steer->backends);
+    g_free(steer->views);
+    g_free(steer->signals);
+    g_free(steer->gone);
+    uv_close((uv_handle_t *)&steer->timer, on_timer_closed);
+}
+
+void
+SasSteer_SetListener(struct sas_steer *steer,
+                     struct sas_steer_listener *listener)
+{
+    steer->listener = listener;
+}
+
+static int64_t
+get_now(const struct sas_steer *steer)
+{
+    return (int64_t)uv_now(steer->parts.loop);
+}
+
+/* News. */
+
+static void
+rebuild_lookups(struct sas_steer *steer)
+{
+    for (int i = 0; i < steer->model->service_count; i++) {
+        SasLookup_Rebuild(&steer->lookup, steer->model, &steer->plan, i);
+    }
+}
+
+void
+SasSteer_TakeConfig(struct sas_steer *steer, const struct sas_config *config)
+{
+    static const struct sas_config nothing = {.sheet_text = ""};
+    SasPlan_Build(&steer->plan, steer->model,
+                  config != NULL ? config : &nothing);
+    steer->version = config != NULL ? config->number : 0;
+    steer->known = true;
+    advance(steer);
+    rebuild_lookups(steer);
+    if (steer->listener != NULL) {
+        steer->listener->on_capacity(steer->listener);
+    }
+}
+
+void
+SasSteer_TakeLoad(struct sas_steer *steer, int backend,
+                  const struct sas_load_report *report, int64_t age_ms)
+{
+    int slots = report->slots > 0 ? report->slots
+                                  : steer->model->backends[backend].slots;
+    SasMeasure_Report(&steer->measure, backend, report->running,
+                      report->queued, slots, get_now(steer) - age_ms);
+    if (report->leaving && !steer->backends[backend].leaving) {
+        steer->backends[backend].leaving = true;
+        SasMeasure_SetLeaving(&steer->measure, backend, true);
+        SasLog_Write(SasLog_INFO, "backend.leaving",
+                     steer->model->backends[backend].name,
+                     "it says that it is leaving");
+    }
+}
+
+void
+SasSteer_TakeHealth(struct sas_steer *steer, int backend, bool reachable)
+{
+    struct backend_row *row = &steer->backends[backend];
+    int64_t now = get_now(steer);
+    if (reachable) {
+        row->failures = 0;
+        row->unreachable_until = 0;
+        row->last_reached_at = now;
+        return;
+    }
+    int64_t pause = MIN(MAX_RETRY_MS, MIN_RETRY_MS << MIN(row->failures, 5));
+    row->failures++;
+    row->unreachable_until = now + pause;
+}
+
+void
+SasSteer_NoteShed(struct sas_steer *steer, int backend)
+{
+    SasMeasure_NoteShed(&steer->measure, backend, get_now(steer));
+}
+
+static void
+take_listed(struct sas_steer *steer, const char *name, bool leaving)
+{
+    int vm = SasModel_FindVm(steer->model, name);
+    if (vm != SasModel_NONE) {
+        steer->views[vm].platform = SAS_VM_LIVE;
+        steer->views[vm].leaving |= leaving;
+        return;
+    }
+    int backend = SasModel_FindBackend(steer->model, name);
+    if (backend != SasModel_NONE && leaving) {
+        steer->backends[backend].leaving = true;
+        SasMeasure_SetLeaving(&steer->measure, backend, true);
+    }
+}
+
+void
+SasSteer_TakeVms(struct sas_steer *steer, const json_t *list)
+{
+    const json_t *rows = json_object_get(list, "vms");
+    if (json_array_size(rows) == 0) {
+        return; /* an empty list says nothing */
+    }
+    for (int i = 0; i < steer->model->vm_count; i++) {
+        steer->views[i].platform = SAS_VM_DEAD;
+    }
+    size_t index;
+    json_t *row;
+    json_array_foreach(rows, index, row) {
+        const char *name = json_string_value(json_object_get(row, "name"));
+        const char *state = json_string_value(json_object_get(row, "state"));
+        if (name != NULL && state != NULL) {
+            take_listed(steer, name, strcmp(state, "leaving") == 0);
+        }
+    }
+}
+
+void
+SasSteer_TakePeer(struct sas_steer *steer, int vm, bool live, bool leaving)
+{
+    steer->views[vm].peers = live ? SAS_VM_LIVE : SAS_VM_DEAD;
+    steer->views[vm].leaving |= leaving;
+}
+
+static bool
+is_region_gone(const struct sas_steer *steer, int region)
+{
+    bool any = false;
+    int64_t now = get_now(steer);
+    for (int i = 0; i < steer->model->backend_count; i++) {
+        const struct backend_row *row = &steer->backends[i];
+        if (SasModel_GetBackendRegion(steer->model, i) != region) {
+            continue;
+        }
+        any = true;
+        if (row->failures == 0 || now - row->last_reached_at < GONE_AFTER_MS) {
+            return false;
+        }
+    }
+    return any;
+}
+
+static void
+advance(struct sas_steer *steer)
+{
+    const struct sas_model *model = steer->model;
+    int64_t now = get_now(steer);
+    for (int i = 0; i < model->region_count; i++) {
+        steer->gone[i] = is_region_gone(steer, i);
+    }
+    for (int i = 0; i < model->service_count * model->region_count; i++) {
+        steer->signals[i].headroom = SasMeasure_GetHeadroom(
+            &steer->measure, model, i / model->region_count,
+            i % model->region_count, now, &steer->signals[i].age_ms);
+    }
+    struct sas_plan_signals signals = {
+        .table = steer->signals,
+        .gone = steer->gone,
+    };
+    bool changed = SasPlan_Advance(&steer->plan, steer->parts.get_wall_ms(),
+                                   now, &signals);
+    if (changed) {
+        rebuild_lookups(steer);
+    }
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    struct sas_steer *steer = timer->data;
+    if (steer->known) {
+        advance(steer);
+    }
+}
+
+/* Decisions. */
+
+static bool
+was_tried(const struct sas_steer_query *query, int backend)
+{
+    for (int i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == backend) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_usable(const struct sas_steer *steer, const struct sas_steer_query *query,
+          int backend)
+{
+    const struct backend_row *row = &steer->backends[backend];
+    return !row->leaving && !row->reserved &&
+           row->unreachable_until <= get_now(steer) &&
+           !was_tried(query, backend) &&
+           !SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
+}
+
+/* The least loaded backend server with a free slot. */
+static int
+choose_backend(struct sas_steer *steer, const struct sas_steer_query *query,
+               int region, bool *any_usable)
+{
+    const struct sas_model *model = steer->model;
+    int best = SasModel_NONE;
+    double best_load = 0;
+    for (int i = 0; i < model->backend_count; i++) {
+        if (model->backends[i].service != query->service ||
+            SasModel_GetBackendRegion(model, i) != region ||
+            !is_usable(steer, query, i)) {
+            continue;
+        }
+        *any_usable = true;
+        int in_flight = steer->backends[i].in_flight;
+        if (in_flight >= (query->alone ? 1 : model->backends[i].slots)) {
+            continue;
+        }
+        double load =
+            SasMeasure_GetLoad(&steer->measure, i, get_now(steer)) +
+            g_rand_double_range(steer->parts.random, 0, 0.01);
+        if (best == SasModel_NONE || load < best_load) {
+            best = i;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+static void
+take_backend(struct sas_steer *steer, const struct sas_steer_query *query,
+             int backend, struct sas_steer_grant *grant)
+{
+    struct backend_row *row = &steer->backends[backend];
+    row->in_flight++;
+    row->reserved = query->alone;
+    SasMeasure_SetInFlight(&steer->measure, backend, row->in_flight);
+    grant->backend = backend;
+    grant->region = SasModel_GetBackendRegion(steer->model, backend);
+    grant->alone = query->alone;
+    grant->shift = SasModel_NONE;
+    grant->cross_region =
+        grant->region != SasModel_GetVmRegion(steer->model,
+                                              steer->parts.own_vm);
+}
+
+enum sas_steer_answer
+SasSteer_Acquire(struct sas_steer *steer, const struct sas_steer_query *query,
+                 struct sas_steer_grant *grant, enum sas_refusal *reason)
+{
+    const struct sas_model *model = steer->model;
+    if (!steer->known) {
+        *reason = SAS_REFUSE_NO_CONFIG;
+        return SAS_STEER_REFUSED;
+    }
+    int home = SasLookup_FindHome(&steer->lookup, query->caller_ip);
+    int target =
+        SasLookup_Find(&steer->lookup, query->service, query->caller_ip);
+    bool any_usable = false;
+    int order[SasModel_MAX_REGIONS + 2];
+    int count = 0;
+    order[count++] = target;
+    order[count++] = home;
+    for (int i = 0; i < model->region_count; i++) {
+        order[count++] = i;
+    }
+    for (int i = 0; i < count; i++) {
+        int backend = choose_backend(steer, query, order[i], &any_usable);
+        if (backend != SasModel_NONE) {
+            take_backend(steer, query, backend, grant);
+            return SAS_STEER_GRANTED;
+        }
+    }
+    if (!any_usable) {
+        *reason = SAS_REFUSE_NO_BACKEND;
+        return SAS_STEER_REFUSED;
+    }
+    return SAS_STEER_WAIT;
+}
+
+void
+SasSteer_Release(struct sas_steer *steer, int service,
+                 const struct sas_steer_grant *grant, int64_t elapsed_ms)
+{
+    (void)service;
+    (void)elapsed_ms;
+    struct backend_row *row = &steer->backends[grant->backend];
+    row->in_flight--;
+    if (grant->alone) {
+        row->reserved = false;
+    }
+    SasMeasure_SetInFlight(&steer->measure, grant->backend, row->in_flight);
+}
+
+int
+SasSteer_Lookup(struct sas_steer *steer, int service, uint32_t caller_ip,
+                struct sas_steer_lookup *result)
+{
+    if (!steer->known) {
+        return -1;
+    }
+    int home = SasLookup_FindHome(&steer->lookup, caller_ip);
+    result->region = SasLookup_Find(&steer->lookup, service, caller_ip);
+    result->version = steer->version;
+    int64_t lifetime_ms = SasLookup_ChooseLifetime(
+        &steer->plan, service, home, g_rand_double(steer->parts.random));
+    result->lifetime_s = (int)MAX(lifetime_ms / 1000, 1);
+    result->vm_count = SasLookup_OrderVms(
+        &steer->lookup, steer->model, result->region, caller_ip,
+        steer->views, result->vms, SasSteer_MAX_LOOKUP_VMS);
+    return 0;
+}
+
+int64_t
+SasSteer_GetVersion(const struct sas_steer *steer)
+{
+    return steer->version;
+}
+
+bool
+SasSteer_IsKnown(const struct sas_steer *steer)
+{
+    return steer->known;
+}
+
+/* Status. */
+
+static json_t *
+describe_region(struct sas_steer *steer, int service, int region)
+{
+    const struct sas_model *model = steer->model;
+    int slots = SasModel_CountSlots(model, service, region);
+    double age_ms = 0;
+    double headroom =
+        SasMeasure_GetHeadroom(&steer->measure, model, service, region,
+                               get_now(steer), &age_ms);
+    int free_slots = (int)(headroom * slots);
+    return json_pack("{s:s, s:s, s:i, s:i, s:i}", "service",
+                     model->services[service].name, "region",
+                     model->regions[region].name, "slots", slots, "running",
+                     slots - free_slots, "headroom", free_slots);
+}
+
+static json_t *
+describe_shift(const struct sas_steer *steer, const struct sas_shift *shift)
+{
+    const struct sas_model *model = steer->model;
+    g_autofree char *cap =
+        shift->cap_unit == SAS_CAP_NONE
+            ? g_strdup("")
+            : g_strdup_printf("%g %s", shift->cap,
+                              SasSheet_GetUnitName(shift->cap_unit));
+    return json_pack("{s:s, s:s, s:s, s:f, s:f, s:s, s:s}", "service",
+                     model->services[shift->service].name, "from",
+                     model->regions[shift->from].name, "to",
+                     model->regions[shift->to].name, "ordered_percent",
+                     shift->ordered * 100, "in_force_percent",
+                     shift->in_force * 100, "cap", cap, "holding",
+                     SasPlan_GetHoldName(shift->holding));
+}
+
+json_t *
+SasSteer_Describe(struct sas_steer *steer)
+{
+    json_t *regions = json_array();
+    json_t *shifts = json_array();
+    for (int s = 0; s < steer->model->service_count; s++) {
+        for (int r = 0; r < steer->model->region_count; r++) {
+            json_array_append_new(regions, describe_region(steer, s, r));
+        }
+    }
+    for (int i = 0; i < steer->plan.shift_count; i++) {
+        json_array_append_new(shifts,
+                              describe_shift(steer, &steer->plan.shifts[i]));
+    }
+    return json_pack("{s:o, s:o, s:[]}", "regions", regions, "shifts", shifts,
+                     "budgets");
+}
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -11,8 +11,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
 #include "reasons.h"
-#include "sas/model.h"
+#include "sas/config.h"
+#include "sas/settings.h"
+#include "upstream.h"
 
 #define SasSteer_MAX_TRIED 4
 #define SasSteer_MAX_LOOKUP_VMS 9
@@ -42,6 +48,48 @@
 
 struct sas_steer;
 
+/* Who is told that capacity may have come free; embedded as first member. */
+struct sas_steer_listener {
+    void (*on_capacity)(struct sas_steer_listener *listener);
+};
+
+struct sas_steer_parts {
+    uv_loop_t *loop;
+    const struct sas_settings *settings;
+    int own_vm;
+    GRand *random;
+    int64_t (*get_wall_ms)(void);
+};
+
+struct sas_steer *SasSteer_Open(const struct sas_steer_parts *parts);
+void SasSteer_Close(struct sas_steer *steer);
+
+/* Set once, before the loop runs. */
+void SasSteer_SetListener(struct sas_steer *steer,
+                          struct sas_steer_listener *listener);
+
+/* News. */
+
+/* A version was adopted; NULL: there is none yet, nothing is ordered. */
+void SasSteer_TakeConfig(struct sas_steer *steer,
+                         const struct sas_config *config);
+
+/* A backend server's statement, heard now (age 0) or from a peer. */
+void SasSteer_TakeLoad(struct sas_steer *steer, int backend,
+                       const struct sas_load_report *report, int64_t age_ms);
+void SasSteer_TakeHealth(struct sas_steer *steer, int backend,
+                         bool reachable);
+void SasSteer_NoteShed(struct sas_steer *steer, int backend);
+
+/* The platform's list, {"vms":[{"name":...,"state":"live"|"leaving"}]}. */
+void SasSteer_TakeVms(struct sas_steer *steer, const json_t *list);
+
+/* What the peers say of an entry VM. */
+void SasSteer_TakePeer(struct sas_steer *steer, int vm, bool live,
+                       bool leaving);
+
+/* Decisions. */
+
 /* Takes units for one request, or says why not. */
 enum sas_steer_answer SasSteer_Acquire(struct sas_steer *steer,
                                        const struct sas_steer_query *query,
@@ -66,7 +114,12 @@
 int SasSteer_Lookup(struct sas_steer *steer, int service, uint32_t caller_ip,
                     struct sas_steer_lookup *result);
 
-/* The configuration version in force, 0 while there is none. */
+/* The configuration version in force, 0 while there is none; known once
+ * the store or a peer has said what it is. */
 int64_t SasSteer_GetVersion(const struct sas_steer *steer);
+bool SasSteer_IsKnown(const struct sas_steer *steer);
+
+/* {"regions":[...],"shifts":[...],"budgets":[...]} as in docs/API.md. */
+json_t *SasSteer_Describe(struct sas_steer *steer);
 
 #endif
