First cut of proto, peer and membership

Cause: entry VMs need to tell each other config versions, health and loads, and to fetch a configuration while the store is down.

Ruled out: the digest inside the RPC verifier (its place must be blanked before it can be checked, and the header decoded before that); libtirpc's clnt and svc layers (they block).

--- /dev/null
+++ b/packages/core/src/membership.c
@@ -0,0 +1,497 @@
+#include "sas/membership.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Rounds of gossip by number of seats. */
+#define SMALL_SEATS 16
+#define MIDDLE_SEATS 128
+#define SMALL_INTERVAL_MS 250
+#define MIDDLE_INTERVAL_MS 500
+#define LARGE_INTERVAL_MS 1000
+#define FANOUT_BASE 30.0 /* fan-out is the logarithm to this base */
+
+/* A seat is heard of about once in (seats / news per message) rounds, and
+ * the news takes log2(seats) relays. */
+#define SUSPECT_ROUNDS 6
+#define GONE_FACTOR 4
+#define REFUTE_ROUNDS 12
+#define CUT_OFF_ROUNDS 12
+#define MIN_GONE_MS 8000
+
+/* How often a change is sent: this times log2(seats). */
+#define SENDS_FACTOR 3
+#define GONE_PICK_SHARE 8 /* one pick in so many goes to a seat gone */
+#define MAX_AGE_MS (1000LL * 3600 * 24)
+
+static bool is_seat(const struct sas_membership *table, int seat);
+static int merge_own(struct sas_membership *table,
+                     const struct sas_member_news *news, int64_t now_ms);
+static void merge_heartbeat(struct sas_member *member, uint32_t heartbeat,
+                            int64_t heard_ms);
+static int raise_version(struct sas_membership *table,
+                         struct sas_member *member, uint64_t version);
+static uint8_t get_sends(const struct sas_membership *table);
+static bool is_doubted(const struct sas_member *member);
+static void shuffle_part(GRand *random, int *seats, int count, int part);
+static void fill_news(const struct sas_membership *table, int seat,
+                      int64_t now_ms, struct sas_member_news *news);
+static int fill_changes(struct sas_membership *table, int64_t now_ms,
+                        struct sas_member_news *news, int count, int max,
+                        bool *taken);
+
+/* Table */
+
+void
+SasMembership_Init(struct sas_membership *table, int seat_count, int own,
+                   uint64_t incarnation, int64_t now_ms)
+{
+    memset(table, 0, sizeof(*table));
+    table->members = g_new0(struct sas_member, seat_count);
+    table->count = seat_count;
+    table->own = own;
+    table->direct_ms = now_ms;
+    SasMembership_GetTimes(seat_count, &table->times);
+    struct sas_member *self = &table->members[own];
+    self->incarnation = incarnation;
+    self->heartbeat = 1;
+    self->heard_ms = now_ms;
+    self->direct_ms = now_ms;
+    self->sends_left = get_sends(table);
+}
+
+void
+SasMembership_Close(struct sas_membership *table)
+{
+    g_free(table->members);
+    memset(table, 0, sizeof(*table));
+}
+
+void
+SasMembership_GetTimes(int seat_count, struct sas_membership_times *times)
+{
+    int64_t interval = LARGE_INTERVAL_MS;
+    if (seat_count <= SMALL_SEATS) {
+        interval = SMALL_INTERVAL_MS;
+    }
+    else if (seat_count <= MIDDLE_SEATS) {
+        interval = MIDDLE_INTERVAL_MS;
+    }
+    double seats = MAX(seat_count, 2);
+    double parts = ceil(seats / SasMembership_DIGEST_SEATS);
+    int64_t rounds = (int64_t)(SUSPECT_ROUNDS + parts * log2(seats) / 2);
+    times->interval_ms = interval;
+    times->fanout = MAX(1, (int)lround(log(seats) / log(FANOUT_BASE)));
+    times->suspect_ms = rounds * interval;
+    times->gone_ms = MAX(GONE_FACTOR * times->suspect_ms, MIN_GONE_MS);
+    times->refute_ms = REFUTE_ROUNDS * interval;
+    times->cut_off_ms = CUT_OFF_ROUNDS * interval;
+}
+
+/* Own seat */
+
+void
+SasMembership_Beat(struct sas_membership *table, int64_t now_ms)
+{
+    struct sas_member *self = &table->members[table->own];
+    self->heartbeat++;
+    self->heard_ms = now_ms;
+    self->direct_ms = now_ms;
+}
+
+int
+SasMembership_SetVersion(struct sas_membership *table, uint64_t version)
+{
+    return raise_version(table, &table->members[table->own], version);
+}
+
+int
+SasMembership_SetLeaving(struct sas_membership *table)
+{
+    struct sas_member *self = &table->members[table->own];
+    if (self->leaving) {
+        return 0;
+    }
+    self->leaving = true;
+    self->sends_left = get_sends(table);
+    return SAS_CHANGE_MEMBER;
+}
+
+/* News */
+
+int
+SasMembership_Merge(struct sas_membership *table,
+                    const struct sas_member_news *news, int64_t now_ms)
+{
+    if (!is_seat(table, news->seat) || news->incarnation == 0) {
+        return 0;
+    }
+    if (news->seat == table->own) {
+        return merge_own(table, news, now_ms);
+    }
+    struct sas_member *member = &table->members[news->seat];
+    if (news->incarnation < member->incarnation) {
+        return 0;
+    }
+    int changes = 0;
+    int64_t heard_ms = now_ms - CLAMP(news->age_ms, 0, MAX_AGE_MS);
+    if (news->incarnation > member->incarnation) {
+        memset(member, 0, sizeof(*member));
+        member->incarnation = news->incarnation;
+        member->heartbeat = news->heartbeat;
+        member->heard_ms = heard_ms;
+        changes |= SAS_CHANGE_MEMBER;
+    }
+    merge_heartbeat(member, news->heartbeat, heard_ms);
+    if (news->leaving && !member->leaving) {
+        member->leaving = true;
+        changes |= SAS_CHANGE_MEMBER;
+    }
+    uint32_t doubt = MIN(news->doubt, news->heartbeat);
+    if (doubt > member->doubt) {
+        member->doubt = doubt;
+        member->doubt_ms = now_ms;
+        changes |= is_doubted(member) ? SAS_CHANGE_MEMBER : 0;
+    }
+    if (changes != 0) {
+        member->sends_left = get_sends(table);
+    }
+    return changes | raise_version(table, member, news->config_version);
+}
+
+void
+SasMembership_NoteDirect(struct sas_membership *table, int seat,
+                         uint64_t incarnation, int64_t now_ms)
+{
+    if (!is_seat(table, seat) || seat == table->own) {
+        return;
+    }
+    table->direct_ms = now_ms;
+    struct sas_member *member = &table->members[seat];
+    if (member->incarnation == incarnation) {
+        member->direct_ms = now_ms;
+        member->silences = 0;
+    }
+}
+
+/* Guards against a node that is cut off and takes all others for dead: when
+ * the cut heals, its doubts would spread and every seat would have to refute
+ * them. While nobody is heard, silence tells only about this node. */
+int
+SasMembership_NoteSilence(struct sas_membership *table, int seat,
+                          int64_t now_ms)
+{
+    if (!is_seat(table, seat) || seat == table->own) {
+        return 0;
+    }
+    struct sas_member *member = &table->members[seat];
+    if (member->silences < SasMembership_SILENCE_LIMIT) {
+        member->silences++;
+    }
+    if (member->incarnation == 0 || is_doubted(member) ||
+        member->silences < SasMembership_SILENCE_LIMIT ||
+        SasMembership_IsCutOff(table, now_ms)) {
+        return 0;
+    }
+    member->doubt = member->heartbeat;
+    member->doubt_ms = now_ms;
+    member->sends_left = get_sends(table);
+    return SAS_CHANGE_MEMBER;
+}
+
+/* What is known */
+
+enum sas_member_state
+SasMembership_GetState(const struct sas_membership *table, int seat,
+                       int64_t now_ms)
+{
+    if (!is_seat(table, seat) || table->members[seat].incarnation == 0) {
+        return SAS_MEMBER_UNKNOWN;
+    }
+    const struct sas_member *member = &table->members[seat];
+    if (seat == table->own) {
+        return member->leaving ? SAS_MEMBER_LEAVING : SAS_MEMBER_LIVE;
+    }
+    int64_t age_ms = SasMembership_GetAge(table, seat, now_ms);
+    bool doubted = is_doubted(member) && member->direct_ms <= member->doubt_ms;
+    if (age_ms >= table->times.gone_ms ||
+        (doubted && now_ms - member->doubt_ms >= table->times.refute_ms)) {
+        return SAS_MEMBER_GONE;
+    }
+    if (member->leaving) {
+        return SAS_MEMBER_LEAVING;
+    }
+    if (doubted || age_ms >= table->times.suspect_ms) {
+        return SAS_MEMBER_SUSPECT;
+    }
+    return SAS_MEMBER_LIVE;
+}
+
+int64_t
+SasMembership_GetAge(const struct sas_membership *table, int seat,
+                     int64_t now_ms)
+{
+    if (!is_seat(table, seat) || table->members[seat].incarnation == 0) {
+        return MAX_AGE_MS;
+    }
+    if (seat == table->own) {
+        return 0;
+    }
+    const struct sas_member *member = &table->members[seat];
+    return now_ms - MAX(member->heard_ms, member->direct_ms);
+}
+
+bool
+SasMembership_IsCutOff(const struct sas_membership *table, int64_t now_ms)
+{
+    return table->count > 1 &&
+           now_ms - table->direct_ms >= table->times.cut_off_ms;
+}
+
+const char *
+SasMembership_GetStateName(enum sas_member_state state)
+{
+    switch (state) {
+    case SAS_MEMBER_UNKNOWN:
+        return "unknown";
+    case SAS_MEMBER_LIVE:
+        return "live";
+    case SAS_MEMBER_SUSPECT:
+        return "suspect";
+    case SAS_MEMBER_GONE:
+        return "gone";
+    case SAS_MEMBER_LEAVING:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+/* Gossip */
+
+int
+SasMembership_PickPeers(const struct sas_membership *table, GRand *random,
+                        int64_t now_ms, int *seats, int max)
+{
+    g_autofree int *present = g_new(int, table->count);
+    g_autofree int *gone = g_new(int, table->count);
+    int present_count = 0;
+    int gone_count = 0;
+    for (int seat = 0; seat < table->count; seat++) {
+        if (seat == table->own) {
+            continue;
+        }
+        if (SasMembership_GetState(table, seat, now_ms) == SAS_MEMBER_GONE) {
+            gone[gone_count++] = seat;
+        }
+        else {
+            present[present_count++] = seat;
+        }
+    }
+    int picked = MIN(max, present_count);
+    shuffle_part(random, present, present_count, picked);
+    memcpy(seats, present, (size_t)picked * sizeof(*seats));
+    bool pick_gone =
+        gone_count > 0 && max > 0 &&
+        (picked < max || g_rand_int_range(random, 0, GONE_PICK_SHARE) == 0);
+    if (pick_gone) {
+        int place = picked < max ? picked++ : max - 1;
+        seats[place] = gone[g_rand_int_range(random, 0, gone_count)];
+    }
+    return picked;
+}
+
+int
+SasMembership_FillDigest(struct sas_membership *table, GRand *random,
+                         int64_t now_ms, struct sas_member_news *news, int max)
+{
+    if (max <= 0) {
+        return 0;
+    }
+    g_autofree bool *taken = g_new0(bool, table->count);
+    fill_news(table, table->own, now_ms, &news[0]);
+    taken[table->own] = true;
+    int count = fill_changes(table, now_ms, news, 1, MAX(max / 2, 1), taken);
+    int start = g_rand_int_range(random, 0, table->count);
+    for (int i = 0; i < table->count && count < max; i++) {
+        int seat = (start + i) % table->count;
+        if (!taken[seat] && table->members[seat].incarnation != 0) {
+            fill_news(table, seat, now_ms, &news[count++]);
+        }
+    }
+    return count;
+}
+
+/* Leaving backend servers */
+
+void
+SasDeparture_Init(struct sas_departure_table *table, int backend_count)
+{
+    table->backends = g_new0(struct sas_departure, MAX(backend_count, 1));
+    table->count = backend_count;
+}
+
+void
+SasDeparture_Close(struct sas_departure_table *table)
+{
+    g_free(table->backends);
+    memset(table, 0, sizeof(*table));
+}
+
+bool
+SasDeparture_NoteListed(struct sas_departure_table *table, int backend,
+                        enum sas_departure_source source)
+{
+    if (backend < 0 || backend >= table->count) {
+        return false;
+    }
+    struct sas_departure *departure = &table->backends[backend];
+    bool is_new = departure->sources == 0;
+    departure->sources |= source;
+    return is_new;
+}
+
+bool
+SasDeparture_NoteReport(struct sas_departure_table *table, int backend,
+                        uint64_t incarnation, bool leaving,
+                        int64_t measured_ms)
+{
+    if (backend < 0 || backend >= table->count || incarnation == 0) {
+        return false;
+    }
+    struct sas_departure *departure = &table->backends[backend];
+    if (departure->incarnation == 0) {
+        departure->incarnation = incarnation;
+        departure->measured_ms = measured_ms;
+    }
+    if (incarnation != departure->incarnation) {
+        if (measured_ms <= departure->measured_ms) {
+            return false;
+        }
+        departure->incarnation = incarnation;
+        departure->sources = 0;
+    }
+    departure->measured_ms = MAX(departure->measured_ms, measured_ms);
+    bool is_new = leaving && departure->sources == 0;
+    departure->sources |= leaving ? SAS_DEPARTURE_SERVER : 0;
+    return is_new;
+}
+
+bool
+SasDeparture_IsLeaving(const struct sas_departure_table *table, int backend)
+{
+    return backend >= 0 && backend < table->count &&
+           table->backends[backend].sources != 0;
+}
+
+/* Helpers */
+
+static bool
+is_seat(const struct sas_membership *table, int seat)
+{
+    return seat >= 0 && seat < table->count;
+}
+
+/* News of the own seat: a doubt is refuted by a higher heartbeat. A higher
+ * incarnation means that another process was started for this seat while
+ * this one was paused or cut off; the owner has to stop. */
+static int
+merge_own(struct sas_membership *table, const struct sas_member_news *news,
+          int64_t now_ms)
+{
+    struct sas_member *self = &table->members[table->own];
+    if (news->incarnation > self->incarnation) {
+        table->replaced_by = MAX(table->replaced_by, news->incarnation);
+        return 0;
+    }
+    if (news->incarnation < self->incarnation ||
+        news->doubt < self->heartbeat || news->doubt > news->heartbeat ||
+        news->heartbeat > self->heartbeat) {
+        return 0;
+    }
+    SasMembership_Beat(table, now_ms);
+    self->sends_left = get_sends(table);
+    return SAS_CHANGE_MEMBER;
+}
+
+/* Guards against a process that is dead but stays young: if a relayed age
+ * could renew what is known at the same heartbeat, two nodes that tell each
+ * other of it would lose the time of each message. Only a risen heartbeat
+ * renews; at the same one the earlier time stands. */
+static void
+merge_heartbeat(struct sas_member *member, uint32_t heartbeat,
+                int64_t heard_ms)
+{
+    if (heartbeat > member->heartbeat) {
+        member->heartbeat = heartbeat;
+        member->heard_ms = heard_ms;
+    }
+    else if (heartbeat == member->heartbeat) {
+        member->heard_ms = MIN(member->heard_ms, heard_ms);
+    }
+}
+
+static int
+raise_version(struct sas_membership *table, struct sas_member *member,
+              uint64_t version)
+{
+    member->config_version = MAX(member->config_version, version);
+    if (version <= table->highest_version) {
+        return 0;
+    }
+    table->highest_version = version;
+    return SAS_CHANGE_VERSION;
+}
+
+static uint8_t
+get_sends(const struct sas_membership *table)
+{
+    return (uint8_t)(SENDS_FACTOR * (1 + g_bit_storage(table->count)));
+}
+
+static bool
+is_doubted(const struct sas_member *member)
+{
+    return member->doubt != 0 && member->doubt >= member->heartbeat;
+}
+
+/* Moves a random choice to the first `part` places. */
+static void
+shuffle_part(GRand *random, int *seats, int count, int part)
+{
+    for (int i = 0; i < part; i++) {
+        int other = g_rand_int_range(random, i, count);
+        int seat = seats[i];
+        seats[i] = seats[other];
+        seats[other] = seat;
+    }
+}
+
+static void
+fill_news(const struct sas_membership *table, int seat, int64_t now_ms,
+          struct sas_member_news *news)
+{
+    const struct sas_member *member = &table->members[seat];
+    news->seat = seat;
+    news->leaving = member->leaving;
+    news->incarnation = member->incarnation;
+    news->config_version = member->config_version;
+    news->heartbeat = member->heartbeat;
+    news->doubt = member->doubt;
+    news->age_ms = seat == table->own ? 0 : now_ms - member->heard_ms;
+}
+
+static int
+fill_changes(struct sas_membership *table, int64_t now_ms,
+             struct sas_member_news *news, int count, int max, bool *taken)
+{
+    for (int seat = 0; seat < table->count && count < max; seat++) {
+        struct sas_member *member = &table->members[seat];
+        if (member->sends_left == 0 || taken[seat]) {
+            continue;
+        }
+        member->sends_left--;
+        taken[seat] = true;
+        fill_news(table, seat, now_ms, &news[count++]);
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/proto/peer_rpc.x
@@ -0,0 +1,139 @@
+/* peer_rpc - the calls between entry VMs (ONC RPC, RFC 5531). tools of
+ * rpcsvc-proto turn it into include/sas/generated/peer_rpc.h and
+ * src/generated/peer_rpc_xdr.c; packages/proto/generate.sh does it. Every
+ * list has a bound, so that the decoder never allocates more than that.
+ */
+
+const SAS_RPC_NONCE_SIZE = 16;
+const SAS_RPC_MAX_SEATS = 256;
+const SAS_RPC_MAX_BUDGETS = 1024;
+const SAS_RPC_MAX_LOADS = 512;
+const SAS_RPC_MAX_QUARANTINES = 256;
+const SAS_RPC_MAX_BACKENDS = 512;
+const SAS_RPC_MAX_CONFIG = 229376;
+
+/* Who sends to whom; the verifier of every call and every reply. The
+ * receiver's incarnation is 0 only in a HELLO call. */
+struct sas_rpc_identity {
+    unsigned int sender;
+    unsigned hyper sender_incarnation;
+    unsigned int receiver;
+    unsigned hyper receiver_incarnation;
+};
+
+/* First call on every connection: both sides add a nonce of their own. */
+struct sas_rpc_hello {
+    opaque nonce[SAS_RPC_NONCE_SIZE];
+};
+
+enum sas_rpc_state {
+    SAS_RPC_LIVE = 0,
+    SAS_RPC_LEAVING = 1
+};
+
+/* What the sender knows of a seat, itself included. */
+struct sas_rpc_seat {
+    unsigned int seat;
+    sas_rpc_state state;
+    unsigned hyper incarnation;
+    unsigned hyper config_version;
+    unsigned int heartbeat;
+    unsigned int doubt;
+    unsigned int age_ms;
+};
+
+struct sas_rpc_budget {
+    unsigned hyper id;
+    unsigned hyper unused;
+};
+
+/* Load of a backend server as probed; the incarnation is a hash. */
+struct sas_rpc_load {
+    unsigned int backend;
+    unsigned int running;
+    unsigned int queued;
+    unsigned int age_ms;
+    bool leaving;
+    unsigned hyper incarnation;
+};
+
+/* A request that crashes backend servers, by its fingerprint. */
+struct sas_rpc_quarantine {
+    unsigned hyper fingerprint;
+    unsigned int service;
+    unsigned int crashes;
+    unsigned int age_ms;
+};
+
+struct sas_rpc_gossip {
+    unsigned int seat;
+    unsigned hyper incarnation;
+    sas_rpc_state state;
+    unsigned hyper config_version;
+    sas_rpc_budget budgets<SAS_RPC_MAX_BUDGETS>;
+    sas_rpc_load loads<SAS_RPC_MAX_LOADS>;
+    unsigned hyper quarantine_digest;
+    sas_rpc_quarantine quarantines<SAS_RPC_MAX_QUARANTINES>;
+    sas_rpc_seat seats<SAS_RPC_MAX_SEATS>;
+};
+
+struct sas_rpc_fetch {
+    unsigned hyper have_version;
+};
+
+/* number 0: nothing newer than what the caller has. base 0: the bytes are
+ * the whole configuration; otherwise a delta to that number. */
+struct sas_rpc_config {
+    unsigned hyper number;
+    unsigned hyper base;
+    opaque bytes<SAS_RPC_MAX_CONFIG>;
+};
+
+struct sas_rpc_borrow {
+    unsigned hyper budget;
+    unsigned hyper epoch;
+    unsigned hyper loan;
+    unsigned hyper wanted;
+};
+
+struct sas_rpc_grant {
+    unsigned hyper loan;
+    unsigned hyper granted;
+};
+
+struct sas_rpc_return {
+    unsigned hyper budget;
+    unsigned hyper epoch;
+    unsigned hyper loan;
+    unsigned hyper units;
+};
+
+struct sas_rpc_quarantine_list {
+    sas_rpc_quarantine entries<SAS_RPC_MAX_QUARANTINES>;
+};
+
+struct sas_rpc_leaving_backend {
+    unsigned int backend;
+    unsigned hyper incarnation;
+};
+
+/* The seat that is leaving, or SAS_RPC_NO_SEAT, and backend servers. */
+const SAS_RPC_NO_SEAT = 0xffffffff;
+
+struct sas_rpc_leaving {
+    unsigned int seat;
+    unsigned hyper incarnation;
+    sas_rpc_leaving_backend backends<SAS_RPC_MAX_BACKENDS>;
+};
+
+program SAS_RPC_PROGRAM {
+    version SAS_RPC_VERSION {
+        sas_rpc_hello SAS_RPC_HELLO(sas_rpc_hello) = 1;
+        sas_rpc_gossip SAS_RPC_GOSSIP(sas_rpc_gossip) = 2;
+        sas_rpc_config SAS_RPC_FETCH_CONFIG(sas_rpc_fetch) = 3;
+        sas_rpc_grant SAS_RPC_BORROW(sas_rpc_borrow) = 4;
+        void SAS_RPC_RETURN(sas_rpc_return) = 5;
+        void SAS_RPC_QUARANTINE(sas_rpc_quarantine_list) = 6;
+        void SAS_RPC_LEAVE(sas_rpc_leaving) = 7;
+    } = 1;
+} = 0x20534153;
