Placement policies: which backend server of a region gets a request

Cause: 72 slots behind 9 entry VMs is less than a slot per server and entry VM, and load reports lag or lie, so the choice has to be measured (docs/DESIGN 4). Eight policies behind one vtable; the estimate fades old reports into the mean over all servers and counts own requests in full.

--- /dev/null
+++ b/packages/core/src/place.c
@@ -0,0 +1,323 @@
+#include "sas/place.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "sas/model.h"
+
+#define COLD_WEIGHT 2.0
+
+struct round_robin {
+    struct sas_place_policy policy;
+    int next;
+};
+
+static int pick_random(struct sas_place_policy *self,
+                       const struct sas_place_server *servers, int count,
+                       GRand *random);
+static int pick_round_robin(struct sas_place_policy *self,
+                            const struct sas_place_server *servers, int count,
+                            GRand *random);
+static int pick_least_in_flight(struct sas_place_policy *self,
+                                const struct sas_place_server *servers,
+                                int count, GRand *random);
+static int pick_two_choices(struct sas_place_policy *self,
+                            const struct sas_place_server *servers, int count,
+                            GRand *random);
+static int pick_least_load(struct sas_place_policy *self,
+                           const struct sas_place_server *servers, int count,
+                           GRand *random);
+static int pick_owned(struct sas_place_policy *self,
+                      const struct sas_place_server *servers, int count,
+                      GRand *random);
+static int pick_owned_first(struct sas_place_policy *self,
+                            const struct sas_place_server *servers, int count,
+                            GRand *random);
+static int pick_cone(struct sas_place_policy *self,
+                     const struct sas_place_server *servers, int count,
+                     GRand *random);
+/* What a policy thinks of a server: the lowest is picked, INFINITY: no room.
+ */
+static double cost_any(const struct sas_place_server *server, double load);
+static double cost_in_flight(const struct sas_place_server *server,
+                             double load);
+static double cost_load(const struct sas_place_server *server, double load);
+static double cost_near_load(const struct sas_place_server *server,
+                             double load);
+static double cost_near_slot(const struct sas_place_server *server,
+                             double load);
+static double cost_idle_slot(const struct sas_place_server *server,
+                             double load);
+static double cost_owned(const struct sas_place_server *server, double load);
+static int pick_cheapest(const struct sas_place_server *servers,
+                         const double *loads, int count, GRand *random,
+                         double (*cost)(const struct sas_place_server *,
+                                        double));
+static bool is_in_cone(const struct sas_place_server *servers,
+                       const double *loads, int count);
+
+static const struct {
+    const char *name;
+    int (*pick)(struct sas_place_policy *, const struct sas_place_server *,
+                int, GRand *);
+} policies[] = {
+    {"random", pick_random},
+    {"round-robin", pick_round_robin},
+    {"least-in-flight", pick_least_in_flight},
+    {"two-choices", pick_two_choices},
+    {"least-load", pick_least_load},
+    {"owned", pick_owned},
+    {"owned-first", pick_owned_first},
+    {"cone", pick_cone},
+};
+
+struct sas_place_policy *
+SasPlace_Create(const char *name)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(policies); i++) {
+        if (strcmp(policies[i].name, name) == 0) {
+            struct round_robin *state = g_new0(struct round_robin, 1);
+            state->policy.pick = policies[i].pick;
+            return &state->policy;
+        }
+    }
+    return NULL;
+}
+
+void
+SasPlace_Free(struct sas_place_policy *policy)
+{
+    g_free(policy);
+}
+
+const char *
+SasPlace_GetName(int i)
+{
+    return i < (int)G_N_ELEMENTS(policies) ? policies[i].name : NULL;
+}
+
+/* Both the report and the mean that replaces it lag, so neither may hide the
+ * own requests: those are exact and always count in full. */
+void
+SasPlace_EstimateLoads(const struct sas_place_server *servers, int count,
+                       double *loads)
+{
+    double weights = 0;
+    double weighted = 0;
+    for (int i = 0; i < count; i++) {
+        const struct sas_place_server *server = &servers[i];
+        loads[i] =
+            server->report_age_ms < 0
+                ? 0
+                : exp2(-(double)server->report_age_ms / SasPlace_HALF_LIFE_MS);
+        weights += loads[i] * server->slots;
+        weighted += loads[i] * server->reported_load;
+    }
+    double mean_per_slot = weights > 0 ? weighted / weights : 0;
+    for (int i = 0; i < count; i++) {
+        const struct sas_place_server *server = &servers[i];
+        double weight = loads[i];
+        loads[i] = server->own_in_flight + weight * server->reported_load +
+                   (1 - weight) * mean_per_slot * server->slots;
+    }
+}
+
+static int
+pick_random(struct sas_place_policy *self,
+            const struct sas_place_server *servers, int count, GRand *random)
+{
+    (void)self;
+    return pick_cheapest(servers, NULL, count, random, cost_any);
+}
+
+static int
+pick_round_robin(struct sas_place_policy *self,
+                 const struct sas_place_server *servers, int count,
+                 GRand *random)
+{
+    (void)random;
+    struct round_robin *state = (struct round_robin *)self;
+    for (int tried = 0; tried < count; tried++) {
+        int i = state->next++ % count;
+        state->next %= count;
+        if (isfinite(cost_any(&servers[i], 0))) {
+            return i;
+        }
+    }
+    return SasModel_NONE;
+}
+
+static int
+pick_least_in_flight(struct sas_place_policy *self,
+                     const struct sas_place_server *servers, int count,
+                     GRand *random)
+{
+    (void)self;
+    return pick_cheapest(servers, NULL, count, random, cost_in_flight);
+}
+
+/* Falls back to all servers, so that NONE means that none has room. */
+static int
+pick_two_choices(struct sas_place_policy *self,
+                 const struct sas_place_server *servers, int count,
+                 GRand *random)
+{
+    g_autofree double *loads = g_new(double, count);
+    SasPlace_EstimateLoads(servers, count, loads);
+    if (count >= 2) {
+        int a = g_rand_int_range(random, 0, count);
+        int b = (a + g_rand_int_range(random, 1, count)) % count;
+        double cost_a = cost_load(&servers[a], loads[a]);
+        double cost_b = cost_load(&servers[b], loads[b]);
+        if (isfinite(fmin(cost_a, cost_b))) {
+            return cost_a <= cost_b ? a : b;
+        }
+    }
+    return pick_least_load(self, servers, count, random);
+}
+
+static int
+pick_least_load(struct sas_place_policy *self,
+                const struct sas_place_server *servers, int count,
+                GRand *random)
+{
+    (void)self;
+    g_autofree double *loads = g_new(double, count);
+    SasPlace_EstimateLoads(servers, count, loads);
+    return pick_cheapest(servers, loads, count, random, cost_load);
+}
+
+static int
+pick_owned(struct sas_place_policy *self,
+           const struct sas_place_server *servers, int count, GRand *random)
+{
+    (void)self;
+    g_autofree double *loads = g_new(double, count);
+    SasPlace_EstimateLoads(servers, count, loads);
+    return pick_cheapest(servers, loads, count, random, cost_owned);
+}
+
+static int
+pick_owned_first(struct sas_place_policy *self,
+                 const struct sas_place_server *servers, int count,
+                 GRand *random)
+{
+    (void)self;
+    g_autofree double *loads = g_new(double, count);
+    SasPlace_EstimateLoads(servers, count, loads);
+    int owned = pick_cheapest(servers, loads, count, random, cost_owned);
+    return owned != SasModel_NONE
+               ? owned
+               : pick_cheapest(servers, loads, count, random, cost_idle_slot);
+}
+
+/* A near server with a free slot costs no waiting. Without one, inside the
+ * cone any choice is delay-optimal in heavy traffic, so the nearest is;
+ * outside it only the shortest queue is. */
+static int
+pick_cone(struct sas_place_policy *self,
+          const struct sas_place_server *servers, int count, GRand *random)
+{
+    (void)self;
+    g_autofree double *loads = g_new(double, count);
+    SasPlace_EstimateLoads(servers, count, loads);
+    int near = pick_cheapest(servers, loads, count, random, cost_near_slot);
+    if (near == SasModel_NONE && is_in_cone(servers, loads, count)) {
+        near = pick_cheapest(servers, loads, count, random, cost_near_load);
+    }
+    return near != SasModel_NONE
+               ? near
+               : pick_cheapest(servers, loads, count, random, cost_load);
+}
+
+/* The servers of the lowest cost are equally likely. */
+static int
+pick_cheapest(const struct sas_place_server *servers, const double *loads,
+              int count, GRand *random,
+              double (*cost)(const struct sas_place_server *, double))
+{
+    int best = SasModel_NONE;
+    double best_cost = INFINITY;
+    int equals = 0;
+    for (int i = 0; i < count; i++) {
+        double now = cost(&servers[i], loads == NULL ? 0 : loads[i]);
+        if (now < best_cost) {
+            best = i;
+            best_cost = now;
+            equals = 1;
+        }
+        else if (isfinite(now) && now == best_cost &&
+                 g_rand_int_range(random, 0, ++equals) == 0) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static double
+cost_any(const struct sas_place_server *server, double load)
+{
+    (void)load;
+    bool has_room = server->usable &&
+                    server->own_in_flight < server->slots + server->queue;
+    return has_room ? 0 : INFINITY;
+}
+
+static double
+cost_in_flight(const struct sas_place_server *server, double load)
+{
+    (void)load;
+    return cost_any(server, 0) + (double)server->own_in_flight / server->slots;
+}
+
+/* A cold server's requests take longer, so each of them counts for more. */
+static double
+cost_load(const struct sas_place_server *server, double load)
+{
+    if (!server->usable || load >= server->slots + server->queue) {
+        return INFINITY;
+    }
+    return load * (server->cold ? COLD_WEIGHT : 1) / server->slots;
+}
+
+static double
+cost_near_load(const struct sas_place_server *server, double load)
+{
+    return server->same_domain ? cost_load(server, load) : INFINITY;
+}
+
+static double
+cost_near_slot(const struct sas_place_server *server, double load)
+{
+    return load + 1 <= server->slots ? cost_near_load(server, load) : INFINITY;
+}
+
+static double
+cost_idle_slot(const struct sas_place_server *server, double load)
+{
+    return load + 1 <= server->slots ? cost_load(server, load) : INFINITY;
+}
+
+static double
+cost_owned(const struct sas_place_server *server, double load)
+{
+    if (!server->usable || server->own_in_flight >= server->own_share) {
+        return INFINITY;
+    }
+    return load * (server->cold ? COLD_WEIGHT : 1) / server->slots;
+}
+
+static bool
+is_in_cone(const struct sas_place_server *servers, const double *loads,
+           int count)
+{
+    double shortest = INFINITY;
+    double longest = 0;
+    for (int i = 0; i < count; i++) {
+        if (servers[i].usable) {
+            shortest = fmin(shortest, loads[i] / servers[i].slots);
+            longest = fmax(longest, loads[i] / servers[i].slots);
+        }
+    }
+    return shortest >= SasPlace_CONE * longest;
+}
