The whole path, thin: sheet in, look-up, request, whole answer

Cause: nothing ran end to end. Now a platform stand-in, sassafrassilld processes, backend-server stand-ins; a sheet put on one node is in force on the others by gossip and polling, look-ups follow it, requests get the whole answer of the region that the sheet names. Not yet: budgets, claims (once routes are refused), quarantine.

--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -97,10 +97,9 @@
                int retry_after_s)
 {
     char body[160];
-    int size = snprintf(body, sizeof(body),
-                        "{\"reason\":\"%s\",\"outcome\":\"%s\"}\n",
-                        SasReasons_GetName(reason),
-                        SasReasons_GetOutcomeName(outcome));
+    int size = snprintf(
+        body, sizeof(body), "{\"reason\":\"%s\",\"outcome\":\"%s\"}\n",
+        SasReasons_GetName(reason), SasReasons_GetOutcomeName(outcome));
     SasServer_AddHeader(req, "sas-outcome",
                         SasReasons_GetOutcomeName(outcome));
     SasServer_AddHeader(req, "sas-reason", SasReasons_GetName(reason));
@@ -145,8 +144,7 @@
     g_string_truncate(exchange->pending, 0);
     h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
     if (exchange->over) {
-        state = exchange->broken ? H2O_SEND_STATE_ERROR
-                                 : H2O_SEND_STATE_FINAL;
+        state = exchange->broken ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
     }
     exchange->busy = true;
     h2o_iovec_t buffer =
@@ -162,8 +160,7 @@
         (struct exchange *)((char *)generator -
                             offsetof(struct exchange, generator));
     exchange->busy = false;
-    if (exchange->paused &&
-        exchange->pending->len <= SasForward_PENDING_LOW) {
+    if (exchange->paused && exchange->pending->len <= SasForward_PENDING_LOW) {
         exchange->paused = false;
         if (exchange->call != NULL) {
             SasForward_Resume(exchange->call);
@@ -373,8 +370,8 @@
 static struct exchange *
 create_exchange(struct sas_caller *caller, h2o_req_t *req)
 {
-    struct exchange *exchange = h2o_mem_alloc_shared(
-        &req->pool, sizeof(struct exchange), on_dispose);
+    struct exchange *exchange =
+        h2o_mem_alloc_shared(&req->pool, sizeof(struct exchange), on_dispose);
     memset(exchange, 0, sizeof(*exchange));
     exchange->reply.vtable = &reply_vtable;
     exchange->caller = caller;
@@ -402,8 +399,7 @@
     }
     char ip[SasModel_IP_SIZE];
     request.caller_ip = SasServer_GetCallerIp(req, ip, sizeof(ip));
-    if (!read_headers(req, &model->services[request.service], &request,
-                      ip)) {
+    if (!read_headers(req, &model->services[request.service], &request, ip)) {
         return refuse_early(caller, req, SAS_REFUSE_BAD_REQUEST);
     }
     request.method = SasServer_CopyText(req, req->method);
@@ -420,8 +416,8 @@
     request.headers = headers;
     request.header_count = (int)req->headers.size;
     struct exchange *exchange = create_exchange(caller, req);
-    struct sas_forward_call *call = SasForward_Begin(
-        caller->parts.forward, &request, &exchange->reply);
+    struct sas_forward_call *call =
+        SasForward_Begin(caller->parts.forward, &request, &exchange->reply);
     if (!exchange->over) {
         exchange->call = call;
     }
@@ -458,8 +454,8 @@
         caller_ip = ntohl(address.s_addr);
     }
     const char *name = SasServer_GetParameter(req, "service");
-    int service = name != NULL ? SasModel_FindService(model, name)
-                               : SasModel_NONE;
+    int service =
+        name != NULL ? SasModel_FindService(model, name) : SasModel_NONE;
     if (service == SasModel_NONE) {
         return refuse_early(caller, req, SAS_REFUSE_UNKNOWN_SERVICE);
     }
@@ -473,11 +469,10 @@
     for (int i = 0; i < result.vm_count; i++) {
         json_array_append_new(vms, describe_vm(model, result.vms[i]));
     }
-    json_t *answer = json_pack(
-        "{s:s, s:s, s:I, s:i, s:o}", "service", name, "region",
-        model->regions[result.region].name, "version",
-        (json_int_t)result.version, "lifetime_s", result.lifetime_s, "vms",
-        vms);
+    json_t *answer = json_pack("{s:s, s:s, s:I, s:i, s:o}", "service", name,
+                               "region", model->regions[result.region].name,
+                               "version", (json_int_t)result.version,
+                               "lifetime_s", result.lifetime_s, "vms", vms);
     char *text = json_dumps(answer, JSON_COMPACT);
     SasServer_Answer(req, 200, "application/json", text, strlen(text));
     free(text);
--- a/packages/node/src/configure.c
+++ b/packages/node/src/configure.c
@@ -200,10 +200,8 @@
         return;
     }
     json_t *head = json_loadb(result->value, result->size, 0, NULL);
-    int64_t version =
-        json_integer_value(json_object_get(head, "version"));
-    const char *object =
-        json_string_value(json_object_get(head, "object"));
+    int64_t version = json_integer_value(json_object_get(head, "version"));
+    const char *object = json_string_value(json_object_get(head, "object"));
     int64_t current =
         configure->current != NULL ? configure->current->number : 0;
     if (object == NULL || !SasConfig_MayReplace(current, version)) {
@@ -218,12 +216,10 @@
 }
 
 static void
-on_vm_list(struct sas_store_call *call,
-           const struct sas_store_result *result)
+on_vm_list(struct sas_store_call *call, const struct sas_store_result *result)
 {
     struct list_poll *poll = (struct list_poll *)call;
-    struct sas_configure_listener *listener =
-        poll->configure->parts.listener;
+    struct sas_configure_listener *listener = poll->configure->parts.listener;
     poll->running = false;
     if (result->status != SAS_STORE_OK) {
         return;
@@ -307,12 +303,10 @@
         json_string_value(json_object_get(put->head, "operation"));
     const char *operator_name =
         json_string_value(json_object_get(put->head, "operator"));
-    answer.version =
-        json_integer_value(json_object_get(put->head, "version"));
+    answer.version = json_integer_value(json_object_get(put->head, "version"));
     g_strlcpy(answer.operation, operation != NULL ? operation : "?",
               sizeof(answer.operation));
-    g_strlcpy(answer.operator_name,
-              operator_name != NULL ? operator_name : "",
+    g_strlcpy(answer.operator_name, operator_name != NULL ? operator_name : "",
               sizeof(answer.operator_name));
     end_put(put, &answer);
 }
@@ -334,7 +328,8 @@
     const json_t *history = json_object_get(head, "history");
     size_t index;
     json_t *row;
-    json_array_foreach(history, index, row) {
+    json_array_foreach(history, index, row)
+    {
         const char *id = json_string_value(json_object_get(row, "operation"));
         if (id != NULL && strcmp(id, operation) == 0) {
             return row;
@@ -378,8 +373,7 @@
         strcmp(object, put->object_key) == 0) {
         adopt_own(put);
     }
-    end_put_done(put,
-                 json_integer_value(json_object_get(row, "version")));
+    end_put_done(put, json_integer_value(json_object_get(row, "version")));
 }
 
 static int
@@ -412,9 +406,8 @@
     sheet->row_count = count + 1;
     qsort(sheet->rows, (size_t)sheet->row_count, sizeof(*row), compare_times);
     bool is_vm = row->drain_kind == SAS_DRAIN_VM;
-    const char *name =
-        is_vm ? model->vms[put->request.drain_target].name
-              : model->backends[put->request.drain_target].name;
+    const char *name = is_vm ? model->vms[put->request.drain_target].name
+                             : model->backends[put->request.drain_target].name;
     g_autoptr(GDateTime) time = g_date_time_new_from_unix_utc(now / 1000);
     g_autofree char *stamp = g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ");
     g_string_assign(text, put->base != NULL
@@ -455,9 +448,9 @@
     }
     struct sas_error reason = {0};
     SasConfig_Unref(put->config);
-    put->config = SasConfig_New(base_version + 1, put->operation,
-                                put->operator_name, parts->get_wall_ms(),
-                                &sheet, text->str, &reason);
+    put->config =
+        SasConfig_New(base_version + 1, put->operation, put->operator_name,
+                      parts->get_wall_ms(), &sheet, text->str, &reason);
     if (put->config == NULL) {
         SasSheet_Free(&sheet);
         snprintf(error->reason, sizeof(error->reason), "%.*s",
@@ -559,8 +552,7 @@
     put->head = result->status == SAS_STORE_OK
                     ? json_loadb(result->value, result->size, 0, NULL)
                     : NULL;
-    g_strlcpy(put->etag,
-              result->status == SAS_STORE_OK ? result->etag : "",
+    g_strlcpy(put->etag, result->status == SAS_STORE_OK ? result->etag : "",
               sizeof(put->etag));
     const json_t *done = find_operation(put->head, put->operation);
     if (done != NULL) {
@@ -570,8 +562,8 @@
     int64_t version =
         json_integer_value(json_object_get(put->head, "version"));
     bool moved = put->config != NULL && version >= put->config->number;
-    bool other_base = put->request.if_version >= 0 &&
-                      put->request.if_version != version;
+    bool other_base =
+        put->request.if_version >= 0 && put->request.if_version != version;
     if (moved || other_base) {
         end_put_conflict(put);
         return;
@@ -587,9 +579,8 @@
         read_head_later(put);
         return;
     }
-    put->base = configure->current != NULL
-                    ? SasConfig_Ref(configure->current)
-                    : NULL;
+    put->base =
+        configure->current != NULL ? SasConfig_Ref(configure->current) : NULL;
     struct sas_sheet_error error = {0};
     if (build_config(put, version, &error) != 0) {
         end_put_bad_sheet(put, &error);
@@ -674,8 +665,8 @@
     if (result->status == SAS_STORE_OK) {
         json_t *head = json_loadb(result->value, result->size, 0, NULL);
         json_t *rows = json_object_get(head, "history");
-        answer = json_pack("{s:O}", "versions",
-                           rows != NULL ? rows : json_null());
+        answer =
+            json_pack("{s:O}", "versions", rows != NULL ? rows : json_null());
         json_decref(head);
     }
     else if (result->status == SAS_STORE_NOT_FOUND) {
--- a/packages/node/src/configure.h
+++ b/packages/node/src/configure.h
@@ -43,8 +43,8 @@
 
 enum sas_put_result {
     SAS_PUT_DONE,
-    SAS_PUT_BAD_SHEET, /* row, column, text */
-    SAS_PUT_CONFLICT,  /* version, operation, operator_name: who won */
+    SAS_PUT_BAD_SHEET,   /* row, column, text */
+    SAS_PUT_CONFLICT,    /* version, operation, operator_name: who won */
     SAS_PUT_UNAVAILABLE, /* nothing was changed, the store is not there */
     SAS_PUT_UNKNOWN      /* may have taken effect */
 };
--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -93,8 +93,8 @@
 static bool
 is_idempotent(const char *method)
 {
-    static const char *const names[] = {"GET",     "HEAD", "PUT",
-                                        "DELETE",  "OPTIONS", "TRACE"};
+    static const char *const names[] = {"GET",    "HEAD",    "PUT",
+                                        "DELETE", "OPTIONS", "TRACE"};
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         if (strcmp(method, names[i]) == 0) {
             return true;
@@ -116,22 +116,17 @@
     call->reply = reply;
     call->claims_user.vtable = &claims_vtable;
     call->texts = g_string_chunk_new(1024);
-    call->headers =
-        g_array_new(FALSE, FALSE, sizeof(struct sas_http_header));
+    call->headers = g_array_new(FALSE, FALSE, sizeof(struct sas_http_header));
     call->answer_headers =
         g_array_new(FALSE, FALSE, sizeof(struct sas_http_header));
     call->held = g_string_new(NULL);
     call->request = *request;
-    call->request.method =
-        g_string_chunk_insert(call->texts, request->method);
-    call->request.target =
-        g_string_chunk_insert(call->texts, request->target);
-    call->request.caller =
-        g_string_chunk_insert(call->texts, request->caller);
-    copy_headers(call, request->headers, request->header_count,
-                 call->headers);
-    call->once = SasModel_IsOnceRoute(parts->model, request->service,
-                                      request->target);
+    call->request.method = g_string_chunk_insert(call->texts, request->method);
+    call->request.target = g_string_chunk_insert(call->texts, request->target);
+    call->request.caller = g_string_chunk_insert(call->texts, request->caller);
+    copy_headers(call, request->headers, request->header_count, call->headers);
+    call->once =
+        SasModel_IsOnceRoute(parts->model, request->service, request->target);
     call->idempotent = !call->once && is_idempotent(request->method);
     call->query.service = request->service;
     call->query.caller_ip = request->caller_ip;
@@ -139,8 +134,7 @@
     uv_timer_init(parts->loop, &call->timer);
     call->timer.data = call;
     call->deadline_at = (int64_t)uv_now(parts->loop) +
-                        MIN(request->deadline_ms,
-                            SasForward_MAX_DEADLINE_MS);
+                        MIN(request->deadline_ms, SasForward_MAX_DEADLINE_MS);
     call->fingerprint = SasGuard_GetFingerprint(
         request->method, request->target, request->body, request->body_size);
     check_and_start(call);
@@ -172,8 +166,7 @@
     }
     /* Once it is sent it runs to its end even when its caller goes, so that
      * the outcome can be kept; the caller's copy of the body goes then. */
-    call->own_body =
-        g_memdup2(call->request.body, call->request.body_size);
+    call->own_body = g_memdup2(call->request.body, call->request.body_size);
     call->request.body = call->own_body;
     struct sas_claims_key key = {
         .service = parts->model->services[call->request.service].name,
@@ -243,8 +236,8 @@
 {
     struct sas_forward *forward = call->forward;
     int64_t now = (int64_t)uv_now(forward->parts.loop);
-    SasSteer_Release(forward->parts.steer, call->request.service,
-                     &call->grant, now - call->attempt_at);
+    SasSteer_Release(forward->parts.steer, call->request.service, &call->grant,
+                     now - call->attempt_at);
     SasForward_Wake(forward);
 }
 
@@ -324,17 +317,15 @@
             MIN(forward->retry_credit + parts->retry_share, 10.0);
     }
     char left[24];
-    snprintf(left, sizeof(left), "%" G_GINT64_FORMAT,
-             call->deadline_at - now);
+    snprintf(left, sizeof(left), "%" G_GINT64_FORMAT, call->deadline_at - now);
     char id[40];
-    snprintf(id, sizeof(id), "%" G_GINT64_MODIFIER "x-%d",
-             forward->next_id++, call->attempts);
+    snprintf(id, sizeof(id), "%" G_GINT64_MODIFIER "x-%d", forward->next_id++,
+             call->attempts);
     guint count = call->headers->len;
     g_autofree struct sas_http_header *headers =
         g_new(struct sas_http_header, count + OWN_HEADERS);
     for (guint i = 0; i < count; i++) {
-        headers[i] =
-            g_array_index(call->headers, struct sas_http_header, i);
+        headers[i] = g_array_index(call->headers, struct sas_http_header, i);
     }
     headers[count].name = "Sas-Deadline-Ms";
     headers[count].value = left;
@@ -352,8 +343,8 @@
         SasClaims_MarkSent(call->claim);
     }
     if (call->grant.cross_region) {
-        SasMetrics_Add(parts->counters->metrics,
-                       parts->counters->cross_region, 1);
+        SasMetrics_Add(parts->counters->metrics, parts->counters->cross_region,
+                       1);
     }
     SasUpstream_Send(parts->upstream, call->grant.backend, &request,
                      call->deadline_at - now, !call->idempotent,
@@ -399,8 +390,8 @@
     }
     call->state = CALL_WAITING;
     g_queue_push_tail(queue, call);
-    arm_timer(call, MIN(call->deadline_at,
-                        now + forward->parts.queue_wait_ms));
+    arm_timer(call,
+              MIN(call->deadline_at, now + forward->parts.queue_wait_ms));
 }
 
 void
@@ -460,8 +451,7 @@
 {
     struct sas_forward_answer answer = {
         .status = call->status,
-        .headers =
-            (const struct sas_http_header *)call->answer_headers->data,
+        .headers = (const struct sas_http_header *)call->answer_headers->data,
         .header_count = (int)call->answer_headers->len,
         .length = call->answer_length,
         .backend = backend,
@@ -592,8 +582,7 @@
 {
     const char *outcome =
         SasHttp_FindHeader(headers, header_count, "sas-outcome");
-    return status == 503 && outcome != NULL &&
-           strcmp(outcome, "not-run") == 0;
+    return status == 503 && outcome != NULL && strcmp(outcome, "not-run") == 0;
 }
 
 static void
@@ -686,8 +675,7 @@
         SasClaims_Finish(
             call->claim, call->status,
             (const struct sas_http_header *)call->answer_headers->data,
-            (int)call->answer_headers->len, call->held->str,
-            call->held->len);
+            (int)call->answer_headers->len, call->held->str, call->held->len);
         return;
     }
     pass_own_answer(call);
@@ -715,8 +703,7 @@
                         SAS_OUTCOME_NOT_RUN);
     }
     else if (!lost) {
-        refuse(call, SAS_REFUSE_DEADLINE, SAS_OUTCOME_UNKNOWN,
-               RETRY_AFTER_S);
+        refuse(call, SAS_REFUSE_DEADLINE, SAS_OUTCOME_UNKNOWN, RETRY_AFTER_S);
     }
     else if (failure->begun) {
         retry_or_refuse(call, counters->retry_cut, SAS_REFUSE_ANSWER_CUT,
@@ -768,11 +755,11 @@
 is_hop_by_hop(const char *name)
 {
     static const char *const names[] = {
-        "connection", "keep-alive",        "proxy-authenticate",
+        "connection", "keep-alive",          "proxy-authenticate",
         "te",         "proxy-authorization", "trailer",
-        "upgrade",    "transfer-encoding", "proxy-connection",
-        "host",       "content-length",    "expect",
-        "sas-load",   "sas-deadline-ms",   "sas-request-id",
+        "upgrade",    "transfer-encoding",   "proxy-connection",
+        "host",       "content-length",      "expect",
+        "sas-load",   "sas-deadline-ms",     "sas-request-id",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         if (strcasecmp(name, names[i]) == 0) {
@@ -802,8 +789,7 @@
 copy_headers(struct sas_forward_call *call,
              const struct sas_http_header *headers, int count, GArray *out)
 {
-    const char *connection =
-        SasHttp_FindHeader(headers, count, "connection");
+    const char *connection = SasHttp_FindHeader(headers, count, "connection");
     g_array_set_size(out, 0);
     for (int i = 0; i < count; i++) {
         if (is_hop_by_hop(headers[i].name) ||
--- a/packages/node/src/forward.h
+++ b/packages/node/src/forward.h
@@ -43,9 +43,8 @@
 struct sas_forward_reply;
 
 struct sas_forward_reply_vtable {
-    void (*on_refuse)(struct sas_forward_reply *reply,
-                      enum sas_refusal reason, enum sas_outcome outcome,
-                      int retry_after_s);
+    void (*on_refuse)(struct sas_forward_reply *reply, enum sas_refusal reason,
+                      enum sas_outcome outcome, int retry_after_s);
     void (*on_head)(struct sas_forward_reply *reply,
                     const struct sas_forward_answer *answer);
     void (*on_body)(struct sas_forward_reply *reply, const char *data,
--- a/packages/node/src/guard.h
+++ b/packages/node/src/guard.h
@@ -10,6 +10,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "reasons.h"
+#include "sas/model.h"
+#include "sas/store.h"
+
 struct sas_guard;
 
 struct sas_fingerprint {
@@ -23,6 +27,11 @@
     SAS_GUARD_REFUSE
 };
 
+struct sas_guard *SasGuard_Open(uv_loop_t *loop, const struct sas_model *model,
+                                const struct sas_counters *counters,
+                                struct sas_store *store);
+void SasGuard_Close(struct sas_guard *guard);
+
 /* What identifies a request, whoever sends it and through which entry VM. */
 struct sas_fingerprint SasGuard_GetFingerprint(const char *method,
                                                const char *target,
@@ -31,8 +40,7 @@
 
 enum sas_guard_verdict
 SasGuard_Check(struct sas_guard *guard,
-               const struct sas_fingerprint *fingerprint,
-               int *retry_after_s);
+               const struct sas_fingerprint *fingerprint, int *retry_after_s);
 
 /* The connection was lost while the request ran on this backend server. */
 void SasGuard_NoteLost(struct sas_guard *guard,
--- /dev/null
+++ b/packages/node/src/node.c
@@ -0,0 +1,336 @@
+#include "node.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "admin.h"
+#include "caller.h"
+#include "claims.h"
+#include "configure.h"
+#include "forward.h"
+#include "guard.h"
+#include "peers.h"
+#include "sas/log.h"
+#include "sas/metrics.h"
+#include "sas/store.h"
+#include "steer.h"
+#include "upstream.h"
+
+#define PROBE_TICK_MS 100
+#define OWN_REGION_PROBE_MS 1000
+#define OTHER_REGION_PROBE_MS 3000
+#define STOP_TICK_MS 50
+
+enum exit_status {
+    EXIT_STOPPED = 0,
+    EXIT_FAILED_START = 1,
+    EXIT_STOP_LIMIT = 3
+};
+
+struct sas_node {
+    struct sas_upstream_listener upstream_listener;
+    struct sas_configure_listener configure_listener;
+    struct sas_steer_listener steer_listener;
+    uv_loop_t loop;
+    const struct sas_settings *settings;
+    int own_vm;
+    GRand *random;
+    struct sas_counters counters;
+    struct sas_store *store;
+    struct sas_steer *steer;
+    struct sas_upstream *upstream;
+    struct sas_claims *claims;
+    struct sas_guard *guard;
+    struct sas_forward *forward;
+    struct sas_configure *configure;
+    struct sas_peers *peers;
+    struct sas_caller *caller;
+    struct sas_admin *admin;
+    uv_timer_t probe_timer;
+    int64_t *next_probe_at;
+    uv_signal_t signals[2];
+    uv_timer_t stop_timer;
+    int64_t stopping_at; /* 0: not stopping */
+    int exit_status;
+};
+
+static int64_t
+get_wall_ms(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Messages between tasks. */
+
+#define NODE_OF(pointer, member)                                              \
+    ((struct sas_node *)((char *)(pointer)-offsetof(struct sas_node, member)))
+
+static void
+on_load(struct sas_upstream_listener *listener, int backend,
+        const struct sas_load_report *report)
+{
+    struct sas_node *node = NODE_OF(listener, upstream_listener);
+    SasSteer_TakeLoad(node->steer, backend, report, 0);
+    if (node->peers != NULL) {
+        SasPeers_NoteLoad(node->peers, backend, report);
+    }
+}
+
+static void
+on_health(struct sas_upstream_listener *listener, int backend, bool reachable)
+{
+    struct sas_node *node = NODE_OF(listener, upstream_listener);
+    SasSteer_TakeHealth(node->steer, backend, reachable);
+}
+
+static void
+on_config(struct sas_configure_listener *listener, struct sas_config *config)
+{
+    struct sas_node *node = NODE_OF(listener, configure_listener);
+    SasSteer_TakeConfig(node->steer, config);
+    if (node->peers != NULL) {
+        SasPeers_NoteChange(node->peers);
+    }
+}
+
+static void
+on_vms(struct sas_configure_listener *listener, const json_t *list)
+{
+    struct sas_node *node = NODE_OF(listener, configure_listener);
+    SasSteer_TakeVms(node->steer, list);
+}
+
+static void
+on_capacity(struct sas_steer_listener *listener)
+{
+    struct sas_node *node = NODE_OF(listener, steer_listener);
+    if (node->forward != NULL) {
+        SasForward_Wake(node->forward);
+    }
+}
+
+/* Probes. */
+
+static void
+on_probe_tick(uv_timer_t *timer)
+{
+    struct sas_node *node = timer->data;
+    const struct sas_model *model = &node->settings->model;
+    int own_region = SasModel_GetVmRegion(model, node->own_vm);
+    int64_t now = (int64_t)uv_now(&node->loop);
+    for (int i = 0; i < model->backend_count; i++) {
+        if (node->next_probe_at[i] > now) {
+            continue;
+        }
+        bool own = SasModel_GetBackendRegion(model, i) == own_region;
+        int64_t interval = own ? OWN_REGION_PROBE_MS : OTHER_REGION_PROBE_MS;
+        double jitter = g_rand_double_range(node->random, 0.75, 1.25);
+        node->next_probe_at[i] = now + (int64_t)((double)interval * jitter);
+        SasUpstream_Probe(node->upstream, i);
+    }
+    SasForward_Wake(node->forward);
+}
+
+/* Stopping. */
+
+static void
+end_loop(struct sas_node *node, int status)
+{
+    node->exit_status = status;
+    uv_stop(&node->loop);
+}
+
+static void
+on_stop_tick(uv_timer_t *timer)
+{
+    struct sas_node *node = timer->data;
+    int64_t elapsed = (int64_t)uv_now(&node->loop) - node->stopping_at;
+    int active = SasForward_CountActive(node->forward) +
+                 SasCaller_CountActive(node->caller);
+    /* Callers may still hold look-ups that name this VM; it serves them
+     * until those have died. */
+    if (elapsed < node->settings->drain_notice_ms) {
+        return;
+    }
+    SasCaller_RefuseRequests(node->caller);
+    if (active == 0) {
+        end_loop(node, EXIT_STOPPED);
+    }
+    else if (elapsed >= node->settings->stop_limit_ms) {
+        SasLog_Write(SasLog_ERROR, "node.stop", NULL,
+                     "the limit is over with %d requests in progress", active);
+        end_loop(node, EXIT_STOP_LIMIT);
+    }
+}
+
+static void
+on_signal(uv_signal_t *handle, int number)
+{
+    struct sas_node *node = handle->data;
+    if (node->stopping_at != 0) {
+        SasLog_Write(SasLog_WARN, "node.stop", NULL,
+                     "signal %d again: the stop is in progress", number);
+        return;
+    }
+    node->stopping_at = (int64_t)uv_now(&node->loop);
+    SasLog_Write(SasLog_INFO, "node.stop", NULL, "signal %d: stopping",
+                 number);
+    SasSteer_TakePeer(node->steer, node->own_vm, true, true);
+    SasCaller_StartStopping(node->caller);
+    SasPeers_SetLeaving(node->peers);
+    uv_timer_start(&node->stop_timer, on_stop_tick, STOP_TICK_MS,
+                   STOP_TICK_MS);
+}
+
+/* Opening and closing. */
+
+static void
+open_steering(struct sas_node *node)
+{
+    const struct sas_settings *settings = node->settings;
+    node->store = settings->embedded_store
+                      ? SasStore_OpenMemory(&node->loop)
+                      : SasStore_OpenHttp(&node->loop, &settings->store);
+    struct sas_steer_parts steer = {
+        .loop = &node->loop,
+        .settings = settings,
+        .own_vm = node->own_vm,
+        .random = node->random,
+        .get_wall_ms = get_wall_ms,
+    };
+    node->steer = SasSteer_Open(&steer);
+    node->steer_listener.on_capacity = on_capacity;
+    SasSteer_SetListener(node->steer, &node->steer_listener);
+    node->upstream_listener.on_load = on_load;
+    node->upstream_listener.on_health = on_health;
+    node->upstream =
+        SasUpstream_Open(&node->loop, &settings->model, &node->counters,
+                         &node->upstream_listener);
+    node->guard = SasGuard_Open(&node->loop, &settings->model, &node->counters,
+                                node->store);
+    char token[64];
+    snprintf(token, sizeof(token), "%s-%" G_GINT64_FORMAT "-%d",
+             settings->model.vms[node->own_vm].name, get_wall_ms(),
+             (int)getpid());
+    node->claims =
+        SasClaims_Open(&node->loop, node->store, &node->counters, token);
+    struct sas_forward_parts forward = {
+        .loop = &node->loop,
+        .model = &settings->model,
+        .counters = &node->counters,
+        .steer = node->steer,
+        .upstream = node->upstream,
+        .claims = node->claims,
+        .guard = node->guard,
+        .queue_wait_ms = settings->queue_wait_ms,
+        .retry_share = settings->retry_share,
+    };
+    node->forward = SasForward_Open(&forward);
+    node->configure_listener.on_config = on_config;
+    node->configure_listener.on_vms = on_vms;
+    struct sas_configure_parts configure = {
+        .loop = &node->loop,
+        .model = &settings->model,
+        .store = node->store,
+        .listener = &node->configure_listener,
+        .random = node->random,
+        .utc_offset_s = settings->utc_offset_s,
+        .get_wall_ms = get_wall_ms,
+    };
+    node->configure = SasConfigure_Open(&configure);
+}
+
+static int
+open_ports(struct sas_node *node, struct sas_error *error)
+{
+    const struct sas_settings *settings = node->settings;
+    const struct sas_vm *vm = &settings->model.vms[node->own_vm];
+    struct sas_peers_parts peers = {
+        .loop = &node->loop,
+        .settings = settings,
+        .own_vm = node->own_vm,
+        .incarnation = (uint64_t)get_wall_ms(),
+        .random = node->random,
+        .steer = node->steer,
+        .configure = node->configure,
+        .guard = node->guard,
+        .counters = &node->counters,
+    };
+    node->peers = SasPeers_Open(&peers, error);
+    if (node->peers == NULL) {
+        return -1;
+    }
+    struct sas_caller_parts caller = {
+        .loop = &node->loop,
+        .model = &settings->model,
+        .counters = &node->counters,
+        .steer = node->steer,
+        .forward = node->forward,
+        .limits = {settings->body_limit, settings->bodies_limit,
+                   SasCaller_MAX_CONNECTIONS},
+    };
+    node->caller = SasCaller_Open(&caller, &vm->caller, error);
+    if (node->caller == NULL) {
+        return -1;
+    }
+    struct sas_admin_parts admin = {
+        .loop = &node->loop,
+        .settings = settings,
+        .own_vm = node->own_vm,
+        .counters = &node->counters,
+        .steer = node->steer,
+        .configure = node->configure,
+        .peers = node->peers,
+        .get_wall_ms = get_wall_ms,
+    };
+    node->admin = SasAdmin_Open(&admin, &vm->admin, error);
+    return node->admin != NULL ? 0 : -1;
+}
+
+static void
+start_timers(struct sas_node *node)
+{
+    static const int numbers[] = {SIGTERM, SIGINT};
+    const struct sas_model *model = &node->settings->model;
+    node->next_probe_at = g_new0(int64_t, model->backend_count);
+    uv_timer_init(&node->loop, &node->probe_timer);
+    node->probe_timer.data = node;
+    uv_timer_start(&node->probe_timer, on_probe_tick, 0, PROBE_TICK_MS);
+    uv_timer_init(&node->loop, &node->stop_timer);
+    node->stop_timer.data = node;
+    for (int i = 0; i < 2; i++) {
+        uv_signal_init(&node->loop, &node->signals[i]);
+        node->signals[i].data = node;
+        uv_signal_start(&node->signals[i], on_signal, numbers[i]);
+    }
+}
+
+int
+SasNode_Run(const struct sas_settings *settings, int own_vm)
+{
+    struct sas_node *node = g_new0(struct sas_node, 1);
+    struct sas_error error = {0};
+    signal(SIGPIPE, SIG_IGN);
+    node->settings = settings;
+    node->own_vm = own_vm;
+    node->random = g_rand_new();
+    SasReasons_RegisterCounters(&node->counters, SasMetrics_New());
+    uv_loop_init(&node->loop);
+    open_steering(node);
+    if (open_ports(node, &error) != 0) {
+        SasLog_WriteError(SasLog_ERROR, &error);
+        return EXIT_FAILED_START;
+    }
+    start_timers(node);
+    SasLog_Write(SasLog_INFO, "node.start", NULL, "serving");
+    uv_run(&node->loop, UV_RUN_DEFAULT);
+    SasLog_Write(SasLog_INFO, "node.stop", NULL, "stopped with status %d",
+                 node->exit_status);
+    return node->exit_status;
+}
--- a/packages/node/src/reasons.c
+++ b/packages/node/src/reasons.c
@@ -1,5 +1,7 @@
 #include "reasons.h"
 
+#include <stddef.h>
+
 #include "sas/metrics.h"
 
 struct reason {
@@ -66,8 +68,7 @@
 }
 
 static int
-register_plain(struct sas_metrics *metrics, const char *name,
-               const char *help)
+register_plain(struct sas_metrics *metrics, const char *name, const char *help)
 {
     return SasMetrics_Register(metrics, name, NULL, NULL, help);
 }
@@ -84,8 +85,8 @@
     }
     counters->requests = register_plain(metrics, "sas_requests_total",
                                         "Requests for backend servers");
-    counters->answers = register_plain(
-        metrics, "sas_answers_total", "Whole answers passed to callers");
+    counters->answers = register_plain(metrics, "sas_answers_total",
+                                       "Whole answers passed to callers");
     counters->lookups =
         register_plain(metrics, "sas_lookups_total", "Look-ups answered");
     counters->retry_connect = register_retry(metrics, "connect");
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -309,8 +309,8 @@
 {
     h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
     char byte;
-    ssize_t count = recv(h2o_socket_get_fd(socket), &byte, 1,
-                         MSG_PEEK | MSG_DONTWAIT);
+    ssize_t count =
+        recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count == 0 ||
            (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
--- a/packages/node/src/server.h
+++ b/packages/node/src/server.h
@@ -62,8 +62,7 @@
 const char *SasServer_GetHeader(h2o_req_t *req, const char *name);
 char *SasServer_GetParameter(h2o_req_t *req, const char *name);
 
-void SasServer_AddHeader(h2o_req_t *req, const char *name,
-                         const char *value);
+void SasServer_AddHeader(h2o_req_t *req, const char *name, const char *value);
 
 /* Answers with a text of this content type. */
 void SasServer_Answer(h2o_req_t *req, int status, const char *content_type,
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -189,7 +189,8 @@
     }
     size_t index;
     json_t *row;
-    json_array_foreach(rows, index, row) {
+    json_array_foreach(rows, index, row)
+    {
         const char *name = json_string_value(json_object_get(row, "name"));
         const char *state = json_string_value(json_object_get(row, "state"));
         if (name != NULL && state != NULL) {
@@ -299,9 +300,8 @@
         if (in_flight >= (query->alone ? 1 : model->backends[i].slots)) {
             continue;
         }
-        double load =
-            SasMeasure_GetLoad(&steer->measure, i, get_now(steer)) +
-            g_rand_double_range(steer->parts.random, 0, 0.01);
+        double load = SasMeasure_GetLoad(&steer->measure, i, get_now(steer)) +
+                      g_rand_double_range(steer->parts.random, 0, 0.01);
         if (best == SasModel_NONE || load < best_load) {
             best = i;
             best_load = load;
@@ -323,8 +323,8 @@
     grant->alone = query->alone;
     grant->shift = SasModel_NONE;
     grant->cross_region =
-        grant->region != SasModel_GetVmRegion(steer->model,
-                                              steer->parts.own_vm);
+        grant->region !=
+        SasModel_GetVmRegion(steer->model, steer->parts.own_vm);
 }
 
 enum sas_steer_answer
@@ -389,8 +389,8 @@
         &steer->plan, service, home, g_rand_double(steer->parts.random));
     result->lifetime_s = (int)MAX(lifetime_ms / 1000, 1);
     result->vm_count = SasLookup_OrderVms(
-        &steer->lookup, steer->model, result->region, caller_ip,
-        steer->views, result->vms, SasSteer_MAX_LOOKUP_VMS);
+        &steer->lookup, steer->model, result->region, caller_ip, steer->views,
+        result->vms, SasSteer_MAX_LOOKUP_VMS);
     return 0;
 }
 
@@ -414,9 +414,8 @@
     const struct sas_model *model = steer->model;
     int slots = SasModel_CountSlots(model, service, region);
     double age_ms = 0;
-    double headroom =
-        SasMeasure_GetHeadroom(&steer->measure, model, service, region,
-                               get_now(steer), &age_ms);
+    double headroom = SasMeasure_GetHeadroom(&steer->measure, model, service,
+                                             region, get_now(steer), &age_ms);
     int free_slots = (int)(headroom * slots);
     return json_pack("{s:s, s:s, s:i, s:i, s:i}", "service",
                      model->services[service].name, "region",
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -77,8 +77,7 @@
 /* A backend server's statement, heard now (age 0) or from a peer. */
 void SasSteer_TakeLoad(struct sas_steer *steer, int backend,
                        const struct sas_load_report *report, int64_t age_ms);
-void SasSteer_TakeHealth(struct sas_steer *steer, int backend,
-                         bool reachable);
+void SasSteer_TakeHealth(struct sas_steer *steer, int backend, bool reachable);
 void SasSteer_NoteShed(struct sas_steer *steer, int backend);
 
 /* The platform's list, {"vms":[{"name":...,"state":"live"|"leaving"}]}. */
@@ -98,8 +97,7 @@
 
 /* Gives a grant back; elapsed_ms is how long the request ran there. */
 void SasSteer_Release(struct sas_steer *steer, int service,
-                      const struct sas_steer_grant *grant,
-                      int64_t elapsed_ms);
+                      const struct sas_steer_grant *grant, int64_t elapsed_ms);
 
 /* Which entry VMs a caller should use for a service; -1 while there is no
  * configuration in force. */
--- a/packages/node/src/upstream.c
+++ b/packages/node/src/upstream.c
@@ -14,9 +14,9 @@
     int backend;
     GQueue idle; /* of struct sas_http_conn, the latest used first */
     int open_connections;
-    GList *calls; /* of struct sas_upstream_call */
-    struct probe *probe;  /* the one in progress, or NULL */
-    int last_reported;    /* running and queued, as last stated */
+    GList *calls;        /* of struct sas_upstream_call */
+    struct probe *probe; /* the one in progress, or NULL */
+    int last_reported;   /* running and queued, as last stated */
     int64_t last_report_at;
     int64_t last_new_answer_at; /* a connection opened at or after this
                                    moment has answered */
@@ -106,9 +106,9 @@
 {
     struct backend_state *state = &upstream->states[backend];
     state->open_connections++;
-    return SasHttp_Connect(
-        upstream->loop, &upstream->model->backends[backend].address,
-        SasUpstream_CONNECT_TIMEOUT_MS, &state->owner);
+    return SasHttp_Connect(upstream->loop,
+                           &upstream->model->backends[backend].address,
+                           SasUpstream_CONNECT_TIMEOUT_MS, &state->owner);
 }
 
 void
@@ -199,8 +199,7 @@
 take_load_header(struct sas_upstream *upstream, int backend,
                  const struct sas_http_header *headers, int header_count)
 {
-    const char *value =
-        SasHttp_FindHeader(headers, header_count, "sas-load");
+    const char *value = SasHttp_FindHeader(headers, header_count, "sas-load");
     if (value == NULL) {
         return;
     }
@@ -322,8 +321,7 @@
 static void
 take_probe_answer(struct probe *probe)
 {
-    json_t *object =
-        json_loadb(probe->body->str, probe->body->len, 0, NULL);
+    json_t *object = json_loadb(probe->body->str, probe->body->len, 0, NULL);
     if (!json_is_object(object)) {
         json_decref(object);
         return;
@@ -356,8 +354,7 @@
     struct probe *probe = (struct probe *)user;
     struct sas_upstream *upstream = probe->upstream;
     if (reusable && !upstream->closing) {
-        g_queue_push_head(&upstream->states[probe->backend].idle,
-                          probe->conn);
+        g_queue_push_head(&upstream->states[probe->backend].idle, probe->conn);
     }
     else if (reusable) {
         SasHttp_Close(probe->conn);
@@ -404,8 +401,7 @@
     probe->opened_at = (int64_t)uv_now(upstream->loop);
     probe->body = g_string_new(NULL);
     probe->conn = open_connection(upstream, backend);
-    struct sas_http_request request = {.method = "GET",
-                                       .target = "/v1/load"};
+    struct sas_http_request request = {.method = "GET", .target = "/v1/load"};
     SasHttp_Send(probe->conn, &request, SasUpstream_PROBE_TIMEOUT_MS,
                  &probe->user);
 }
@@ -451,8 +447,7 @@
     }
     /* A long request looks the same from here, but the backend server then
      * counts it among those that it runs or has queued. */
-    bool missing =
-        state->last_reported < (int)g_list_length(state->calls);
+    bool missing = state->last_reported < (int)g_list_length(state->calls);
     if (missing) {
         condemn_idle(upstream, state, opened_at);
     }
--- /dev/null
+++ b/tests/e2e/harness.py
@@ -0,0 +1,362 @@
+"""Starts a whole deployment as separate processes on loopback.
+
+The stand-ins of the platform and of the backend servers, and one
+sassafrassilld for each entry VM. Every deployment has a loopback address of
+its own, and the kernel picks the ports. Callers of a region come from that
+region's block of addresses (127.10.0.0/16 for the first one, and so on).
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.parse
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__))))
+BUILD = os.environ.get("SAS_BUILD", os.path.join(ROOT, "build"))
+PATIENCE_S = 30
+TOKEN = "e2e-operators-token"
+
+
+class Answer:
+    """A whole answer of the system."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def __getattr__(self, name):
+        return self.headers.get("sas-" + name)
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def wait_until(condition, what, limit_s=PATIENCE_S):
+    """Polls; fails, naming what never came, after a generous limit."""
+    end = time.monotonic() + limit_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise AssertionError("never came: " + what)
+        time.sleep(0.02)
+
+
+def exchange(address, method, path, body=None, headers=None, source=None,
+             timeout=PATIENCE_S):
+    connection = http.client.HTTPConnection(
+        *address, timeout=timeout,
+        source_address=(source, 0) if source else None)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return Answer(answer.status, answer.headers, answer.read())
+    finally:
+        connection.close()
+
+
+class Process:
+    """A child process; its standard output may name its ports."""
+
+    def __init__(self, name, arguments, log):
+        self.name = name
+        self.arguments = arguments
+        self.log = open(log, "ab")
+        self.process = None
+
+    def start(self, read_ports=False):
+        self.process = subprocess.Popen(
+            self.arguments, stderr=self.log,
+            stdout=subprocess.PIPE if read_ports else self.log, text=True)
+        return self
+
+    def read_lines(self, last):
+        for line in self.process.stdout:
+            words = line.split()
+            yield words
+            if words[0] == last:
+                return
+        raise AssertionError(self.name + " ended early")
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def wait(self, timeout=PATIENCE_S):
+        return self.process.wait(timeout)
+
+    def stop(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        if self.process is not None and self.process.stdout:
+            self.process.stdout.close()
+        self.log.close()
+
+
+class Deployment:
+    """regions: names; vms: entry VMs a region; services: name -> dict with
+    backends (a region), slots, queue, mean_ms, once, deadline_ms."""
+
+    def __init__(self, regions=("montreal", "quebec"), vms=2, services=None,
+                 limits=None, standin_arguments=(), placement=None,
+                 link_mbit=4000):
+        self.regions = list(regions)
+        self.services = services or {"dossiers": {}}
+        self.vms_per_region = vms
+        self.limits = limits or {}
+        self.link_mbit = link_mbit
+        self.placement = placement
+        self.standin_arguments = list(standin_arguments)
+        self.folder = tempfile.TemporaryDirectory(prefix="sas-e2e-")
+        pid = os.getpid()
+        self.ip = "127.%d.%d.%d" % (100 + (pid >> 16) % 100, pid >> 8 & 255,
+                                    pid & 255 or 1)
+        self.vms = {}
+        self.backends = {}  # name -> (service, region, port)
+        self.controls = []  # of the backend stand-ins
+        self.standins = {}  # (service, region) -> Process
+        self.nodes = {}
+
+    def path(self, name):
+        return os.path.join(self.folder.name, name)
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for process in [*self.nodes.values(), *self.standins.values(),
+                        getattr(self, "platform", None)]:
+            if process is not None:
+                process.stop()
+        if kind is not None and os.environ.get("SAS_KEEP_LOGS", "1") == "1":
+            for name in sorted(os.listdir(self.folder.name)):
+                if name.endswith(".log"):
+                    with open(self.path(name), errors="replace") as log:
+                        print("== %s\n%s" % (name, log.read()[-3000:]))
+        self.folder.cleanup()
+
+    # Starting.
+
+    def start(self):
+        self.platform = Process(
+            "platform", ["/usr/bin/python3",
+                         ROOT + "/tests/standins/platform.py", "--port", "0"],
+            self.path("platform.log")).start(read_ports=True)
+        for words in self.platform.read_lines("PORT"):
+            self.store_port = int(words[1])
+        for service, options in self.services.items():
+            for region in self.regions:
+                self.start_standin(service, region, options)
+        self.pick_vms()
+        self.write_settings()
+        for name in self.vms:
+            self.start_node(name)
+        for name in self.vms:
+            self.wait_ready(name)
+
+    def start_standin(self, service, region, options):
+        arguments = [
+            BUILD + "/bin/sas_backend_standin",
+            "--servers", str(options.get("backends", 2)),
+            "--slots", str(options.get("slots", 3)),
+            "--queue", str(options.get("queue", 3)),
+            "--connections", "330", "--name", service + "-" + region,
+            "--mean-ms", str(options.get("mean_ms", 5)),
+            *self.standin_arguments]
+        standin = Process("%s-%s" % (service, region), arguments,
+                          self.path("standin-%s-%s.log" % (service, region)))
+        standin.start(read_ports=True)
+        self.standins[service, region] = standin
+        for words in standin.read_lines("CONTROL"):
+            if words[0] == "PORT":
+                self.backends[words[1]] = (service, region, int(words[2]))
+            else:
+                self.controls.append(int(words[1]))
+
+    def pick_vms(self):
+        held = []
+        for region in self.regions:
+            for number in range(self.vms_per_region):
+                ports = []
+                for _ in range(3):
+                    held.append(socket.socket())
+                    held[-1].bind((self.ip, 0))
+                    ports.append(held[-1].getsockname()[1])
+                name = "%s-%d" % (region, number + 1)
+                self.vms[name] = (region, ports)
+        for one in held:
+            one.close()
+
+    def write_settings(self):
+        lines = ["[deployment]", 'name = "e2e"', 'utc_offset = "+00:00"',
+                 "[store]", 'ip = "127.0.0.1"',
+                 "port = %d" % self.store_port]
+        with open(self.path("peer.key"), "w") as key:
+            key.write("a key of the end-to-end tests, long enough\n")
+        with open(self.path("token"), "w") as token:
+            token.write(TOKEN + "\n")
+        lines += ["[security]", 'peer_key_file = "peer.key"',
+                  'admin_token_file = "token"']
+        limits = {"drain_notice_ms": 500, **self.limits}
+        if self.placement:
+            limits["placement"] = self.placement
+        lines += ["[limits]"] + ["%s = %s" % (key, json.dumps(value))
+                                 for key, value in limits.items()]
+        for number, region in enumerate(self.regions):
+            lines += ["[[region]]", 'name = "%s"' % region,
+                      "[[failure_domain]]", 'name = "%s-a"' % region,
+                      'region = "%s"' % region,
+                      "[[block]]", 'network = "127.%d.0.0/16"' % (10 + number),
+                      'home = "%s"' % region]
+            for other in self.regions:
+                if other != region:
+                    lines += ["[[link]]", 'from = "%s"' % region,
+                              'to = "%s"' % other,
+                              "mbit_per_s = %d" % self.link_mbit]
+        for name, (region, ports) in self.vms.items():
+            lines += ["[[entry_vm]]", 'name = "%s"' % name,
+                      'failure_domain = "%s-a"' % region,
+                      'ip = "%s"' % self.ip, "caller_port = %d" % ports[0],
+                      "peer_port = %d" % ports[1],
+                      "admin_port = %d" % ports[2]]
+        for service, options in self.services.items():
+            lines += ["[[service]]", 'name = "%s"' % service,
+                      "deadline_ms = %d" % options.get("deadline_ms", 10000),
+                      "once = " + json.dumps(options.get("once", []))]
+        for name, (service, region, port) in self.backends.items():
+            slots = self.services[service].get("slots", 3)
+            lines += ["[[backend_server]]", 'name = "%s"' % name,
+                      'service = "%s"' % service,
+                      'failure_domain = "%s-a"' % region,
+                      'ip = "127.0.0.1"', "port = %d" % port,
+                      "slots = %d" % slots]
+        with open(self.path("settings.toml"), "w") as file:
+            file.write("\n".join(lines) + "\n")
+
+    def start_node(self, name):
+        self.nodes[name] = Process(
+            name, [BUILD + "/bin/sassafrassilld", "--settings",
+                   self.path("settings.toml"), "--vm", name],
+            self.path(name + ".log")).start()
+
+    def health(self, name):
+        try:
+            return exchange(self.caller_address(name), "GET",
+                            "/v1/health").status
+        except OSError:
+            return 0
+
+    def wait_ready(self, name):
+        wait_until(lambda: self.health(name) == 200, name + " is ready")
+
+    # Callers.
+
+    def caller_address(self, name):
+        return self.ip, self.vms[name][1][0]
+
+    def caller_ip(self, region, number=1):
+        return "127.%d.%d.%d" % (10 + self.regions.index(region),
+                                 number >> 8 & 255, number & 255)
+
+    def request(self, vm, path, method="GET", body=None, source=None,
+                timeout=PATIENCE_S, **headers):
+        headers = {key.replace("_", "-"): str(value)
+                   for key, value in headers.items()}
+        return exchange(self.caller_address(vm), method, path, body, headers,
+                        source or self.caller_ip(self.vms[vm][0]), timeout)
+
+    def lookup(self, vm, service, source):
+        return exchange(self.caller_address(vm), "GET",
+                        "/v1/lookup?service=" + service, source=source)
+
+    # Operators.
+
+    def admin(self, vm, method, path, body=None, token=TOKEN, **headers):
+        headers = {key.replace("_", "-"): str(value)
+                   for key, value in headers.items()}
+        headers["Authorization"] = "Bearer " + token
+        return exchange((self.ip, self.vms[vm][1][2]), method, path, body,
+                        headers)
+
+    def put_sheet(self, vm, rows, **headers):
+        sheet = "time,service,from,to,share,cap,drain,limits\n" + "".join(
+            row + "\n" for row in rows)
+        return self.admin(vm, "PUT", "/v1/sheet", sheet, **headers)
+
+    def status(self, vm):
+        return self.admin(vm, "GET", "/v1/status").json()
+
+    def wait_version(self, version, vms=None):
+        for name in vms or self.vms:
+            wait_until(lambda: self.status(name)["version"] >= version,
+                       "version %d on %s" % (version, name))
+
+    def counter(self, vm, name, label=""):
+        text = self.admin(vm, "GET", "/metrics").body.decode()
+        for line in text.splitlines():
+            if line.startswith(name) and label in line:
+                return float(line.split()[-1])
+        return 0.0
+
+    # Stand-ins.
+
+    def control_platform(self, **faults):
+        return exchange(("127.0.0.1", self.store_port), "PUT", "/control",
+                        json.dumps(faults))
+
+    def set_vms(self, rows):
+        exchange(("127.0.0.1", self.store_port), "PUT", "/vms",
+                 json.dumps({"vms": rows}))
+
+    def control_backends(self, pattern, **changes):
+        for port in self.controls:
+            exchange(("127.0.0.1", port), "PUT",
+                     "/servers/" + urllib.parse.quote(pattern),
+                     json.dumps(changes))
+
+    def counts(self):
+        """All servers' counts: name -> counts."""
+        servers = {}
+        for port in self.controls:
+            servers.update(exchange(("127.0.0.1", port), "GET",
+                                    "/counts").json()["servers"])
+        return servers
+
+    def count_key(self, key, what="started"):
+        """How often requests with this key were started (or another count),
+        on all backend servers together."""
+        total = 0
+        for port in self.controls:
+            row = exchange(("127.0.0.1", port), "GET", "/counts?key=" +
+                           urllib.parse.quote(key)).json()["keys"].get(key)
+            total += row[what] if row else 0
+        return total
+
+    # Failures.
+
+    def kill(self, name, number=signal.SIGKILL):
+        self.nodes[name].signal(number)
+
+    def pause(self, name):
+        self.nodes[name].signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        self.nodes[name].signal(signal.SIGCONT)
+
+    def restart(self, name):
+        self.nodes[name].stop()
+        self.start_node(name)
+        self.wait_ready(name)
