ctl: sassafrassillctl, a client of the admin API and nothing more

Cause: operators drive the system by the morning sheet, and scripts need to know by the exit status whether an order holds, lost, or may have run. Conclusion: not yet run against the real admin port, which does not exist.

--- /dev/null
+++ b/packages/ctl/src/client.c
@@ -0,0 +1,169 @@
+#include "client.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "sas/model.h"
+
+#define STEP "admin.call"
+#define MAX_PORT 65535
+#define MAX_CALL_HEADERS 6
+
+/* What one node's answer, or its absence, says about a call. */
+enum verdict {
+    SETTLED,  /* the answer stands */
+    NOT_DONE, /* it had no effect there */
+    UNKNOWN   /* it may have had */
+};
+
+static enum verdict call_node(const struct sas_client *client,
+                              const struct sas_address *node,
+                              const struct sas_call *call,
+                              struct sas_http_response *response,
+                              struct sas_error *error);
+
+int
+SasClient_AddNode(struct sas_client *client, const char *text,
+                  struct sas_error *error)
+{
+    struct sas_address address = {.port = 0};
+    struct sockaddr_storage unused;
+    const char *colon = strrchr(text, ':');
+    bool bracketed = text[0] == '[' && colon != NULL && colon[-1] == ']';
+    guint64 port = 0;
+    bool valid = colon != NULL && g_ascii_string_to_unsigned(
+                                      colon + 1, 10, 1, MAX_PORT, &port, NULL);
+    if (valid) {
+        g_autofree char *ip =
+            bracketed ? g_strndup(text + 1, (gsize)(colon - text) - 2)
+                      : g_strndup(text, (gsize)(colon - text));
+        valid =
+            g_strlcpy(address.ip, ip, sizeof(address.ip)) < sizeof(address.ip);
+        address.port = (int)port;
+        valid = valid && SasHttp_GetSockaddr(&address, &unused) == 0;
+    }
+    if (!valid) {
+        SasError_Set(error, SAS_EINVAL, "options", "",
+                     "--node must be IP:PORT or [IP]:PORT, not \"%s\"", text);
+        return -1;
+    }
+    g_array_append_val(client->nodes, address);
+    return 0;
+}
+
+void
+SasClient_Clear(struct sas_client *client)
+{
+    g_clear_pointer(&client->nodes, g_array_unref);
+    g_clear_pointer(&client->operator, g_free);
+}
+
+/* Names the failure of one node; a person then sees which nodes to look at,
+ * also when the next one answers. */
+static void
+report(const struct sas_error *error)
+{
+    fprintf(stderr, "sassafrassillctl: %s: %s\n", error->peer, error->text);
+}
+
+int
+SasClient_Call(const struct sas_client *client, const struct sas_call *call,
+               struct sas_http_response *response, struct sas_error *error)
+{
+    bool unknown = false;
+    for (guint i = 0; i < client->nodes->len; i++) {
+        const struct sas_address *node =
+            &g_array_index(client->nodes, struct sas_address, i);
+        struct sas_error failure = {.code = SAS_OK};
+        enum verdict verdict =
+            call_node(client, node, call, response, &failure);
+        if (verdict == SETTLED && (!unknown || response->status == 200)) {
+            return 0;
+        }
+        if (verdict == SETTLED) {
+            /* An earlier node may have carried out what this one refuses: a
+             * conflict, for one, may be with a version that came after ours.
+             * So the refusal says nothing about the operation. */
+            SasHttp_FreeResponse(response);
+            break;
+        }
+        unknown = unknown || verdict == UNKNOWN;
+        report(&failure);
+    }
+    if (unknown) {
+        SasError_Set(error, SAS_ETIMEOUT, STEP, "",
+                     "operation %s may have taken effect or not",
+                     call->operation);
+        return -1;
+    }
+    SasError_Set(error, SAS_EUNAVAILABLE, STEP, "", "no node could answer");
+    return -1;
+}
+
+static int
+add_header(struct sas_http_header *headers, int count, const char *name,
+           const char *value)
+{
+    if (value == NULL) {
+        return count;
+    }
+    headers[count].name = name;
+    headers[count].value = value;
+    return count + 1;
+}
+
+/* What a 5xx means for a call. */
+static enum verdict
+judge_server_error(const struct sas_call *call,
+                   const struct sas_http_response *response)
+{
+    if (call->operation == NULL) {
+        return NOT_DONE;
+    }
+    const char *outcome = SasHttp_GetHeader(response, "Sas-Outcome");
+    bool not_run = outcome != NULL && strcmp(outcome, "not-run") == 0;
+    return not_run ? NOT_DONE : UNKNOWN;
+}
+
+static enum verdict
+call_node(const struct sas_client *client, const struct sas_address *node,
+          const struct sas_call *call, struct sas_http_response *response,
+          struct sas_error *error)
+{
+    g_autofree char *peer =
+        g_strdup_printf(strchr(node->ip, ':') != NULL ? "[%s]:%d" : "%s:%d",
+                        node->ip, node->port);
+    g_autofree char *bearer =
+        client->token == NULL ? NULL
+                              : g_strconcat("Bearer ", client->token, NULL);
+    struct sas_http_header headers[MAX_CALL_HEADERS];
+    int count = add_header(headers, 0, "Authorization", bearer);
+    count = add_header(headers, count, "Sas-Operator", client->operator);
+    count = add_header(headers, count, "Sas-Operation", call->operation);
+    count = add_header(headers, count, "If-Match", call->if_match);
+    count = add_header(headers, count, "Content-Type",
+                       call->body == NULL ? NULL : "text/csv");
+    const struct sas_http_request request = {
+        .method = call->method,
+        .target = call->target,
+        .headers = headers,
+        .header_count = count,
+        .body = call->body,
+        .body_size = call->body == NULL ? 0 : strlen(call->body),
+    };
+    int64_t timeout_ms =
+        call->timeout_ms > 0 ? call->timeout_ms : SasClient_CALL_TIMEOUT_MS;
+    if (SasHttp_Fetch(node, &request, timeout_ms, response, error) != 0) {
+        g_strlcpy(error->peer, peer, sizeof(error->peer));
+        bool sent = error->code != SAS_EUNAVAILABLE;
+        return sent && call->operation != NULL ? UNKNOWN : NOT_DONE;
+    }
+    if (response->status < 500) {
+        return SETTLED;
+    }
+    enum verdict verdict = judge_server_error(call, response);
+    SasError_Set(error, SAS_EUNAVAILABLE, STEP, peer, "answered %d %.100s",
+                 response->status, response->body);
+    SasHttp_FreeResponse(response);
+    return verdict;
+}
--- /dev/null
+++ b/packages/ctl/src/commands.c
@@ -0,0 +1,701 @@
+#include "commands.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "print.h"
+
+#define POLL_INTERVAL_MS 200
+/* A poll gets this long, also the last one: with what is left of the wait it
+ * could end before a healthy node can answer. */
+#define POLL_TIMEOUT_MS 5000
+
+struct command {
+    const char *words[2]; /* the second may be NULL */
+    bool argument;        /* one more word follows */
+    bool writes;          /* takes --operation, --if-version and --wait */
+    enum sas_exit (*run)(const struct sas_command_options *options,
+                         const char *argument);
+};
+
+static enum sas_exit check_sheet(const struct sas_command_options *options,
+                                 const char *path);
+static enum sas_exit put_sheet(const struct sas_command_options *options,
+                               const char *path);
+static enum sas_exit show_sheet(const struct sas_command_options *options,
+                                const char *unused);
+static enum sas_exit show_history(const struct sas_command_options *options,
+                                  const char *unused);
+static enum sas_exit show_status(const struct sas_command_options *options,
+                                 const char *unused);
+static enum sas_exit drain(const struct sas_command_options *options,
+                           const char *target);
+static enum sas_exit show_operation(const struct sas_command_options *options,
+                                    const char *operation);
+static enum sas_exit
+wait_for_version(const struct sas_command_options *options,
+                 const char *version);
+static enum sas_exit show_counters(const struct sas_command_options *options,
+                                   const char *unused);
+
+static void complain(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+
+static const struct command commands[] = {
+    {{"sheet", "check"}, true, false, check_sheet},
+    {{"sheet", "put"}, true, true, put_sheet},
+    {{"sheet", "show"}, false, false, show_sheet},
+    {{"history", NULL}, false, false, show_history},
+    {{"status", NULL}, false, false, show_status},
+    {{"drain", NULL}, true, true, drain},
+    {{"operation", NULL}, true, false, show_operation},
+    {{"wait", NULL}, true, false, wait_for_version},
+    {{"counters", NULL}, false, false, show_counters},
+};
+
+static void complain(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+
+/* Releases an answer when it goes out of scope. */
+static void
+clear_response(struct sas_http_response *response)
+{
+    SasHttp_FreeResponse(response);
+}
+
+static void
+clear_json(json_t **value)
+{
+    json_decref(*value);
+}
+
+#define AUTO_RESPONSE __attribute__((cleanup(clear_response)))
+#define AUTO_JSON __attribute__((cleanup(clear_json)))
+
+static const struct command *
+find_command(char **words, int word_count)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        const struct command *command = &commands[i];
+        int own_words = command->words[1] == NULL ? 1 : 2;
+        if (word_count < own_words ||
+            strcmp(words[0], command->words[0]) != 0) {
+            continue;
+        }
+        if (own_words == 1 || strcmp(words[1], command->words[1]) == 0) {
+            return command;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_operation(const char *text)
+{
+    size_t length = strspn(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                 "abcdefghijklmnopqrstuvwxyz0123456789._-");
+    return length > 0 && length <= SasClient_MAX_OPERATION_SIZE &&
+           text[length] == '\0';
+}
+
+enum sas_exit
+SasCommands_Run(const struct sas_command_options *options, char **words,
+                int word_count)
+{
+    const struct command *command = find_command(words, word_count);
+    if (command == NULL) {
+        complain("no such command; see --help");
+        return SasExit_USAGE;
+    }
+    int own_words = command->words[1] == NULL ? 1 : 2;
+    if (word_count != own_words + (command->argument ? 1 : 0)) {
+        complain("%s %s; see --help", words[0],
+                 command->argument ? "takes one argument"
+                                   : "takes no argument");
+        return SasExit_USAGE;
+    }
+    bool write_options = options->operation != NULL ||
+                         options->if_version != NULL || options->wait_s >= 0;
+    if (write_options && !command->writes) {
+        complain("--operation, --if-version and --wait go with sheet put and "
+                 "drain only");
+        return SasExit_USAGE;
+    }
+    if (options->operation != NULL && !is_operation(options->operation)) {
+        complain("--operation must be 1 to %d of A-Z a-z 0-9 . _ -",
+                 SasClient_MAX_OPERATION_SIZE);
+        return SasExit_USAGE;
+    }
+    return command->run(options, command->argument ? words[own_words] : NULL);
+}
+
+static void
+complain(const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    g_autofree char *text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    fprintf(stderr, "sassafrassillctl: %s\n", text);
+}
+
+static const char *
+get_text(const json_t *object, const char *key)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+    return text == NULL ? "" : text;
+}
+
+/* A field of an answer, safe to show on a terminal; free with g_free. */
+static char *
+format_field(const json_t *object, const char *key)
+{
+    const struct sas_column column = {key, key, SasColumn_PLAIN};
+    return SasPrint_FormatCell(json_object_get(object, key), &column);
+}
+
+/* The object in an answer's body, or NULL. */
+static json_t *
+parse_body(const struct sas_http_response *response)
+{
+    json_t *body = json_loadb(response->body, response->body_size, 0, NULL);
+    if (!json_is_object(body)) {
+        json_decref(body);
+        return NULL;
+    }
+    return body;
+}
+
+/* Says that a call failed, and where --json is given prints it too. */
+static enum sas_exit
+fail_call(const struct sas_command_options *options,
+          const struct sas_error *error, const char *operation)
+{
+    bool unknown = error->code == SAS_ETIMEOUT;
+    complain("%s", error->text);
+    if (unknown) {
+        complain("ask again with: sassafrassillctl operation %s", operation);
+    }
+    if (options->json) {
+        json_t *object =
+            json_pack("{s:s}", "reason", unknown ? "unknown" : "unreachable");
+        if (operation != NULL) {
+            json_object_set_new(object, "operation", json_string(operation));
+        }
+        SasPrint_Json(object);
+        json_decref(object);
+    }
+    return unknown ? SasExit_UNKNOWN : SasExit_UNREACHABLE;
+}
+
+/* Explains an answer other than 200, in one line for each kind. */
+static enum sas_exit
+refuse(const struct sas_command_options *options,
+       const struct sas_http_response *response)
+{
+    AUTO_JSON json_t *body = parse_body(response);
+    if (options->json && body != NULL) {
+        SasPrint_Json(body);
+    }
+    g_autofree char *reason = format_field(body, "reason");
+    g_autofree char *text = format_field(body, "text");
+    if (response->status == 401) {
+        complain("the node did not accept the token (--token-file)");
+        return SasExit_USAGE;
+    }
+    if (response->status == 409) {
+        g_autofree char *version = format_field(body, "version");
+        g_autofree char *operation = format_field(body, "operation");
+        g_autofree char *operator= format_field(body, "operator");
+        complain("conflict: version %s (operation %s, operator %s) came "
+                 "first; look at it with sheet show, then try again",
+                 version, operation, operator);
+        return SasExit_REFUSED;
+    }
+    if (response->status == 422) {
+        g_autofree char *row = format_field(body, "row");
+        g_autofree char *column = format_field(body, "column");
+        complain("refused: row %s, column %s: %s", row, column, text);
+        return SasExit_REFUSED;
+    }
+    complain("refused: %d %s: %s", response->status, reason, text);
+    return SasExit_REFUSED;
+}
+
+/* Reads a target; SasExit_DONE only with an answer 200 in *response. */
+static enum sas_exit
+fetch(const struct sas_command_options *options, const char *target,
+      struct sas_http_response *response)
+{
+    struct sas_error error = {.code = SAS_OK};
+    struct sas_call call = {.method = "GET", .target = target};
+    if (SasClient_Call(&options->client, &call, response, &error) != 0) {
+        return fail_call(options, &error, NULL);
+    }
+    return response->status == 200 ? SasExit_DONE : refuse(options, response);
+}
+
+/* The same for an answer that must be a JSON object. */
+static enum sas_exit
+fetch_json(const struct sas_command_options *options, const char *target,
+           json_t **body)
+{
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    enum sas_exit status = fetch(options, target, &response);
+    if (status != SasExit_DONE) {
+        return status;
+    }
+    *body = parse_body(&response);
+    if (*body == NULL) {
+        complain("the answer to %s is not JSON", target);
+        return SasExit_UNREACHABLE;
+    }
+    return SasExit_DONE;
+}
+
+/* The sheet in a file, or NULL after a complaint. */
+static char *
+read_sheet(const char *path)
+{
+    char *text = NULL;
+    gsize size = 0;
+    g_autoptr(GError) error = NULL;
+    if (!g_file_get_contents(path, &text, &size, &error)) {
+        complain("%s", error->message);
+        return NULL;
+    }
+    if (strlen(text) != size) {
+        complain("%s: not a text file", path);
+        g_free(text);
+        return NULL;
+    }
+    return text;
+}
+
+static enum sas_exit
+check_sheet(const struct sas_command_options *options, const char *path)
+{
+    g_autofree char *sheet = read_sheet(path);
+    if (sheet == NULL) {
+        return SasExit_USAGE;
+    }
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    struct sas_error error = {.code = SAS_OK};
+    struct sas_call call = {
+        .method = "PUT", .target = "/v1/sheet?dry_run=1", .body = sheet};
+    if (SasClient_Call(&options->client, &call, &response, &error) != 0) {
+        return fail_call(options, &error, NULL);
+    }
+    if (response.status != 200) {
+        return refuse(options, &response);
+    }
+    AUTO_JSON json_t *body = parse_body(&response);
+    if (options->json && body != NULL) {
+        SasPrint_Json(body);
+    }
+    else {
+        printf("%s would be accepted\n", path);
+    }
+    return SasExit_DONE;
+}
+
+/* Asks what became of an operation whose answers were lost. SasExit_DONE
+ * with its version, SasExit_REFUSED when it lost, else SasExit_UNKNOWN. */
+static enum sas_exit
+settle(const struct sas_command_options *options, const char *operation,
+       json_t **body)
+{
+    g_autofree char *target = g_strconcat("/v1/operations/", operation, NULL);
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    struct sas_call call = {.method = "GET", .target = target};
+    if (SasClient_Call(&options->client, &call, &response, NULL) != 0 ||
+        response.status != 200) {
+        return SasExit_UNKNOWN;
+    }
+    *body = parse_body(&response);
+    const char *state = get_text(*body, "state");
+    if (strcmp(state, "in-force") == 0) {
+        return SasExit_DONE;
+    }
+    return strcmp(state, "lost") == 0 ? SasExit_REFUSED : SasExit_UNKNOWN;
+}
+
+/* Says that the operation is accepted, and waits for it where asked to. */
+static enum sas_exit
+report_accepted(const struct sas_command_options *options, const json_t *body)
+{
+    g_autofree char *version = format_field(body, "version");
+    if (options->json) {
+        SasPrint_Json(body);
+    }
+    else {
+        g_autofree char *operation = format_field(body, "operation");
+        printf("accepted: version %s, operation %s\n", version, operation);
+    }
+    if (options->wait_s < 0) {
+        return SasExit_DONE;
+    }
+    struct sas_command_options waiting = *options;
+    waiting.timeout_s = options->wait_s;
+    return wait_for_version(&waiting, version);
+}
+
+/* Makes a new version by this call and reports what became of it. */
+static enum sas_exit
+write_version(const struct sas_command_options *options, struct sas_call *call)
+{
+    g_autofree char *operation = options->operation != NULL
+                                     ? g_strdup(options->operation)
+                                     : g_uuid_string_random();
+    g_autofree char *if_match = NULL;
+    if (options->if_version != NULL) {
+        if_match = g_strdup_printf("\"%s\"", options->if_version);
+    }
+    call->operation = operation;
+    call->if_match = if_match;
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    AUTO_JSON json_t *body = NULL;
+    struct sas_error error = {.code = SAS_OK};
+    if (SasClient_Call(&options->client, call, &response, &error) == 0) {
+        if (response.status != 200) {
+            return refuse(options, &response);
+        }
+        body = parse_body(&response);
+        if (body != NULL) {
+            return report_accepted(options, body);
+        }
+        SasError_Set(&error, SAS_ETIMEOUT, "admin.call", "",
+                     "the answer to operation %s is not JSON", operation);
+    }
+    if (error.code != SAS_ETIMEOUT) {
+        return fail_call(options, &error, operation);
+    }
+    enum sas_exit status = settle(options, operation, &body);
+    if (status == SasExit_DONE) {
+        return report_accepted(options, body);
+    }
+    if (status == SasExit_UNKNOWN) {
+        return fail_call(options, &error, operation);
+    }
+    complain("conflict: operation %s lost against another one", operation);
+    if (options->json) {
+        SasPrint_Json(body);
+    }
+    return SasExit_REFUSED;
+}
+
+static enum sas_exit
+put_sheet(const struct sas_command_options *options, const char *path)
+{
+    g_autofree char *sheet = read_sheet(path);
+    if (sheet == NULL) {
+        return SasExit_USAGE;
+    }
+    struct sas_call call = {
+        .method = "PUT", .target = "/v1/sheet", .body = sheet};
+    return write_version(options, &call);
+}
+
+static enum sas_exit
+drain(const struct sas_command_options *options, const char *name)
+{
+    g_autofree char *escaped = g_uri_escape_string(name, NULL, FALSE);
+    g_autofree char *target = g_strconcat("/v1/drain?target=", escaped, NULL);
+    struct sas_call call = {.method = "POST", .target = target};
+    return write_version(options, &call);
+}
+
+static enum sas_exit
+show_sheet(const struct sas_command_options *options, const char *unused)
+{
+    (void)unused;
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    enum sas_exit status = fetch(options, "/v1/sheet", &response);
+    if (status != SasExit_DONE) {
+        return status;
+    }
+    if (!options->json) {
+        fwrite(response.body, 1, response.body_size, stdout);
+        return SasExit_DONE;
+    }
+    const char *tag = SasHttp_GetHeader(&response, "ETag");
+    const char *digits = tag == NULL ? "" : tag + strspn(tag, "W/\"");
+    g_autofree char *sheet =
+        g_utf8_make_valid(response.body, (gssize)response.body_size);
+    AUTO_JSON json_t *object = json_pack(
+        "{s:I, s:s}", "version", (json_int_t)g_ascii_strtoll(digits, NULL, 10),
+        "sheet", sheet);
+    SasPrint_Json(object);
+    return SasExit_DONE;
+}
+
+static enum sas_exit
+show_history(const struct sas_command_options *options, const char *unused)
+{
+    (void)unused;
+    static const struct sas_column columns[] = {
+        {"VERSION", "version", SasColumn_PLAIN},
+        {"ACCEPTED", "accepted_ms", SasColumn_TIME},
+        {"OPERATOR", "operator", SasColumn_PLAIN},
+        {"OPERATION", "operation", SasColumn_PLAIN},
+    };
+    AUTO_JSON json_t *body = NULL;
+    enum sas_exit status = fetch_json(options, "/v1/history", &body);
+    if (status != SasExit_DONE) {
+        return status;
+    }
+    if (options->json) {
+        SasPrint_Json(body);
+        return SasExit_DONE;
+    }
+    SasPrint_Table(NULL, json_object_get(body, "versions"), columns,
+                   G_N_ELEMENTS(columns));
+    return SasExit_DONE;
+}
+
+static void
+print_status(const json_t *body)
+{
+    static const struct sas_column peers[] = {
+        {"VM", "vm", SasColumn_PLAIN},
+        {"VERSION", "version", SasColumn_PLAIN},
+        {"STATE", "state", SasColumn_PLAIN},
+        {"HEARD", "age_ms", SasColumn_MS},
+    };
+    static const struct sas_column regions[] = {
+        {"SERVICE", "service", SasColumn_PLAIN},
+        {"REGION", "region", SasColumn_PLAIN},
+        {"SLOTS", "slots", SasColumn_PLAIN},
+        {"RUNNING", "running", SasColumn_PLAIN},
+        {"HEADROOM", "headroom", SasColumn_PLAIN},
+    };
+    static const struct sas_column shifts[] = {
+        {"SERVICE", "service", SasColumn_PLAIN},
+        {"FROM", "from", SasColumn_PLAIN},
+        {"TO", "to", SasColumn_PLAIN},
+        {"ORDERED", "ordered_percent", SasColumn_PERCENT},
+        {"IN FORCE", "in_force_percent", SasColumn_PERCENT},
+        {"CAP", "cap", SasColumn_PLAIN},
+        {"HOLDING", "holding", SasColumn_PLAIN},
+    };
+    static const struct sas_column budgets[] = {
+        {"NAME", "name", SasColumn_PLAIN},
+        {"FLOOR", "floor", SasColumn_PLAIN},
+        {"LENT", "lent", SasColumn_PLAIN},
+        {"BORROWED", "borrowed", SasColumn_PLAIN},
+        {"USED", "used", SasColumn_PLAIN},
+    };
+    g_autofree char *vm = format_field(body, "vm");
+    g_autofree char *version = format_field(body, "version");
+    bool ready = json_is_true(json_object_get(body, "ready"));
+    printf("%s: %s, version %s\n", vm, ready ? "ready" : "not ready", version);
+    SasPrint_Table("peers", json_object_get(body, "peers"), peers,
+                   G_N_ELEMENTS(peers));
+    SasPrint_Table("regions", json_object_get(body, "regions"), regions,
+                   G_N_ELEMENTS(regions));
+    SasPrint_Table("shifts", json_object_get(body, "shifts"), shifts,
+                   G_N_ELEMENTS(shifts));
+    SasPrint_Table("budgets", json_object_get(body, "budgets"), budgets,
+                   G_N_ELEMENTS(budgets));
+}
+
+static enum sas_exit
+show_status(const struct sas_command_options *options, const char *unused)
+{
+    (void)unused;
+    AUTO_JSON json_t *body = NULL;
+    enum sas_exit status = fetch_json(options, "/v1/status", &body);
+    if (status != SasExit_DONE) {
+        return status;
+    }
+    if (options->json) {
+        SasPrint_Json(body);
+        return SasExit_DONE;
+    }
+    print_status(body);
+    return SasExit_DONE;
+}
+
+static enum sas_exit
+show_operation(const struct sas_command_options *options,
+               const char *operation)
+{
+    if (!is_operation(operation)) {
+        complain("not an operation id: \"%s\"", operation);
+        return SasExit_USAGE;
+    }
+    g_autofree char *target = g_strconcat("/v1/operations/", operation, NULL);
+    AUTO_JSON json_t *body = NULL;
+    enum sas_exit status = fetch_json(options, target, &body);
+    if (status != SasExit_DONE) {
+        return status;
+    }
+    if (options->json) {
+        SasPrint_Json(body);
+    }
+    else {
+        g_autofree char *state = format_field(body, "state");
+        g_autofree char *version = format_field(body, "version");
+        printf("%s: %s, version %s\n", operation, state, version);
+    }
+    const char *state = get_text(body, "state");
+    if (strcmp(state, "in-force") == 0) {
+        return SasExit_DONE;
+    }
+    return strcmp(state, "lost") == 0 ? SasExit_REFUSED : SasExit_UNKNOWN;
+}
+
+static bool
+has_version(const json_t *node, json_int_t version)
+{
+    return json_integer_value(json_object_get(node, "version")) >= version;
+}
+
+/* The nodes of a status that do not have the version in force yet, the one
+ * that answered included. */
+static json_t *
+list_lagging(const json_t *status, json_int_t version)
+{
+    json_t *lagging = json_array();
+    bool ready = json_is_true(json_object_get(status, "ready"));
+    if (!ready || !has_version(status, version)) {
+        json_array_append_new(
+            lagging,
+            json_pack("{s:s, s:O?, s:s}", "vm", get_text(status, "vm"),
+                      "version", json_object_get(status, "version"), "state",
+                      ready ? "live" : "not ready"));
+    }
+    size_t i;
+    json_t *peer;
+    json_array_foreach(json_object_get(status, "peers"), i, peer)
+    {
+        if (!has_version(peer, version)) {
+            json_array_append(lagging, peer);
+        }
+    }
+    return lagging;
+}
+
+static void
+report_wait(const struct sas_command_options *options, json_int_t version,
+            json_t *lagging)
+{
+    static const struct sas_column columns[] = {
+        {"VM", "vm", SasColumn_PLAIN},
+        {"VERSION", "version", SasColumn_PLAIN},
+        {"STATE", "state", SasColumn_PLAIN},
+    };
+    size_t count = json_array_size(lagging);
+    if (options->json) {
+        AUTO_JSON json_t *object =
+            json_pack("{s:I, s:b, s:O}", "version", version, "in_force",
+                      count == 0, "lagging", lagging);
+        SasPrint_Json(object);
+        return;
+    }
+    if (count == 0) {
+        printf("version %" JSON_INTEGER_FORMAT " is in force everywhere\n",
+               version);
+        return;
+    }
+    printf("version %" JSON_INTEGER_FORMAT " is not in force on %zu\n",
+           version, count);
+    SasPrint_Table(NULL, lagging, columns, G_N_ELEMENTS(columns));
+}
+
+/* The status as JSON; NULL when no node gave it. */
+static json_t *
+poll_status(const struct sas_command_options *options, enum sas_exit *status)
+{
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    struct sas_call call = {
+        .method = "GET",
+        .target = "/v1/status",
+        .timeout_ms = POLL_TIMEOUT_MS,
+    };
+    *status = SasExit_UNREACHABLE;
+    if (SasClient_Call(&options->client, &call, &response, NULL) != 0) {
+        return NULL;
+    }
+    if (response.status != 200) {
+        *status = refuse(options, &response);
+        return NULL;
+    }
+    return parse_body(&response);
+}
+
+static enum sas_exit
+wait_for_version(const struct sas_command_options *options,
+                 const char *version_text)
+{
+    guint64 version;
+    if (!g_ascii_string_to_unsigned(version_text, 10, 1, G_MAXINT64, &version,
+                                    NULL)) {
+        complain("not a version: \"%s\"", version_text);
+        return SasExit_USAGE;
+    }
+    int64_t end_us =
+        g_get_monotonic_time() + (int64_t)options->timeout_s * G_USEC_PER_SEC;
+    AUTO_JSON json_t *lagging = NULL;
+    for (;;) {
+        enum sas_exit status;
+        AUTO_JSON json_t *body = poll_status(options, &status);
+        if (body == NULL && status != SasExit_UNREACHABLE) {
+            return status;
+        }
+        if (body != NULL) {
+            json_decref(lagging);
+            lagging = list_lagging(body, (json_int_t)version);
+        }
+        bool done = body != NULL && json_array_size(lagging) == 0;
+        if (done || g_get_monotonic_time() >= end_us) {
+            break;
+        }
+        g_usleep(POLL_INTERVAL_MS * 1000);
+    }
+    if (lagging == NULL) {
+        complain("no node answered; where version %s is in force is unknown",
+                 version_text);
+        return SasExit_UNREACHABLE;
+    }
+    report_wait(options, (json_int_t)version, lagging);
+    return json_array_size(lagging) == 0 ? SasExit_DONE : SasExit_TIMEOUT;
+}
+
+/* The text exposition format as one JSON object, "name{label}" to number. */
+static json_t *
+parse_counters(const char *text)
+{
+    json_t *object = json_object();
+    g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
+    for (char **line = lines; *line != NULL; line++) {
+        char *space = strrchr(*line, ' ');
+        if ((*line)[0] == '#' || space == NULL) {
+            continue;
+        }
+        *space = '\0';
+        double number = g_ascii_strtod(space + 1, NULL);
+        json_object_set_new(object, *line, json_real(number));
+    }
+    return object;
+}
+
+static enum sas_exit
+show_counters(const struct sas_command_options *options, const char *unused)
+{
+    (void)unused;
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    enum sas_exit status = fetch(options, "/metrics", &response);
+    if (status != SasExit_DONE) {
+        return status;
+    }
+    if (options->json) {
+        AUTO_JSON json_t *object = parse_counters(response.body);
+        SasPrint_Json(object);
+        return SasExit_DONE;
+    }
+    fwrite(response.body, 1, response.body_size, stdout);
+    return SasExit_DONE;
+}
