--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -1,6 +1,7 @@
 #include "sas/settings.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -270,6 +271,26 @@
     }
 }
 
+/* A request that comes at the end of the notice still has its whole deadline;
+ * a shorter limit would let a planned stop cut it off. */
+static void
+check_stop_limit(struct sas_loader *loader, const struct sas_toml *table,
+                 int64_t drain_notice_ms, int64_t stop_limit_ms)
+{
+    int64_t deadline_ms = 0;
+    for (int i = 0; i < loader->model->service_count; i++) {
+        deadline_ms = MAX(deadline_ms, loader->model->services[i].deadline_ms);
+    }
+    if (stop_limit_ms < drain_notice_ms + deadline_ms) {
+        SasReader_Complain(&loader->reader,
+                           SasLoader_GetLine(table, "stop_limit_ms"), "limits",
+                           "stop_limit_ms",
+                           "less than drain_notice_ms and the longest "
+                           "deadline_ms together, %" PRId64,
+                           drain_notice_ms + deadline_ms);
+    }
+}
+
 static void
 load_limits(struct sas_loader *loader)
 {
@@ -315,11 +336,7 @@
                            "limits", "bodies_limit_mb",
                            "less than one body of body_limit_mb");
     }
-    if (row.stop_limit_ms < row.drain_notice_ms) {
-        SasReader_Complain(&loader->reader,
-                           SasLoader_GetLine(table, "stop_limit_ms"), "limits",
-                           "stop_limit_ms", "shorter than drain_notice_ms");
-    }
+    check_stop_limit(loader, table, row.drain_notice_ms, row.stop_limit_ms);
     struct sas_settings *settings = loader->settings;
     settings->body_limit = row.body_limit_mb;
     settings->bodies_limit = row.bodies_limit_mb;
--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -80,7 +80,7 @@
                            "queue_wait_ms = 7\n"
                            "retry_share = 0.2\n"
                            "drain_notice_ms = 50\n"
-                           "stop_limit_ms = 60\n"
+                           "stop_limit_ms = 2550\n"
                            "placement = \"cone\"\n"
                            "[security]\n"
                            "peer_key_file = \"peer.key\"\n"
@@ -176,7 +176,7 @@
     assert_int_equal(settings.queue_wait_ms, 7);
     assert_true(settings.retry_share == 0.2);
     assert_int_equal(settings.drain_notice_ms, 50);
-    assert_int_equal(settings.stop_limit_ms, 60);
+    assert_int_equal(settings.stop_limit_ms, 2550);
     assert_string_equal(settings.placement, "cone");
     assert_string_equal(settings.peer_key_file, "/x/peer.key");
     assert_string_equal(settings.admin_token_file, "/etc/token");
@@ -250,9 +250,10 @@
     assert_refused("bodies_limit_mb = 16", "bodies_limit_mb = 7",
                    "f.toml:53: limits.bodies_limit_mb: less than one body of "
                    "body_limit_mb");
-    assert_refused("stop_limit_ms = 60", "stop_limit_ms = 49",
-                   "f.toml:57: limits.stop_limit_ms: shorter than "
-                   "drain_notice_ms");
+    assert_refused("stop_limit_ms = 2550", "stop_limit_ms = 2549",
+                   "f.toml:57: limits.stop_limit_ms: less than "
+                   "drain_notice_ms and the longest deadline_ms together, "
+                   "2550");
     assert_refused("\"10.0.0.9\"", "\"store.example\"",
                    "f.toml:6: store.ip: not an IP number: \"store.example\"");
     assert_refused("\"10.0.0.1\"", "\"0.0.0.0\"",
