Steering: tests and properties for sheet, config, plan, lookup and measure

Changed on the way, each found in writing the tests: aged reports no longer fade a full server into headroom; reports are only contradicted by requests that were in flight for 200 ms, and by half of them (the rest may be on the wire); lifetimes get short 30 s before a row; SasConfig_AddDrain keeps times that are resolved already; an index by the upper 16 bits of the address.

--- a/packages/core/include/sas/config.h
+++ b/packages/core/include/sas/config.h
@@ -45,6 +45,16 @@
 struct sas_config *SasConfig_Ref(struct sas_config *config);
 void SasConfig_Unref(struct sas_config *config); /* NULL is allowed */
 
+/* The version after `base` (NULL for none yet) with one more drain row, for
+ * a backend server or an entry VM from now_ms on; times that base resolved
+ * stay as they are. NULL and *error when it can't be. */
+struct sas_config *SasConfig_AddDrain(const struct sas_config *base,
+                                      const struct sas_model *model,
+                                      const char *target, int64_t number,
+                                      const char *operation,
+                                      const char *operator_name,
+                                      int64_t now_ms, struct sas_error *error);
+
 /* True when a node at version `current` (0 for none) may adopt `offered`:
  * higher ones only, whoever offers. */
 bool SasConfig_MayReplace(int64_t current, int64_t offered);
--- a/packages/core/include/sas/lookup.h
+++ b/packages/core/include/sas/lookup.h
@@ -47,6 +47,7 @@
     uint64_t *keys;         /* what is hashed, by block */
     int block_count;
     int *home_starts; /* first block by home, region_count + 1 of them */
+
     int region_count;
     int default_home;
     struct sas_lookup_answers *answers; /* by service */
--- a/packages/core/include/sas/measure.h
+++ b/packages/core/include/sas/measure.h
@@ -5,10 +5,10 @@
  * server runs and queues; what of it this node did not send is the load of
  * others. That part counts by the report's weight, which halves with every
  * SasMeasure_HALF_LIFE_MS of age and is scaled by the trust in the server:
- * trust halves when a report contradicts what was seen here (fewer running
- * than were in flight from here all along, or a shed request while it reports
- * itself idle) and comes back slowly with reports that fit. What this node
- * has in flight itself always counts in full.
+ * trust halves when a report contradicts what was seen here (less than half
+ * of what was in flight from here all along, or a shed request while it
+ * reports itself idle) and comes back slowly with reports that fit. What this
+ * node has in flight itself always counts in full.
  *
  * Times are a monotonic clock in milliseconds.
  */
@@ -21,7 +21,10 @@
 #include "sas/model.h"
 
 #define SasMeasure_HALF_LIFE_MS 2000
-#define SasMeasure_OLD_MS 10000  /* no weight at all from this age on */
+#define SasMeasure_OLD_MS 10000 /* no weight at all from this age on */
+#define SasMeasure_SETTLE_MS                                                  \
+    200                          /* in flight this long, it must be reported  \
+                                  */
 #define SasMeasure_SHED_MS 1000  /* how long a shed server counts as full */
 #define SasMeasure_IDLE_MS 1000  /* a report this recent can be refuted */
 #define SasMeasure_DOUBT 0.5     /* factor of trust after a contradiction */
@@ -35,8 +38,10 @@
     int slots;
     int own_at_report; /* in flight from here when the report came */
     int64_t report_ms;
-    int in_flight;     /* from this node, now */
-    int low_in_flight; /* least since the last report */
+    int in_flight;  /* from this node, now */
+    int low;        /* least in flight since window_ms */
+    int low_before; /* least in the window before, SETTLE_MS or longer */
+    int64_t window_ms;
     bool shed;
     int64_t shed_ms;
     double trust; /* 0 to 1 */
@@ -73,10 +78,11 @@
 /* 1 where no report was ever contradicted. */
 double SasMeasure_GetTrust(const struct sas_measure *measure, int backend);
 
-/* Free share, 0 to 1, of the service's slots in the region. Never above what
- * the floor and the weight of the reports allow; the floor itself without
- * recent reports, 0 without slots. *age_ms (may be NULL): the age within
- * which half of the slots were reported on, NAN when they were not. */
+/* Free share, 0 to 1, of the service's slots in the region. It is what the
+ * reports say, but above the floor only as far as they carry weight; the
+ * floor itself without recent reports, 0 without slots. *age_ms (may be NULL):
+ * the age within which half of the slots were reported on, NAN when they were
+ * not. */
 double SasMeasure_GetHeadroom(const struct sas_measure *measure,
                               const struct sas_model *model, int service,
                               int region, int64_t now_ms, double *age_ms);
--- a/packages/core/include/sas/plan.h
+++ b/packages/core/include/sas/plan.h
@@ -40,6 +40,7 @@
 #define SasPlan_WARM_SHARE 0.1    /* of the ordered share, while warming */
 #define SasPlan_RETURN_MS 60000   /* 0 to the whole, after a region was gone */
 #define SasPlan_SEED_MS 30000     /* how long a fresh node takes seeds */
+#define SasPlan_AHEAD_MS 30000    /* a row this near counts as under way */
 
 /* Why a share is not rising although it is below the ordered one. */
 enum sas_hold {
@@ -115,7 +116,8 @@
                    const struct sas_config *config);
 void SasPlan_Free(struct sas_plan *plan);
 
-/* Moves the plan to the present. True when a share in force changed. */
+/* Moves the plan to the present. True when a share in force changed. Signals
+ * that are NULL say that nothing is known and no region is gone. */
 bool SasPlan_Advance(struct sas_plan *plan, int64_t wall_ms,
                      int64_t monotonic_ms,
                      const struct sas_plan_signals *signals);
@@ -141,8 +143,8 @@
 void SasPlan_GetWeights(const struct sas_plan *plan, int service, int home,
                         double *weights);
 
-/* True while a share from home is on its way to the ordered one or a region
- * that it concerns is gone: look-ups then live shortly. */
+/* True while a share from home is on its way to the ordered one, is about to
+ * change, or the home region is gone: look-ups then live shortly. */
 bool SasPlan_IsShifting(const struct sas_plan *plan, int service, int home);
 
 bool SasPlan_IsDraining(const struct sas_plan *plan, enum sas_drain_kind kind,
--- a/packages/core/include/sas/sheet.h
+++ b/packages/core/include/sas/sheet.h
@@ -18,6 +18,7 @@
 
 #include "sas/model.h"
 
+#define SasSheet_HEADER "time,service,from,to,share,cap,drain,limits"
 #define SasSheet_MAX_ROWS 8192
 #define SasSheet_MAX_BYTES (4 * 1024 * 1024)
 #define SasSheet_MAX_SECONDS (7 * 24 * 3600) /* of +N, ramp and warm */
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -1,5 +1,6 @@
 #include "sas/config.h"
 
+#include <csv.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -94,6 +95,84 @@
     }
 }
 
+/* The base's rows with one more, which comes after those of its time. */
+static void
+insert_row(struct sas_sheet *sheet, const struct sas_sheet *base,
+           const struct sas_intention *row)
+{
+    int next = 0;
+    sheet->row_count = base->row_count + 1;
+    sheet->rows = g_new(struct sas_intention, sheet->row_count);
+    for (int i = 0; i < base->row_count; i++) {
+        if (next == i && base->rows[i].at_ms > row->at_ms) {
+            sheet->rows[next++] = *row;
+        }
+        sheet->rows[next++] = base->rows[i];
+    }
+    if (next == base->row_count) {
+        sheet->rows[next] = *row;
+    }
+}
+
+static char *
+make_drain_line(const char *target, int64_t now_ms)
+{
+    g_autoptr(GDateTime) second = g_date_time_new_from_unix_utc(now_ms / 1000);
+    g_autofree char *time = g_date_time_format(second, "%Y-%m-%dT%H:%M:%S");
+    size_t size = 2 * strlen(target) + 2;
+    g_autofree char *quoted = g_new0(char, size + 1);
+    csv_write(quoted, size, target, strlen(target));
+    return g_strdup_printf("%s.%03dZ,,,,,,%s,\n", time, (int)(now_ms % 1000),
+                           quoted);
+}
+
+/* The base's text with one line more. */
+static char *
+append_line(const struct sas_config *base, const char *line)
+{
+    const char *text = base != NULL ? base->sheet_text : SasSheet_HEADER;
+    const char *end = g_str_has_suffix(text, "\n") ? "" : "\n";
+    return g_strconcat(text, end, line, NULL);
+}
+
+struct sas_config *
+SasConfig_AddDrain(const struct sas_config *base,
+                   const struct sas_model *model, const char *target,
+                   int64_t number, const char *operation,
+                   const char *operator_name, int64_t now_ms,
+                   struct sas_error *error)
+{
+    struct sas_sheet none = {0};
+    struct sas_sheet single = {0};
+    struct sas_sheet sheet = {0};
+    struct sas_sheet_error reason = {0};
+    struct sas_config *config = NULL;
+    g_autofree char *line = make_drain_line(target, now_ms);
+    g_autofree char *single_text = append_line(NULL, line);
+    g_autofree char *text = append_line(base, line);
+    int rc = SasSheet_Parse(&single, model, single_text, strlen(single_text),
+                            now_ms, 0, &reason);
+    if (rc == 0) {
+        insert_row(&sheet, base != NULL ? &base->sheet : &none, single.rows);
+        rc = SasSheet_Check(&sheet, model, &reason);
+    }
+    if (rc == 0 && sheet.row_count > SasSheet_MAX_ROWS) {
+        g_strlcpy(reason.reason, "too many rows", sizeof(reason.reason));
+        rc = -1;
+    }
+    if (rc < 0) {
+        SasError_Set(error, SAS_EINVAL, "config.drain", target, "%s",
+                     reason.reason);
+    }
+    else {
+        config = SasConfig_New(number, operation, operator_name, now_ms,
+                               &sheet, text, error);
+    }
+    SasSheet_Free(&single);
+    SasSheet_Free(&sheet);
+    return config;
+}
+
 /* Adoption. */
 
 bool
@@ -505,26 +584,26 @@
 /* The index of an equal item in the base: the one after the last match if
  * that is equal, else the first equal one; -1 when there is none. */
 static int
-find_equal(char **base, int base_count, GHashTable *first, const char *item,
-           int next)
+find_equal(const GPtrArray *base, GHashTable *first, const char *item,
+           guint next)
 {
-    if (next < base_count && strcmp(base[next], item) == 0) {
-        return next;
+    if (next < base->len && strcmp(g_ptr_array_index(base, next), item) == 0) {
+        return (int)next;
     }
     void *found = g_hash_table_lookup(first, item);
     return found == NULL ? -1 : GPOINTER_TO_INT(found) - 1;
 }
 
-static char **
+static GPtrArray *
 dump_items(json_t *array)
 {
-    size_t count = json_array_size(array);
-    char **items = g_new0(char *, count + 1);
-    for (size_t i = 0; i < count; i++) {
-        char *text = json_dumps(json_array_get(array, i),
-                                WRITE_FLAGS | JSON_ENCODE_ANY);
-        items[i] = g_strdup(text);
-        free(text);
+    GPtrArray *items = g_ptr_array_new_with_free_func(free);
+    size_t i;
+    json_t *item;
+    json_array_foreach(array, i, item)
+    {
+        g_ptr_array_add(items,
+                        json_dumps(item, WRITE_FLAGS | JSON_ENCODE_ANY));
     }
     return items;
 }
@@ -532,23 +611,23 @@
 static json_t *
 diff(json_t *base, json_t *target)
 {
-    g_auto(GStrv) old = dump_items(base);
-    g_auto(GStrv) new = dump_items(target);
-    int old_count = (int)json_array_size(base);
+    g_autoptr(GPtrArray) old = dump_items(base);
+    g_autoptr(GPtrArray) new = dump_items(target);
     g_autoptr(GHashTable) first = g_hash_table_new(g_str_hash, g_str_equal);
-    for (int i = old_count - 1; i >= 0; i--) {
-        g_hash_table_insert(first, old[i], GINT_TO_POINTER(i + 1));
+    for (guint i = old->len; i > 0; i--) {
+        g_hash_table_insert(first, g_ptr_array_index(old, i - 1),
+                            GUINT_TO_POINTER(i));
     }
     json_t *steps = json_array();
-    int next = 0;
-    for (int i = 0; new[i] != NULL; i++) {
-        int found = find_equal(old, old_count, first, new[i], next);
+    guint next = 0;
+    for (guint i = 0; i < new->len; i++) {
+        int found = find_equal(old, first, g_ptr_array_index(new, i), next);
         if (found < 0) {
             json_array_append(steps, json_array_get(target, i));
         }
         else {
             append_range(steps, found);
-            next = found + 1;
+            next = (guint)found + 1;
         }
     }
     return steps;
--- a/packages/core/src/lookup.c
+++ b/packages/core/src/lookup.c
@@ -19,12 +19,14 @@
 #define DOUBT_LEAVING 16
 
 static uint64_t make_key(uint32_t network, int prefix_length);
+static uint64_t hash_name(const char *name);
 static double get_chance(uint64_t key, uint64_t id);
 static double get_score(uint64_t key, const struct sas_target *target);
 static void number_blocks(struct sas_lookup *lookup,
                           const struct sas_model *model, int32_t *numbers);
 static void make_ranges(struct sas_lookup *lookup,
                         const struct sas_model *model, const int32_t *numbers);
+static void index_ranges(struct sas_lookup *lookup);
 static int32_t find_block(const struct sas_lookup *lookup, uint32_t ipv4);
 static uint64_t get_caller_key(const struct sas_lookup *lookup, uint32_t ipv4);
 static int rebuild_home(struct sas_lookup *lookup,
@@ -43,9 +45,11 @@
     lookup->default_home = model->default_home;
     lookup->answers =
         g_new0(struct sas_lookup_answers, model->service_count + 1);
+
     g_autofree int32_t *numbers = g_new(int32_t, model->block_count + 1);
     number_blocks(lookup, model, numbers);
     make_ranges(lookup, model, numbers);
+    index_ranges(lookup);
 }
 
 void
@@ -72,15 +76,18 @@
              int service)
 {
     int regions = model->region_count;
+    g_autofree uint64_t *ids = g_new(uint64_t, regions + 1);
+    for (int i = 0; i < regions; i++) {
+        ids[i] = hash_name(model->regions[i].name);
+    }
     struct sas_target *targets =
         g_new0(struct sas_target, (size_t)regions * regions + 1);
     g_autofree double *weights = g_new0(double, regions + 1);
     for (int home = 0; home < regions; home++) {
         SasPlan_GetWeights(plan, service, home, weights);
         for (int region = 0; region < regions; region++) {
-            const char *name = model->regions[region].name;
             struct sas_target *target = &targets[home * regions + region];
-            target->id = XXH3_64bits(name, strlen(name));
+            target->id = ids[region];
             target->weight = weights[region];
         }
     }
@@ -210,8 +217,7 @@
     g_autofree struct vm_rank *ranks =
         g_new0(struct vm_rank, model->vm_count + 1);
     for (int i = 0; i < model->vm_count; i++) {
-        const char *name = model->vms[i].name;
-        struct sas_target target = {XXH3_64bits(name, strlen(name)), 1};
+        struct sas_target target = {hash_name(model->vms[i].name), 1};
         ranks[i] = (struct vm_rank){
             .vm = i,
             .doubt = get_doubt(&views[i]),
@@ -334,6 +340,13 @@
     return (uint64_t)(network & mask) << 8 | (uint64_t)prefix_length;
 }
 
+/* A name's id, whatever its place in the node's tables. */
+static uint64_t
+hash_name(const char *name)
+{
+    return XXH3_64bits(name, strlen(name));
+}
+
 /* The pair's u, in (0, 1). */
 static double
 get_chance(uint64_t key, uint64_t id)
@@ -425,16 +438,24 @@
             open[depth++] = i;
         }
     }
+}
+
+/* The range that holds the first address of each upper half. */
+static void
+index_ranges(struct sas_lookup *lookup)
+{
+    uint32_t last = (uint32_t)lookup->range_count - 1;
+    uint32_t upper = 0;
     lookup->first_ranges = g_new(uint32_t, UPPER_COUNT + 1);
-    int range = 0;
-    for (uint32_t upper = 0; upper < UPPER_COUNT; upper++) {
-        while (range + 1 < lookup->range_count &&
-               lookup->starts[range + 1] <= upper << 16) {
-            range++;
+    for (uint32_t range = 0; range < last; range++) {
+        uint32_t next = lookup->starts[range + 1];
+        for (; upper < UPPER_COUNT && upper << 16 < next; upper++) {
+            lookup->first_ranges[upper] = range;
         }
-        lookup->first_ranges[upper] = (uint32_t)range;
     }
-    lookup->first_ranges[UPPER_COUNT] = (uint32_t)lookup->range_count - 1;
+    for (; upper <= UPPER_COUNT; upper++) {
+        lookup->first_ranges[upper] = last;
+    }
 }
 
 static int32_t
--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#define MAX_WALL_MS SasSheet_MAX_AT_MS
 #define MAX_ELAPSED_MS INT64_C(604800000) /* bounds the clocks' arithmetic */
 
 static int compare_rows(const void *left, const void *right, void *data);
@@ -14,9 +15,13 @@
                          const struct sas_plan_signals *signals);
 static int64_t advance_clock(struct sas_plan *plan, int64_t wall_ms,
                              int64_t monotonic_ms);
-static bool advance_shift(struct sas_plan *plan, struct sas_shift *shift,
-                          const struct sas_plan_signals *signals, bool fresh,
-                          int64_t elapsed_ms);
+static bool advance_shift(const struct sas_plan *plan, struct sas_shift *shift,
+                          bool fresh, int64_t elapsed_ms);
+static int find_first_shift(const struct sas_plan *plan, int service,
+                            int from);
+static int find_shift(const struct sas_plan *plan, int service, int from,
+                      int to);
+static bool is_from(const struct sas_plan *plan, int i, int service, int from);
 static double climb(const struct sas_intention *rows, int active, double level,
                     double time_ms, double limit);
 static double get_schedule_point(const struct sas_plan *plan,
@@ -74,8 +79,7 @@
     int64_t elapsed_ms = advance_clock(plan, wall_ms, monotonic_ms);
     take_signals(plan, signals);
     for (int i = 0; i < plan->shift_count; i++) {
-        changed |=
-            advance_shift(plan, &plan->shifts[i], signals, fresh, elapsed_ms);
+        changed |= advance_shift(plan, &plan->shifts[i], fresh, elapsed_ms);
     }
     return changed;
 }
@@ -84,8 +88,8 @@
 SasPlan_Seed(struct sas_plan *plan, int service, int from, int to,
              double share)
 {
-    struct sas_shift *shift =
-        (struct sas_shift *)SasPlan_FindShift(plan, service, from, to);
+    int i = find_shift(plan, service, from, to);
+    struct sas_shift *shift = i == SasModel_NONE ? NULL : &plan->shifts[i];
     bool fresh =
         plan->started &&
         plan->monotonic_ms - plan->started_monotonic_ms <= SasPlan_SEED_MS;
@@ -104,44 +108,11 @@
 
 /* What is in force. */
 
-/* The first shift of (service, from), or where it would stand: shifts are
- * sorted as the rows are. */
-static int
-find_first_shift(const struct sas_plan *plan, int service, int from)
-{
-    int low = 0;
-    int high = plan->shift_count;
-    while (low < high) {
-        int middle = low + (high - low) / 2;
-        const struct sas_shift *shift = &plan->shifts[middle];
-        if (shift->service < service ||
-            (shift->service == service && shift->from < from)) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return low;
-}
-
-static bool
-is_from(const struct sas_plan *plan, int i, int service, int from)
-{
-    return i < plan->shift_count && plan->shifts[i].service == service &&
-           plan->shifts[i].from == from;
-}
-
 const struct sas_shift *
 SasPlan_FindShift(const struct sas_plan *plan, int service, int from, int to)
 {
-    int i = find_first_shift(plan, service, from);
-    for (; is_from(plan, i, service, from); i++) {
-        if (plan->shifts[i].to == to) {
-            return &plan->shifts[i];
-        }
-    }
-    return NULL;
+    int i = find_shift(plan, service, from, to);
+    return i == SasModel_NONE ? NULL : &plan->shifts[i];
 }
 
 double
@@ -205,13 +176,31 @@
                    double *weights)
 {
     for (int region = 0; region < plan->model->region_count; region++) {
-        weights[region] = SasPlan_GetShare(plan, service, home, region);
+        weights[region] = 0;
+    }
+    double left = 1;
+    int i = find_first_shift(plan, service, home);
+    for (; is_from(plan, i, service, home); i++) {
+        weights[plan->shifts[i].to] = plan->shifts[i].in_force;
+        left -= plan->shifts[i].in_force;
     }
+    weights[home] = fmax(left, 0);
     if (plan->gone != NULL && plan->gone[home]) {
         spread_home(plan, service, home, weights);
     }
 }
 
+/* Failure: a row takes effect while callers hold answers from before it. From
+ * SasPlan_AHEAD_MS before it the answers are short-lived already. */
+static bool
+is_imminent(const struct sas_plan *plan, const struct sas_shift *shift)
+{
+    int next = shift->active + 1;
+    return next < shift->row_count &&
+           plan->rows[shift->first_row + next].at_ms - plan->clock_ms <=
+               SasPlan_AHEAD_MS;
+}
+
 bool
 SasPlan_IsShifting(const struct sas_plan *plan, int service, int home)
 {
@@ -220,7 +209,8 @@
     }
     int i = find_first_shift(plan, service, home);
     for (; is_from(plan, i, service, home); i++) {
-        if (plan->shifts[i].in_force != plan->shifts[i].ordered) {
+        if (plan->shifts[i].in_force != plan->shifts[i].ordered ||
+            is_imminent(plan, &plan->shifts[i])) {
             return true;
         }
     }
@@ -250,6 +240,48 @@
     return hold_names[hold];
 }
 
+/* Finding. */
+
+/* The first shift of (service, from), or where it would stand: shifts are
+ * sorted as the rows are. */
+static int
+find_first_shift(const struct sas_plan *plan, int service, int from)
+{
+    int low = 0;
+    int high = plan->shift_count;
+    while (low < high) {
+        int middle = low + (high - low) / 2;
+        const struct sas_shift *shift = &plan->shifts[middle];
+        if (shift->service < service ||
+            (shift->service == service && shift->from < from)) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+static bool
+is_from(const struct sas_plan *plan, int i, int service, int from)
+{
+    return i < plan->shift_count && plan->shifts[i].service == service &&
+           plan->shifts[i].from == from;
+}
+
+static int
+find_shift(const struct sas_plan *plan, int service, int from, int to)
+{
+    int i = find_first_shift(plan, service, from);
+    for (; is_from(plan, i, service, from); i++) {
+        if (plan->shifts[i].to == to) {
+            return i;
+        }
+    }
+    return SasModel_NONE;
+}
+
 /* Building. */
 
 static int
@@ -349,6 +381,7 @@
 static int64_t
 advance_clock(struct sas_plan *plan, int64_t wall_ms, int64_t monotonic_ms)
 {
+    wall_ms = CLAMP(wall_ms, 0, MAX_WALL_MS);
     plan->wall_ms = wall_ms;
     if (!plan->started) {
         plan->started = true;
@@ -376,12 +409,13 @@
     int regions = plan->model->region_count;
     int cells = plan->model->service_count * regions;
     for (int i = 0; i < regions; i++) {
-        plan->gone[i] = signals->gone != NULL && signals->gone[i];
+        plan->gone[i] =
+            signals != NULL && signals->gone != NULL && signals->gone[i];
     }
     for (int i = 0; i < cells; i++) {
-        const struct sas_plan_signal *signal = &signals->table[i];
-        bool recent = signal->age_ms <= SasPlan_OLD_MS;
-        plan->headroom[i] = recent ? signal->headroom : NAN;
+        bool recent = signals != NULL && signals->table != NULL &&
+                      signals->table[i].age_ms <= SasPlan_OLD_MS;
+        plan->headroom[i] = recent ? signals->table[i].headroom : NAN;
     }
 }
 
@@ -471,12 +505,12 @@
  * reason, and a share that rises by the clock alone pushes the region over
  * what it can carry. No rise without a recent, sufficient headroom. */
 static enum sas_hold
-find_hold(const struct sas_plan_signal *signal, double headroom)
+find_hold(double headroom, double wanted)
 {
-    if (!(signal->age_ms <= SasPlan_OLD_MS) || isnan(signal->headroom)) {
+    if (isnan(headroom)) {
         return SAS_HOLD_MEASUREMENTS_OLD;
     }
-    if (signal->headroom < fmax(headroom, SasPlan_MIN_HEADROOM)) {
+    if (headroom < fmax(wanted, SasPlan_MIN_HEADROOM)) {
         return SAS_HOLD_HEADROOM_SHORT;
     }
     return SAS_HOLD_NONE;
@@ -502,13 +536,13 @@
 }
 
 static void
-raise_share(struct sas_plan *plan, struct sas_shift *shift,
-            const struct sas_plan_signals *signals, int64_t elapsed_ms)
+raise_share(const struct sas_plan *plan, struct sas_shift *shift,
+            int64_t elapsed_ms)
 {
     const struct sas_intention *rows = plan->rows + shift->first_row;
     const struct sas_intention *row = &rows[shift->active];
     int cell = shift->service * plan->model->region_count + shift->to;
-    shift->holding = find_hold(&signals->table[cell], row->headroom);
+    shift->holding = find_hold(plan->headroom[cell], row->headroom);
     if (shift->holding != SAS_HOLD_NONE) {
         return;
     }
@@ -523,8 +557,7 @@
 }
 
 static bool
-advance_shift(struct sas_plan *plan, struct sas_shift *shift,
-              const struct sas_plan_signals *signals, bool fresh,
+advance_shift(const struct sas_plan *plan, struct sas_shift *shift, bool fresh,
               int64_t elapsed_ms)
 {
     double before = shift->in_force;
@@ -547,7 +580,7 @@
         shift->holding = SAS_HOLD_REGION_GONE;
     }
     else if (shift->in_force < shift->ordered) {
-        raise_share(plan, shift, signals, elapsed_ms);
+        raise_share(plan, shift, elapsed_ms);
     }
     if (shift->in_force >= shift->ordered) {
         shift->returning = false;
--- a/packages/core/src/sheet.c
+++ b/packages/core/src/sheet.c
@@ -379,7 +379,7 @@
         return -1;
     }
     *at_ms = g_date_time_to_unix(time) * 1000 +
-             g_date_time_get_microsecond(time) / 1000;
+             (g_date_time_get_microsecond(time) + 500) / 1000;
     return *at_ms < 0 || *at_ms > SasSheet_MAX_AT_MS ? -1 : 0;
 }
 
--- /dev/null
+++ b/packages/core/tests/property_shim.c
@@ -0,0 +1,156 @@
+/* Flat functions for the property tests, which call them through ctypes: no
+ * struct of the core crosses, only numbers, texts and opaque pointers. The
+ * deployment is that of steering_fixture.h.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sas/config.h"
+#include "sas/lookup.h"
+#include "sas/plan.h"
+#include "sas/sheet.h"
+#include "steering_fixture.h"
+
+struct sas_config *SasShim_MakeConfig(int64_t number, const char *rows,
+                                      int64_t now_ms,
+                                      struct sas_sheet_error *error);
+int SasShim_GetRowCount(const struct sas_config *config);
+void SasShim_GetRow(const struct sas_config *config, int row, int64_t *at_ms,
+                    int *numbers, double *share);
+char *SasShim_Encode(const struct sas_config *config);
+struct sas_config *SasShim_Decode(const char *text, size_t size);
+char *SasShim_EncodeDelta(const struct sas_config *base,
+                          const struct sas_config *config);
+struct sas_config *SasShim_ApplyDelta(const struct sas_config *base,
+                                      const char *text, size_t size);
+struct sas_plan *SasShim_MakePlan(void);
+void SasShim_FreePlan(struct sas_plan *plan);
+int SasShim_BuildPlan(struct sas_plan *plan, int64_t number, const char *rows,
+                      int64_t now_ms);
+void SasShim_Advance(struct sas_plan *plan, int64_t wall_ms,
+                     int64_t monotonic_ms, const double *headroom,
+                     const double *age_ms, const uint8_t *gone);
+int SasShim_GetShift(const struct sas_plan *plan, int service, int from,
+                     int to, double *ordered, double *in_force);
+
+/* Configurations. */
+
+struct sas_config *
+SasShim_MakeConfig(int64_t number, const char *rows, int64_t now_ms,
+                   struct sas_sheet_error *error)
+{
+    struct sas_sheet sheet;
+    g_autofree char *text = g_strconcat(SasSheet_HEADER "\n", rows, NULL);
+    if (SasSheet_Parse(&sheet, &fixture, text, strlen(text), now_ms, 0,
+                       error) < 0) {
+        return NULL;
+    }
+    return SasConfig_New(number, "op", "amina", now_ms, &sheet, text, NULL);
+}
+
+int
+SasShim_GetRowCount(const struct sas_config *config)
+{
+    return config->sheet.row_count;
+}
+
+/* numbers: service, from, to, kind and target of a drain, row. */
+void
+SasShim_GetRow(const struct sas_config *config, int row, int64_t *at_ms,
+               int *numbers, double *share)
+{
+    const struct sas_intention *intention = &config->sheet.rows[row];
+    *at_ms = intention->at_ms;
+    *share = intention->share;
+    numbers[0] = intention->service;
+    numbers[1] = intention->from;
+    numbers[2] = intention->to;
+    numbers[3] = (int)intention->drain_kind;
+    numbers[4] = intention->drain_target;
+    numbers[5] = intention->row;
+}
+
+char *
+SasShim_Encode(const struct sas_config *config)
+{
+    return SasConfig_Encode(config, &fixture);
+}
+
+struct sas_config *
+SasShim_Decode(const char *text, size_t size)
+{
+    return SasConfig_Decode(&fixture, text, size, NULL);
+}
+
+char *
+SasShim_EncodeDelta(const struct sas_config *base,
+                    const struct sas_config *config)
+{
+    return SasConfig_EncodeDelta(base, config, &fixture);
+}
+
+struct sas_config *
+SasShim_ApplyDelta(const struct sas_config *base, const char *text,
+                   size_t size)
+{
+    return SasConfig_ApplyDelta(base, &fixture, text, size, NULL);
+}
+
+/* Plans. */
+
+struct sas_plan *
+SasShim_MakePlan(void)
+{
+    return g_new0(struct sas_plan, 1);
+}
+
+void
+SasShim_FreePlan(struct sas_plan *plan)
+{
+    SasPlan_Free(plan);
+    g_free(plan);
+}
+
+int
+SasShim_BuildPlan(struct sas_plan *plan, int64_t number, const char *rows,
+                  int64_t now_ms)
+{
+    struct sas_sheet_error error;
+    struct sas_config *config =
+        SasShim_MakeConfig(number, rows, now_ms, &error);
+    if (config == NULL) {
+        return -1;
+    }
+    SasPlan_Build(plan, &fixture, config);
+    SasConfig_Unref(config);
+    return 0;
+}
+
+void
+SasShim_Advance(struct sas_plan *plan, int64_t wall_ms, int64_t monotonic_ms,
+                const double *headroom, const double *age_ms,
+                const uint8_t *gone)
+{
+    struct sas_plan_signal table[6];
+    bool is_gone[3];
+    struct sas_plan_signals signals = {table, is_gone};
+    for (int i = 0; i < 6; i++) {
+        table[i] = (struct sas_plan_signal){headroom[i], age_ms[i]};
+    }
+    for (int i = 0; i < 3; i++) {
+        is_gone[i] = gone[i] != 0;
+    }
+    SasPlan_Advance(plan, wall_ms, monotonic_ms, &signals);
+}
+
+/* Returns the reason for a hold, -1 when there is no such shift. */
+int
+SasShim_GetShift(const struct sas_plan *plan, int service, int from, int to,
+                 double *ordered, double *in_force)
+{
+    const struct sas_shift *shift = SasPlan_FindShift(plan, service, from, to);
+    *ordered = shift != NULL ? shift->ordered : 0;
+    *in_force = shift != NULL ? shift->in_force : 0;
+    return shift != NULL ? (int)shift->holding : -1;
+}
--- /dev/null
+++ b/packages/core/tests/test_measure.c
@@ -0,0 +1,179 @@
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "sas/measure.h"
+#include "steering_fixture.h"
+
+#define FLOOR 0.1
+
+static struct sas_measure measure;
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    SasMeasure_Init(&measure, &fixture, FLOOR);
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    (void)state;
+    SasMeasure_Close(&measure);
+    return 0;
+}
+
+static void
+assert_near(double have, double wanted)
+{
+    assert_true(fabs(have - wanted) < 1e-9);
+}
+
+static double
+get_headroom(int64_t now_ms, double *age_ms)
+{
+    return SasMeasure_GetHeadroom(&measure, &fixture, DOSSIERS, MONTREAL,
+                                  now_ms, age_ms);
+}
+
+static void
+test_a_report_fades_towards_our_own_count(void **state)
+{
+    (void)state;
+    SasMeasure_SetInFlight(&measure, 0, 1);
+    SasMeasure_Report(&measure, 0, 3, 2, 3, 1000);
+    assert_near(SasMeasure_GetLoad(&measure, 0, 1000), 1 + 4);
+    SasMeasure_SetInFlight(&measure, 0, 2);
+    assert_near(SasMeasure_GetLoad(&measure, 0, 1000), 2 + 4);
+    assert_near(SasMeasure_GetLoad(&measure, 0, 3000), 2 + 2);
+    assert_near(SasMeasure_GetLoad(&measure, 0, 11000), 2);
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 500);
+    assert_near(SasMeasure_GetLoad(&measure, 0, 1000), 2 + 4);
+}
+
+/* A load endpoint is stuck at "idle". Every node believes it and sends there;
+ * the server sheds while others stand by. */
+static void
+test_a_report_against_our_own_eyes_is_doubted(void **state)
+{
+    (void)state;
+    SasMeasure_SetInFlight(&measure, 0, 3);
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 1000);
+    assert_near(SasMeasure_GetTrust(&measure, 0), 1);
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 1300);
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 1600);
+    assert_near(SasMeasure_GetTrust(&measure, 0), 0.5);
+    SasMeasure_Report(&measure, 1, 0, 0, 3, 1000);
+    SasMeasure_NoteShed(&measure, 1, 1100);
+    SasMeasure_NoteShed(&measure, 1, 1200);
+    assert_near(SasMeasure_GetTrust(&measure, 1), 0.5);
+    assert_near(SasMeasure_GetLoad(&measure, 1, 1300), 3);
+    for (int i = 0; i < 100; i++) {
+        SasMeasure_Report(&measure, 1, 1, 0, 3, 2000 + i);
+    }
+    assert_true(SasMeasure_GetTrust(&measure, 1) > 0.99);
+}
+
+/* Requests of 10 ms to a region 20 ms away: five are in flight from here, but
+ * seldom more than two run there. An honest server must stay trusted. */
+static void
+test_an_honest_report_is_not_doubted(void **state)
+{
+    (void)state;
+    for (int i = 0; i < 20; i++) {
+        SasMeasure_SetInFlight(&measure, 0, 5);
+        SasMeasure_Report(&measure, 0, 2, 0, 3, i * 250);
+    }
+    assert_near(SasMeasure_GetTrust(&measure, 0), 1);
+    SasMeasure_SetInFlight(&measure, 0, 0);
+    SasMeasure_SetInFlight(&measure, 0, 9);
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 5000);
+    assert_near(SasMeasure_GetTrust(&measure, 0), 1);
+}
+
+/* Reports stop. The last ones said "idle"; a region that is steered by them
+ * fills up unseen. */
+static void
+test_headroom_falls_to_the_floor_without_reports(void **state)
+{
+    (void)state;
+    double age_ms;
+    assert_near(get_headroom(0, &age_ms), FLOOR);
+    assert_true(isnan(age_ms));
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 1000);
+    SasMeasure_Report(&measure, 1, 3, 0, 3, 2000);
+    assert_near(get_headroom(1000, NULL), 0.5);
+    double before = 1;
+    for (int64_t now_ms = 2000; now_ms < 13000; now_ms += 500) {
+        double headroom = get_headroom(now_ms, &age_ms);
+        assert_true(headroom <= before || now_ms >= 12000);
+        assert_near(age_ms, (double)(now_ms - 2000));
+        before = headroom;
+    }
+    assert_near(get_headroom(13000, NULL), FLOOR);
+}
+
+static void
+test_a_full_server_fades_no_headroom_into_being(void **state)
+{
+    (void)state;
+    SasMeasure_Report(&measure, 0, 3, 4, 3, 1000);
+    SasMeasure_Report(&measure, 1, 3, 4, 3, 1000);
+    for (int64_t now_ms = 1000; now_ms < 11000; now_ms += 500) {
+        assert_near(get_headroom(now_ms, NULL), 0);
+    }
+}
+
+static void
+test_leaving_servers_do_not_count(void **state)
+{
+    (void)state;
+    double age_ms;
+    SasMeasure_Report(&measure, 0, 0, 0, 3, 1000);
+    SasMeasure_Report(&measure, 1, 3, 0, 3, 1000);
+    SasMeasure_SetLeaving(&measure, 0, true);
+    assert_near(get_headroom(1000, &age_ms), 0);
+    SasMeasure_SetLeaving(&measure, 1, true);
+    assert_near(get_headroom(1000, &age_ms), 0);
+    assert_true(isnan(age_ms));
+}
+
+/* A server may claim more slots than it was given. */
+static void
+test_claimed_slots_are_bounded(void **state)
+{
+    (void)state;
+    SasMeasure_Report(&measure, 0, 0, 0, 1000000, 1000);
+    SasMeasure_Report(&measure, 1, 1, 0, 1, 1000);
+    assert_near(get_headroom(1000, NULL), 0.5);
+    SasMeasure_Report(&measure, 0, -5, 2147483647, 3, 1000);
+    assert_near(get_headroom(1000, NULL), 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(
+            test_a_report_fades_towards_our_own_count, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_a_report_against_our_own_eyes_is_doubted, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_an_honest_report_is_not_doubted,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_headroom_falls_to_the_floor_without_reports, set_up,
+            tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_a_full_server_fades_no_headroom_into_being, set_up,
+            tear_down),
+        cmocka_unit_test_setup_teardown(test_leaving_servers_do_not_count,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_claimed_slots_are_bounded, set_up,
+                                        tear_down),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/core/tests/test_plan.c
@@ -0,0 +1,338 @@
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <glib.h>
+
+#include "sas/plan.h"
+#include "steering_fixture.h"
+
+#define NOW INT64_C(1764680000000)
+#define HOUR INT64_C(3600000)
+#define RAMP_ROW "+0,dossiers,montreal,quebec,60%,,,ramp=300\n"
+
+static struct sas_plan_signal table[6];
+static bool gone[3];
+static const struct sas_plan_signals signals = {table, gone};
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    for (int i = 0; i < 6; i++) {
+        table[i] = (struct sas_plan_signal){0.5, 500};
+    }
+    memset(gone, 0, sizeof(gone));
+    return 0;
+}
+
+static struct sas_config *
+make_config(int64_t number, const char *rows)
+{
+    struct sas_sheet sheet;
+    struct sas_sheet_error reason;
+    g_autofree char *text = g_strconcat(SasSheet_HEADER "\n", rows, NULL);
+    assert_int_equal(
+        SasSheet_Parse(&sheet, &fixture, text, strlen(text), NOW, 0, &reason),
+        0);
+    return SasConfig_New(number, "op", "amina", NOW, &sheet, text, NULL);
+}
+
+static void
+build(struct sas_plan *plan, int64_t number, const char *rows)
+{
+    struct sas_config *config = make_config(number, rows);
+    SasPlan_Build(plan, &fixture, config);
+    SasConfig_Unref(config);
+}
+
+/* Seconds of ticks with both clocks in step from (wall, monotonic). */
+static void
+run(struct sas_plan *plan, int64_t wall_ms, int64_t monotonic_ms, int seconds)
+{
+    for (int i = 0; i <= seconds; i++) {
+        SasPlan_Advance(plan, wall_ms + i * 1000, monotonic_ms + i * 1000,
+                        &signals);
+    }
+}
+
+static double
+get_share(const struct sas_plan *plan)
+{
+    return SasPlan_GetShare(plan, DOSSIERS, MONTREAL, QUEBEC);
+}
+
+static enum sas_hold
+get_hold(const struct sas_plan *plan)
+{
+    return SasPlan_FindShift(plan, DOSSIERS, MONTREAL, QUEBEC)->holding;
+}
+
+static void
+assert_near(double have, double wanted)
+{
+    assert_true(fabs(have - wanted) < 1e-9);
+}
+
+static void
+test_a_ramp_rises_evenly(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, RAMP_ROW);
+    run(&plan, NOW, 0, 150);
+    assert_near(get_share(&plan), 0.3);
+    assert_near(SasPlan_GetShare(&plan, DOSSIERS, MONTREAL, MONTREAL), 0.7);
+    assert_true(SasPlan_IsShifting(&plan, DOSSIERS, MONTREAL));
+    run(&plan, NOW + 151000, 151000, 150);
+    assert_near(get_share(&plan), 0.6);
+    assert_false(SasPlan_IsShifting(&plan, DOSSIERS, MONTREAL));
+    SasPlan_Free(&plan);
+}
+
+/* A VM's clock is set an hour ahead while a ramp begins. By the wall clock the
+ * ramp is over at once, and the whole shift lands on cold caches. */
+static void
+test_a_clock_that_jumps_ahead_skips_no_ramp(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, RAMP_ROW);
+    run(&plan, NOW, 0, 10);
+    run(&plan, NOW + 10000 + HOUR, 10000, 20);
+    assert_near(get_share(&plan), 0.06);
+    SasPlan_Free(&plan);
+}
+
+/* The clock is set back an hour after the ramp: by the wall clock the row is
+ * not in force yet, and all its callers would go home at once. */
+static void
+test_a_clock_that_jumps_back_undoes_no_ramp(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, RAMP_ROW "+20,,,,,,dossiers-01,\n");
+    run(&plan, NOW, 0, 100);
+    run(&plan, NOW + 100000 - HOUR, 100000, 20);
+    assert_true(get_share(&plan) >= 0.2);
+    assert_true(SasPlan_IsDraining(&plan, SAS_DRAIN_BACKEND, 0));
+    SasPlan_Free(&plan);
+}
+
+/* An entry VM is replaced in the middle of a ramp which its peers hold at
+ * 10%. By the wall clock it would begin at 30%, against the hold. */
+static void
+test_a_fresh_node_does_not_jump(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, RAMP_ROW);
+    run(&plan, NOW + 150000, 77, 0);
+    assert_near(get_share(&plan), 0);
+    assert_false(SasPlan_Seed(&plan, DOSSIERS, MONTREAL, QUEBEC, NAN));
+    assert_true(SasPlan_Seed(&plan, DOSSIERS, MONTREAL, QUEBEC, 0.1));
+    assert_near(get_share(&plan), 0.1);
+    assert_true(SasPlan_Seed(&plan, DOSSIERS, MONTREAL, QUEBEC, 0.9));
+    assert_near(get_share(&plan), 0.3);
+    run(&plan, NOW + 150000, 77, 31);
+    assert_false(SasPlan_Seed(&plan, DOSSIERS, MONTREAL, QUEBEC, 0.6));
+    SasPlan_Free(&plan);
+}
+
+/* A process is stopped for an hour and wakes with one good measurement. */
+static void
+test_a_paused_process_does_not_catch_up_at_once(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, RAMP_ROW);
+    run(&plan, NOW, 0, 10);
+    run(&plan, NOW + HOUR, HOUR, 0);
+    assert_near(get_share(&plan), 0.02 + 0.02);
+    SasPlan_Free(&plan);
+}
+
+static void
+test_holds_are_stated_and_lifted(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1,
+          "+0,dossiers,montreal,quebec,60%,,,ramp=300;headroom=20%;warm=60\n");
+    table[QUEBEC].age_ms = SasPlan_OLD_MS + 1;
+    run(&plan, NOW, 0, 10);
+    assert_int_equal(get_hold(&plan), SAS_HOLD_MEASUREMENTS_OLD);
+    table[QUEBEC] = (struct sas_plan_signal){0.5, NAN};
+    run(&plan, NOW + 10000, 10000, 10);
+    assert_int_equal(get_hold(&plan), SAS_HOLD_MEASUREMENTS_OLD);
+    table[QUEBEC] = (struct sas_plan_signal){0.19, 100};
+    run(&plan, NOW + 20000, 20000, 10);
+    assert_int_equal(get_hold(&plan), SAS_HOLD_HEADROOM_SHORT);
+    assert_near(get_share(&plan), 0);
+    table[QUEBEC].headroom = 0.2;
+    run(&plan, NOW + 30000, 30000, 59);
+    assert_int_equal(get_hold(&plan), SAS_HOLD_CACHE_COLD);
+    assert_near(get_share(&plan), 0.06);
+    run(&plan, NOW + 90000, 90000, 10);
+    assert_int_equal(get_hold(&plan), SAS_HOLD_NONE);
+    assert_true(get_share(&plan) > 0.06);
+    SasPlan_Free(&plan);
+}
+
+/* A region dies in the middle of a shift towards it and comes back with cold
+ * caches. Its share must be 0 at once, and must not return in one step even
+ * though the row has no ramp. */
+static void
+test_a_region_that_is_gone_gets_nothing(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    double weights[3];
+    build(&plan, 1, "+0,dossiers,montreal,quebec,60%,,,\n");
+    run(&plan, NOW, 0, 1);
+    assert_near(get_share(&plan), 0.6);
+    gone[QUEBEC] = true;
+    run(&plan, NOW + 2000, 2000, 0);
+    assert_near(get_share(&plan), 0);
+    assert_int_equal(get_hold(&plan), SAS_HOLD_REGION_GONE);
+    gone[QUEBEC] = false;
+    run(&plan, NOW + 3000, 3000, 1);
+    assert_true(get_share(&plan) > 0 && get_share(&plan) < 0.03);
+    run(&plan, NOW + 4000, 4000, 60);
+    assert_near(get_share(&plan), 0.6);
+    gone[MONTREAL] = true;
+    run(&plan, NOW + 65000, 65000, 0);
+    SasPlan_GetWeights(&plan, DOSSIERS, MONTREAL, weights);
+    assert_near(weights[MONTREAL], 0);
+    assert_near(weights[QUEBEC], 0.6 + 0.4 * 2 / 3);
+    assert_near(weights[SAGUENAY], 0.4 / 3);
+    SasPlan_Free(&plan);
+}
+
+/* An operator drains a server in the middle of a ramp: that is a new version,
+ * and the ramp would begin again from nothing. */
+static void
+test_a_new_version_keeps_what_is_in_force(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, RAMP_ROW);
+    run(&plan, NOW, 0, 100);
+    build(&plan, 2, RAMP_ROW "+100,,,,,,dossiers-01,\n");
+    assert_near(get_share(&plan), 0.2);
+    run(&plan, NOW + 100000, 100000, 50);
+    assert_near(get_share(&plan), 0.3);
+    assert_true(SasPlan_IsDraining(&plan, SAS_DRAIN_BACKEND, 0));
+    assert_false(SasPlan_IsDraining(&plan, SAS_DRAIN_VM, 0));
+    build(&plan, 3, "+0,dossiers,montreal,quebec,10%,5 concurrent,,\n");
+    run(&plan, NOW + 150000, 150000, 0);
+    assert_near(get_share(&plan), 0.1);
+    assert_int_equal(
+        SasPlan_FindShift(&plan, DOSSIERS, MONTREAL, QUEBEC)->cap_unit,
+        SAS_CAP_CONCURRENT);
+    SasPlan_Free(&plan);
+}
+
+static void
+test_rows_follow_each_other(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1,
+          "+100,dossiers,montreal,quebec,50%,,,\n"
+          "+200,dossiers,montreal,quebec,20%,,,ramp=100\n"
+          "+300,dossiers,montreal,quebec,60%,,,ramp=100\n");
+    run(&plan, NOW, 0, 60);
+    assert_false(SasPlan_IsShifting(&plan, DOSSIERS, MONTREAL));
+    run(&plan, NOW + 61000, 61000, 38);
+    assert_near(get_share(&plan), 0);
+    assert_true(SasPlan_IsShifting(&plan, DOSSIERS, MONTREAL));
+    run(&plan, NOW + 100000, 100000, 1);
+    assert_near(get_share(&plan), 0.5);
+    run(&plan, NOW + 102000, 102000, 98);
+    assert_near(get_share(&plan), 0.2);
+    run(&plan, NOW + 201000, 201000, 149);
+    assert_near(get_share(&plan), 0.4);
+    SasPlan_Free(&plan);
+}
+
+static int
+check_capacity(const char *rows, const struct sas_demand *demand,
+               struct sas_sheet_error *place)
+{
+    struct sas_config *config = make_config(1, rows);
+    struct sas_error error = {0};
+    int rc = SasPlan_CheckCapacity(&fixture, config, demand, place, &error);
+    assert_int_equal(error.code, rc == 0 ? SAS_OK : SAS_ECAPACITY);
+    SasConfig_Unref(config);
+    return rc;
+}
+
+static void
+test_capacity_is_checked_before(void **state)
+{
+    (void)state;
+    static const struct sas_demand demand[6] = {{100, 1000, 5}, {100, 100, 4},
+                                                {10, 100, 1},   {10, 100, 1},
+                                                {10, 100, 1},   {10, 100, 1}};
+    static const struct {
+        const char *rows;
+        const char *column; /* NULL when it is carried */
+        int row;
+    } cases[] = {
+        {"+0,dossiers,montreal,quebec,40%,,,\n", NULL, 0},
+        {"+0,dossiers,montreal,quebec,41%,,,\n", "share", 2},
+        {"+0,dossiers,montreal,quebec,90%,2 concurrent,,\n", NULL, 0},
+        {"+0,dossiers,montreal,quebec,20%,,,headroom=20%\n", "share", 2},
+        {"+0,dossiers,montreal,quebec,1%,7 concurrent,,\n", "cap", 2},
+        {"+0,dossiers,saguenay,montreal,1%,41 Mbit/s,,\n", "cap", 2},
+        {"+0,dossiers,saguenay,montreal,41%,,,\n", "share", 2},
+        {"+0,galerie,montreal,saguenay,1%,,,\n", "to", 2},
+        {"+0,dossiers,montreal,quebec,40%,,,\n+9,,,,,,dossiers-03,\n", "drain",
+         3},
+        {"+0,,,,,,dossiers-03,\n", "drain", 2},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct sas_sheet_error place = {0};
+        int rc = check_capacity(cases[i].rows, demand, &place);
+        assert_int_equal(rc, cases[i].column == NULL ? 0 : -1);
+        assert_int_equal(place.row, cases[i].row);
+        assert_string_equal(place.column,
+                            cases[i].column ? cases[i].column : "");
+    }
+    assert_int_equal(
+        check_capacity("+0,dossiers,saguenay,montreal,90%,,,\n", NULL, NULL),
+        0);
+    assert_int_equal(
+        check_capacity("+0,dossiers,saguenay,montreal,9%,30 Mbit/s,,\n"
+                       "+0,galerie,saguenay,montreal,9%,30 Mbit/s,,\n",
+                       NULL, NULL),
+        -1);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup(test_a_ramp_rises_evenly, set_up),
+        cmocka_unit_test_setup(test_a_clock_that_jumps_ahead_skips_no_ramp,
+                               set_up),
+        cmocka_unit_test_setup(test_a_clock_that_jumps_back_undoes_no_ramp,
+                               set_up),
+        cmocka_unit_test_setup(test_a_fresh_node_does_not_jump, set_up),
+        cmocka_unit_test_setup(test_a_paused_process_does_not_catch_up_at_once,
+                               set_up),
+        cmocka_unit_test_setup(test_holds_are_stated_and_lifted, set_up),
+        cmocka_unit_test_setup(test_a_region_that_is_gone_gets_nothing,
+                               set_up),
+        cmocka_unit_test_setup(test_a_new_version_keeps_what_is_in_force,
+                               set_up),
+        cmocka_unit_test_setup(test_rows_follow_each_other, set_up),
+        cmocka_unit_test_setup(test_capacity_is_checked_before, set_up),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
