--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -17,7 +17,6 @@
 #define SasUpstream_CONNECT_TIMEOUT_MS 1000
 #define SasUpstream_PROBE_TIMEOUT_MS 1000
 #define SasUpstream_IDLE_LIMIT_MS 30000
-#define SasUpstream_PROVED_MS 1000
 #define SasUpstream_STALL_MS 1000
 #define SasUpstream_SWEEP_MS 100
 #define SasUpstream_NO_REUSE_MS 600000
--- a/packages/node/src/upstream.c
+++ b/packages/node/src/upstream.c
@@ -116,20 +116,17 @@
 void
 SasUpstream_Send(struct sas_upstream *upstream, int backend,
                  const struct sas_http_request *request, int64_t timeout_ms,
-                 bool prove, const struct sas_upstream_vtable *vtable,
+                 bool fresh, const struct sas_upstream_vtable *vtable,
                  struct sas_upstream_call *call)
 {
     struct backend_state *state = &upstream->states[backend];
     int64_t now = (int64_t)uv_now(upstream->loop);
-    struct sas_http_conn *conn =
-        now < state->no_reuse_until ? NULL : g_queue_pop_head(&state->idle);
-    /* A kept connection may have gone silent without either end being told.
-     * What may not repeat can't be tried again, so it goes only over one
-     * that was heard from within the last moment, or over a new one. */
-    if (conn != NULL && prove &&
-        now - SasHttp_GetLastReadAt(conn) > SasUpstream_PROVED_MS) {
-        g_queue_push_head(&state->idle, conn);
-        conn = NULL;
+    /* A kept connection may have gone silent a moment after it was last heard
+     * from, without either end being told. What may not repeat can't be tried
+     * again, so it goes over a new one, which costs one round trip. */
+    struct sas_http_conn *conn = NULL;
+    if (!fresh && now >= state->no_reuse_until) {
+        conn = g_queue_pop_head(&state->idle);
     }
     call->user.vtable = &call_vtable;
     call->vtable = vtable;
@@ -178,11 +175,16 @@
     return upstream->states[backend].open_connections;
 }
 
+/* The share of a backend server's connections that this entry VM may keep
+ * open without using them. */
 static bool
 may_keep(const struct sas_upstream *upstream, int backend)
 {
-    return !upstream->closing && (int64_t)uv_now(upstream->loop) >=
-                                     upstream->states[backend].no_reuse_until;
+    const struct backend_state *state = &upstream->states[backend];
+    int share = upstream->model->backends[backend].connections /
+                upstream->model->vm_count;
+    return !upstream->closing && (int)state->idle.length < MAX(share / 2, 1) &&
+           (int64_t)uv_now(upstream->loop) >= state->no_reuse_until;
 }
 
 /* Calls. */
