ctl: agree with the real admin port; example sheets are checked

The node answers a write that changed nothing with 503 store-unavailable and no Sas-Outcome, which ctl took for an unknown outcome; and it takes operators and operation ids of 1 to 64 letters, digits, '.', '_' and '-' only, which ctl checked for the second alone. Ruled out: counting any 503 but "unknown" as not done: a reason that ctl does not know says nothing about the store. Conclusion: both example sheets are accepted by core's SasSheet_Parse and SasSheet_Check with their settings (test_example_sheets_fit_their_settings).

--- a/packages/ctl/src/client.c
+++ b/packages/ctl/src/client.c
@@ -1,5 +1,6 @@
 #include "client.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -7,6 +8,8 @@
 
 #define STEP "admin.call"
 #define MAX_PORT 65535
+#define NAME_CHARACTERS                                                       \
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-"
 #define MAX_CALL_HEADERS 6
 
 /* What one node's answer, or its absence, says about a call. */
@@ -55,7 +58,15 @@
 SasClient_Clear(struct sas_client *client)
 {
     g_clear_pointer(&client->nodes, g_array_unref);
-    g_clear_pointer(&client->operator, g_free);
+    g_clear_pointer(&client->operator_name, g_free);
+}
+
+bool
+SasClient_IsName(const char *text)
+{
+    size_t length = strspn(text, NAME_CHARACTERS);
+    return length > 0 && length <= SasClient_MAX_NAME_LENGTH &&
+           text[length] == '\0';
 }
 
 /* Names the failure of one node; a person then sees which nodes to look at,
@@ -112,17 +123,31 @@
     return count + 1;
 }
 
+/* True when a node says of itself that a write changed nothing. */
+static bool
+says_nothing_changed(const struct sas_http_response *response)
+{
+    const char *outcome = SasHttp_GetHeader(response, "Sas-Outcome");
+    if (outcome != NULL) {
+        return strcmp(outcome, "not-run") == 0;
+    }
+    json_t *body = json_loadb(response->body, response->body_size, 0, NULL);
+    const char *reason = json_string_value(json_object_get(body, "reason"));
+    bool unchanged =
+        reason != NULL && strcmp(reason, "store-unavailable") == 0;
+    json_decref(body);
+    return unchanged;
+}
+
 /* What a 5xx means for a call. */
 static enum verdict
 judge_server_error(const struct sas_call *call,
                    const struct sas_http_response *response)
 {
-    if (call->operation == NULL) {
+    if (call->operation == NULL || says_nothing_changed(response)) {
         return NOT_DONE;
     }
-    const char *outcome = SasHttp_GetHeader(response, "Sas-Outcome");
-    bool not_run = outcome != NULL && strcmp(outcome, "not-run") == 0;
-    return not_run ? NOT_DONE : UNKNOWN;
+    return UNKNOWN;
 }
 
 static enum verdict
@@ -138,7 +163,7 @@
                               : g_strconcat("Bearer ", client->token, NULL);
     struct sas_http_header headers[MAX_CALL_HEADERS];
     int count = add_header(headers, 0, "Authorization", bearer);
-    count = add_header(headers, count, "Sas-Operator", client->operator);
+    count = add_header(headers, count, "Sas-Operator", client->operator_name);
     count = add_header(headers, count, "Sas-Operation", call->operation);
     count = add_header(headers, count, "If-Match", call->if_match);
     count = add_header(headers, count, "Content-Type",
--- a/packages/ctl/src/client.h
+++ b/packages/ctl/src/client.h
@@ -17,12 +17,12 @@
 #include "sas/http.h"
 
 #define SasClient_CALL_TIMEOUT_MS 10000
-#define SasClient_MAX_OPERATION_SIZE 64
+#define SasClient_MAX_NAME_LENGTH 64
 
 struct sas_client {
-    GArray *nodes;  /* struct sas_address */
-    char *token;    /* NULL: none is sent */
-    char *operator; /* who gives the orders, kept with each version */
+    GArray *nodes;       /* struct sas_address */
+    char *token;         /* NULL: none is sent */
+    char *operator_name; /* who gives the orders, kept with each version */
 };
 
 struct sas_call {
@@ -39,6 +39,10 @@
                       struct sas_error *error);
 void SasClient_Clear(struct sas_client *client);
 
+/* True for 1 to 64 of A-Z a-z 0-9 . _ -, what the admin API takes as an
+ * operation id or an operator. */
+bool SasClient_IsName(const char *text);
+
 /* Makes the call. On failure SAS_EUNAVAILABLE when no node took it, or
  * SAS_ETIMEOUT when a write may have taken effect. */
 int SasClient_Call(const struct sas_client *client,
--- a/packages/ctl/src/commands.c
+++ b/packages/ctl/src/commands.c
@@ -91,15 +91,6 @@
     return NULL;
 }
 
-static bool
-is_operation(const char *text)
-{
-    size_t length = strspn(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-                                 "abcdefghijklmnopqrstuvwxyz0123456789._-");
-    return length > 0 && length <= SasClient_MAX_OPERATION_SIZE &&
-           text[length] == '\0';
-}
-
 enum sas_exit
 SasCommands_Run(const struct sas_command_options *options, char **words,
                 int word_count)
@@ -123,9 +114,9 @@
                  "drain only");
         return SasExit_USAGE;
     }
-    if (options->operation != NULL && !is_operation(options->operation)) {
+    if (options->operation != NULL && !SasClient_IsName(options->operation)) {
         complain("--operation must be 1 to %d of A-Z a-z 0-9 . _ -",
-                 SasClient_MAX_OPERATION_SIZE);
+                 SasClient_MAX_NAME_LENGTH);
         return SasExit_USAGE;
     }
     return command->run(options, command->argument ? words[own_words] : NULL);
@@ -176,7 +167,9 @@
     bool unknown = error->code == SAS_ETIMEOUT;
     complain("%s", error->text);
     if (unknown) {
-        complain("ask again with: sassafrassillctl operation %s", operation);
+        complain("repeat it with --operation %s, which is harmless, or ask "
+                 "with: sassafrassillctl operation %s",
+                 operation, operation);
     }
     if (options->json) {
         json_t *object =
@@ -208,10 +201,10 @@
     if (response->status == 409) {
         g_autofree char *version = format_field(body, "version");
         g_autofree char *operation = format_field(body, "operation");
-        g_autofree char *operator= format_field(body, "operator");
+        g_autofree char *operator_name = format_field(body, "operator");
         complain("conflict: version %s (operation %s, operator %s) came "
                  "first; look at it with sheet show, then try again",
-                 version, operation, operator);
+                 version, operation, operator_name);
         return SasExit_REFUSED;
     }
     if (response->status == 422) {
@@ -522,7 +515,7 @@
 show_operation(const struct sas_command_options *options,
                const char *operation)
 {
-    if (!is_operation(operation)) {
+    if (!SasClient_IsName(operation)) {
         complain("not an operation id: \"%s\"", operation);
         return SasExit_USAGE;
     }
--- a/packages/ctl/src/main.c
+++ b/packages/ctl/src/main.c
@@ -30,7 +30,8 @@
     "  1  refused: a bad sheet, a conflict, no such thing\n"
     "  2  wrong options, files or token\n"
     "  3  no node answered; nothing was changed\n"
-    "  4  the outcome is unknown; ask again with \"operation ID\"\n"
+    "  4  the outcome is unknown; repeat it with the same --operation, or\n"
+    "     ask with the command operation\n"
     "  5  timed out waiting; the version itself is accepted\n"
     "\n"
     "Examples:\n"
@@ -42,7 +43,7 @@
 struct arguments {
     char **nodes;
     char *token_file;
-    char *operator;
+    char *operator_name;
     gboolean json;
     char *operation;
     char *if_version;
@@ -68,7 +69,7 @@
          "IP:PORT"},
         {"token-file", 't', 0, G_OPTION_ARG_FILENAME, &arguments->token_file,
          "file with the admin token", "FILE"},
-        {"operator", 0, 0, G_OPTION_ARG_STRING, &arguments->operator,
+        {"operator", 0, 0, G_OPTION_ARG_STRING, &arguments->operator_name,
          "who gives the order, kept with it (the login name)", "NAME"},
         {"json", 'j', 0, G_OPTION_ARG_NONE, &arguments->json,
          "print JSON, for scripts", NULL},
@@ -100,22 +101,23 @@
     g_strfreev(arguments->nodes);
     g_strfreev(arguments->words);
     g_free(arguments->token_file);
-    g_free(arguments->operator);
+    g_free(arguments->operator_name);
     g_free(arguments->operation);
     g_free(arguments->if_version);
 }
 
-/* A header's value: what is not plain text could end the header and begin
- * another one. */
-static bool
-is_header_value(const char *text)
+/* Who gives the order when nobody says it: the login name, in the characters
+ * that the admin API takes. */
+static char *
+get_login_name(void)
 {
-    for (const char *c = text; *c != '\0'; c++) {
-        if (g_ascii_iscntrl(*c)) {
-            return false;
+    char *name = g_strndup(g_get_user_name(), SasClient_MAX_NAME_LENGTH);
+    for (char *c = name; *c != '\0'; c++) {
+        if (!g_ascii_isalnum(*c) && strchr("._-", *c) == NULL) {
+            *c = '_';
         }
     }
-    return true;
+    return name;
 }
 
 static const char *
@@ -128,8 +130,9 @@
         arguments->timeout_s < 0 || arguments->timeout_s > MAX_WAIT_S) {
         return "--wait and --timeout are 0 to 86400 seconds";
     }
-    if (arguments->operator!= NULL && !is_header_value(arguments->operator)) {
-        return "--operator must be plain text";
+    if (arguments->operator_name != NULL &&
+        !SasClient_IsName(arguments->operator_name)) {
+        return "--operator must be 1 to 64 of A-Z a-z 0-9 . _ -";
     }
     if (arguments->if_version != NULL &&
         !g_ascii_string_to_unsigned(arguments->if_version, 10, 0, G_MAXINT64,
@@ -159,9 +162,9 @@
     struct sas_error error = {.code = SAS_OK};
     struct sas_command_options options = {
         .client.nodes = g_array_new(FALSE, FALSE, sizeof(struct sas_address)),
-        .client.operator = g_strdup(arguments->operator != NULL
-                                        ? arguments->operator
-                                        : g_get_user_name()),
+        .client.operator_name = arguments->operator_name != NULL
+                                    ? g_strdup(arguments->operator_name)
+                                    : get_login_name(),
         .json = arguments->json,
         .operation = arguments->operation,
         .if_version = arguments->if_version,
--- a/packages/ctl/tests/test_ctl.py
+++ b/packages/ctl/tests/test_ctl.py
@@ -140,6 +140,7 @@
                       ["drain", "x", "--operation", "a/b"],
                       ["drain", "x", "--if-version", "last"],
                       ["operation", "../x"], ["status", "--operator", "a\nb"],
+                      ["status", "--operator", "a" * 65],
                       ["sheet", "put", "/nowhere.csv"], ["--bogus"], []):
             with self.subTest(words=words):
                 self.expect(USAGE, [node], *words)
@@ -252,8 +253,10 @@
                              {"reason": "unknown", "operation": "op-9"})
 
     def test_refusal_that_ran_nothing_is_not_unknown(self):
-        node = self.node(sheet=[(503, {"reason": "store-down"},
-                                 ("Sas-Outcome", "not-run"))])
+        node = self.node(sheet=[(503, {"reason": "stopping"},
+                                 ("Sas-Outcome", "not-run")),
+                                (503, {"reason": "store-unavailable"})])
+        self.expect(UNREACHABLE, [node], "sheet", "put", self.sheet)
         self.expect(UNREACHABLE, [node], "sheet", "put", self.sheet)
 
     # The rest
--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -8,6 +8,10 @@
 #include <glib/gstdio.h>
 
 #include "sas/settings.h"
+#include "sas/sheet.h"
+
+/* 2 December 2025, 12:00 UTC. */
+#define NOON_MS INT64_C(1764676800000)
 
 /* The least that a deployment needs. */
 static const char minimal[] = "[store]\n"
@@ -434,6 +438,42 @@
     SasSettings_Unload(&settings);
 }
 
+/* The sheet of an example must be taken by the settings beside it. */
+static void
+assert_sheet_fits(const char *settings_file, const char *sheet_file, int rows)
+{
+    g_autofree char *path = g_build_filename(SAS_EXAMPLES, sheet_file, NULL);
+    g_autofree char *text = NULL;
+    gsize size;
+    assert_true(g_file_get_contents(path, &text, &size, NULL));
+    g_autofree char *toml =
+        g_build_filename(SAS_EXAMPLES, settings_file, NULL);
+    struct sas_settings settings;
+    assert_int_equal(SasSettings_Load(&settings, toml, NULL), 0);
+    struct sas_sheet sheet;
+    struct sas_sheet_error error = {0};
+    int result = SasSheet_Parse(&sheet, &settings.model, text, size, NOON_MS,
+                                settings.utc_offset_s, &error);
+    if (result == 0) {
+        result = SasSheet_Check(&sheet, &settings.model, &error);
+    }
+    if (result != 0) {
+        fail_msg("%s, row %d, column %s: %s", sheet_file, error.row,
+                 error.column, error.reason);
+    }
+    assert_int_equal(sheet.row_count, rows);
+    SasSheet_Free(&sheet);
+    SasSettings_Unload(&settings);
+}
+
+static void
+test_example_sheets_fit_their_settings(void **state)
+{
+    (void)state;
+    assert_sheet_fits("hottes.toml", "hottes-morning.csv", 6);
+    assert_sheet_fits("qureshi.toml", "qureshi-morning.csv", 6);
+}
+
 int
 main(void)
 {
@@ -450,6 +490,7 @@
         cmocka_unit_test(test_vm_is_found_by_name),
         cmocka_unit_test(test_absent_file_is_an_io_error),
         cmocka_unit_test(test_examples_load_at_their_sizes),
+        cmocka_unit_test(test_example_sheets_fit_their_settings),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
