settings: test that the tables are bounded

Cause: the limit on regions, failure domains and services had no test. Conclusion: the row beyond the limit is named by its line.

--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -355,6 +355,21 @@
                    "given too");
 }
 
+static void
+test_tables_are_bounded(void **state)
+{
+    (void)state;
+    g_autoptr(GString) text = g_string_new(minimal);
+    for (int i = 0; i < SasModel_MAX_REGIONS; i++) {
+        g_string_append_printf(text, "[[region]]\nname = \"r%d\"\n", i);
+    }
+    g_autofree char *fitting = SasSettings_ListProblems(text->str, "f");
+    assert_null(strstr(fitting, "more than"));
+    g_string_append(text, "[[region]]\nname = \"one-more\"\n");
+    g_autofree char *list = SasSettings_ListProblems(text->str, "f");
+    assert_non_null(strstr(list, "f:45: region: more than 16\n"));
+}
+
 static void
 test_all_problems_are_listed_in_order(void **state)
 {
@@ -486,6 +501,7 @@
         cmocka_unit_test(test_references_to_nothing_are_refused),
         cmocka_unit_test(test_duplicates_are_refused),
         cmocka_unit_test(test_unsafe_combinations_are_refused),
+        cmocka_unit_test(test_tables_are_bounded),
         cmocka_unit_test(test_all_problems_are_listed_in_order),
         cmocka_unit_test(test_vm_is_found_by_name),
         cmocka_unit_test(test_absent_file_is_an_io_error),
