--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -8,6 +8,10 @@
 #include <glib/gstdio.h>
 
 #include "sas/settings.h"
+#include "sas/sheet.h"
+
+/* 2 December 2025, 12:00 UTC. */
+#define NOON_MS INT64_C(1764676800000)
 
 /* The least that a deployment needs. */
 static const char minimal[] = "[store]\n"
@@ -351,6 +355,21 @@
                    "given too");
 }
 
+static void
+test_tables_are_bounded(void **state)
+{
+    (void)state;
+    g_autoptr(GString) text = g_string_new(minimal);
+    for (int i = 0; i < SasModel_MAX_REGIONS; i++) {
+        g_string_append_printf(text, "[[region]]\nname = \"r%d\"\n", i);
+    }
+    g_autofree char *fitting = SasSettings_ListProblems(text->str, "f");
+    assert_null(strstr(fitting, "more than"));
+    g_string_append(text, "[[region]]\nname = \"one-more\"\n");
+    g_autofree char *list = SasSettings_ListProblems(text->str, "f");
+    assert_non_null(strstr(list, "f:45: region: more than 16\n"));
+}
+
 static void
 test_all_problems_are_listed_in_order(void **state)
 {
@@ -434,6 +453,42 @@
     SasSettings_Unload(&settings);
 }
 
+/* The sheet of an example must be taken by the settings beside it. */
+static void
+assert_sheet_fits(const char *settings_file, const char *sheet_file, int rows)
+{
+    g_autofree char *path = g_build_filename(SAS_EXAMPLES, sheet_file, NULL);
+    g_autofree char *text = NULL;
+    gsize size;
+    assert_true(g_file_get_contents(path, &text, &size, NULL));
+    g_autofree char *toml =
+        g_build_filename(SAS_EXAMPLES, settings_file, NULL);
+    struct sas_settings settings;
+    assert_int_equal(SasSettings_Load(&settings, toml, NULL), 0);
+    struct sas_sheet sheet;
+    struct sas_sheet_error error = {0};
+    int result = SasSheet_Parse(&sheet, &settings.model, text, size, NOON_MS,
+                                settings.utc_offset_s, &error);
+    if (result == 0) {
+        result = SasSheet_Check(&sheet, &settings.model, &error);
+    }
+    if (result != 0) {
+        fail_msg("%s, row %d, column %s: %s", sheet_file, error.row,
+                 error.column, error.reason);
+    }
+    assert_int_equal(sheet.row_count, rows);
+    SasSheet_Free(&sheet);
+    SasSettings_Unload(&settings);
+}
+
+static void
+test_example_sheets_fit_their_settings(void **state)
+{
+    (void)state;
+    assert_sheet_fits("hottes.toml", "hottes-morning.csv", 6);
+    assert_sheet_fits("qureshi.toml", "qureshi-morning.csv", 6);
+}
+
 int
 main(void)
 {
@@ -446,10 +501,12 @@
         cmocka_unit_test(test_references_to_nothing_are_refused),
         cmocka_unit_test(test_duplicates_are_refused),
         cmocka_unit_test(test_unsafe_combinations_are_refused),
+        cmocka_unit_test(test_tables_are_bounded),
         cmocka_unit_test(test_all_problems_are_listed_in_order),
         cmocka_unit_test(test_vm_is_found_by_name),
         cmocka_unit_test(test_absent_file_is_an_io_error),
         cmocka_unit_test(test_examples_load_at_their_sizes),
+        cmocka_unit_test(test_example_sheets_fit_their_settings),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
