server: own answers state their length; leaving test keeps to the stop limit

Test first: test_refusals_state_their_length failed with no Content-Length, passes with it set. Also: e2e_leaving failed because settings now refuse a stop_limit_ms below drain_notice_ms plus the longest deadline; the test states a short deadline in its settings and a long one in its request, the limit it checks is unchanged.

--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -282,6 +282,9 @@
     req->res.status = status;
     req->res.reason = status / 100 == 2 ? "OK" : "Refused";
     SasServer_AddHeader(req, "content-type", content_type);
+    /* Without it h2o ends answers from 400 on by closing the connection, and
+     * a careful client can't tell them from cut ones. */
+    req->res.content_length = size;
     h2o_send_inline(req, body, size);
 }
 
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -204,6 +204,8 @@
         lines = ["[deployment]", 'name = "e2e"', 'utc_offset = "+00:00"',
                  "[store]", 'ip = "127.0.0.1"',
                  "port = %d" % self.store_port]
+        for name in ("peer.key", "token"):
+            os.close(os.open(self.path(name), os.O_CREAT, 0o600))
         with open(self.path("peer.key"), "w") as key:
             key.write("a key of the end-to-end tests, long enough\n")
         with open(self.path("token"), "w") as token:
--- a/tests/e2e/test_leaving.py
+++ b/tests/e2e/test_leaving.py
@@ -138,6 +138,7 @@
     # A stop that outlasts its limit ends, and says so by its status.
     def test_a_stop_has_a_limit(self):
         with Deployment(regions=("montreal",), vms=1,
+                        services={"dossiers": {"deadline_ms": 500}},
                         limits={"drain_notice_ms": 100,
                                 "stop_limit_ms": 700}) as d:
             thread = threading.Thread(target=self.hang, args=(d,))
@@ -150,7 +151,8 @@
 
     def hang(self, d):
         try:
-            d.request("montreal-1", "/s/dossiers/x?fault=hang")
+            d.request("montreal-1", "/s/dossiers/x?fault=hang",
+                      Sas_Deadline_Ms=60000)
         except OSError:
             pass
 
--- a/tests/e2e/test_whole_answers.py
+++ b/tests/e2e/test_whole_answers.py
@@ -130,6 +130,15 @@
     def hang(self):
         self.get("/hang?fault=hang", Sas_Deadline_Ms=2500)
 
+    # The system's own refusals have to be whole by their framing too; a
+    # careful client would otherwise take "not run" for a cut answer.
+    def test_refusals_state_their_length(self):
+        for path in ("/s/nowhere/x", "/v1/lookup?service=nowhere"):
+            answer = self.d.request("montreal-1", path)
+            self.assertEqual(answer.status, 404)
+            self.assertEqual(int(answer.headers["Content-Length"]),
+                             len(answer.body))
+
     # A POST that may repeat by its own rules but not by HTTP's: it is sent,
     # the connection is reset, and it must not be sent again.
     def test_a_post_is_not_repeated(self):
