--- a/packages/core/include/sas/plan.h
+++ b/packages/core/include/sas/plan.h
@@ -57,6 +57,9 @@
     double age_ms;   /* of the measurement */
 };
 
+/* A region is gone when its entry VMs are silent while others are heard. A
+ * node that hears nobody is cut off itself and states no region as gone: its
+ * shares then stay as they are, for its measurements are old. */
 struct sas_plan_signals {
     const struct sas_plan_signal *table; /* [service * regions + region] */
     const bool *gone;                    /* by region; NULL for none */
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -15,8 +15,6 @@
 #define WRITE_FLAGS (JSON_COMPACT | JSON_REAL_PRECISION(15))
 #define READ_FLAGS JSON_REJECT_DUPLICATES
 
-G_DEFINE_AUTOPTR_CLEANUP_FUNC(json_t, json_decref)
-
 static json_t *encode_row(const struct sas_intention *row,
                           const struct sas_model *model);
 static json_t *encode_rows(const struct sas_config *config,
@@ -196,7 +194,7 @@
 SasConfig_Encode(const struct sas_config *config,
                  const struct sas_model *model)
 {
-    g_autoptr(json_t) json = encode_head(config);
+    json_auto_t *json = encode_head(config);
     json_object_set_new(json, "rows", encode_rows(config, model));
     json_object_set_new(json, "sheet", json_string(config->sheet_text));
     return json_dumps(json, WRITE_FLAGS);
@@ -206,7 +204,7 @@
 SasConfig_Decode(const struct sas_model *model, const char *text, size_t size,
                  struct sas_error *error)
 {
-    g_autoptr(json_t) json = load(text, size, STEP, error);
+    json_auto_t *json = load(text, size, STEP, error);
     return json == NULL ? NULL : decode_config(json, model, error);
 }
 
@@ -232,11 +230,11 @@
     char digest[DIGEST_SIZE];
     format_digest(base_digest, SasConfig_GetDigest(base, model));
     format_digest(digest, SasConfig_GetDigest(config, model));
-    g_autoptr(json_t) old_rows = encode_rows(base, model);
-    g_autoptr(json_t) new_rows = encode_rows(config, model);
-    g_autoptr(json_t) old_lines = split_lines(base->sheet_text);
-    g_autoptr(json_t) new_lines = split_lines(config->sheet_text);
-    g_autoptr(json_t) json = encode_head(config);
+    json_auto_t *old_rows = encode_rows(base, model);
+    json_auto_t *new_rows = encode_rows(config, model);
+    json_auto_t *old_lines = split_lines(base->sheet_text);
+    json_auto_t *new_lines = split_lines(config->sheet_text);
+    json_auto_t *json = encode_head(config);
     json_object_set_new(json, "base", json_integer(base->number));
     json_object_set_new(json, "base_digest", json_string(base_digest));
     json_object_set_new(json, "digest", json_string(digest));
@@ -274,7 +272,7 @@
 replace_steps(json_t *json, const struct sas_config *base,
               const struct sas_model *model, struct sas_error *error)
 {
-    g_autoptr(json_t) old_rows = encode_rows(base, model);
+    json_auto_t *old_rows = encode_rows(base, model);
     json_t *rows =
         patch(old_rows, json_object_get(json, "rows"), SasSheet_MAX_ROWS);
     json_t *text =
@@ -295,7 +293,7 @@
                      const struct sas_model *model, const char *text,
                      size_t size, struct sas_error *error)
 {
-    g_autoptr(json_t) json = load(text, size, DELTA_STEP, error);
+    json_auto_t *json = load(text, size, DELTA_STEP, error);
     if (json == NULL || check_base(json, base, model, error) < 0) {
         return NULL;
     }
@@ -680,8 +678,8 @@
 static json_t *
 patch_text(const char *base, json_t *steps)
 {
-    g_autoptr(json_t) old = split_lines(base);
-    g_autoptr(json_t) lines = patch(old, steps, SasSheet_MAX_BYTES);
+    json_auto_t *old = split_lines(base);
+    json_auto_t *lines = patch(old, steps, SasSheet_MAX_BYTES);
     if (lines == NULL) {
         return NULL;
     }
--- a/packages/core/src/lookup.c
+++ b/packages/core/src/lookup.c
@@ -421,8 +421,8 @@
     size_t most = 2 * (size_t)model->block_count + 1;
     int open[33 + 1];
     int depth = 0;
-    lookup->starts = g_new(uint32_t, most);
-    lookup->blocks = g_new(int32_t, most);
+    lookup->starts = g_new0(uint32_t, most);
+    lookup->blocks = g_new0(int32_t, most);
     append_range(lookup, 0, SasModel_NONE);
     for (int i = 0; i <= model->block_count; i++) {
         uint64_t start = i < model->block_count ? model->blocks[i].network
--- a/packages/core/tests/property_plan.py
+++ b/packages/core/tests/property_plan.py
@@ -172,8 +172,14 @@
         sas.build_plan(plan.plan, 1, text.encode(), sas.NOW)
         level = 0
         ordered = 0
+        ahead = False
+        draining = False
         for elapsed, jump, signals, _ in steps:
             plan.advance(elapsed, jump, signals, (0, 0, 0))
+            ahead = ahead or jump > 0
+            if draining and not ahead:
+                self.assertTrue(sas.is_draining(plan.plan, 1, 0))
+            draining = sas.is_draining(plan.plan, 1, 0)
             now_ordered, now_level, _ = plan.get(shift)
             self.assertGreaterEqual(now_level, level)
             self.assertGreaterEqual(now_ordered, ordered)
--- a/packages/core/tests/test_plan.c
+++ b/packages/core/tests/test_plan.c
@@ -108,6 +108,22 @@
     SasPlan_Free(&plan);
 }
 
+/* A clock is an hour ahead for ten seconds and then set right: a row of the
+ * afternoon, without a ramp, would take its callers away at noon. */
+static void
+test_a_short_jump_ahead_starts_no_later_row(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    build(&plan, 1, "+1800,dossiers,montreal,quebec,60%,,,\n");
+    run(&plan, NOW, 0, 10);
+    run(&plan, NOW + 10000 + HOUR, 10000, 10);
+    assert_near(get_share(&plan), 0);
+    run(&plan, NOW + 20000, 20000, 100);
+    assert_near(get_share(&plan), 0);
+    SasPlan_Free(&plan);
+}
+
 /* The clock is set back an hour after the ramp: by the wall clock the row is
  * not in force yet, and all its callers would go home at once. */
 static void
@@ -321,6 +337,8 @@
         cmocka_unit_test_setup(test_a_ramp_rises_evenly, set_up),
         cmocka_unit_test_setup(test_a_clock_that_jumps_ahead_skips_no_ramp,
                                set_up),
+        cmocka_unit_test_setup(test_a_short_jump_ahead_starts_no_later_row,
+                               set_up),
         cmocka_unit_test_setup(test_a_clock_that_jumps_back_undoes_no_ramp,
                                set_up),
         cmocka_unit_test_setup(test_a_fresh_node_does_not_jump, set_up),
