claims: at-most-once requests, driven by the core's claim state machine

Cause: once routes were refused for want of claims. What: a claim row is inserted before the first byte leaves; the outcome is kept before the answer is passed on; a resend at any entry VM gets the first answer; store down means not-run, a dead or frozen holder means unknown.

--- a/packages/node/src/claims.h
+++ b/packages/node/src/claims.h
@@ -52,6 +52,9 @@
                                   const char *token_prefix);
 void SasClaims_Close(struct sas_claims *claims);
 
+/* Claims whose last write is not settled yet; a stop waits for them. */
+int SasClaims_CountActive(const struct sas_claims *claims);
+
 struct sas_claims_claim *SasClaims_Begin(struct sas_claims *claims,
                                          const struct sas_claims_key *key,
                                          struct sas_claims_user *user);
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -153,7 +153,8 @@
     struct sas_node *node = timer->data;
     int64_t elapsed = (int64_t)uv_now(&node->loop) - node->stopping_at;
     int active = SasForward_CountActive(node->forward) +
-                 SasCaller_CountActive(node->caller);
+                 SasCaller_CountActive(node->caller) +
+                 SasClaims_CountActive(node->claims);
     /* Callers may still hold look-ups that name this VM; it serves them
      * until those have died. */
     if (elapsed < node->settings->drain_notice_ms) {
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -342,6 +342,11 @@
                                     "/counts").json()["servers"])
         return servers
 
+    def loads(self):
+        """What each backend server says of its load."""
+        return [exchange(("127.0.0.1", port), "GET", "/v1/load").json()
+                for _, _, port in self.backends.values()]
+
     def count_key(self, key, what="started"):
         """How often requests with this key were started (or another count),
         on all backend servers together."""
--- /dev/null
+++ b/tests/e2e/test_at_most_once.py
@@ -0,0 +1,200 @@
+"""What may not repeat runs at most once, and "not run" is true."""
+
+import signal
+import threading
+import unittest
+
+from harness import Deployment, wait_until
+
+SERVICES = {"dossiers": {"backends": 2, "once": ["/certificates"]}}
+
+
+class AtMostOnceTest(unittest.TestCase):
+
+    @classmethod
+    def setUpClass(cls):
+        cls.d = Deployment(vms=2, services=SERVICES)
+        cls.d.__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.d.__exit__(None, None, None)
+
+    def tearDown(self):
+        self.d.control_platform(down=False, freeze=False, delay_ms=0,
+                                lose_acks=0, stale_reads=False)
+
+    def issue(self, key, vm="montreal-1", query="", body=b"hood 7",
+              **headers):
+        return self.d.request(vm, "/s/dossiers/certificates/7" + query,
+                              "POST", body, Sas_Caller="inspector",
+                              Idempotency_Key=key, **headers)
+
+    # A certificate is issued; its answer gets lost on the way, the
+    # inspector's tablet sends it again, through another entry VM.
+    def test_a_resend_gets_the_first_answer(self):
+        first = self.issue("resend-1")
+        self.assertEqual(first.status, 200, first.body)
+        again = self.issue("resend-1", vm="quebec-2")
+        self.assertEqual((again.status, again.body), (200, first.body))
+        self.assertEqual(again.replayed, "1")
+        self.assertEqual(self.d.count_key("resend-1"), 1)
+
+    def test_a_large_answer_is_kept_too(self):
+        first = self.issue("large-1", query="?bytes=300000")
+        again = self.issue("large-1", vm="quebec-1", query="?bytes=300000")
+        self.assertEqual(len(first.body), 300000)
+        self.assertEqual(again.body, first.body)
+        self.assertEqual(self.d.count_key("large-1"), 1)
+
+    def test_the_key_is_required_and_names_one_request(self):
+        missing = self.d.request("montreal-1", "/s/dossiers/certificates/7",
+                                 "POST", b"x")
+        self.assertEqual((missing.status, missing.reason),
+                         (400, "key-missing"))
+        self.issue("one-1")
+        other = self.issue("one-1", body=b"hood 8")
+        self.assertEqual((other.status, other.reason), (422, "key-reused"))
+        self.assertEqual(self.d.count_key("one-1"), 1)
+
+    # The same certificate is sent at two entry VMs at the same moment.
+    def test_two_nodes_at_once_run_it_once(self):
+        for number in range(8):
+            key = "both-%d" % number
+            answers = []
+            threads = [threading.Thread(target=lambda vm=vm: answers.append(
+                self.issue(key, vm=vm, query="?ms=30")))
+                for vm in ("montreal-1", "montreal-2", "quebec-1")]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.assertEqual(self.d.count_key(key), 1)
+            self.assertIn(200, [answer.status for answer in answers])
+            for answer in answers:
+                if answer.status != 200:
+                    self.assertEqual(answer.outcome, "unknown")
+                    self.assertIsNotNone(answer.headers["Retry-After"])
+
+    # The store is down: nobody could tell whether it ran before, so it does
+    # not run now, and the inspector is told so at once.
+    def test_without_the_store_it_is_not_run(self):
+        self.d.control_platform(down=True)
+        answer = self.issue("down-1")
+        self.assertEqual((answer.status, answer.outcome), (503, "not-run"))
+        self.assertIsNotNone(answer.headers["Retry-After"])
+        self.assertEqual(self.d.count_key("down-1"), 0)
+        self.d.control_platform(down=False)
+        again = wait_until(lambda: (lambda a: a if a.status == 200 else
+                                    None)(self.issue("down-1")),
+                           "it runs once the store is back")
+        self.assertEqual(again.status, 200)
+        self.assertEqual(self.d.count_key("down-1"), 1)
+
+    # The store takes the claim, but its acknowledgement is lost; then the
+    # same with the outcome's.
+    def test_lost_acknowledgements_make_no_second_run(self):
+        for lost in (1, 2, 3):
+            key = "ack-%d" % lost
+            self.d.control_platform(lose_acks=lost)
+            first = self.issue(key)
+            self.d.control_platform(lose_acks=0)
+            second = wait_until(
+                lambda: (lambda a: a if a.status == 200 else None)(
+                    self.issue(key, vm="quebec-1")),
+                "the resend is answered")
+            self.assertEqual(second.status, 200)
+            self.assertEqual(self.d.count_key(key), 1)
+            if first.status != 200:
+                self.assertEqual(first.status, 503)
+
+    # The backend server runs the certificate and dies before its answer.
+    # It must not run again, whoever sends it, and nobody may say "not run".
+    def test_a_lost_answer_is_unknown_for_good(self):
+        first = self.issue("lost-1", query="?fault=reset-mid")
+        self.assertEqual((first.status, first.outcome), (502, "unknown"))
+        again = self.issue("lost-1", vm="quebec-2",
+                           query="?fault=reset-mid")
+        self.assertEqual(again.outcome, "unknown")
+        self.assertEqual(self.d.count_key("lost-1"), 1)
+
+    # A backend server sheds it: it did not run, so the claim goes and a
+    # resend may run.
+    def test_a_shed_certificate_may_run_later(self):
+        self.d.control_backends("*", slots=1, queue=0)
+        threads = [threading.Thread(target=lambda vm=vm: self.d.request(
+            vm, "/s/dossiers/hang?fault=hang", Sas_Deadline_Ms=1500))
+            for vm in ("montreal-1", "quebec-1") for _ in range(2)]
+        try:
+            for thread in threads:
+                thread.start()
+            wait_until(lambda: all(row["running"] for row in self.loads()),
+                       "all slots are taken")
+            answer = self.issue("shed-1")
+            self.assertEqual((answer.status, answer.outcome),
+                             (503, "not-run"), answer.body)
+            self.assertEqual(self.d.count_key("shed-1"), 0)
+        finally:
+            for thread in threads:
+                thread.join()
+            self.d.control_backends("*", slots=3, queue=3)
+        again = wait_until(lambda: (lambda a: a if a.status == 200 else
+                                    None)(self.issue("shed-1")), "it runs")
+        self.assertEqual(again.status, 200)
+        self.assertEqual(self.d.count_key("shed-1"), 1)
+
+    def loads(self):
+        return self.d.loads()
+
+    # The caller's connection goes while its certificate runs. It runs to
+    # its end, and the resend gets the answer.
+    def test_a_caller_that_goes_finds_its_answer_later(self):
+        with self.assertRaises(OSError):
+            self.d.request("montreal-1", "/s/dossiers/certificates/9?ms=600",
+                           "POST", b"x", timeout=0.2,
+                           Idempotency_Key="gone-1", Sas_Caller="inspector")
+        again = wait_until(
+            lambda: (lambda a: a if a.status == 200 else None)(
+                self.d.request("quebec-1",
+                               "/s/dossiers/certificates/9?ms=600", "POST",
+                               b"x", Idempotency_Key="gone-1",
+                               Sas_Caller="inspector")),
+            "the answer is kept")
+        self.assertEqual(again.replayed, "1")
+        self.assertEqual(self.d.count_key("gone-1"), 1)
+
+    # The entry VM that holds the claim is killed, or frozen, while the
+    # certificate runs. The resend at another one must not run it again.
+    def test_a_dead_or_frozen_holder_keeps_its_claim(self):
+        with Deployment(vms=1, services=SERVICES) as d:
+            for key, number in (("frozen-1", signal.SIGSTOP),
+                                ("dead-1", signal.SIGKILL)):
+                def send(vm):
+                    return d.request(
+                        vm, "/s/dossiers/certificates/1?ms=400", "POST",
+                        b"x", Idempotency_Key=key, Sas_Caller="inspector")
+
+                def try_send():
+                    try:
+                        send("montreal-1")
+                    except OSError:
+                        pass
+
+                thread = threading.Thread(target=try_send)
+                thread.start()
+                wait_until(lambda: d.count_key(key) == 1, "it runs")
+                d.kill("montreal-1", number)
+                again = send("quebec-1")
+                self.assertEqual((again.status, again.outcome),
+                                 (503, "unknown"))
+                self.assertIsNotNone(again.headers["Retry-After"])
+                if number == signal.SIGSTOP:
+                    d.resume("montreal-1")
+                    wait_until(lambda: send("quebec-1").status == 200,
+                               "the holder keeps the outcome")
+                thread.join()
+                self.assertEqual(d.count_key(key), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
