--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -21,6 +21,11 @@
 #define SasUpstream_SWEEP_MS 100
 #define SasUpstream_NO_REUSE_MS 600000
 
+/* Steering. */
+#define SasSteer_SPILL_AFTER_MS 50
+#define SasSteer_DEFAULT_PLACEMENT "least-load"
+#define SasSteer_FIRST_ANSWER_BYTES 16384
+
 /* Requests. */
 #define SasForward_MAX_DEADLINE_MS 300000
 #define SasForward_MAX_ATTEMPTS 3
--- a/packages/core/src/budget.c
+++ b/packages/core/src/budget.c
@@ -89,7 +89,7 @@
     /* An earlier incarnation may have lent all but the reserve moments ago,
      * and nobody else remembers: using the whole floor at once would use
      * those units twice. The last of such loans ends within a hold. */
-    b->recovering = true;
+    b->recovering = settings->seats > 1;
     b->recover_until_ms = now_ms + hold_ms(b);
 }
 
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -401,7 +401,7 @@
         status, "vm",
         json_string(parts->settings->model.vms[parts->own_vm].name));
     json_object_set_new(status, "ready",
-                        json_boolean(SasSteer_IsKnown(parts->steer)));
+                        json_boolean(SasSteer_IsReady(parts->steer)));
     json_object_set_new(status, "version",
                         json_integer(SasSteer_GetVersion(parts->steer)));
     json_object_set_new(status, "time_ms", json_integer(parts->get_wall_ms()));
@@ -413,7 +413,7 @@
 static int
 get_health(struct sas_admin *admin, h2o_req_t *req)
 {
-    bool ready = SasSteer_IsKnown(admin->parts.steer);
+    bool ready = SasSteer_IsReady(admin->parts.steer);
     answer_json(req, ready ? 200 : 503,
                 json_pack("{s:b}", "ready", (int)ready));
     return 0;
--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -485,7 +485,7 @@
 {
     struct sas_caller *caller = handler->data;
     int64_t version = SasSteer_GetVersion(caller->parts.steer);
-    bool ready = SasSteer_IsKnown(caller->parts.steer) && !caller->stopping;
+    bool ready = SasSteer_IsReady(caller->parts.steer) && !caller->stopping;
     char body[96];
     int size = snprintf(
         body, sizeof(body),
--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -47,6 +47,8 @@
     struct sas_steer_query query;
     struct sas_steer_grant grant;
     int64_t attempt_at;
+    int64_t waiting_since;
+    int64_t answer_bytes;
     int attempts;
     bool may_have_run; /* an earlier attempt was sent and lost */
     bool stalled;      /* an earlier attempt met a silent connection */
@@ -236,9 +238,8 @@
 release_grant(struct sas_forward_call *call)
 {
     struct sas_forward *forward = call->forward;
-    int64_t now = (int64_t)uv_now(forward->parts.loop);
     SasSteer_Release(forward->parts.steer, call->request.service, &call->grant,
-                     now - call->attempt_at);
+                     call->answer_bytes);
     SasForward_Wake(forward);
 }
 
@@ -310,6 +311,8 @@
     int64_t now = (int64_t)uv_now(parts->loop);
     call->state = CALL_RUNNING;
     call->attempt_at = now;
+    call->waiting_since = 0;
+    call->answer_bytes = 0;
     call->shed = false;
     call->attempts++;
     uv_timer_stop(&call->timer);
@@ -357,6 +360,10 @@
 static bool
 try_acquire(struct sas_forward_call *call)
 {
+    int64_t now = (int64_t)uv_now(call->forward->parts.loop);
+    call->query.lasts_ms = call->deadline_at - now;
+    call->query.waited_ms =
+        call->waiting_since > 0 ? now - call->waiting_since : 0;
     enum sas_refusal reason = SAS_REFUSE_NO_HEADROOM;
     enum sas_steer_answer answer = SasSteer_Acquire(
         call->forward->parts.steer, &call->query, &call->grant, &reason);
@@ -391,6 +398,7 @@
         return;
     }
     call->state = CALL_WAITING;
+    call->waiting_since = now;
     g_queue_push_tail(queue, call);
     arm_timer(call,
               MIN(call->deadline_at, now + forward->parts.queue_wait_ms));
@@ -614,6 +622,7 @@
                 size_t size)
 {
     struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    call->answer_bytes += (int64_t)size;
     if (call->shed) {
         return;
     }
--- /dev/null
+++ b/packages/node/src/lending.c
@@ -0,0 +1,692 @@
+#include "lending.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "sas/budget.h"
+#include "sas/log.h"
+
+#define TICK_MS 50
+#define DISOWN_MS 200
+#define CALL_TIMEOUT_MS 500
+/* VMs of the region that uses a budget most against those of others. */
+#define NEAR_WEIGHT 6
+#define FAR_WEIGHT 1
+#define RATE_LIFE_MS 3000
+/* Milli-units: one request; 100 ms of 100 Mbit/s. */
+#define REQUEST_QUANTUM 1000
+#define MBIT_QUANTUM 10000
+#define NAME_SIZE (3 * SasModel_NAME_SIZE)
+
+struct row {
+    uint64_t id;
+    char name[NAME_SIZE];
+    struct sas_budget core;
+    double cap; /* of a shift: the one its floors are made from */
+    bool asking;
+};
+
+struct sas_lending {
+    struct sas_lending_parts parts;
+    struct sas_lending_listener *listener;
+    struct sas_peer *peer;
+    GPtrArray *rows; /* of struct row; a handle is an index */
+    struct sas_rpc_budget *gossip_rows;
+    uv_timer_t timer;
+    int64_t next_disown_ms;
+    uint32_t next_incarnation;
+};
+
+/* A question to a peer on its way. */
+struct question {
+    struct sas_lending *lending;
+    int budget;
+    int seat;
+    uint64_t loan;
+    uint32_t renewal; /* 0: for a new loan */
+};
+
+static void on_tick(uv_timer_t *timer);
+static void ask_for_loan(struct sas_lending *lending, int budget);
+
+static struct row *
+get_row(const struct sas_lending *lending, int budget)
+{
+    return g_ptr_array_index(lending->rows, (guint)budget);
+}
+
+/* Opening. */
+
+static void
+get_floors(const struct sas_lending *lending, double limit, int near_region,
+           int64_t far_weight, int64_t *floors)
+{
+    const struct sas_model *model = lending->parts.model;
+    int64_t weights[SasBudget_MAX_SEATS] = {0};
+    for (int i = 0; i < model->vm_count; i++) {
+        weights[i] = SasModel_GetVmRegion(model, i) == near_region
+                         ? NEAR_WEIGHT
+                         : far_weight;
+    }
+    SasBudget_Split((int64_t)limit, weights, model->vm_count, floors);
+}
+
+static int64_t
+get_quantum(enum sas_cap_unit unit)
+{
+    switch (unit) {
+    case SAS_CAP_REQUESTS:
+        return REQUEST_QUANTUM;
+    case SAS_CAP_MBIT:
+        return MBIT_QUANTUM;
+    case SAS_CAP_CONCURRENT:
+    case SAS_CAP_NONE:
+        break;
+    }
+    return 1;
+}
+
+static void
+init_core(struct sas_lending *lending, struct row *row, enum sas_cap_unit unit,
+          const int64_t *floors, int64_t epoch)
+{
+    bool is_rate = unit == SAS_CAP_REQUESTS || unit == SAS_CAP_MBIT;
+    struct sas_budget_settings settings = {
+        .kind = is_rate ? SAS_BUDGET_RATE : SAS_BUDGET_CONCURRENT,
+        .seats = lending->parts.model->vm_count,
+        .own_seat = lending->parts.own_vm,
+        .incarnation = lending->next_incarnation++,
+        .life_ms = is_rate ? RATE_LIFE_MS : SasBudget_LIFE_MS,
+        .quantum = get_quantum(unit),
+    };
+    SasBudget_Init(&row->core, &settings, floors, epoch, SasPeer_GetNow());
+}
+
+static struct row *
+add_row(struct sas_lending *lending, const char *name)
+{
+    struct row *row = g_new0(struct row, 1);
+    g_strlcpy(row->name, name, sizeof(row->name));
+    row->id = XXH3_64bits(name, strlen(name));
+    g_ptr_array_add(lending->rows, row);
+    return row;
+}
+
+static int
+find_row(const struct sas_lending *lending, uint64_t id)
+{
+    for (guint i = 0; i < lending->rows->len; i++) {
+        if (get_row(lending, (int)i)->id == id) {
+            return (int)i;
+        }
+    }
+    return SasModel_NONE;
+}
+
+static int
+find_name(const struct sas_lending *lending, const char *name)
+{
+    return find_row(lending, XXH3_64bits(name, strlen(name)));
+}
+
+static void
+format_slots_name(const struct sas_model *model, int service, int region,
+                  char *name)
+{
+    snprintf(name, NAME_SIZE, "slots %s %s", model->services[service].name,
+             model->regions[region].name);
+}
+
+static void
+format_link_name(const struct sas_model *model, int from, int to, char *name)
+{
+    snprintf(name, NAME_SIZE, "link %s %s", model->regions[from].name,
+             model->regions[to].name);
+}
+
+static void
+format_cap_name(const struct sas_model *model, const struct sas_shift *shift,
+                char *name)
+{
+    snprintf(name, NAME_SIZE, "cap %.40s %.40s %.40s %s",
+             model->services[shift->service].name,
+             model->regions[shift->from].name, model->regions[shift->to].name,
+             SasSheet_GetUnitName(shift->cap_unit));
+}
+
+static void
+add_slots(struct sas_lending *lending, int service, int region)
+{
+    const struct sas_model *model = lending->parts.model;
+    int slots = SasModel_CountSlots(model, service, region);
+    char name[NAME_SIZE];
+    int64_t floors[SasBudget_MAX_SEATS];
+    format_slots_name(model, service, region, name);
+    get_floors(lending, slots, region, FAR_WEIGHT, floors);
+    init_core(lending, add_row(lending, name), SAS_CAP_CONCURRENT, floors, 0);
+}
+
+/* Only the entry VMs of the region where a link begins send over it. */
+static void
+add_link(struct sas_lending *lending, const struct sas_link *link)
+{
+    char name[NAME_SIZE];
+    int64_t floors[SasBudget_MAX_SEATS];
+    format_link_name(lending->parts.model, link->from, link->to, name);
+    get_floors(lending, link->mbit_per_s * 1000, link->from, 0, floors);
+    init_core(lending, add_row(lending, name), SAS_CAP_MBIT, floors, 0);
+}
+
+struct sas_lending *
+SasLending_Open(const struct sas_lending_parts *parts, struct sas_error *error)
+{
+    const struct sas_model *model = parts->model;
+    if (model->vm_count > SasBudget_MAX_SEATS) {
+        SasError_Set(error, SAS_ECAPACITY, "lending.open", NULL,
+                     "%d entry VMs; budgets have %d seats at most",
+                     model->vm_count, SasBudget_MAX_SEATS);
+        return NULL;
+    }
+    struct sas_lending *lending = g_new0(struct sas_lending, 1);
+    lending->parts = *parts;
+    lending->rows = g_ptr_array_new_with_free_func(g_free);
+    lending->next_incarnation = parts->incarnation;
+    for (int s = 0; s < model->service_count; s++) {
+        for (int r = 0; r < model->region_count; r++) {
+            add_slots(lending, s, r);
+        }
+    }
+    for (int i = 0; i < model->link_count; i++) {
+        add_link(lending, &model->links[i]);
+    }
+    uv_timer_init(parts->loop, &lending->timer);
+    lending->timer.data = lending;
+    uv_timer_start(&lending->timer, on_tick, TICK_MS, TICK_MS);
+    return lending;
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+    struct sas_lending *lending = handle->data;
+    g_ptr_array_free(lending->rows, TRUE);
+    g_free(lending->gossip_rows);
+    g_free(lending);
+}
+
+void
+SasLending_Close(struct sas_lending *lending)
+{
+    uv_close((uv_handle_t *)&lending->timer, on_timer_closed);
+}
+
+void
+SasLending_SetListener(struct sas_lending *lending,
+                       struct sas_lending_listener *listener)
+{
+    lending->listener = listener;
+}
+
+void
+SasLending_SetPeer(struct sas_lending *lending, struct sas_peer *peer)
+{
+    lending->peer = peer;
+}
+
+/* Caps. */
+
+/* A changed cap starts its budget anew: until the peers have said that they
+ * hold no loan of the old one, only the reserve of the new floor is used.
+ * The floors of two versions have the same proportions, so nodes that are
+ * at different versions never use more than the higher of the two caps. */
+static void
+set_cap(struct sas_lending *lending, const struct sas_plan *plan,
+        const struct sas_shift *shift)
+{
+    char name[NAME_SIZE];
+    int64_t floors[SasBudget_MAX_SEATS];
+    format_cap_name(lending->parts.model, shift, name);
+    int budget = find_name(lending, name);
+    struct row *row = budget != SasModel_NONE ? get_row(lending, budget)
+                                              : add_row(lending, name);
+    if (budget != SasModel_NONE && row->cap == shift->cap) {
+        return;
+    }
+    bool is_rate = shift->cap_unit != SAS_CAP_CONCURRENT;
+    get_floors(lending, is_rate ? shift->cap * 1000 : shift->cap, shift->to,
+               FAR_WEIGHT, floors);
+    row->cap = shift->cap;
+    if (is_rate || budget == SasModel_NONE) {
+        init_core(lending, row, shift->cap_unit, floors, plan->version);
+    }
+    else {
+        SasBudget_SetFloors(&row->core, floors, plan->version,
+                            SasPeer_GetNow());
+    }
+}
+
+void
+SasLending_SetCaps(struct sas_lending *lending, const struct sas_plan *plan)
+{
+    for (int i = 0; i < plan->shift_count; i++) {
+        if (plan->shifts[i].cap_unit != SAS_CAP_NONE) {
+            set_cap(lending, plan, &plan->shifts[i]);
+        }
+    }
+}
+
+/* Finding. */
+
+int
+SasLending_FindSlots(const struct sas_lending *lending, int service,
+                     int region)
+{
+    /* The slots stand first, in this order. */
+    return service * lending->parts.model->region_count + region;
+}
+
+int
+SasLending_FindLink(const struct sas_lending *lending, int from, int to)
+{
+    char name[NAME_SIZE];
+    format_link_name(lending->parts.model, from, to, name);
+    return find_name(lending, name);
+}
+
+int
+SasLending_FindCap(const struct sas_lending *lending,
+                   const struct sas_shift *shift)
+{
+    if (shift == NULL || shift->cap_unit == SAS_CAP_NONE) {
+        return SasModel_NONE;
+    }
+    char name[NAME_SIZE];
+    format_cap_name(lending->parts.model, shift, name);
+    return find_name(lending, name);
+}
+
+bool
+SasLending_IsRecovering(const struct sas_lending *lending)
+{
+    for (guint i = 0; i < lending->rows->len; i++) {
+        const struct row *row = get_row(lending, (int)i);
+        if (row->cap == 0 && row->core.recovering) { /* no cap of a shift */
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Using. */
+
+int
+SasLending_Take(struct sas_lending *lending, int budget, int64_t units,
+                int64_t lasts_ms)
+{
+    if (budget == SasModel_NONE) {
+        return 0;
+    }
+    struct row *row = get_row(lending, budget);
+    int pot = SasBudget_Take(&row->core, units, lasts_ms, SasPeer_GetNow());
+    if (pot < 0) {
+        ask_for_loan(lending, budget);
+    }
+    return pot;
+}
+
+void
+SasLending_Give(struct sas_lending *lending, int budget, int pot,
+                int64_t units)
+{
+    if (budget != SasModel_NONE) {
+        SasBudget_Give(&get_row(lending, budget)->core, pot, units,
+                       SasPeer_GetNow());
+    }
+}
+
+bool
+SasLending_TakeRate(struct sas_lending *lending, int budget, int64_t amount)
+{
+    if (budget == SasModel_NONE) {
+        return true;
+    }
+    struct row *row = get_row(lending, budget);
+    int64_t most = row->core.settings.quantum;
+    if (SasBudget_TakeRate(&row->core, MIN(amount, most), SasPeer_GetNow())) {
+        return true;
+    }
+    ask_for_loan(lending, budget);
+    return false;
+}
+
+/* Borrowing. */
+
+static struct question *
+create_question(struct sas_lending *lending, int budget, int seat,
+                uint64_t loan, uint32_t renewal)
+{
+    struct question *question = g_new0(struct question, 1);
+    question->lending = lending;
+    question->budget = budget;
+    question->seat = seat;
+    question->loan = loan;
+    question->renewal = renewal;
+    return question;
+}
+
+static void
+on_borrow_answer(void *context, const struct sas_error *error,
+                 const union sas_proto_body *body)
+{
+    struct question *question = context;
+    struct sas_lending *lending = question->lending;
+    struct row *row = get_row(lending, question->budget);
+    int64_t now = SasPeer_GetNow();
+    uint64_t granted = error == NULL ? body->grant.granted : 0;
+    bool gained = false;
+    if (question->renewal == 0) {
+        row->asking = false;
+        if (error == NULL) {
+            gained =
+                SasBudget_Borrowed(&row->core, question->seat, question->loan,
+                                   (int64_t)granted, now) &&
+                granted > 0;
+        }
+    }
+    else if (error == NULL) {
+        SasBudget_Renewed(&row->core, question->loan, question->renewal,
+                          granted > 0, now);
+    }
+    g_free(question);
+    if (gained && lending->listener != NULL) {
+        lending->listener->on_units(lending->listener);
+    }
+}
+
+static void
+send_borrow(struct sas_lending *lending, int budget, int seat, uint64_t loan,
+            uint64_t wanted, uint32_t renewal)
+{
+    struct row *row = get_row(lending, budget);
+    struct sas_rpc_borrow borrow = {
+        .budget = row->id,
+        .epoch = (uint64_t)row->core.epoch,
+        .loan = loan,
+        .wanted = wanted,
+        .renewal = renewal,
+    };
+    struct question *question =
+        create_question(lending, budget, seat, loan, renewal);
+    if (SasPeer_AskBorrow(lending->peer, seat, &borrow, CALL_TIMEOUT_MS,
+                          on_borrow_answer, question, NULL) != 0) {
+        row->asking = renewal == 0 ? false : row->asking;
+        g_free(question);
+    }
+}
+
+static void
+ask_for_loan(struct sas_lending *lending, int budget)
+{
+    struct row *row = get_row(lending, budget);
+    int64_t now = SasPeer_GetNow();
+    if (row->asking || lending->peer == NULL) {
+        return;
+    }
+    int64_t wanted = SasBudget_GetWanted(&row->core, now);
+    if (wanted <= 0) {
+        return;
+    }
+    int lender =
+        SasBudget_ChooseLender(&row->core, now, lending->parts.random);
+    if (lender < 0) {
+        return;
+    }
+    uint64_t loan = SasBudget_Ask(&row->core, lender, now);
+    if (loan == 0) {
+        return;
+    }
+    row->asking = true;
+    send_borrow(lending, budget, lender, loan, (uint64_t)wanted, 0);
+}
+
+static void
+on_return_answer(void *context, const struct sas_error *error,
+                 const union sas_proto_body *body)
+{
+    /* A lost return just waits for the loan's end. */
+    (void)context;
+    (void)error;
+    (void)body;
+}
+
+static void
+give_back(struct sas_lending *lending, struct row *row,
+          const struct sas_loan *loan)
+{
+    int seat = loan->seat;
+    uint64_t id = loan->id;
+    int64_t left = SasBudget_Return(&row->core, id, SasPeer_GetNow());
+    struct sas_rpc_return back = {
+        .budget = row->id,
+        .epoch = (uint64_t)row->core.epoch,
+        .loan = id,
+        .units = (uint64_t)left,
+    };
+    SasPeer_AskReturn(lending->peer, seat, &back, CALL_TIMEOUT_MS,
+                      on_return_answer, NULL, NULL);
+}
+
+static void
+tend_loans(struct sas_lending *lending, int budget)
+{
+    struct row *row = get_row(lending, budget);
+    int64_t now = SasPeer_GetNow();
+    const struct sas_loan *loan = SasBudget_FindSurplus(&row->core, now);
+    if (loan != NULL) {
+        give_back(lending, row, loan);
+        return;
+    }
+    loan = SasBudget_FindRenewal(&row->core, now);
+    if (loan == NULL) {
+        return;
+    }
+    int seat = loan->seat;
+    uint64_t id = loan->id;
+    int64_t granted = loan->granted;
+    uint32_t renewal = SasBudget_Renew(&row->core, id, now);
+    if (renewal != 0) {
+        send_borrow(lending, budget, seat, id, (uint64_t)granted, renewal);
+    }
+}
+
+/* After a start. */
+
+static void
+on_disown_answer(void *context, const struct sas_error *error,
+                 const union sas_proto_body *body)
+{
+    struct question *question = context;
+    struct sas_lending *lending = question->lending;
+    for (u_int i = 0; error == NULL && i < body->disown.rows.rows_len; i++) {
+        const struct sas_rpc_disown *clear = &body->disown.rows.rows_val[i];
+        int budget = find_row(lending, clear->budget);
+        if (budget != SasModel_NONE) {
+            SasBudget_Disowned(&get_row(lending, budget)->core, question->seat,
+                               clear->incarnation, SasPeer_GetNow());
+        }
+    }
+    g_free(question);
+    if (error == NULL && lending->listener != NULL) {
+        lending->listener->on_units(lending->listener);
+    }
+}
+
+/* Asks each peer whether it holds loans of an earlier process of this seat;
+ * once all have said no, the whole floor may be used. */
+static void
+ask_to_disown(struct sas_lending *lending)
+{
+    struct sas_rpc_disown rows[SAS_RPC_MAX_BUDGETS];
+    struct sas_rpc_disown_list list = {.rows.rows_val = rows};
+    for (int seat = 0; seat < lending->parts.model->vm_count; seat++) {
+        list.rows.rows_len = 0;
+        for (guint i = 0; i < lending->rows->len && i < SAS_RPC_MAX_BUDGETS;
+             i++) {
+            const struct row *row = get_row(lending, (int)i);
+            if (!row->core.recovering || row->core.peers[seat].disowned) {
+                continue;
+            }
+            rows[list.rows.rows_len].budget = row->id;
+            rows[list.rows.rows_len].incarnation =
+                row->core.settings.incarnation;
+            list.rows.rows_len++;
+        }
+        if (list.rows.rows_len == 0 || seat == lending->parts.own_vm) {
+            continue;
+        }
+        struct question *question = create_question(lending, 0, seat, 0, 0);
+        if (SasPeer_AskDisown(lending->peer, seat, &list, CALL_TIMEOUT_MS,
+                              on_disown_answer, question, NULL) != 0) {
+            g_free(question);
+        }
+    }
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    struct sas_lending *lending = timer->data;
+    int64_t now = SasPeer_GetNow();
+    if (lending->peer == NULL) {
+        return;
+    }
+    for (guint i = 0; i < lending->rows->len; i++) {
+        tend_loans(lending, (int)i);
+    }
+    if (now >= lending->next_disown_ms) {
+        lending->next_disown_ms = now + DISOWN_MS;
+        ask_to_disown(lending);
+    }
+}
+
+/* Peers. */
+
+void
+SasLending_FillGossip(struct sas_lending *lending,
+                      struct sas_rpc_gossip *gossip)
+{
+    int64_t now = SasPeer_GetNow();
+    guint count = MIN(lending->rows->len, SAS_RPC_MAX_BUDGETS);
+    lending->gossip_rows =
+        g_renew(struct sas_rpc_budget, lending->gossip_rows, count);
+    for (guint i = 0; i < count; i++) {
+        struct row *row = get_row(lending, (int)i);
+        lending->gossip_rows[i].id = row->id;
+        lending->gossip_rows[i].unused =
+            (uint64_t)SasBudget_GetUnused(&row->core, now);
+        lending->gossip_rows[i].epoch =
+            SasBudget_GetAnnounced(&row->core, now);
+    }
+    gossip->budgets.budgets_len = count;
+    gossip->budgets.budgets_val = lending->gossip_rows;
+}
+
+void
+SasLending_TakeGossip(struct sas_lending *lending, int seat,
+                      const struct sas_rpc_gossip *gossip)
+{
+    int64_t now = SasPeer_GetNow();
+    for (u_int i = 0; i < gossip->budgets.budgets_len; i++) {
+        const struct sas_rpc_budget *hint = &gossip->budgets.budgets_val[i];
+        int budget = find_row(lending, hint->id);
+        if (budget != SasModel_NONE) {
+            SasBudget_Hint(&get_row(lending, budget)->core, seat,
+                           (int64_t)MIN(hint->unused, INT64_MAX / 2),
+                           hint->epoch, now);
+        }
+    }
+}
+
+uint64_t
+SasLending_AnswerBorrow(struct sas_lending *lending, int seat,
+                        const struct sas_rpc_borrow *borrow)
+{
+    int budget = find_row(lending, borrow->budget);
+    if (budget == SasModel_NONE || borrow->wanted > INT64_MAX / 2) {
+        return 0;
+    }
+    struct sas_budget *core = &get_row(lending, budget)->core;
+    int64_t now = SasPeer_GetNow();
+    if (borrow->renewal != 0) {
+        return SasBudget_Extend(core, seat, borrow->loan,
+                                (int64_t)borrow->wanted, now);
+    }
+    return (uint64_t)SasBudget_Lend(core, seat, borrow->loan,
+                                    (int64_t)borrow->wanted, now);
+}
+
+void
+SasLending_TakeReturn(struct sas_lending *lending, int seat,
+                      const struct sas_rpc_return *back)
+{
+    int budget = find_row(lending, back->budget);
+    if (budget != SasModel_NONE && back->units <= INT64_MAX / 2) {
+        SasBudget_TakeBack(&get_row(lending, budget)->core, seat, back->loan,
+                           (int64_t)back->units, SasPeer_GetNow());
+    }
+}
+
+void
+SasLending_AnswerDisown(struct sas_lending *lending, int seat,
+                        struct sas_rpc_disown_list *list)
+{
+    u_int kept = 0;
+    for (u_int i = 0; i < list->rows.rows_len; i++) {
+        int budget = find_row(lending, list->rows.rows_val[i].budget);
+        /* A budget that is not known here was never borrowed from. */
+        if (budget == SasModel_NONE ||
+            SasBudget_Disown(&get_row(lending, budget)->core, seat,
+                             SasPeer_GetNow())) {
+            list->rows.rows_val[kept++] = list->rows.rows_val[i];
+        }
+    }
+    list->rows.rows_len = kept;
+}
+
+/* Status. */
+
+static int64_t
+sum_loans(const struct sas_loan *loans)
+{
+    int64_t sum = 0;
+    for (int i = 0; i < SasBudget_MAX_LOANS; i++) {
+        sum += loans[i].id != 0 ? loans[i].granted : 0;
+    }
+    return sum;
+}
+
+json_t *
+SasLending_Describe(struct sas_lending *lending)
+{
+    json_t *list = json_array();
+    int64_t now = SasPeer_GetNow();
+    for (guint i = 0; i < lending->rows->len; i++) {
+        struct row *row = get_row(lending, (int)i);
+        double unit =
+            row->core.settings.kind == SAS_BUDGET_RATE ? 1000.0 : 1.0;
+        double floor = (double)row->core.floors[lending->parts.own_vm] / unit;
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:b}", "name", row->name,
+                      "floor", floor, "lent",
+                      (double)sum_loans(row->core.lent) / unit, "borrowed",
+                      (double)sum_loans(row->core.borrowed) / unit, "used",
+                      (double)SasBudget_GetUsed(&row->core) / unit,
+                      "allowance",
+                      (double)SasBudget_GetAllowance(&row->core, now) / unit,
+                      "recovering", (int)row->core.recovering));
+    }
+    return list;
+}
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -35,6 +35,7 @@
     struct sas_upstream_listener upstream_listener;
     struct sas_configure_listener configure_listener;
     struct sas_steer_listener steer_listener;
+    struct sas_lending_listener lending_listener;
     uv_loop_t loop;
     const struct sas_settings *settings;
     int own_vm;
@@ -42,6 +43,7 @@
     GRand *random;
     struct sas_counters counters;
     struct sas_store *store;
+    struct sas_lending *lending;
     struct sas_steer *steer;
     struct sas_upstream *upstream;
     struct sas_claims *claims;
@@ -116,6 +118,15 @@
     }
 }
 
+static void
+on_units(struct sas_lending_listener *listener)
+{
+    struct sas_node *node = NODE_OF(listener, lending_listener);
+    if (node->forward != NULL) {
+        SasForward_Wake(node->forward);
+    }
+}
+
 /* Probes. */
 
 static void
@@ -192,21 +203,38 @@
 
 /* Opening and closing. */
 
-static void
-open_steering(struct sas_node *node)
+static int
+open_steering(struct sas_node *node, struct sas_error *error)
 {
     const struct sas_settings *settings = node->settings;
     node->store = settings->embedded_store
                       ? SasStore_OpenMemory(&node->loop)
                       : SasStore_OpenHttp(&node->loop, &settings->store);
+    struct sas_lending_parts lending = {
+        .loop = &node->loop,
+        .model = &settings->model,
+        .own_vm = node->own_vm,
+        .random = node->random,
+        .incarnation = (uint32_t)get_wall_ms(),
+    };
+    node->lending = SasLending_Open(&lending, error);
+    if (node->lending == NULL) {
+        return -1;
+    }
+    node->lending_listener.on_units = on_units;
+    SasLending_SetListener(node->lending, &node->lending_listener);
     struct sas_steer_parts steer = {
         .loop = &node->loop,
         .settings = settings,
         .own_vm = node->own_vm,
         .random = node->random,
         .get_wall_ms = get_wall_ms,
+        .lending = node->lending,
     };
-    node->steer = SasSteer_Open(&steer);
+    node->steer = SasSteer_Open(&steer, error);
+    if (node->steer == NULL) {
+        return -1;
+    }
     node->steer_listener.on_capacity = on_capacity;
     SasSteer_SetListener(node->steer, &node->steer_listener);
     node->upstream_listener.on_load = on_load;
@@ -247,6 +275,7 @@
         .get_wall_ms = get_wall_ms,
     };
     node->configure = SasConfigure_Open(&configure);
+    return 0;
 }
 
 static int
@@ -263,6 +292,7 @@
         .steer = node->steer,
         .configure = node->configure,
         .guard = node->guard,
+        .lending = node->lending,
         .counters = &node->counters,
     };
     node->peers = SasPeers_Open(&peers, error);
@@ -325,8 +355,7 @@
     node->random = g_rand_new();
     SasReasons_RegisterCounters(&node->counters, SasMetrics_New());
     uv_loop_init(&node->loop);
-    open_steering(node);
-    if (open_ports(node, &error) != 0) {
+    if (open_steering(node, &error) != 0 || open_ports(node, &error) != 0) {
         SasLog_WriteError(SasLog_ERROR, &error);
         return EXIT_FAILED_START;
     }
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -39,6 +39,12 @@
                           struct sas_rpc_config *config);
 static bool take_config(struct sas_peer_handler *handler, int seat,
                         const struct sas_rpc_config *config);
+static uint64_t answer_borrow(struct sas_peer_handler *handler, int seat,
+                              const struct sas_rpc_borrow *borrow);
+static int take_return(struct sas_peer_handler *handler, int seat,
+                       const struct sas_rpc_return *back);
+static void answer_disown(struct sas_peer_handler *handler, int seat,
+                          struct sas_rpc_disown_list *rows);
 static void on_tick(uv_timer_t *timer);
 
 /* The key from its file, or NULL with an error. */
@@ -78,6 +84,9 @@
     peers->handler.take_gossip = take_gossip;
     peers->handler.provide_config = provide_config;
     peers->handler.take_config = take_config;
+    peers->handler.answer_borrow = answer_borrow;
+    peers->handler.take_return = take_return;
+    peers->handler.answer_disown = answer_disown;
     peers->loads = g_new0(struct heard_load, model->backend_count);
     peers->load_rows = g_new0(struct sas_rpc_load, model->backend_count);
     struct sas_peer_options options;
@@ -97,6 +106,7 @@
             SasPeer_GetCounterName((enum sas_peer_counter)i),
             "Events of the connections between entry VMs");
     }
+    SasLending_SetPeer(parts->lending, peers->peer);
     uv_timer_init(parts->loop, &peers->timer);
     peers->timer.data = peers;
     uv_timer_start(&peers->timer, on_tick, TICK_MS, TICK_MS);
@@ -117,6 +127,7 @@
 on_timer_closed(uv_handle_t *handle)
 {
     struct sas_peers *peers = handle->data;
+    SasLending_SetPeer(peers->parts.lending, NULL);
     SasPeer_Close(peers->peer, on_peer_closed, peers);
 }
 
@@ -187,6 +198,7 @@
     gossip->config_version = (uint64_t)SasSteer_GetVersion(peers->parts.steer);
     gossip->loads.loads_len = fill_loads(peers);
     gossip->loads.loads_val = peers->load_rows;
+    SasLending_FillGossip(peers->parts.lending, gossip);
 }
 
 static int
@@ -243,7 +255,7 @@
             const struct sas_rpc_gossip *gossip)
 {
     struct sas_peers *peers = (struct sas_peers *)handler;
-    (void)seat;
+    SasLending_TakeGossip(peers->parts.lending, seat, gossip);
     for (u_int i = 0; i < gossip->loads.loads_len; i++) {
         take_load(peers, &gossip->loads.loads_val[i]);
     }
@@ -269,6 +281,31 @@
     return taken;
 }
 
+static uint64_t
+answer_borrow(struct sas_peer_handler *handler, int seat,
+              const struct sas_rpc_borrow *borrow)
+{
+    struct sas_peers *peers = (struct sas_peers *)handler;
+    return SasLending_AnswerBorrow(peers->parts.lending, seat, borrow);
+}
+
+static int
+take_return(struct sas_peer_handler *handler, int seat,
+            const struct sas_rpc_return *back)
+{
+    struct sas_peers *peers = (struct sas_peers *)handler;
+    SasLending_TakeReturn(peers->parts.lending, seat, back);
+    return 0;
+}
+
+static void
+answer_disown(struct sas_peer_handler *handler, int seat,
+              struct sas_rpc_disown_list *rows)
+{
+    struct sas_peers *peers = (struct sas_peers *)handler;
+    SasLending_AnswerDisown(peers->parts.lending, seat, rows);
+}
+
 /* Views of the other entry VMs, and the task's own counters. */
 static void
 on_tick(uv_timer_t *timer)
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -22,6 +22,7 @@
     struct sas_steer *steer;
     struct sas_configure *configure;
     struct sas_guard *guard;
+    struct sas_lending *lending;
     const struct sas_counters *counters;
 };
 
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -6,6 +6,7 @@
 #include "sas/log.h"
 #include "sas/lookup.h"
 #include "sas/measure.h"
+#include "sas/place.h"
 #include "sas/plan.h"
 
 #define TICK_MS 250
@@ -13,6 +14,7 @@
 #define MAX_RETRY_MS 5000
 #define GONE_AFTER_MS 3000
 #define UNKNOWN_HEADROOM 0.25
+#define ESTIMATE_SAMPLES 32
 
 struct backend_row {
     int in_flight;
@@ -36,14 +38,29 @@
     struct sas_vm_view *views;
     struct sas_plan_signal *signals;
     bool *gone;
+    double *answer_bytes; /* by service, a moving average */
+    struct sas_place_policy *placement;
+    struct sas_place_server *servers; /* scratch for one decision */
     uv_timer_t timer;
 };
 
 static void on_tick(uv_timer_t *timer);
 static void advance(struct sas_steer *steer);
 
+static void
+free_tables(struct sas_steer *steer)
+{
+    g_free(steer->backends);
+    g_free(steer->views);
+    g_free(steer->signals);
+    g_free(steer->gone);
+    g_free(steer->servers);
+    g_free(steer->answer_bytes);
+    g_free(steer);
+}
+
 struct sas_steer *
-SasSteer_Open(const struct sas_steer_parts *parts)
+SasSteer_Open(const struct sas_steer_parts *parts, struct sas_error *error)
 {
     struct sas_steer *steer = g_new0(struct sas_steer, 1);
     const struct sas_model *model = &parts->settings->model;
@@ -57,6 +74,22 @@
     for (int i = 0; i < model->backend_count; i++) {
         steer->backends[i].last_reached_at = (int64_t)uv_now(parts->loop);
     }
+    steer->servers = g_new0(struct sas_place_server, model->backend_count);
+    steer->answer_bytes = g_new0(double, model->service_count);
+    for (int i = 0; i < model->service_count; i++) {
+        steer->answer_bytes[i] = SasSteer_FIRST_ANSWER_BYTES;
+    }
+    const char *placement = parts->settings->placement;
+    steer->placement =
+        SasPlace_Create(placement != NULL && placement[0] != '\0'
+                            ? placement
+                            : SasSteer_DEFAULT_PLACEMENT);
+    if (steer->placement == NULL) {
+        SasError_Set(error, SAS_EINVAL, "steer.open", NULL,
+                     "no placement policy is called %s", placement);
+        free_tables(steer);
+        return NULL;
+    }
     SasLookup_Init(&steer->lookup, model);
     SasMeasure_Init(&steer->measure, model, UNKNOWN_HEADROOM);
     uv_timer_init(parts->loop, &steer->timer);
@@ -68,7 +101,7 @@
 static void
 on_timer_closed(uv_handle_t *handle)
 {
-    g_free(handle->data);
+    free_tables(handle->data);
 }
 
 void
@@ -77,10 +110,7 @@
     SasPlan_Free(&steer->plan);
     SasLookup_Close(&steer->lookup);
     SasMeasure_Close(&steer->measure);
-    g_free(steer->backends);
-    g_free(steer->views);
-    g_free(steer->signals);
-    g_free(steer->gone);
+    SasPlace_Free(steer->placement);
     uv_close((uv_handle_t *)&steer->timer, on_timer_closed);
 }
 
@@ -246,6 +276,7 @@
     if (changed) {
         rebuild_lookups(steer);
     }
+    SasLending_SetCaps(steer->parts.lending, &steer->plan);
 }
 
 static void
@@ -281,33 +312,116 @@
            !SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
 }
 
-/* The least loaded backend server with a free slot. */
+/* What the placement policy sees of one backend server. */
+static struct sas_place_server
+describe_server(const struct sas_steer *steer,
+                const struct sas_steer_query *query, int backend)
+{
+    const struct sas_model *model = steer->model;
+    const struct sas_measure_row *measured = &steer->measure.rows[backend];
+    const struct backend_row *row = &steer->backends[backend];
+    int64_t now = get_now(steer);
+    int others =
+        measured->running + measured->queued - measured->own_at_report;
+    struct sas_place_server server = {
+        .backend = backend,
+        .slots = model->backends[backend].slots,
+        .own_in_flight = row->in_flight,
+        .reported_load = MAX(others, 0),
+        .report_age_ms = measured->reported ? now - measured->report_ms : -1,
+        .usable = is_usable(steer, query, backend),
+        .same_domain = model->backends[backend].domain ==
+                       model->vms[steer->parts.own_vm].domain,
+    };
+    if (measured->shed && now - measured->shed_ms < SasMeasure_SHED_MS) {
+        server.reported_load = server.slots;
+    }
+    if (query->alone && (row->in_flight > 0 || server.reported_load > 0)) {
+        server.usable = false;
+    }
+    return server;
+}
+
 static int
 choose_backend(struct sas_steer *steer, const struct sas_steer_query *query,
                int region, bool *any_usable)
 {
     const struct sas_model *model = steer->model;
-    int best = SasModel_NONE;
-    double best_load = 0;
+    int count = 0;
     for (int i = 0; i < model->backend_count; i++) {
         if (model->backends[i].service != query->service ||
-            SasModel_GetBackendRegion(model, i) != region ||
-            !is_usable(steer, query, i)) {
+            SasModel_GetBackendRegion(model, i) != region) {
             continue;
         }
-        *any_usable = true;
-        int in_flight = steer->backends[i].in_flight;
-        if (in_flight >= (query->alone ? 1 : model->backends[i].slots)) {
-            continue;
-        }
-        double load = SasMeasure_GetLoad(&steer->measure, i, get_now(steer)) +
-                      g_rand_double_range(steer->parts.random, 0, 0.01);
-        if (best == SasModel_NONE || load < best_load) {
-            best = i;
-            best_load = load;
+        steer->servers[count] = describe_server(steer, query, i);
+        *any_usable |= steer->servers[count].usable || query->alone;
+        count++;
+    }
+    int index = steer->placement->pick(steer->placement, steer->servers, count,
+                                       steer->parts.random);
+    return index == SasModel_NONE ? SasModel_NONE
+                                  : steer->servers[index].backend;
+}
+
+/* Milli-Mbit that the request and its answer are likely to need. */
+static int64_t
+estimate_load(const struct sas_steer *steer,
+              const struct sas_steer_query *query)
+{
+    double bytes = (double)query->bytes + steer->answer_bytes[query->service];
+    return (int64_t)(bytes * 8 / 1000);
+}
+
+/* Takes from the cap of the shift that the request belongs to. */
+static bool
+take_cap(struct sas_steer *steer, const struct sas_steer_query *query,
+         const struct sas_shift *shift, struct sas_steer_grant *grant)
+{
+    int cap = SasLending_FindCap(steer->parts.lending, shift);
+    grant->cap = SasModel_NONE;
+    if (cap == SasModel_NONE) {
+        return true;
+    }
+    if (shift->cap_unit == SAS_CAP_CONCURRENT) {
+        grant->cap_pot =
+            SasLending_Take(steer->parts.lending, cap, 1, query->lasts_ms);
+        grant->cap = cap;
+        return grant->cap_pot >= 0;
+    }
+    int64_t amount = shift->cap_unit == SAS_CAP_REQUESTS
+                         ? 1000
+                         : estimate_load(steer, query);
+    return SasLending_TakeRate(steer->parts.lending, cap, amount);
+}
+
+/* Takes from every budget that a request to this region counts under, the
+ * slots first, since they can be given back. */
+static bool
+take_budgets(struct sas_steer *steer, const struct sas_steer_query *query,
+             int home, int region, struct sas_steer_grant *grant)
+{
+    struct sas_lending *lending = steer->parts.lending;
+    int own_region = SasModel_GetVmRegion(steer->model, steer->parts.own_vm);
+    int slots = SasLending_FindSlots(lending, query->service, region);
+    grant->slots_pot = SasLending_Take(lending, slots, 1, query->lasts_ms);
+    if (grant->slots_pot < 0) {
+        return false;
+    }
+    const struct sas_shift *shift =
+        SasPlan_FindShift(&steer->plan, query->service, home, region);
+    bool taken = take_cap(steer, query, shift, grant);
+    if (taken && region != own_region) {
+        int link = SasLending_FindLink(lending, own_region, region);
+        taken =
+            SasLending_TakeRate(lending, link, estimate_load(steer, query));
+        if (!taken && grant->cap != SasModel_NONE) {
+            SasLending_Give(lending, grant->cap, grant->cap_pot, 1);
         }
     }
-    return best;
+    if (!taken) {
+        SasLending_Give(lending, slots, grant->slots_pot, 1);
+    }
+    return taken;
 }
 
 static void
@@ -321,12 +435,25 @@
     grant->backend = backend;
     grant->region = SasModel_GetBackendRegion(steer->model, backend);
     grant->alone = query->alone;
-    grant->shift = SasModel_NONE;
     grant->cross_region =
         grant->region !=
         SasModel_GetVmRegion(steer->model, steer->parts.own_vm);
 }
 
+static bool
+try_region(struct sas_steer *steer, const struct sas_steer_query *query,
+           int home, int region, bool *any_usable,
+           struct sas_steer_grant *grant)
+{
+    int backend = choose_backend(steer, query, region, any_usable);
+    if (backend == SasModel_NONE ||
+        !take_budgets(steer, query, home, region, grant)) {
+        return false;
+    }
+    take_backend(steer, query, backend, grant);
+    return true;
+}
+
 enum sas_steer_answer
 SasSteer_Acquire(struct sas_steer *steer, const struct sas_steer_query *query,
                  struct sas_steer_grant *grant, enum sas_refusal *reason)
@@ -340,17 +467,19 @@
     int target =
         SasLookup_Find(&steer->lookup, query->service, query->caller_ip);
     bool any_usable = false;
-    int order[SasModel_MAX_REGIONS + 2];
-    int count = 0;
-    order[count++] = target;
-    order[count++] = home;
-    for (int i = 0; i < model->region_count; i++) {
-        order[count++] = i;
+    /* Over its cap a shift's caller stays at home. */
+    if (try_region(steer, query, home, target, &any_usable, grant) ||
+        (home != target &&
+         try_region(steer, query, home, home, &any_usable, grant))) {
+        return SAS_STEER_GRANTED;
     }
-    for (int i = 0; i < count; i++) {
-        int backend = choose_backend(steer, query, order[i], &any_usable);
-        if (backend != SasModel_NONE) {
-            take_backend(steer, query, backend, grant);
+    /* A short wait at home costs less than the way to another region; that
+     * is for when home has no room, not for each moment without a slot. */
+    bool may_spill =
+        !any_usable || query->waited_ms >= SasSteer_SPILL_AFTER_MS;
+    for (int i = 0; may_spill && i < model->region_count; i++) {
+        if (i != home && i != target &&
+            try_region(steer, query, home, i, &any_usable, grant)) {
             return SAS_STEER_GRANTED;
         }
     }
@@ -363,16 +492,21 @@
 
 void
 SasSteer_Release(struct sas_steer *steer, int service,
-                 const struct sas_steer_grant *grant, int64_t elapsed_ms)
+                 const struct sas_steer_grant *grant, int64_t answer_bytes)
 {
-    (void)service;
-    (void)elapsed_ms;
+    struct sas_lending *lending = steer->parts.lending;
     struct backend_row *row = &steer->backends[grant->backend];
     row->in_flight--;
     if (grant->alone) {
         row->reserved = false;
     }
     SasMeasure_SetInFlight(&steer->measure, grant->backend, row->in_flight);
+    SasLending_Give(lending,
+                    SasLending_FindSlots(lending, service, grant->region),
+                    grant->slots_pot, 1);
+    SasLending_Give(lending, grant->cap, grant->cap_pot, 1);
+    double *estimate = &steer->answer_bytes[service];
+    *estimate += ((double)answer_bytes - *estimate) / ESTIMATE_SAMPLES;
 }
 
 int
@@ -406,6 +540,12 @@
     return steer->known;
 }
 
+bool
+SasSteer_IsReady(const struct sas_steer *steer)
+{
+    return steer->known && !SasLending_IsRecovering(steer->parts.lending);
+}
+
 /* Status. */
 
 static json_t *
@@ -455,6 +595,6 @@
         json_array_append_new(shifts,
                               describe_shift(steer, &steer->plan.shifts[i]));
     }
-    return json_pack("{s:o, s:o, s:[]}", "regions", regions, "shifts", shifts,
-                     "budgets");
+    return json_pack("{s:o, s:o, s:o}", "regions", regions, "shifts", shifts,
+                     "budgets", SasLending_Describe(steer->parts.lending));
 }
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -15,6 +15,7 @@
 #include <jansson.h>
 #include <uv.h>
 
+#include "lending.h"
 #include "reasons.h"
 #include "sas/config.h"
 #include "sas/settings.h"
@@ -29,15 +30,20 @@
     bool alone;         /* on a backend server where nothing else runs */
     int tried[SasSteer_MAX_TRIED];
     int tried_count;
-    int64_t bytes; /* expected in both directions, 0 when unknown */
+    int64_t bytes;     /* of the request's body */
+    int64_t lasts_ms;  /* it is over by then, whatever comes */
+    int64_t waited_ms; /* for a slot, so far */
 };
 
 struct sas_steer_grant {
     int region;
     int backend;
-    int shift; /* handle of the shift whose cap it counts under, or none */
+
     bool alone;
     bool cross_region;
+    int slots_pot; /* of the region's slots budget */
+    int cap_pot;   /* of a concurrent cap */
+    int cap;       /* budget handle of a concurrent cap, or none */
 };
 
 enum sas_steer_answer {
@@ -59,9 +65,11 @@
     int own_vm;
     GRand *random;
     int64_t (*get_wall_ms)(void);
+    struct sas_lending *lending;
 };
 
-struct sas_steer *SasSteer_Open(const struct sas_steer_parts *parts);
+struct sas_steer *SasSteer_Open(const struct sas_steer_parts *parts,
+                                struct sas_error *error);
 void SasSteer_Close(struct sas_steer *steer);
 
 /* Set once, before the loop runs. */
@@ -95,9 +103,10 @@
                                        struct sas_steer_grant *grant,
                                        enum sas_refusal *reason);
 
-/* Gives a grant back; elapsed_ms is how long the request ran there. */
+/* Gives a grant back; answer_bytes is what came back, for estimates. */
 void SasSteer_Release(struct sas_steer *steer, int service,
-                      const struct sas_steer_grant *grant, int64_t elapsed_ms);
+                      const struct sas_steer_grant *grant,
+                      int64_t answer_bytes);
 
 /* Which entry VMs a caller should use for a service; -1 while there is no
  * configuration in force. */
@@ -117,6 +126,9 @@
 int64_t SasSteer_GetVersion(const struct sas_steer *steer);
 bool SasSteer_IsKnown(const struct sas_steer *steer);
 
+/* Known, and its budgets are usable. */
+bool SasSteer_IsReady(const struct sas_steer *steer);
+
 /* {"regions":[...],"shifts":[...],"budgets":[...]} as in docs/API.md. */
 json_t *SasSteer_Describe(struct sas_steer *steer);
 
--- a/packages/peer/include/sas/peer.h
+++ b/packages/peer/include/sas/peer.h
@@ -58,6 +58,9 @@
                               const struct sas_rpc_borrow *borrow);
     int (*take_return)(struct sas_peer_handler *handler, int seat,
                        const struct sas_rpc_return *back);
+    /* Keeps the rows of which no loan of the seat is held here. */
+    void (*answer_disown)(struct sas_peer_handler *handler, int seat,
+                          struct sas_rpc_disown_list *rows);
     /* True if an entry is new here. */
     bool (*take_quarantines)(struct sas_peer_handler *handler, int seat,
                              const struct sas_rpc_quarantine *entries,
@@ -160,6 +163,11 @@
                       SasPeer_AnswerFn *callback, void *context,
                       struct sas_error *error);
 
+int SasPeer_AskDisown(struct sas_peer *peer, int seat,
+                      const struct sas_rpc_disown_list *rows,
+                      int64_t timeout_ms, SasPeer_AnswerFn *callback,
+                      void *context, struct sas_error *error);
+
 /* Something in the own gossip changed (a configuration is in force): tells
  * some peers at once, who pass it on. */
 void SasPeer_NoteChange(struct sas_peer *peer);
--- a/packages/peer/src/peer.c
+++ b/packages/peer/src/peer.c
@@ -66,6 +66,9 @@
 static int serve_borrow(struct sas_peer *peer, int seat,
                         const struct sas_rpc_borrow *borrow,
                         struct sas_rpc_grant *grant);
+static int serve_disown(struct sas_peer *peer, int seat,
+                        const struct sas_rpc_disown_list *rows,
+                        struct sas_rpc_disown_list *clear);
 static int serve_return(struct sas_peer *peer, int seat,
                         const struct sas_rpc_return *back);
 
@@ -194,6 +197,17 @@
                          callback, context, error);
 }
 
+int
+SasPeer_AskDisown(struct sas_peer *peer, int seat,
+                  const struct sas_rpc_disown_list *rows, int64_t timeout_ms,
+                  SasPeer_AnswerFn *callback, void *context,
+                  struct sas_error *error)
+{
+    union sas_proto_body body = {.disown = *rows};
+    return SasCall_Start(peer, seat, SAS_RPC_DISOWN, &body, timeout_ms,
+                         callback, context, error);
+}
+
 /* Between the modules */
 
 void
@@ -247,8 +261,9 @@
     };
     close_superseded(connection);
     struct sas_rpc_seat seats[SasMembership_DIGEST_SEATS];
+    bool decoded = false;
     if (message->procedure <= SAS_RPC_HELLO ||
-        message->procedure > SAS_RPC_LEAVE) {
+        message->procedure > SAS_RPC_DISOWN) {
         reply.procedure = SAS_RPC_RETURN; /* any: no body is sent */
         reply.status = PROC_UNAVAIL;
     }
@@ -257,16 +272,19 @@
         return;
     }
     else {
+        decoded = true;
         SasPeer_Count(peer, SAS_PEER_SERVED);
         if (serve(connection, message, &reply, seats) < 0) {
             reply.status = SYSTEM_ERR;
         }
-        SasProto_FreeBody(message);
     }
     if (connection->state == SAS_CONNECTION_OPEN &&
         SasConnection_Send(connection, &reply, NULL) < 0) {
         SasConnection_Close(connection, SAS_PEER_CONNECTION_LOST);
     }
+    if (decoded) {
+        SasProto_FreeBody(message); /* the reply may point into it */
+    }
 }
 
 void
@@ -465,6 +483,9 @@
                             &reply->body.grant);
     case SAS_RPC_RETURN:
         return serve_return(peer, seat, &call->body.give_back);
+    case SAS_RPC_DISOWN:
+        return serve_disown(peer, seat, &call->body.disown,
+                            &reply->body.disown);
     case SAS_RPC_QUARANTINE:
         SasGossip_TakeQuarantines(peer, seat, &call->body.quarantine);
         return 0;
@@ -498,6 +519,20 @@
     return 0;
 }
 
+/* The reply takes over the call's rows, which go with the call. */
+static int
+serve_disown(struct sas_peer *peer, int seat,
+             const struct sas_rpc_disown_list *rows,
+             struct sas_rpc_disown_list *clear)
+{
+    if (peer->handler->answer_disown == NULL) {
+        return -1;
+    }
+    *clear = *rows;
+    peer->handler->answer_disown(peer->handler, seat, clear);
+    return 0;
+}
+
 static int
 serve_return(struct sas_peer *peer, int seat,
              const struct sas_rpc_return *back)
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -98,7 +98,7 @@
 {
     struct owner *owner = (struct owner *)handler;
     (void)seat;
-    assert_int_equal(entries[0].fingerprint, 77);
+    assert_int_equal(entries[0].high, 77);
     bool is_new = owner->quarantines == 0;
     owner->quarantines = count;
     return is_new;
--- a/packages/proto/include/sas/proto.h
+++ b/packages/proto/include/sas/proto.h
@@ -52,6 +52,7 @@
     struct sas_rpc_return give_back;
     struct sas_rpc_quarantine_list quarantine;
     struct sas_rpc_leaving leaving;
+    struct sas_rpc_disown_list disown; /* call and reply */
 };
 
 struct sas_proto_message {
--- a/packages/proto/peer_rpc.x
+++ b/packages/proto/peer_rpc.x
@@ -6,9 +6,10 @@
 
 const SAS_RPC_NONCE_SIZE = 16;
 const SAS_RPC_MAX_SEATS = 256;
-const SAS_RPC_MAX_BUDGETS = 1024;
+const SAS_RPC_MAX_BUDGETS = 512;
 const SAS_RPC_MAX_LOADS = 512;
-const SAS_RPC_MAX_QUARANTINES = 256;
+const SAS_RPC_MAX_QUARANTINES = 128;
+const SAS_RPC_MAX_CRASHES = 8;
 const SAS_RPC_MAX_BACKENDS = 512;
 const SAS_RPC_MAX_CONFIG = 229376;
 
@@ -45,6 +46,7 @@
 struct sas_rpc_budget {
     unsigned hyper id;
     unsigned hyper unused;
+    hyper epoch; /* announced; -1 while recovering */
 };
 
 /* Load of a backend server as probed; the incarnation is a hash. */
@@ -57,12 +59,19 @@
     unsigned hyper incarnation;
 };
 
+struct sas_rpc_crash {
+    unsigned hyper id;
+    bool alone;
+    bool cleared;
+};
+
 /* A request that crashes backend servers, by its fingerprint. */
 struct sas_rpc_quarantine {
-    unsigned hyper fingerprint;
-    unsigned int service;
-    unsigned int crashes;
-    unsigned int age_ms;
+    unsigned hyper high;
+    unsigned hyper low;
+    sas_rpc_crash crashes<SAS_RPC_MAX_CRASHES>;
+    unsigned int left_ms;
+    unsigned int trial_ms;
 };
 
 struct sas_rpc_gossip {
@@ -89,11 +98,14 @@
     opaque bytes<SAS_RPC_MAX_CONFIG>;
 };
 
+/* renewal 0: a new loan of up to the wanted units; otherwise the number of
+ * this renewal of the loan, of which the wanted units are left. */
 struct sas_rpc_borrow {
     unsigned hyper budget;
     unsigned hyper epoch;
     unsigned hyper loan;
     unsigned hyper wanted;
+    unsigned int renewal;
 };
 
 struct sas_rpc_grant {
@@ -108,6 +120,17 @@
     unsigned hyper units;
 };
 
+/* A restarted lender asks for which budgets no loan of its earlier process
+ * is held; the reply has those rows. */
+struct sas_rpc_disown {
+    unsigned hyper budget;
+    unsigned int incarnation;
+};
+
+struct sas_rpc_disown_list {
+    sas_rpc_disown rows<SAS_RPC_MAX_BUDGETS>;
+};
+
 struct sas_rpc_quarantine_list {
     sas_rpc_quarantine entries<SAS_RPC_MAX_QUARANTINES>;
 };
@@ -135,5 +158,6 @@
         void SAS_RPC_RETURN(sas_rpc_return) = 5;
         void SAS_RPC_QUARANTINE(sas_rpc_quarantine_list) = 6;
         void SAS_RPC_LEAVE(sas_rpc_leaving) = 7;
+        sas_rpc_disown_list SAS_RPC_DISOWN(sas_rpc_disown_list) = 8;
     } = 1;
 } = 0x20534153;
--- a/packages/proto/src/proto.c
+++ b/packages/proto/src/proto.c
@@ -43,6 +43,8 @@
                             (xdrproc_t)code_nothing},
     [SAS_RPC_LEAVE] = {"leave", (xdrproc_t)xdr_sas_rpc_leaving,
                        (xdrproc_t)code_nothing},
+    [SAS_RPC_DISOWN] = {"disown", (xdrproc_t)xdr_sas_rpc_disown_list,
+                        (xdrproc_t)xdr_sas_rpc_disown_list},
 };
 
 static bool is_procedure(uint32_t procedure);
@@ -329,7 +331,7 @@
 static bool
 is_procedure(uint32_t procedure)
 {
-    return procedure >= SAS_RPC_HELLO && procedure <= SAS_RPC_LEAVE;
+    return procedure >= SAS_RPC_HELLO && procedure <= SAS_RPC_DISOWN;
 }
 
 static xdrproc_t
--- a/packages/proto/tests/samples.c
+++ b/packages/proto/tests/samples.c
@@ -1,8 +1,12 @@
 #include "samples.h"
 
-static struct sas_rpc_budget budgets[] = {{1, 20}, {0xffffffffffffffff, 0}};
+static struct sas_rpc_budget budgets[] = {{1, 20, 3},
+                                          {0xffffffffffffffff, 0, -1}};
 static struct sas_rpc_load loads[] = {{3, 2, 1, 40, TRUE, 0x1234567890}};
-static struct sas_rpc_quarantine quarantines[] = {{99, 1, 2, 5000}};
+static struct sas_rpc_crash crashes[] = {{7, TRUE, FALSE}, {8, FALSE, TRUE}};
+static struct sas_rpc_quarantine quarantines[] = {
+    {99, 1, {2, crashes}, 5000, 0}};
+static struct sas_rpc_disown disowns[] = {{1, 4}, {2, 5}};
 static struct sas_rpc_leaving_backend backends[] = {{7, 70}, {8, 80}};
 static struct sas_rpc_seat seats[] = {
     {0, SAS_RPC_LIVE, 1000, 5, 17, 0, 0},
@@ -56,7 +60,7 @@
             body->grant = (struct sas_rpc_grant){11, 3};
         }
         else {
-            body->borrow = (struct sas_rpc_borrow){2, 5, 11, 4};
+            body->borrow = (struct sas_rpc_borrow){2, 5, 11, 4, 1};
         }
         break;
     case SAS_RPC_RETURN:
@@ -66,6 +70,10 @@
         body->quarantine.entries.entries_len = 1;
         body->quarantine.entries.entries_val = quarantines;
         break;
+    case SAS_RPC_DISOWN:
+        body->disown.rows.rows_len = 2;
+        body->disown.rows.rows_val = disowns;
+        break;
     default:
         body->leaving.seat = SAS_RPC_NO_SEAT;
         body->leaving.backends.backends_len = 2;
--- a/packages/proto/tests/samples.h
+++ b/packages/proto/tests/samples.h
@@ -4,7 +4,7 @@
 
 #include "sas/proto.h"
 
-#define SAMPLE_COUNT 14
+#define SAMPLE_COUNT 16
 
 /* Sample `index`; the lists it points to are static. */
 struct sas_proto_message Sample_Get(int index);
