--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -102,17 +102,21 @@
 
 
 class Deployment:
-    """regions: names; vms: entry VMs a region; services: name -> dict with
-    backends (a region), slots, queue, mean_ms, once, deadline_ms."""
+    """regions: names; vms: entry VMs a region; domains: failure domains a
+    region; blocks: networks of callers a region, each a /24 beside the
+    region's /16; services: name -> dict with backends (a region), slots,
+    queue, mean_ms, once, deadline_ms."""
 
     def __init__(self, regions=("montreal", "quebec"), vms=2, services=None,
                  limits=None, standin_arguments=(), placement=None,
-                 link_mbit=4000):
+                 link_mbit=4000, domains=1, blocks=0):
         self.regions = list(regions)
         self.services = services or {"dossiers": {}}
         self.vms_per_region = vms
         self.limits = limits or {}
         self.link_mbit = link_mbit
+        self.domains = ["abcdefgh"[number] for number in range(domains)]
+        self.blocks = blocks
         self.placement = placement
         self.standin_arguments = list(standin_arguments)
         self.folder = tempfile.TemporaryDirectory(prefix="sas-e2e-")
@@ -200,6 +204,11 @@
         for one in held:
             one.close()
 
+    def pick_domain(self, name, region):
+        """Names end in their number; a region's domains take turns."""
+        number = int(name.rsplit("-", 1)[1]) - 1
+        return region + "-" + self.domains[number % len(self.domains)]
+
     def write_settings(self):
         lines = ["[deployment]", 'name = "e2e"', 'utc_offset = "+00:00"',
                  "[store]", 'ip = "127.0.0.1"',
@@ -218,11 +227,17 @@
         lines += ["[limits]"] + ["%s = %s" % (key, json.dumps(value))
                                  for key, value in limits.items()]
         for number, region in enumerate(self.regions):
-            lines += ["[[region]]", 'name = "%s"' % region,
-                      "[[failure_domain]]", 'name = "%s-a"' % region,
-                      'region = "%s"' % region,
-                      "[[block]]", 'network = "127.%d.0.0/16"' % (10 + number),
-                      'home = "%s"' % region]
+            lines += ["[[region]]", 'name = "%s"' % region]
+            for domain in self.domains:
+                lines += ["[[failure_domain]]",
+                          'name = "%s-%s"' % (region, domain),
+                          'region = "%s"' % region]
+            networks = ["127.%d.0.0/16" % (10 + number)]
+            networks += ["127.%d.%d.0/24" % (10 + number, block)
+                         for block in range(self.blocks)]
+            for network in networks:
+                lines += ["[[block]]", 'network = "%s"' % network,
+                          'home = "%s"' % region]
             for other in self.regions:
                 if other != region:
                     lines += ["[[link]]", 'from = "%s"' % region,
@@ -230,7 +245,7 @@
                               "mbit_per_s = %d" % self.link_mbit]
         for name, (region, ports) in self.vms.items():
             lines += ["[[entry_vm]]", 'name = "%s"' % name,
-                      'failure_domain = "%s-a"' % region,
+                      'failure_domain = "%s"' % self.pick_domain(name, region),
                       'ip = "%s"' % self.ip, "caller_port = %d" % ports[0],
                       "peer_port = %d" % ports[1],
                       "admin_port = %d" % ports[2]]
@@ -242,7 +257,7 @@
             slots = self.services[service].get("slots", 3)
             lines += ["[[backend_server]]", 'name = "%s"' % name,
                       'service = "%s"' % service,
-                      'failure_domain = "%s-a"' % region,
+                      'failure_domain = "%s"' % self.pick_domain(name, region),
                       'ip = "127.0.0.1"', "port = %d" % port,
                       "slots = %d" % slots]
         with open(self.path("settings.toml"), "w") as file:
@@ -352,6 +367,12 @@
             total += row[what] if row else 0
         return total
 
+    def counts_by_key(self):
+        """One process of backend servers after the other: key -> counts."""
+        for port in self.controls:
+            yield exchange(("127.0.0.1", port), "GET",
+                           "/counts").json()["keys"]
+
     # Failures.
 
     def kill(self, name, number=signal.SIGKILL):
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,509 @@
+#!/usr/bin/python3
+"""A short morning of Groupe Hottes Laurentides at its sizes of today.
+
+Usage: demo.py [--build build]
+
+Starts 9 entry VMs, 24 and 12 backend servers in 3 regions as separate
+processes on loopback, puts a sheet by sassafrassillctl, lets callers send
+requests meanwhile, and compares what the sheet ordered with what happened.
+Exit status 0: every row of the table held; 1: not every one; 130: stopped.
+It ends by itself within LIMIT_S seconds and leaves no process behind.
+"""
+
+import argparse
+import collections
+import ctypes
+import http.client
+import itertools
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+LIMIT_S = 45
+CLEANUP_S = 2
+
+# Who asks how much. Every caller asks about once in PACE_S.
+DOSSIERS_CALLERS = 160  # of Montreal
+GALERIE_CALLERS = 16
+OTHER_CALLERS = 20  # of Quebec City and of Saguenay, each
+CALLERS_PER_THREAD = 4
+PACE_S = 1.0
+POST_EVERY = 8  # every n-th request of a dossiers caller is a note
+PHOTO_BYTES = 200000
+RECORD_BYTES = 3000
+
+# The morning, in seconds after the sheet was accepted.
+SHIFT_AT = 2
+RAMP_S = 4
+SHIFT_FULL = SHIFT_AT + RAMP_S + 2
+SHARE_PERCENT = 30
+CAP = 20  # req/s, under half of what the share alone would carry
+DRAIN_AT = 8
+LEAVING = "dossiers-montreal-03"
+DRAIN_GRACE_S = 5
+UPLOADS_AT = 10
+STOP_AT = 12
+END_AT = 28
+SHEET = """time,service,from,to,share,cap,drain,limits
++{shift},dossiers,montreal,quebec,{share}%,{cap} req/s,,ramp={ramp}
++{shift},galerie,montreal,saguenay,10%,200 Mbit/s,,ramp=60
++{drain},,,,,,{leaving},
++34,dossiers,montreal,quebec,0%,,,ramp=60
+""".format(shift=SHIFT_AT, share=SHARE_PERCENT, cap=CAP, ramp=RAMP_S,
+           drain=DRAIN_AT, leaving=LEAVING)
+
+# Longer than a look-up lives while a shift is near (SasLookup in the core).
+DRAIN_NOTICE_MS = 8000
+UPLOADS = 6
+UPLOAD_BYTES = 2000000
+UPLOAD_PARTS = 20
+UPLOAD_PART_S = 0.7  # of the slow ones: they outlast DRAIN_NOTICE_MS
+UPLOAD_RUN_MS = 9000  # of the fast ones, at the backend server
+
+# Bounds of the table, wide enough for a busy machine.
+TIMEOUT_S = 15
+CAP_WINDOW_S = 5
+CAP_SLACK_S = 1  # a request may wait that long between sending and its slot
+SHARE_SLACK = 6  # percent; callers move by whole networks
+P50_LIMIT_MS = 500
+P99_LIMIT_MS = 3000
+REFUSED_LIMIT = 0.01
+
+Record = collections.namedtuple(
+    "Record", "sent done home service vm status backend region reason "
+    "outcome key fault")
+Lookup = collections.namedtuple("Lookup", "made home service region")
+Row = collections.namedtuple("Row", "what ordered happened held")
+
+
+class Journal:
+    """What all callers saw; appending is atomic."""
+
+    def __init__(self):
+        self.records = []
+        self.uploads = []
+        self.lookups = []
+        self.closed_doors = []
+        self.over = threading.Event()
+
+
+class Caller:
+    """Looks up its entry VMs, keeps the answer for its lifetime, asks."""
+
+    numbers = itertools.count()
+
+    def __init__(self, deployment, journal, home, service, network):
+        self.deployment = deployment
+        self.journal = journal
+        self.home = home
+        self.service = service
+        self.source = deployment.caller_ip(home, network << 8 | 1)
+        own = [vm for vm in deployment.vms if vm.startswith(home)]
+        others = [vm for vm in deployment.vms if vm not in own]
+        self.all_vms = [(vm, deployment.caller_address(vm))
+                        for vm in own + others]
+        self.vms = []
+        self.expires = 0
+
+    def connect(self, vms):
+        """The first entry VM whose port is open: nothing was sent to the
+        others, so to go on is safe."""
+        for name, address in vms:
+            connection = http.client.HTTPConnection(
+                *address, timeout=TIMEOUT_S, source_address=(self.source, 0))
+            try:
+                connection.connect()
+                return name, connection
+            except ConnectionRefusedError:
+                connection.close()
+                self.journal.closed_doors.append(name)
+        raise ConnectionRefusedError("no entry VM of the look-up is open")
+
+    def look_up(self):
+        now = time.time()
+        if now < self.expires:
+            return
+        _, connection = self.connect(self.vms + self.all_vms)
+        try:
+            connection.request("GET", "/v1/lookup?service=" + self.service)
+            answer = json.loads(connection.getresponse().read())
+        finally:
+            connection.close()
+        self.vms = [(vm["name"], (vm["ip"], vm["port"]))
+                    for vm in answer["vms"]]
+        self.expires = now + answer["lifetime_s"]
+        self.journal.lookups.append(
+            Lookup(now, self.home, self.service, answer["region"]))
+
+    def ask(self):
+        number = next(self.numbers)
+        if self.service == "galerie":
+            return self.get("/photos/%d?bytes=%d" % (number, PHOTO_BYTES),
+                            PHOTO_BYTES)
+        if number % POST_EVERY == 0:
+            return self.post("/notes/%d" % number, "note-%d" % number)
+        return self.get("/files/%d?bytes=%d" % (number, RECORD_BYTES),
+                        RECORD_BYTES)
+
+    def get(self, target, size):
+        whole = (target * (size // len(target) + 1))[:size].encode()
+        return self.exchange("GET", target, None, None,
+                             lambda body: body == whole)
+
+    def post(self, target, key):
+        body = b"the hood of %s was opened" % target.encode()
+
+        def is_own(answer):
+            answer = json.loads(answer)
+            return (answer["target"], answer["body_hash"]) == (
+                target, hash_body(body))
+
+        return self.exchange("POST", target, body, key, is_own)
+
+    def exchange(self, method, target, body, key, is_whole,
+                 send=http.client.HTTPConnection.request):
+        sent = time.time()
+        vm = answer = fault = None
+        data = b""
+        try:
+            self.look_up()
+            vm, connection = self.connect(self.vms)
+            try:
+                headers = {"Idempotency-Key": key} if key else {}
+                send(connection, method, "/s/" + self.service + target, body,
+                     headers)
+                answer = connection.getresponse()
+                data = answer.read()
+            finally:
+                connection.close()
+            if answer.status == 200 and not is_whole(data):
+                fault = "wrong answer"
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            fault = "%s: %s" % (type(error).__name__, error)
+        get = answer.headers.get if answer else lambda name: None
+        return Record(sent, time.time(), self.home, self.service, vm,
+                      answer.status if answer else 0, get("Sas-Backend"),
+                      get("Sas-Region"), get("Sas-Reason"),
+                      get("Sas-Outcome"), key, fault)
+
+
+def hash_body(body):
+    return "%016x" % xxhash.XXH64(body, ctypes.c_size_t(len(body)),
+                                  ctypes.c_uint64(0))
+
+
+def load_xxhash():
+    library = ctypes.CDLL("libxxhash.so.0")
+    library.XXH64.restype = ctypes.c_uint64
+    return library
+
+
+xxhash = load_xxhash()
+
+
+def play_callers(callers, journal):
+    """One thread plays several callers, each at its pace."""
+    due = [time.time() + PACE_S * index / len(callers)
+           for index in range(len(callers))]
+    while not journal.over.is_set():
+        index = due.index(min(due))
+        if journal.over.wait(max(0, due[index] - time.time())):
+            return
+        journal.records.append(callers[index].ask())
+        due[index] = max(due[index] + PACE_S, time.time())
+
+
+def send_slowly(connection, method, path, body, headers):
+    connection.putrequest(method, path)
+    connection.putheader("Content-Length", str(len(body)))
+    for header in headers.items():
+        connection.putheader(*header)
+    connection.endheaders()
+    size = len(body) // UPLOAD_PARTS + 1
+    for start in range(0, len(body), size):
+        connection.send(body[start:start + size])
+        time.sleep(UPLOAD_PART_S)
+
+
+def upload(caller, number, journal):
+    """Sends a photo, slowly or at once, and reads the whole answer."""
+    body = bytes((index * 7 + number) & 255 for index in range(256)) * (
+        UPLOAD_BYTES // 256)
+    slow = number % 2 == 0
+    target = "/uploads/%d" % number
+    if not slow:
+        target += "?ms=%d" % UPLOAD_RUN_MS
+
+    def is_own(answer):
+        return json.loads(answer)["body_hash"] == hash_body(body)
+
+    journal.uploads.append(caller.exchange(
+        "POST", target, body, None, is_own,
+        send_slowly if slow else http.client.HTTPConnection.request))
+
+
+class Morning:
+    """The demo's one run."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.journal = Journal()
+        self.threads = []
+        self.rows = []
+        self.accepted = 0
+        self.stopped = None
+        self.stop_status = None
+
+    # The sheet.
+
+    def ctl(self, *words):
+        d = self.deployment
+        nodes = []
+        for vm in list(d.vms)[:3]:
+            nodes += ["--node", "%s:%d" % (d.ip, d.vms[vm][1][2])]
+        done = subprocess.run(
+            [d.build + "/bin/sassafrassillctl", *nodes, "--token-file",
+             d.path("token"), "--operator", "demo", *words],
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+            timeout=LIMIT_S)
+        for line in done.stdout.splitlines():
+            print("    " + line)
+        return done.returncode
+
+    def put_sheet(self):
+        path = self.deployment.path("morning.csv")
+        with open(path, "w") as file:
+            file.write(SHEET)
+        print("The sheet:\n" + "".join(
+            "    %s\n" % line for line in SHEET.splitlines()), flush=True)
+        checked = self.ctl("sheet", "check", path)
+        started = time.time()
+        put = self.ctl("sheet", "put", path, "--wait", "10")
+        history = self.deployment.admin(
+            next(iter(self.deployment.vms)), "GET", "/v1/history").json()
+        self.accepted = history["versions"][-1]["accepted_ms"] / 1000
+        self.add("the sheet is checked and put", "in force on 9 entry VMs",
+                 "after %.1f s" % (time.time() - started),
+                 checked == 0 and put == 0)
+
+    # The callers.
+
+    def start(self, run, *arguments):
+        thread = threading.Thread(target=run, args=arguments, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def start_callers(self):
+        d = self.deployment
+        callers = [Caller(d, self.journal, "montreal", "dossiers", network)
+                   for network in range(DOSSIERS_CALLERS)]
+        callers += [Caller(d, self.journal, "montreal", "galerie", network)
+                    for network in range(GALERIE_CALLERS)]
+        for home in ("quebec", "saguenay"):
+            callers += [Caller(d, self.journal, home, "dossiers", network)
+                        for network in range(OTHER_CALLERS)]
+        for start in range(0, len(callers), CALLERS_PER_THREAD):
+            self.start(play_callers, callers[start:start + CALLERS_PER_THREAD],
+                       self.journal)
+
+    def wait_for(self, second, what):
+        time.sleep(max(0, self.accepted + second - time.time()))
+        print("%4.0f s  %s" % (time.time() - self.accepted, what), flush=True)
+
+    def count_started(self, name):
+        return self.deployment.counts()[name]["started"]
+
+    # The morning.
+
+    def run(self):
+        self.put_sheet()
+        self.start_callers()
+        self.wait_for(SHIFT_AT, "the shift begins")
+        self.wait_for(DRAIN_AT, LEAVING + " is to leave")
+        self.wait_for(UPLOADS_AT, "%d uploads begin" % UPLOADS)
+        for number in range(UPLOADS):
+            caller = Caller(self.deployment, self.journal, "montreal",
+                            "galerie", number)
+            caller.look_up()
+            if self.stopped is None:
+                self.stopped = caller.vms[0][0]
+            caller.vms.sort(key=lambda vm: vm[0] != self.stopped)
+            self.start(upload, caller, number, self.journal)
+        self.wait_for(STOP_AT, "SIGTERM to " + self.stopped)
+        self.deployment.kill(self.stopped, signal.SIGTERM)
+        self.wait_for(DRAIN_AT + DRAIN_GRACE_S, "nothing new to " + LEAVING)
+        started = self.count_started(LEAVING)
+        self.stop_status = self.deployment.nodes[self.stopped].wait(
+            self.accepted + END_AT - time.time())
+        self.wait_for(0, self.stopped + " has ended with status %d" %
+                      self.stop_status)
+        self.wait_for(END_AT, "the callers stop")
+        self.journal.over.set()
+        for thread in self.threads:
+            thread.join(TIMEOUT_S)
+        self.judge_shift()
+        self.judge_drain(self.count_started(LEAVING) - started)
+        self.judge_stop()
+        self.judge_answers()
+
+    # The table.
+
+    def add(self, what, ordered, happened, held):
+        self.rows.append(Row(what, ordered, happened, held))
+
+    def judge_shift(self):
+        lookups = [row for row in self.journal.lookups
+                   if row.made > self.accepted + SHIFT_FULL and
+                   (row.home, row.service) == ("montreal", "dossiers")]
+        moved = sum(row.region == "quebec" for row in lookups)
+        percent = 100 * moved / max(len(lookups), 1)
+        self.add("share of montreal's look-ups to quebec",
+                 "%d%%" % SHARE_PERCENT, "%.1f%%" % percent,
+                 SHARE_PERCENT / 2 <= percent <= SHARE_PERCENT + SHARE_SLACK)
+        times = sorted(row.sent for row in self.journal.records
+                       if (row.home, row.service, row.region) ==
+                       ("montreal", "dossiers", "quebec"))
+        busiest = max((sum(start <= at < start + CAP_WINDOW_S for at in times)
+                       for start in times), default=0)
+        self.add("the shift's busiest %d s" % CAP_WINDOW_S,
+                 "cap %d req/s" % CAP, "%.1f req/s" % (busiest / CAP_WINDOW_S),
+                 0 < busiest <= CAP * (CAP_WINDOW_S + CAP_SLACK_S))
+        full = [at for at in times if at > self.accepted + SHIFT_FULL]
+        seconds = END_AT - SHIFT_FULL
+        self.add("the shift's mean once it is full", "cap %d req/s" % CAP,
+                 "%.1f req/s" % (len(full) / seconds),
+                 0 < len(full) <= CAP * (seconds + CAP_SLACK_S))
+
+    def judge_drain(self, late):
+        last = max((row.sent for row in self.journal.records
+                    if row.backend == LEAVING), default=0)
+        self.add("last request to " + LEAVING,
+                 "leaves at +%d s" % DRAIN_AT,
+                 "at +%.1f s" % (last - self.accepted) if last else "none",
+                 last <= self.accepted + DRAIN_AT + DRAIN_GRACE_S)
+        self.add("work it began %d s after that" % DRAIN_GRACE_S, "0",
+                 str(late), late == 0)
+
+    def judge_stop(self):
+        self.add("exit status of " + self.stopped, "0 (graceful)",
+                 str(self.stop_status), self.stop_status == 0)
+        whole = [row for row in self.journal.uploads
+                 if row.status == 200 and row.fault is None]
+        there = sum(row.vm == self.stopped for row in self.journal.uploads)
+        self.add("uploads over its stop, whole by their hash",
+                 "%d of %d" % (UPLOADS, UPLOADS),
+                 "%d of %d" % (len(whole), there),
+                 len(whole) == there == UPLOADS)
+        everything = self.journal.records + self.journal.uploads
+        cut = [row for row in everything
+               if row.vm == self.stopped and row.fault]
+        self.add("requests that the stop cut off", "0", str(len(cut)),
+                 not cut)
+        for row in cut[:5]:
+            print("        %s after %.1f s" % (row.fault, row.done - row.sent))
+
+    def judge_answers(self):
+        records = self.journal.records
+        faults = [row.fault for row in records if row.fault]
+        whole = [row for row in records
+                 if row.status == 200 and row.fault is None]
+        self.add("answers that were cut or another's", "0 of %d" %
+                 len(records), str(len(faults)), not faults and whole)
+        for fault in sorted(set(faults))[:5]:
+            print("        " + fault)
+        refused = [row for row in records
+                   if row.status != 200 and row.fault is None]
+        reasons = collections.Counter(
+            "%s/%s" % (row.reason, row.outcome) for row in refused)
+        self.add("refusals, by reason",
+                 "at most %.0f%%" % (100 * REFUSED_LIMIT),
+                 ", ".join("%s %d" % pair for pair in
+                           reasons.most_common()) or "none",
+                 len(refused) <= REFUSED_LIMIT * len(records) and
+                 all(row.reason and row.outcome for row in refused))
+        keys = [row.key for row in refused
+                if row.key and row.outcome == "not-run"]
+        ran = sum(self.deployment.count_key(key) for key in keys)
+        self.add("notes told \"not run\" that ran",
+                 "0 of %d" % len(keys), str(ran), ran == 0)
+        posts = [row.key for row in records if row.key]
+        twice = self.count_twice(set(posts))
+        self.add("notes that ran twice", "0 of %d" % len(posts), str(twice),
+                 twice == 0)
+        times = sorted(row.done - row.sent for row in whole) or [float("inf")]
+        for name, share, limit in (("p50", 0.5, P50_LIMIT_MS),
+                                   ("p99", 0.99, P99_LIMIT_MS)):
+            ms = 1000 * times[int(share * (len(times) - 1))]
+            self.add("time to a whole answer, " + name,
+                     "under %d ms" % limit, "%.1f ms" % ms, ms < limit)
+
+    def count_twice(self, keys):
+        started = collections.Counter()
+        for counts in self.deployment.counts_by_key():
+            started.update({key: row["started"]
+                            for key, row in counts.items() if key in keys})
+        return sum(count > 1 for count in started.values())
+
+    def print_table(self):
+        rows = [Row("what", "ordered", "happened", "")]
+        rows += [row._replace(held="held" if row.held else "NOT HELD")
+                 for row in self.rows]
+        widths = [max(len(row[column]) for row in rows)
+                  for column in range(3)]
+        print()
+        for row in rows:
+            cells = [row[column].ljust(widths[column]) for column in range(3)]
+            print("  ".join(cells + [row.held]).rstrip())
+        print("\n%d requests, %d look-ups; %d connections found a closed port "
+              "and went to the next entry VM of their look-up" %
+              (len(self.journal.records) + len(self.journal.uploads),
+               len(self.journal.lookups), len(self.journal.closed_doors)))
+
+
+def stop(number, frame):
+    raise KeyboardInterrupt(signal.Signals(number).name)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--build", default=os.path.join(ROOT, "build"))
+    build = os.path.abspath(parser.parse_args().build)
+    os.environ.update(SAS_BUILD=build, SAS_KEEP_LOGS="0")
+    sys.path.insert(0, os.path.join(ROOT, "tests", "e2e"))
+    from harness import Deployment
+
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(LIMIT_S - CLEANUP_S)
+    deployment = Deployment(
+        regions=("montreal", "quebec", "saguenay"), vms=3, domains=2,
+        blocks=DOSSIERS_CALLERS,
+        services={"dossiers": {"backends": 8, "mean_ms": 20},
+                  "galerie": {"backends": 4, "mean_ms": 40,
+                              "deadline_ms": 60000}},
+        limits={"drain_notice_ms": DRAIN_NOTICE_MS})
+    deployment.build = build
+    print("Starting 9 entry VMs, 24 + 12 backend servers, 3 regions ...",
+          flush=True)
+    morning = Morning(deployment)
+    try:
+        with deployment:
+            morning.run()
+    except KeyboardInterrupt as error:
+        print("stopped: " + (str(error) or "SIGINT"))
+        return 1 if str(error) == "SIGALRM" else 130
+    finally:
+        morning.journal.over.set()
+    morning.print_table()
+    held = all(row.held for row in morning.rows)
+    print("All rows held." if held else "NOT every row held.")
+    return 0 if held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
