node: a stop waits for requests that are still arriving

One that was whole only after drain_notice_ms was refused.

Now a stop counts every connection that holds request bytes, and refuses only requests that began to arrive after the notice. A sender that stalls holds up the stop for the read time limit at most.

Ruled out: a longer drain_notice_ms, which only moves the moment.

--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/time.h>
 
 #include "sas/metrics.h"
 
@@ -16,7 +17,7 @@
     GList *exchanges; /* of struct exchange */
     uv_timer_t sweep;
     bool stopping;
-    bool refusing;
+    struct timeval refusing_since; /* 0: it does not refuse */
 };
 
 /* A request with h2o's side and the forwarder's side. It lives in the
@@ -80,13 +81,18 @@
 void
 SasCaller_RefuseRequests(struct sas_caller *caller)
 {
-    caller->refusing = true;
+    if (caller->refusing_since.tv_sec == 0) {
+        gettimeofday(&caller->refusing_since, NULL);
+    }
 }
 
 int
 SasCaller_CountActive(const struct sas_caller *caller)
 {
-    return (int)g_list_length(caller->exchanges);
+    /* h2o hands a request over when its body is whole. A stop that counted
+     * only those would break the connection of an upload half way. */
+    return MAX((int)g_list_length(caller->exchanges),
+               SasServer_CountRequests(caller->server));
 }
 
 /* Refusals. */
@@ -387,7 +393,9 @@
 {
     struct sas_caller *caller = handler->data;
     const struct sas_model *model = caller->parts.model;
-    if (caller->refusing) {
+    if (caller->refusing_since.tv_sec != 0 &&
+        timercmp(&req->timestamps.request_begin_at, &caller->refusing_since,
+                 >)) {
         return refuse_early(caller, req, SAS_REFUSE_STOPPING);
     }
     const char *target = NULL;
--- a/packages/node/src/caller.h
+++ b/packages/node/src/caller.h
@@ -26,10 +26,11 @@
 /* Stopping: answers end their connections, health says not ready. */
 void SasCaller_StartStopping(struct sas_caller *caller);
 
-/* From now on new requests are refused as not run. */
+/* Requests that begin to arrive from now on are refused as not run. */
 void SasCaller_RefuseRequests(struct sas_caller *caller);
 
-/* Answers that are not yet with their callers. */
+/* Requests that are still arriving, and answers that are not yet with their
+ * callers. */
 int SasCaller_CountActive(const struct sas_caller *caller);
 
 #endif
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -189,6 +189,24 @@
     return 0;
 }
 
+static int
+count_request(h2o_req_t *req, void *data)
+{
+    size_t held = 0;
+    add_held_bytes(req, &held);
+    *(int *)data += held > 0 ? 1 : 0;
+    return 0;
+}
+
+int
+SasServer_CountRequests(struct sas_server *server)
+{
+    int count = 0;
+    server->config.http1.callbacks.foreach_request(&server->context,
+                                                   count_request, &count);
+    return count;
+}
+
 /* Many large uploads at a time would fill the memory of a small VM, and it
  * would be killed with all requests in progress. h2o bounds each body; this
  * bounds their sum: over it, only small bodies are taken until it falls. */
--- a/packages/node/src/server.h
+++ b/packages/node/src/server.h
@@ -50,6 +50,9 @@
 /* Bytes of requests held now. */
 size_t SasServer_GetHeldBytes(const struct sas_server *server);
 
+/* Requests of which some bytes are held: still arriving, or in progress. */
+int SasServer_CountRequests(struct sas_server *server);
+
 /* Connections that were refused because there were too many. */
 uint64_t SasServer_GetRefusedConnections(const struct sas_server *server);
 
