peer: tests with real sockets, and a silent connection is replaced

Cause: the test of a silent connection failed: no doubt arose when the HELLO reply and the first call fell into the same millisecond, since the time of the last record was compared with the time of the call. Now the number of records is compared.

Tests: 9 peers, loans late, twice, after a pause and replayed, wrong key, receiver, incarnation, random bytes, frozen peer, connections bounded.

--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -19,7 +19,7 @@
 #define GONE_FACTOR 2
 #define REFUTE_ROUNDS 12
 #define CUT_OFF_ROUNDS 12
-#define MIN_GONE_MS 8000
+#define MIN_GONE_ROUNDS 32
 
 /* How often a change is sent: this times log2(seats). */
 #define SENDS_FACTOR 3
@@ -27,6 +27,7 @@
 #define MAX_AGE_MS (1000LL * 3600 * 24)
 #define MAX_MISSED_BEATS 400000 /* a day of small intervals */
 
+static int64_t get_interval(int seat_count);
 static bool is_seat(const struct sas_membership *table, int seat);
 static int merge_own(struct sas_membership *table,
                      const struct sas_member_news *news, int64_t now_ms);
@@ -54,7 +55,7 @@
     table->count = seat_count;
     table->own = own;
     table->direct_ms = now_ms;
-    SasMembership_GetTimes(seat_count, &table->times);
+    SasMembership_GetTimes(seat_count, 0, &table->times);
     struct sas_member *self = &table->members[own];
     self->incarnation = incarnation;
     self->heartbeat = 1;
@@ -71,25 +72,23 @@
 }
 
 void
-SasMembership_GetTimes(int seat_count, struct sas_membership_times *times)
+SasMembership_GetTimes(int seat_count, int64_t interval_ms,
+                       struct sas_membership_times *times)
 {
-    int64_t interval = LARGE_INTERVAL_MS;
-    if (seat_count <= SMALL_SEATS) {
-        interval = SMALL_INTERVAL_MS;
-    }
-    else if (seat_count <= MIDDLE_SEATS) {
-        interval = MIDDLE_INTERVAL_MS;
+    if (interval_ms <= 0) {
+        interval_ms = get_interval(seat_count);
     }
     double seats = MAX(seat_count, 2);
     double parts = ceil(seats / SasMembership_DIGEST_SEATS);
     int64_t rounds =
         (int64_t)(SUSPECT_ROUNDS + TAIL_FACTOR * parts * log2(seats));
-    times->interval_ms = interval;
+    int64_t gone_rounds = MAX(GONE_FACTOR * rounds, MIN_GONE_ROUNDS);
+    times->interval_ms = interval_ms;
     times->fanout = FANOUT;
-    times->suspect_ms = rounds * interval;
-    times->gone_ms = MAX(GONE_FACTOR * times->suspect_ms, MIN_GONE_MS);
-    times->refute_ms = REFUTE_ROUNDS * interval;
-    times->cut_off_ms = CUT_OFF_ROUNDS * interval;
+    times->suspect_ms = rounds * interval_ms;
+    times->gone_ms = gone_rounds * interval_ms;
+    times->refute_ms = REFUTE_ROUNDS * interval_ms;
+    times->cut_off_ms = CUT_OFF_ROUNDS * interval_ms;
 }
 
 /* Own seat */
@@ -407,6 +406,15 @@
 
 /* Helpers */
 
+static int64_t
+get_interval(int seat_count)
+{
+    if (seat_count <= SMALL_SEATS) {
+        return SMALL_INTERVAL_MS;
+    }
+    return seat_count <= MIDDLE_SEATS ? MIDDLE_INTERVAL_MS : LARGE_INTERVAL_MS;
+}
+
 static bool
 is_seat(const struct sas_membership *table, int seat)
 {
--- a/packages/peer/src/call.c
+++ b/packages/peer/src/call.c
@@ -9,8 +9,7 @@
 static int ensure_connection(struct sas_peer *peer, int seat,
                              struct sas_error *error);
 static void send_call(struct sas_peer *peer, struct sas_call *call);
-static void doubt_connection(struct sas_peer *peer, struct sas_call *call,
-                             int64_t now_ms);
+static void doubt_connection(struct sas_peer *peer, struct sas_call *call);
 static void finish(struct sas_peer *peer, struct sas_call *call,
                    const struct sas_error *error,
                    const union sas_proto_body *body);
@@ -156,7 +155,7 @@
             fail(peer, call, SAS_EUNAVAILABLE, "no connection in time");
             continue;
         }
-        doubt_connection(peer, call, now_ms);
+        doubt_connection(peer, call);
         SasPeer_Count(peer, SAS_PEER_CALLS_TIMEOUT);
         fail(peer, call, SAS_ETIMEOUT, "no answer in time");
     }
@@ -251,7 +250,7 @@
     };
     if (SasConnection_Send(connection, &message, NULL) == 0) {
         call->connection = connection;
-        call->sent_ms = SasPeer_GetNow();
+        call->received = connection->received;
     }
 }
 
@@ -261,19 +260,19 @@
  * calls go on a new connection. The old one is closed when the new one
  * answers; if that stays silent too, it is the peer that is. */
 static void
-doubt_connection(struct sas_peer *peer, struct sas_call *call, int64_t now_ms)
+doubt_connection(struct sas_peer *peer, struct sas_call *call)
 {
     struct sas_route *route = &peer->routes[call->seat];
     struct sas_connection *connection = call->connection;
     if (connection != route->current ||
-        connection->received_ms >= call->sent_ms) {
+        connection->received > call->received) {
         return;
     }
     if (route->doubted != NULL) {
         SasConnection_Close(route->doubted, SAS_PEER_CONNECTION_SILENT);
     }
     route->doubted = connection;
-    route->doubted_ms = now_ms;
+    route->doubted_received = connection->received;
     route->current = NULL;
     ensure_connection(peer, call->seat, NULL);
 }
--- a/packages/peer/src/connection.c
+++ b/packages/peer/src/connection.c
@@ -400,6 +400,7 @@
            SAS_RPC_NONCE_SIZE);
     connection->state = SAS_CONNECTION_OPEN;
     connection->received_ms = SasPeer_GetNow();
+    connection->received++;
     SasRecord_SetLimit(&connection->reader, SasProto_MAX_RECORD);
     SasPeer_OnOpened(connection);
 }
@@ -431,6 +432,7 @@
         return;
     }
     connection->received_ms = SasPeer_GetNow();
+    connection->received++;
     SasMembership_NoteDirect(&peer->membership, connection->seat,
                              connection->remote_incarnation,
                              connection->received_ms);
--- a/packages/peer/src/gossip.c
+++ b/packages/peer/src/gossip.c
@@ -35,11 +35,9 @@
 void
 SasGossip_Start(struct sas_peer *peer)
 {
-    struct sas_membership_times *times = &peer->membership.times;
-    if (peer->options.interval_ms > 0) {
-        times->interval_ms = peer->options.interval_ms;
-    }
-    int64_t interval_ms = times->interval_ms;
+    SasMembership_GetTimes(peer->model->vm_count, peer->options.interval_ms,
+                           &peer->membership.times);
+    int64_t interval_ms = peer->membership.times.interval_ms;
     for (int i = 0; i < SasPeer_MAX_FETCHES; i++) {
         peer->fetch_seats[i] = SasModel_NONE;
     }
--- a/packages/peer/src/internal.h
+++ b/packages/peer/src/internal.h
@@ -32,6 +32,7 @@
     uint32_t last_xid; /* highest xid of a call on it */
     int64_t opened_ms;
     int64_t received_ms; /* last record */
+    uint64_t received;   /* records */
     uint8_t address[16]; /* of the other side */
 };
 
@@ -39,8 +40,8 @@
 struct sas_route {
     struct sas_connection *current; /* new calls go here */
     struct sas_connection *doubted; /* silent; kept until current is open */
-    int64_t doubted_ms;
-    int64_t retry_ms; /* no new connection before */
+    uint64_t doubted_received;      /* its records when the doubt came up */
+    int64_t retry_ms;               /* no new connection before */
     int failures;
     GQueue calls; /* struct sas_call, by age */
 };
@@ -52,8 +53,8 @@
     uint8_t *body;
     size_t body_size;
     int64_t deadline_ms;
-    int64_t sent_ms;
     struct sas_connection *connection; /* on which it went, or NULL */
+    uint64_t received;                 /* on that before it was sent */
     SasPeer_AnswerFn *callback;
     void *context;
 };
--- a/packages/peer/src/peer.c
+++ b/packages/peer/src/peer.c
@@ -228,7 +228,7 @@
     struct sas_route *route = &peer->routes[connection->seat];
     route->failures = 0;
     if (route->doubted != NULL &&
-        route->doubted->received_ms < route->doubted_ms) {
+        route->doubted->received == route->doubted_received) {
         SasConnection_Close(route->doubted, SAS_PEER_CONNECTION_SILENT);
     }
     SasCall_SendWaiting(peer, connection->seat);
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -34,6 +35,7 @@
 static struct owner owners[MAX_PEERS];
 static int listeners[MAX_PEERS];
 static int closed_count;
+static int64_t interval_ms = 20;
 
 /* Owner */
 
@@ -151,7 +153,7 @@
     SasPeer_InitOptions(&options);
     options.listen_fd = listeners[seat];
     options.random = owner->random;
-    options.interval_ms = 20;
+    options.interval_ms = interval_ms;
     options.call_timeout_ms = 300;
     options.hello_timeout_ms = 200;
     assert_int_equal(SasPeer_Open(&owner->peer, &loop, &model, seat, with_key,
@@ -257,11 +259,679 @@
     assert_int_equal(closed_count, 9);
 }
 
+static bool
+all_have_heard(void)
+{
+    for (int i = 0; i < model.vm_count; i++) {
+        const struct sas_membership *table =
+            SasPeer_GetMembership(owners[i].peer);
+        if (owners[i].quarantines != 1 || owners[i].leaving_backends == 0 ||
+            SasMembership_GetState(table, 2, SasPeer_GetNow()) !=
+                SAS_MEMBER_LEAVING) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+test_quarantine_and_leaving_reach_all(void **state)
+{
+    (void)state;
+    struct sas_rpc_quarantine entry = {.fingerprint = 77};
+    struct sas_rpc_leaving_backend backend = {.backend = 5};
+    start_all(9);
+    assert_true(run_until(all_see_all));
+    owners[2].quarantines = 1;
+    owners[2].leaving_backends = 1;
+    SasPeer_SendQuarantines(owners[2].peer, &entry, 1);
+    SasPeer_SendLeaving(owners[2].peer, &backend, 1);
+    SasPeer_SetLeaving(owners[2].peer);
+    for (int turn = 0; turn < 50 && !all_have_heard(); turn++) {
+        /* What chance left out is said again, as owners do each second. */
+        SasPeer_SendQuarantines(owners[turn % 9].peer, &entry, 1);
+        SasPeer_SendLeaving(owners[turn % 9].peer, &backend, 1);
+        for (int i = 0; i < 100; i++) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+    }
+    assert_true(all_have_heard());
+    finish();
+}
+
+static int answers;
+static uint64_t granted;
+static enum sas_code answer_code;
+
+static void
+on_grant(void *context, const struct sas_error *error,
+         const union sas_proto_body *body)
+{
+    (void)context;
+    answers++;
+    answer_code = error != NULL ? error->code : SAS_OK;
+    granted += error != NULL ? 0 : body->grant.granted;
+}
+
+static bool
+is_answered(void)
+{
+    return answers > 0;
+}
+
+static void
+ask_for_loan(int from, int to)
+{
+    struct sas_rpc_borrow borrow = {.budget = 1, .loan = 9, .wanted = 4};
+    answers = 0;
+    granted = 0;
+    assert_int_equal(SasPeer_AskBorrow(owners[from].peer, to, &borrow, 0,
+                                       on_grant, NULL, NULL),
+                     0);
+}
+
+static void
+test_a_loan(void **state)
+{
+    (void)state;
+    start_all(2);
+    ask_for_loan(0, 1);
+    assert_true(run_until(is_answered));
+    assert_int_equal(granted, 4);
+    assert_int_equal(owners[1].lent, 4);
+    assert_int_equal(SasPeer_AskBorrow(owners[0].peer, 0,
+                                       &(struct sas_rpc_borrow){0}, 0,
+                                       on_grant, NULL, NULL),
+                     -1);
+    finish();
+}
+
+static uint64_t fetched_number;
+
+static void
+on_fetched(void *context, const struct sas_error *error,
+           const union sas_proto_body *body)
+{
+    (void)context;
+    assert_null(error);
+    answers++;
+    fetched_number = body->config.number;
+}
+
+static void
+test_a_configuration_is_fetched(void **state)
+{
+    (void)state;
+    interval_ms = 1000000;
+    start_all(2);
+    owners[1].version = 8;
+    for (uint64_t have = 7; have <= 8; have++) {
+        answers = 0;
+        assert_int_equal(SasPeer_AskConfig(owners[0].peer, 1, have, 0,
+                                           on_fetched, NULL, NULL),
+                         0);
+        assert_true(run_until(is_answered));
+        assert_int_equal(fetched_number, have == 7 ? 8 : 0);
+    }
+    finish();
+}
+
+/* Failures of processes */
+
+static bool
+first_holds_last_for_gone(void)
+{
+    return SasMembership_GetState(SasPeer_GetMembership(owners[0].peer),
+                                  model.vm_count - 1,
+                                  SasPeer_GetNow()) == SAS_MEMBER_GONE;
+}
+
+/* A process dies and a new one starts for its seat. The others first hold it
+ * for gone, then see the new incarnation. The old process, had it only been
+ * paused, wakes up after that: nobody may talk to it any more. */
+static void
+test_a_process_is_replaced(void **state)
+{
+    (void)state;
+    start_all(3);
+    assert_true(run_until(all_see_all));
+    struct sas_address address = vms[2].peer;
+    int kept = dup(listeners[2]);
+    SasPeer_Close(owners[2].peer, on_done, &owners[2]);
+    assert_true(run_until(first_holds_last_for_gone));
+    listeners[2] = dup(kept);
+    start_owner(2, 5000, key);
+    assert_true(run_until(all_see_all));
+    assert_int_equal(
+        SasPeer_GetMembership(owners[0].peer)->members[2].incarnation, 5000);
+    SasPeer_Close(owners[2].peer, on_done, &owners[2]);
+    assert_true(run_until(first_holds_last_for_gone));
+    listeners[2] = kept;
+    start_owner(2, 4000, key);
+    assert_int_equal(address.port, vms[2].peer.port);
+    for (int i = 0; i < MAX_TURNS; i++) {
+        uv_run(&loop, UV_RUN_ONCE);
+        if (SasPeer_GetCounter(owners[0].peer, SAS_PEER_OLD_INCARNATION) > 0) {
+            break;
+        }
+    }
+    assert_true(SasPeer_GetCounter(owners[0].peer, SAS_PEER_OLD_INCARNATION) >
+                0);
+    assert_true(first_holds_last_for_gone());
+    finish();
+}
+
+static bool
+four_have_version_5(void)
+{
+    return owners[0].version == 5 && owners[1].version == 5 &&
+           owners[2].version == 5 && owners[3].version == 5;
+}
+
+/* A process is stopped in a debugger: its kernel accepts connections, and
+ * nothing is ever answered. The others go on, and calls to it fail as not
+ * sent, since it never proved who it is. */
+static void
+test_a_frozen_peer_holds_up_nobody(void **state)
+{
+    (void)state;
+    prepare(5);
+    assert_int_equal(listen(listeners[4], 128), 0);
+    for (int i = 0; i < 4; i++) {
+        start_owner(i, 1000, key);
+    }
+    ask_for_loan(0, 4);
+    owners[0].version = 5;
+    SasPeer_NoteChange(owners[0].peer);
+    assert_true(run_until(four_have_version_5));
+    assert_true(run_until(is_answered));
+    assert_int_equal(answer_code, SAS_EUNAVAILABLE);
+    assert_true(SasPeer_GetCounter(owners[0].peer, SAS_PEER_HELLO_TIMEOUT) >
+                0);
+    finish();
+    close(listeners[4]);
+}
+
+static bool
+stranger_was_refused(void)
+{
+    return SasPeer_GetCounter(owners[0].peer, SAS_PEER_BAD_DIGEST) > 2;
+}
+
+/* One VM was given yesterday's key. It must not get in, and learn nothing,
+ * while the others go on. */
+static void
+test_a_wrong_key_stays_outside(void **state)
+{
+    (void)state;
+    uint8_t wrong[sizeof(key)];
+    memcpy(wrong, key, sizeof(key));
+    wrong[0] ^= 1;
+    prepare(5);
+    for (int i = 0; i < 5; i++) {
+        start_owner(i, 1000, i == 4 ? wrong : key);
+    }
+    owners[0].version = 5;
+    owners[4].version = 66;
+    assert_true(run_until(four_have_version_5));
+    assert_true(run_until(stranger_was_refused));
+    assert_int_equal(owners[4].version, 66);
+    assert_int_equal(owners[4].load_seen, 0);
+    assert_true(four_have_version_5());
+    finish();
+}
+
+/* Scripted ends of a connection */
+
+struct script {
+    int fd;
+    struct sas_record_reader reader;
+    struct sas_proto_session session;
+    struct sas_proto_key *key;
+    struct sas_rpc_identity identity; /* of what it sends */
+};
+
+static void
+open_script(struct script *script, int fd, int own_seat, uint64_t incarnation)
+{
+    memset(script, 0, sizeof(*script));
+    script->fd = fd;
+    script->key = SasProto_NewKey(key, sizeof(key), NULL);
+    script->identity.sender = (uint32_t)own_seat;
+    script->identity.sender_incarnation = incarnation;
+    SasRecord_InitReader(&script->reader, SasProto_MAX_RECORD);
+}
+
+static void
+close_script(struct script *script)
+{
+    close(script->fd);
+    SasRecord_CloseReader(&script->reader);
+    SasProto_FreeKey(script->key);
+}
+
+/* Turns the loop until a whole record is there; false: end of stream. */
+static bool
+receive(struct script *script, struct sas_proto_message *message)
+{
+    for (int i = 0; i < MAX_TURNS;) {
+        uint8_t byte;
+        size_t used;
+        ssize_t size = recv(script->fd, &byte, 1, MSG_DONTWAIT);
+        if (size < 0 && errno == EAGAIN) {
+            uv_run(&loop, UV_RUN_ONCE);
+            i++;
+        }
+        else if (size <= 0) {
+            return false;
+        }
+        else if (SasRecord_Feed(&script->reader, &byte, 1, &used) == 1) {
+            return SasProto_Open(script->key, &script->session,
+                                 script->reader.bytes, script->reader.size,
+                                 message, NULL) == 0;
+        }
+    }
+    fail_msg("no record came");
+    return false;
+}
+
+static void
+send_bytes(const struct script *script, const uint8_t *bytes, size_t size)
+{
+    assert_int_equal(send(script->fd, bytes, size, MSG_NOSIGNAL), size);
+}
+
+static uint8_t *
+seal(struct script *script, struct sas_proto_message *message, size_t *size)
+{
+    message->identity = script->identity;
+    return SasProto_Encode(script->key, &script->session, message, size, NULL);
+}
+
+static void
+send_message(struct script *script, struct sas_proto_message *message)
+{
+    size_t size;
+    g_autofree uint8_t *bytes = seal(script, message, &size);
+    send_bytes(script, bytes, size);
+}
+
+/* A scripted caller: connects and says HELLO. */
+static void
+call_as(struct script *script, int own_seat, uint64_t incarnation, int to)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    struct sas_proto_message hello = {.xid = 1, .procedure = SAS_RPC_HELLO};
+    struct sas_proto_message reply;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons((uint16_t)vms[to].peer.port);
+    assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                     0);
+    open_script(script, fd, own_seat, incarnation);
+    script->identity.receiver = (uint32_t)to;
+    send_message(script, &hello);
+    assert_true(receive(script, &reply));
+    reply.procedure = SAS_RPC_HELLO;
+    assert_int_equal(SasProto_Decode(&reply, NULL), 0);
+    script->identity.receiver_incarnation = reply.identity.sender_incarnation;
+    memcpy(script->session.answerer_nonce, reply.body.hello.nonce,
+           SAS_RPC_NONCE_SIZE);
+}
+
+/* A scripted answerer for seat 1: accepts and answers HELLO. */
+static void
+answer_as_seat_1(struct script *script)
+{
+    struct sas_proto_message hello;
+    int fd = -1;
+    for (int i = 0; i < MAX_TURNS && fd < 0; i++) {
+        uv_run(&loop, UV_RUN_ONCE);
+        fd = accept4(listeners[1], NULL, NULL, SOCK_CLOEXEC);
+    }
+    assert_true(fd >= 0);
+    open_script(script, fd, 1, 2000);
+    assert_true(receive(script, &hello));
+    assert_int_equal(SasProto_Decode(&hello, NULL), 0);
+    script->identity.receiver = hello.identity.sender;
+    script->identity.receiver_incarnation = hello.identity.sender_incarnation;
+    memcpy(script->session.caller_nonce, hello.body.hello.nonce,
+           SAS_RPC_NONCE_SIZE);
+    struct sas_proto_message reply = {.xid = hello.xid,
+                                      .is_reply = true,
+                                      .procedure = SAS_RPC_HELLO,
+                                      .status = SUCCESS};
+    send_message(script, &reply);
+}
+
+static struct sas_proto_message
+grant_for(const struct sas_proto_message *call)
+{
+    return (struct sas_proto_message){.xid = call->xid,
+                                      .is_reply = true,
+                                      .procedure = SAS_RPC_BORROW,
+                                      .status = SUCCESS,
+                                      .body.grant = {9, 4}};
+}
+
+static void
+start_with_scripted_seat_1(void)
+{
+    interval_ms = 1000000;
+    prepare(2);
+    assert_int_equal(listen(listeners[1], 16), 0);
+    start_owner(0, 1000, key);
+}
+
+static bool
+late_answer_was_dropped(void)
+{
+    return SasPeer_GetCounter(owners[0].peer, SAS_PEER_ANSWERS_LATE) > 0;
+}
+
+/* A request for a loan is answered, but the answer is held up until the
+ * borrower has given up. The lender takes its units back some time after.
+ * If the borrower took the late answer, both would use them. */
+static void
+test_a_late_grant_is_dropped(void **state)
+{
+    (void)state;
+    struct script script;
+    struct sas_proto_message call;
+    start_with_scripted_seat_1();
+    ask_for_loan(0, 1);
+    answer_as_seat_1(&script);
+    assert_true(receive(&script, &call));
+    assert_true(run_until(is_answered));
+    assert_int_equal(answer_code, SAS_ETIMEOUT);
+    struct sas_proto_message grant = grant_for(&call);
+    send_message(&script, &grant);
+    assert_true(run_until(late_answer_was_dropped));
+    assert_int_equal(answers, 1);
+    assert_int_equal(granted, 0);
+    finish();
+    close_script(&script);
+    close(listeners[1]);
+}
+
+/* The network delivers the answer twice. */
+static void
+test_a_grant_counts_once(void **state)
+{
+    (void)state;
+    struct script script;
+    struct sas_proto_message call;
+    start_with_scripted_seat_1();
+    ask_for_loan(0, 1);
+    answer_as_seat_1(&script);
+    assert_true(receive(&script, &call));
+    struct sas_proto_message grant = grant_for(&call);
+    send_message(&script, &grant);
+    send_message(&script, &grant);
+    assert_true(run_until(late_answer_was_dropped));
+    assert_int_equal(answers, 1);
+    assert_int_equal(granted, 4);
+    finish();
+    close_script(&script);
+    close(listeners[1]);
+}
+
+/* The borrower is paused after it asked. The grant arrives meanwhile and
+ * lies in the socket; the lender counts the loan as over. On waking, the
+ * socket is read before the timer runs: the grant must not count. */
+static void
+test_a_paused_borrower_takes_no_old_grant(void **state)
+{
+    (void)state;
+    struct script script;
+    struct sas_proto_message call;
+    start_with_scripted_seat_1();
+    ask_for_loan(0, 1);
+    answer_as_seat_1(&script);
+    assert_true(receive(&script, &call));
+    struct sas_proto_message grant = grant_for(&call);
+    send_message(&script, &grant);
+    usleep(350 * 1000); /* longer than the call's timeout */
+    assert_true(run_until(is_answered));
+    assert_int_equal(answer_code, SAS_ETIMEOUT);
+    assert_int_equal(granted, 0);
+    finish();
+    close_script(&script);
+    close(listeners[1]);
+}
+
+/* Something between two VMs forgets a connection: it stays open and carries
+ * nothing more, while new ones work. Loans would fail until the kernel gives
+ * the connection up, a quarter of an hour later. */
+static void
+test_a_silent_connection_is_replaced(void **state)
+{
+    (void)state;
+    struct script silent;
+    struct script works;
+    struct sas_proto_message call;
+    start_with_scripted_seat_1();
+    ask_for_loan(0, 1);
+    answer_as_seat_1(&silent);
+    assert_true(run_until(is_answered));
+    assert_int_equal(answer_code, SAS_ETIMEOUT);
+    answer_as_seat_1(&works);
+    ask_for_loan(0, 1);
+    assert_true(receive(&works, &call));
+    struct sas_proto_message grant = grant_for(&call);
+    send_message(&works, &grant);
+    assert_true(run_until(is_answered));
+    assert_int_equal(granted, 4);
+    assert_int_equal(
+        SasPeer_GetCounter(owners[0].peer, SAS_PEER_CONNECTION_SILENT), 1);
+    finish();
+    close_script(&silent);
+    close_script(&works);
+    close(listeners[1]);
+}
+
+static struct sas_proto_message
+make_borrow(uint32_t xid)
+{
+    return (struct sas_proto_message){
+        .xid = xid, .procedure = SAS_RPC_BORROW, .body.borrow = {1, 0, 9, 4}};
+}
+
+/* Somebody on the path records a request for a loan and sends it again: on
+ * the same connection, and on a new one. Each would be a second loan. */
+static void
+test_a_replayed_call_is_refused(void **state)
+{
+    (void)state;
+    struct script script;
+    struct script second;
+    struct sas_proto_message reply;
+    size_t size;
+    interval_ms = 1000000;
+    prepare(2);
+    start_owner(0, 1000, key);
+    call_as(&script, 1, 2000, 0);
+    struct sas_proto_message borrow = make_borrow(2);
+    g_autofree uint8_t *recorded = seal(&script, &borrow, &size);
+    send_bytes(&script, recorded, size);
+    assert_true(receive(&script, &reply));
+    send_bytes(&script, recorded, size);
+    assert_false(receive(&script, &reply));
+    call_as(&second, 1, 2000, 0);
+    send_bytes(&second, recorded, size);
+    assert_false(receive(&second, &reply));
+    assert_int_equal(owners[0].borrow_calls, 1);
+    assert_int_equal(SasPeer_GetCounter(owners[0].peer, SAS_PEER_REPLAYED), 1);
+    assert_int_equal(SasPeer_GetCounter(owners[0].peer, SAS_PEER_BAD_DIGEST),
+                     1);
+    finish();
+    close_script(&script);
+    close_script(&second);
+    close(listeners[1]);
+}
+
+/* A message with a right digest that names another receiver, or an earlier
+ * incarnation of this one. */
+static void
+test_a_message_for_another_is_refused(void **state)
+{
+    (void)state;
+    interval_ms = 1000000;
+    prepare(3);
+    start_owner(0, 1000, key);
+    for (int i = 0; i < 3; i++) {
+        struct script script;
+        struct sas_proto_message reply;
+        call_as(&script, 1, 2000, 0);
+        script.identity.receiver += i == 0 ? 2 : 0;
+        script.identity.receiver_incarnation -= i == 1 ? 1 : 0;
+        script.identity.sender += i == 2 ? 1 : 0;
+        struct sas_proto_message borrow = make_borrow(2);
+        send_message(&script, &borrow);
+        assert_false(receive(&script, &reply));
+        close_script(&script);
+    }
+    assert_int_equal(owners[0].borrow_calls, 0);
+    assert_int_equal(SasPeer_GetCounter(owners[0].peer, SAS_PEER_BAD_IDENTITY),
+                     3);
+    finish();
+    close(listeners[1]);
+    close(listeners[2]);
+}
+
+/* A newer release calls a procedure that this one does not have: it is told
+ * so and the connection stays. */
+static void
+test_an_unknown_procedure_is_refused(void **state)
+{
+    (void)state;
+    struct script script;
+    struct sas_proto_message reply;
+    interval_ms = 1000000;
+    prepare(2);
+    start_owner(0, 1000, key);
+    call_as(&script, 1, 2000, 0);
+    struct sas_proto_message hello = {.xid = 2, .procedure = SAS_RPC_HELLO};
+    send_message(&script, &hello);
+    assert_true(receive(&script, &reply));
+    assert_int_equal(reply.status, PROC_UNAVAIL);
+    struct sas_proto_message borrow = make_borrow(3);
+    send_message(&script, &borrow);
+    assert_true(receive(&script, &reply));
+    assert_int_equal(reply.status, SUCCESS);
+    finish();
+    close_script(&script);
+    close(listeners[1]);
+}
+
+static int
+connect_raw(int to)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons((uint16_t)vms[to].peer.port);
+    assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                     0);
+    return fd;
+}
+
+static bool
+strangers_are_gone(void)
+{
+    const struct sas_peer *peer = owners[0].peer;
+    return SasPeer_GetCounter(peer, SAS_PEER_BAD_RECORD) +
+               SasPeer_GetCounter(peer, SAS_PEER_BAD_DIGEST) +
+               SasPeer_GetCounter(peer, SAS_PEER_BAD_MESSAGE) +
+               SasPeer_GetCounter(peer, SAS_PEER_HELLO_TIMEOUT) +
+               SasPeer_GetCounter(peer, SAS_PEER_CONNECTION_LOST) >=
+           20;
+}
+
+static void
+test_random_bytes_on_the_port(void **state)
+{
+    (void)state;
+    GRand *random = g_rand_new_with_seed(20261202);
+    interval_ms = 20;
+    start_all(3);
+    for (int i = 0; i < 20; i++) {
+        uint8_t bytes[600];
+        int fd = connect_raw(0);
+        for (size_t k = 0; k < sizeof(bytes); k++) {
+            bytes[k] = (uint8_t)g_rand_int(random);
+        }
+        if (i % 2 == 0) { /* a plausible mark */
+            SasRecord_PutMark(bytes, 100);
+        }
+        send(fd, bytes, sizeof(bytes), MSG_NOSIGNAL);
+        for (int turn = 0; turn < 10; turn++) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+        }
+        close(fd);
+    }
+    assert_true(run_until(strangers_are_gone));
+    assert_true(SasPeer_GetCounter(owners[0].peer, SAS_PEER_BAD_DIGEST) > 0);
+    assert_true(run_until(all_see_all));
+    g_rand_free(random);
+    finish();
+}
+
+static bool
+some_were_refused(void)
+{
+    return SasPeer_GetCounter(owners[0].peer, SAS_PEER_REFUSED_LIMIT) >= 3;
+}
+
+static void
+test_connections_of_one_address_are_bounded(void **state)
+{
+    (void)state;
+    int fds[2 * SasPeer_CONNECTIONS_PER_SEAT + 3];
+    int count = (int)(sizeof(fds) / sizeof(fds[0]));
+    interval_ms = 1000000;
+    start_all(2);
+    for (int i = 0; i < count; i++) {
+        fds[i] = connect_raw(0);
+    }
+    assert_true(run_until(some_were_refused));
+    assert_int_equal(SasPeer_GetCounter(owners[0].peer, SAS_PEER_ACCEPTED),
+                     2 * SasPeer_CONNECTIONS_PER_SEAT);
+    for (int i = 0; i < count; i++) {
+        close(fds[i]);
+    }
+    finish();
+}
+
+static int
+set_up(void **state)
+{
+    (void)state;
+    interval_ms = 20;
+    return 0;
+}
+
 int
 main(void)
 {
+#define TEST(name) cmocka_unit_test_setup(name, set_up)
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_a_version_reaches_all),
+        TEST(test_a_version_reaches_all),
+        TEST(test_quarantine_and_leaving_reach_all),
+        TEST(test_a_loan),
+        TEST(test_a_configuration_is_fetched),
+        TEST(test_a_process_is_replaced),
+        TEST(test_a_frozen_peer_holds_up_nobody),
+        TEST(test_a_wrong_key_stays_outside),
+        TEST(test_a_late_grant_is_dropped),
+        TEST(test_a_grant_counts_once),
+        TEST(test_a_paused_borrower_takes_no_old_grant),
+        TEST(test_a_silent_connection_is_replaced),
+        TEST(test_a_replayed_call_is_refused),
+        TEST(test_a_message_for_another_is_refused),
+        TEST(test_an_unknown_procedure_is_refused),
+        TEST(test_random_bytes_on_the_port),
+        TEST(test_connections_of_one_address_are_bounded),
     };
     signal(SIGPIPE, SIG_IGN);
     return cmocka_run_group_tests(tests, NULL, NULL);
