--- /dev/null
+++ b/packages/node/src/steer.h
@@ -0,0 +1,123 @@
+/* steer - which region and which backend server run a request, within the
+ * budgets for regions, links, shifts and backend servers.
+ *
+ * Glue between the core's decisions (plan, lookup, budget, place, measure)
+ * and the node's tasks. A grant takes units from every budget concerned;
+ * it must be given back exactly once.
+ */
+#ifndef SAS_STEER_H
+#define SAS_STEER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "reasons.h"
+#include "sas/config.h"
+#include "sas/settings.h"
+#include "upstream.h"
+
+#define SasSteer_MAX_TRIED 4
+#define SasSteer_MAX_LOOKUP_VMS 9
+
+struct sas_steer_query {
+    int service;
+    uint32_t caller_ip; /* IPv4, host byte order */
+    bool alone;         /* on a backend server where nothing else runs */
+    int tried[SasSteer_MAX_TRIED];
+    int tried_count;
+    int64_t bytes; /* expected in both directions, 0 when unknown */
+};
+
+struct sas_steer_grant {
+    int region;
+    int backend;
+    int shift; /* handle of the shift whose cap it counts under, or none */
+    bool alone;
+    bool cross_region;
+};
+
+enum sas_steer_answer {
+    SAS_STEER_GRANTED,
+    SAS_STEER_WAIT,   /* nothing free now; ask again when told */
+    SAS_STEER_REFUSED /* see *reason */
+};
+
+struct sas_steer;
+
+/* Who is told that capacity may have come free; embedded as first member. */
+struct sas_steer_listener {
+    void (*on_capacity)(struct sas_steer_listener *listener);
+};
+
+struct sas_steer_parts {
+    uv_loop_t *loop;
+    const struct sas_settings *settings;
+    int own_vm;
+    GRand *random;
+    int64_t (*get_wall_ms)(void);
+};
+
+struct sas_steer *SasSteer_Open(const struct sas_steer_parts *parts);
+void SasSteer_Close(struct sas_steer *steer);
+
+/* Set once, before the loop runs. */
+void SasSteer_SetListener(struct sas_steer *steer,
+                          struct sas_steer_listener *listener);
+
+/* News. */
+
+/* A version was adopted; NULL: there is none yet, nothing is ordered. */
+void SasSteer_TakeConfig(struct sas_steer *steer,
+                         const struct sas_config *config);
+
+/* A backend server's statement, heard now (age 0) or from a peer. */
+void SasSteer_TakeLoad(struct sas_steer *steer, int backend,
+                       const struct sas_load_report *report, int64_t age_ms);
+void SasSteer_TakeHealth(struct sas_steer *steer, int backend, bool reachable);
+void SasSteer_NoteShed(struct sas_steer *steer, int backend);
+
+/* The platform's list, {"vms":[{"name":...,"state":"live"|"leaving"}]}. */
+void SasSteer_TakeVms(struct sas_steer *steer, const json_t *list);
+
+/* What the peers say of an entry VM. */
+void SasSteer_TakePeer(struct sas_steer *steer, int vm, bool live,
+                       bool leaving);
+
+/* Decisions. */
+
+/* Takes units for one request, or says why not. */
+enum sas_steer_answer SasSteer_Acquire(struct sas_steer *steer,
+                                       const struct sas_steer_query *query,
+                                       struct sas_steer_grant *grant,
+                                       enum sas_refusal *reason);
+
+/* Gives a grant back; elapsed_ms is how long the request ran there. */
+void SasSteer_Release(struct sas_steer *steer, int service,
+                      const struct sas_steer_grant *grant, int64_t elapsed_ms);
+
+/* Which entry VMs a caller should use for a service; -1 while there is no
+ * configuration in force. */
+struct sas_steer_lookup {
+    int region;
+    int64_t version;
+    int lifetime_s;
+    int vms[SasSteer_MAX_LOOKUP_VMS];
+    int vm_count;
+};
+
+int SasSteer_Lookup(struct sas_steer *steer, int service, uint32_t caller_ip,
+                    struct sas_steer_lookup *result);
+
+/* The configuration version in force, 0 while there is none; known once
+ * the store or a peer has said what it is. */
+int64_t SasSteer_GetVersion(const struct sas_steer *steer);
+bool SasSteer_IsKnown(const struct sas_steer *steer);
+
+/* {"regions":[...],"shifts":[...],"budgets":[...]} as in docs/API.md. */
+json_t *SasSteer_Describe(struct sas_steer *steer);
+
+#endif
