--- a/packages/core/include/sas/place.h
+++ b/packages/core/include/sas/place.h
@@ -15,8 +15,8 @@
  * | least-in-flight | the fewest requests of this entry VM |
  * | two-choices     | the lower estimated load of two drawn at random |
  * | least-load      | the lowest estimated load of all |
- * | owned           | a free slot of those that this entry VM owns |
- * | owned-first     | an owned free slot, else a slot that looks idle |
+ * | owned           | a free place of those that this entry VM owns |
+ * | owned-first     | an owned free place, else one that looks idle |
  * | cone            | the own failure domain while the imbalance stays in the
  *                     cone, else the lowest estimated load of all |
  *
@@ -35,7 +35,7 @@
 
 #include "sas/limits.h"
 
-#define SasPlace_HALF_LIFE_MS 100
+#define SasPlace_HALF_LIFE_MS 30
 
 /* The cone of Zhou, Tan and Shroff, "Flexible Load Balancing with
  * Multi-dimensional State-space Collapse": the state is inside while the
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -7,9 +7,11 @@
 
 #define COLD_WEIGHT 2.0
 
-struct round_robin {
+struct state {
     struct sas_place_policy policy;
-    int next;
+    int next; /* of round-robin */
+    double *loads;
+    int capacity; /* of loads */
 };
 
 static int pick_random(struct sas_place_policy *self,
@@ -36,6 +38,8 @@
 static int pick_cone(struct sas_place_policy *self,
                      const struct sas_place_server *servers, int count,
                      GRand *random);
+static double *estimate(struct sas_place_policy *self,
+                        const struct sas_place_server *servers, int count);
 /* What a policy thinks of a server: the lowest is picked, INFINITY: no room.
  */
 static double cost_any(const struct sas_place_server *server, double load);
@@ -76,7 +80,7 @@
 {
     for (gsize i = 0; i < G_N_ELEMENTS(policies); i++) {
         if (strcmp(policies[i].name, name) == 0) {
-            struct round_robin *state = g_new0(struct round_robin, 1);
+            struct state *state = g_new0(struct state, 1);
             state->policy.pick = policies[i].pick;
             return &state->policy;
         }
@@ -87,7 +91,10 @@
 void
 SasPlace_Free(struct sas_place_policy *policy)
 {
-    g_free(policy);
+    if (policy != NULL) {
+        g_free(((struct state *)policy)->loads);
+        g_free(policy);
+    }
 }
 
 const char *
@@ -136,7 +143,7 @@
                  GRand *random)
 {
     (void)random;
-    struct round_robin *state = (struct round_robin *)self;
+    struct state *state = (struct state *)self;
     for (int tried = 0; tried < count; tried++) {
         int i = state->next++ % count;
         state->next %= count;
@@ -162,8 +169,7 @@
                  const struct sas_place_server *servers, int count,
                  GRand *random)
 {
-    g_autofree double *loads = g_new(double, count);
-    SasPlace_EstimateLoads(servers, count, loads);
+    double *loads = estimate(self, servers, count);
     if (count >= 2) {
         int a = g_rand_int_range(random, 0, count);
         int b = (a + g_rand_int_range(random, 1, count)) % count;
@@ -181,9 +187,7 @@
                 const struct sas_place_server *servers, int count,
                 GRand *random)
 {
-    (void)self;
-    g_autofree double *loads = g_new(double, count);
-    SasPlace_EstimateLoads(servers, count, loads);
+    double *loads = estimate(self, servers, count);
     return pick_cheapest(servers, loads, count, random, cost_load);
 }
 
@@ -191,9 +195,7 @@
 pick_owned(struct sas_place_policy *self,
            const struct sas_place_server *servers, int count, GRand *random)
 {
-    (void)self;
-    g_autofree double *loads = g_new(double, count);
-    SasPlace_EstimateLoads(servers, count, loads);
+    double *loads = estimate(self, servers, count);
     return pick_cheapest(servers, loads, count, random, cost_owned);
 }
 
@@ -202,9 +204,7 @@
                  const struct sas_place_server *servers, int count,
                  GRand *random)
 {
-    (void)self;
-    g_autofree double *loads = g_new(double, count);
-    SasPlace_EstimateLoads(servers, count, loads);
+    double *loads = estimate(self, servers, count);
     int owned = pick_cheapest(servers, loads, count, random, cost_owned);
     return owned != SasModel_NONE
                ? owned
@@ -218,9 +218,7 @@
 pick_cone(struct sas_place_policy *self,
           const struct sas_place_server *servers, int count, GRand *random)
 {
-    (void)self;
-    g_autofree double *loads = g_new(double, count);
-    SasPlace_EstimateLoads(servers, count, loads);
+    double *loads = estimate(self, servers, count);
     int near = pick_cheapest(servers, loads, count, random, cost_near_slot);
     if (near == SasModel_NONE && is_in_cone(servers, loads, count)) {
         near = pick_cheapest(servers, loads, count, random, cost_near_load);
@@ -230,6 +228,19 @@
                : pick_cheapest(servers, loads, count, random, cost_load);
 }
 
+static double *
+estimate(struct sas_place_policy *self, const struct sas_place_server *servers,
+         int count)
+{
+    struct state *state = (struct state *)self;
+    if (count > state->capacity) {
+        state->loads = g_renew(double, state->loads, count);
+        state->capacity = count;
+    }
+    SasPlace_EstimateLoads(servers, count, state->loads);
+    return state->loads;
+}
+
 /* The servers of the lowest cost are equally likely. */
 static int
 pick_cheapest(const struct sas_place_server *servers, const double *loads,
@@ -292,10 +303,13 @@
     return load + 1 <= server->slots ? cost_near_load(server, load) : INFINITY;
 }
 
+/* At most one request waits before this one: by the time that it gets there
+ * a slot is likely to be free. */
 static double
 cost_idle_slot(const struct sas_place_server *server, double load)
 {
-    return load + 1 <= server->slots ? cost_load(server, load) : INFINITY;
+    int most = server->slots + MIN(1, server->queue);
+    return load + 1 <= most ? cost_load(server, load) : INFINITY;
 }
 
 static double
