--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -278,7 +278,7 @@
 test_quarantine_and_leaving_reach_all(void **state)
 {
     (void)state;
-    struct sas_rpc_quarantine entry = {.fingerprint = 77};
+    struct sas_rpc_quarantine entry = {.high = 77};
     struct sas_rpc_leaving_backend backend = {.backend = 5};
     start_all(9);
     assert_true(run_until(all_see_all));
