--- a/packages/core/src/claim.c
+++ b/packages/core/src/claim.c
@@ -356,7 +356,7 @@
     if (strcmp(row->token, c->row.token) == 0) {
         /* The acknowledgement was lost, the insert was not. */
         g_strlcpy(c->etag, etag, sizeof(c->etag));
-        if (c->answered || row->state != SAS_CLAIM_HELD) {
+        if (c->answered) {
             return release(c, SAS_CLAIM_NOT_RUN);
         }
         c->state = SAS_CLAIM_CLAIMED;
--- /dev/null
+++ b/packages/core/src/quarantine.c
@@ -0,0 +1,308 @@
+#include "sas/quarantine.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+static struct sas_quarantine_entry *
+find_entry(struct sas_quarantine *q, struct sas_fingerprint fingerprint,
+           int64_t now_ms);
+static struct sas_quarantine_entry *
+add_entry(struct sas_quarantine *q, struct sas_fingerprint fingerprint,
+          int64_t now_ms);
+static void drop_expired(struct sas_quarantine *q, int64_t now_ms);
+static void add_crash(struct sas_quarantine *q,
+                      struct sas_quarantine_entry *entry,
+                      struct sas_crash crash);
+static bool is_voided(const struct sas_quarantine *q, uint64_t crash);
+static int crash_weight(const struct sas_crash *crash);
+static int count_guilt(const struct sas_quarantine_entry *entry);
+static bool is_quarantined(const struct sas_quarantine_entry *entry);
+static int danger(const struct sas_quarantine_entry *entry);
+
+struct sas_fingerprint
+SasQuarantine_GetFingerprint(const char *method, const char *target,
+                             const void *body, size_t size)
+{
+    XXH128_hash_t parts[3] = {
+        XXH3_128bits(method, strlen(method)),
+        XXH3_128bits(target, strlen(target)),
+        XXH3_128bits(size > 0 ? body : "", size),
+    };
+    XXH128_hash_t whole = XXH3_128bits(parts, sizeof(parts));
+    return (struct sas_fingerprint){whole.high64, whole.low64};
+}
+
+uint64_t
+SasQuarantine_GetCrash(const char *backend, const char *incarnation,
+                       int resets)
+{
+    uint64_t seed = XXH3_64bits(backend, strlen(backend));
+    uint64_t id = XXH3_64bits_withSeed(incarnation, strlen(incarnation), seed);
+    id += (uint64_t)resets;
+    return id == 0 ? 1 : id;
+}
+
+void
+SasQuarantine_Init(struct sas_quarantine *q)
+{
+    memset(q, 0, sizeof(*q));
+}
+
+void
+SasQuarantine_Suspect(struct sas_quarantine *q,
+                      struct sas_fingerprint fingerprint, uint64_t crash,
+                      bool alone, int64_t now_ms)
+{
+    struct sas_quarantine_entry *entry = add_entry(q, fingerprint, now_ms);
+    add_crash(q, entry, (struct sas_crash){.id = crash, .alone = alone});
+    int64_t life = is_quarantined(entry) ? SasQuarantine_LIFE_MS
+                                         : SasQuarantine_SUSPECT_MS;
+    entry->left_ms = MAX(entry->left_ms, now_ms + life);
+}
+
+void
+SasQuarantine_Clear(struct sas_quarantine *q,
+                    struct sas_fingerprint fingerprint, int64_t now_ms)
+{
+    struct sas_quarantine_entry *entry = find_entry(q, fingerprint, now_ms);
+    /* What is quarantined by now (news from a peer) is not cleared by a run
+     * that was begun before. */
+    if (entry == NULL || is_quarantined(entry)) {
+        return;
+    }
+    for (int i = 0; i < entry->crash_count; i++) {
+        entry->crashes[i].cleared = true;
+    }
+}
+
+void
+SasQuarantine_Void(struct sas_quarantine *q, uint64_t crash, int64_t now_ms)
+{
+    drop_expired(q, now_ms);
+    /* Remembered, because a peer may tell of that crash only later. */
+    if (!is_voided(q, crash)) {
+        q->voided[q->next_voided] = crash;
+        q->next_voided = (q->next_voided + 1) % SasQuarantine_MAX_VOIDED;
+    }
+    for (int i = 0; i < q->count; i++) {
+        for (int j = 0; j < q->entries[i].crash_count; j++) {
+            struct sas_crash *known = &q->entries[i].crashes[j];
+            known->cleared = known->cleared || known->id == crash;
+        }
+    }
+}
+
+enum sas_quarantine_verdict
+SasQuarantine_Check(struct sas_quarantine *q,
+                    struct sas_fingerprint fingerprint, int64_t now_ms,
+                    int *retry_after_s)
+{
+    struct sas_quarantine_entry *entry = find_entry(q, fingerprint, now_ms);
+    *retry_after_s = 0;
+    if (entry == NULL || count_guilt(entry) == 0) {
+        return SAS_QUARANTINE_ALLOW;
+    }
+    if (is_quarantined(entry)) {
+        entry->left_ms = MAX(entry->left_ms, now_ms + SasQuarantine_LIFE_MS);
+        *retry_after_s = (int)((entry->left_ms - now_ms + 999) / 1000);
+        return SAS_QUARANTINE_REFUSE;
+    }
+    if (entry->trial_ms > now_ms) {
+        *retry_after_s = SasQuarantine_RETRY_AFTER_S;
+        return SAS_QUARANTINE_WAIT;
+    }
+    return SAS_QUARANTINE_ALONE;
+}
+
+bool
+SasQuarantine_BeginTrial(struct sas_quarantine *q,
+                         struct sas_fingerprint fingerprint, int64_t lasts_ms,
+                         int64_t now_ms)
+{
+    struct sas_quarantine_entry *entry = find_entry(q, fingerprint, now_ms);
+    if (entry == NULL) {
+        return true;
+    }
+    /* Two runs alone at the same time crash two backend servers where one
+     * would tell as much. */
+    if (entry->trial_ms > now_ms || is_quarantined(entry)) {
+        return false;
+    }
+    entry->trial_ms = now_ms + lasts_ms;
+    entry->left_ms = MAX(entry->left_ms, now_ms + SasQuarantine_SUSPECT_MS);
+    return true;
+}
+
+bool
+SasQuarantine_Export(struct sas_quarantine *q, int index, int64_t now_ms,
+                     struct sas_quarantine_entry *entry)
+{
+    if (index == 0) {
+        drop_expired(q, now_ms);
+    }
+    if (index < 0 || index >= q->count) {
+        return false;
+    }
+    *entry = q->entries[index];
+    entry->left_ms = MAX(entry->left_ms - now_ms, 0);
+    entry->trial_ms = MAX(entry->trial_ms - now_ms, 0);
+    return true;
+}
+
+void
+SasQuarantine_Merge(struct sas_quarantine *q,
+                    const struct sas_quarantine_entry *entry, int64_t now_ms)
+{
+    int count = CLAMP(entry->crash_count, 0, SasQuarantine_MAX_CRASHES);
+    int64_t left = CLAMP(entry->left_ms, 0, SasQuarantine_LIFE_MS);
+    int64_t trial = CLAMP(entry->trial_ms, 0, SasQuarantine_SUSPECT_MS);
+    if (count == 0 || left == 0) {
+        return;
+    }
+    struct sas_quarantine_entry *own =
+        add_entry(q, entry->fingerprint, now_ms);
+    for (int i = 0; i < count; i++) {
+        if (entry->crashes[i].id != 0) {
+            add_crash(q, own, entry->crashes[i]);
+        }
+    }
+    own->left_ms = MAX(own->left_ms, now_ms + left);
+    own->trial_ms = MAX(own->trial_ms, now_ms + trial);
+}
+
+/* Static helpers. */
+
+static struct sas_quarantine_entry *
+find_entry(struct sas_quarantine *q, struct sas_fingerprint fingerprint,
+           int64_t now_ms)
+{
+    drop_expired(q, now_ms);
+    for (int i = 0; i < q->count; i++) {
+        if (q->entries[i].fingerprint.high == fingerprint.high &&
+            q->entries[i].fingerprint.low == fingerprint.low) {
+            return &q->entries[i];
+        }
+    }
+    return NULL;
+}
+
+static struct sas_quarantine_entry *
+add_entry(struct sas_quarantine *q, struct sas_fingerprint fingerprint,
+          int64_t now_ms)
+{
+    struct sas_quarantine_entry *entry = find_entry(q, fingerprint, now_ms);
+    if (entry != NULL) {
+        return entry;
+    }
+    if (q->count < SasQuarantine_MAX_ENTRIES) {
+        entry = &q->entries[q->count];
+        q->count++;
+    }
+    else {
+        entry = &q->entries[0];
+        for (int i = 1; i < q->count; i++) {
+            int more = danger(&q->entries[i]) - danger(entry);
+            if (more < 0 ||
+                (more == 0 && q->entries[i].left_ms < entry->left_ms)) {
+                entry = &q->entries[i];
+            }
+        }
+    }
+    memset(entry, 0, sizeof(*entry));
+    entry->fingerprint = fingerprint;
+    entry->left_ms = now_ms;
+    return entry;
+}
+
+static void
+drop_expired(struct sas_quarantine *q, int64_t now_ms)
+{
+    int kept = 0;
+    for (int i = 0; i < q->count; i++) {
+        if (q->entries[i].left_ms > now_ms) {
+            if (kept != i) {
+                q->entries[kept] = q->entries[i];
+            }
+            kept++;
+        }
+    }
+    q->count = kept;
+}
+
+/* Keeps the crashes sorted, the weightiest first, so that a full list drops
+ * the same ones in whatever order they came. */
+static void
+add_crash(struct sas_quarantine *q, struct sas_quarantine_entry *entry,
+          struct sas_crash crash)
+{
+    struct sas_crash all[SasQuarantine_MAX_CRASHES + 1];
+    int count = 0;
+    crash.cleared = crash.cleared || is_voided(q, crash.id);
+    for (int i = 0; i < entry->crash_count; i++) {
+        if (entry->crashes[i].id == crash.id) {
+            crash.alone = crash.alone || entry->crashes[i].alone;
+            crash.cleared = crash.cleared || entry->crashes[i].cleared;
+        }
+        else {
+            all[count++] = entry->crashes[i];
+        }
+    }
+    int at = count;
+    while (at > 0 && (crash_weight(&all[at - 1]) < crash_weight(&crash) ||
+                      (crash_weight(&all[at - 1]) == crash_weight(&crash) &&
+                       all[at - 1].id < crash.id))) {
+        all[at] = all[at - 1];
+        at--;
+    }
+    all[at] = crash;
+    entry->crash_count = MIN(count + 1, SasQuarantine_MAX_CRASHES);
+    memcpy(entry->crashes, all, sizeof(all[0]) * (size_t)entry->crash_count);
+}
+
+static bool
+is_voided(const struct sas_quarantine *q, uint64_t crash)
+{
+    for (int i = 0; i < SasQuarantine_MAX_VOIDED; i++) {
+        if (q->voided[i] == crash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+crash_weight(const struct sas_crash *crash)
+{
+    return crash->cleared ? 0 : 1 + crash->alone;
+}
+
+static int
+count_guilt(const struct sas_quarantine_entry *entry)
+{
+    int count = 0;
+    for (int i = 0; i < entry->crash_count; i++) {
+        count += !entry->crashes[i].cleared;
+    }
+    return count;
+}
+
+/* Two crashes, and in one of them nothing else can have been the cause. A
+ * popular request may be present in any number of others' crashes. */
+static bool
+is_quarantined(const struct sas_quarantine_entry *entry)
+{
+    bool alone = false;
+    for (int i = 0; i < entry->crash_count; i++) {
+        alone =
+            alone || (entry->crashes[i].alone && !entry->crashes[i].cleared);
+    }
+    return alone && count_guilt(entry) >= 2;
+}
+
+static int
+danger(const struct sas_quarantine_entry *entry)
+{
+    return is_quarantined(entry) * 2 * SasQuarantine_MAX_CRASHES +
+           count_guilt(entry);
+}
--- a/packages/core/tests/budget_shim.c
+++ b/packages/core/tests/budget_shim.c
@@ -6,6 +6,7 @@
 
 #include "sas/budget.h"
 #include "sas/claim.h"
+#include "sas/quarantine.h"
 
 struct sas_budget *SasShim_NewBudget(int kind, int seats, int own_seat,
                                      uint32_t incarnation, int64_t life_ms,
@@ -25,6 +26,18 @@
                         const char *etag);
 const char *SasShim_GetClaimEtag(const struct sas_claim *c);
 char *SasShim_EncodeClaim(const struct sas_claim *c);
+struct sas_quarantine *SasShim_NewQuarantine(void);
+void SasShim_Suspect(struct sas_quarantine *q, uint64_t fingerprint,
+                     uint64_t crash, bool alone, int64_t now_ms);
+void SasShim_Clear(struct sas_quarantine *q, uint64_t fingerprint,
+                   int64_t now_ms);
+int SasShim_Check(struct sas_quarantine *q, uint64_t fingerprint,
+                  int64_t now_ms);
+bool SasShim_BeginTrial(struct sas_quarantine *q, uint64_t fingerprint,
+                        int64_t lasts_ms, int64_t now_ms);
+void SasShim_MergeAll(struct sas_quarantine *to, struct sas_quarantine *from,
+                      int64_t now_ms);
+char *SasShim_PrintQuarantine(struct sas_quarantine *q, int64_t now_ms);
 void SasShim_Free(void *memory);
 
 struct sas_budget *
@@ -162,3 +175,69 @@
 {
     return SasClaim_EncodeRow(&c->row);
 }
+
+struct sas_quarantine *
+SasShim_NewQuarantine(void)
+{
+    return g_new0(struct sas_quarantine, 1);
+}
+
+void
+SasShim_Suspect(struct sas_quarantine *q, uint64_t fingerprint, uint64_t crash,
+                bool alone, int64_t now_ms)
+{
+    struct sas_fingerprint whole = {0, fingerprint};
+    SasQuarantine_Suspect(q, whole, crash, alone, now_ms);
+}
+
+void
+SasShim_Clear(struct sas_quarantine *q, uint64_t fingerprint, int64_t now_ms)
+{
+    struct sas_fingerprint whole = {0, fingerprint};
+    SasQuarantine_Clear(q, whole, now_ms);
+}
+
+int
+SasShim_Check(struct sas_quarantine *q, uint64_t fingerprint, int64_t now_ms)
+{
+    struct sas_fingerprint whole = {0, fingerprint};
+    int retry_after_s;
+    return (int)SasQuarantine_Check(q, whole, now_ms, &retry_after_s);
+}
+
+bool
+SasShim_BeginTrial(struct sas_quarantine *q, uint64_t fingerprint,
+                   int64_t lasts_ms, int64_t now_ms)
+{
+    struct sas_fingerprint whole = {0, fingerprint};
+    return SasQuarantine_BeginTrial(q, whole, lasts_ms, now_ms);
+}
+
+void
+SasShim_MergeAll(struct sas_quarantine *to, struct sas_quarantine *from,
+                 int64_t now_ms)
+{
+    struct sas_quarantine_entry entry;
+    for (int i = 0; SasQuarantine_Export(from, i, now_ms, &entry); i++) {
+        SasQuarantine_Merge(to, &entry, now_ms);
+    }
+}
+
+/* All that a merge can change, one line an entry; SasShim_Free. */
+char *
+SasShim_PrintQuarantine(struct sas_quarantine *q, int64_t now_ms)
+{
+    struct sas_quarantine_entry entry;
+    GString *text = g_string_new("");
+    for (int i = 0; SasQuarantine_Export(q, i, now_ms, &entry); i++) {
+        g_string_append_printf(text, "%d %d %d", (int)entry.fingerprint.low,
+                               (int)entry.left_ms, (int)entry.trial_ms);
+        for (int j = 0; j < entry.crash_count; j++) {
+            g_string_append_printf(text, " %d%c%c", (int)entry.crashes[j].id,
+                                   entry.crashes[j].alone ? 'a' : '-',
+                                   entry.crashes[j].cleared ? 'c' : '-');
+        }
+        g_string_append_c(text, '\n');
+    }
+    return g_string_free(text, FALSE);
+}
