--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -562,7 +562,7 @@
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     struct sas_proto_message hello = {.xid = 1, .procedure = SAS_RPC_HELLO};
-    struct sas_proto_message reply;
+    struct sas_proto_message reply = {0};
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons((uint16_t)vms[to].peer.port);
@@ -583,7 +583,7 @@
 static void
 answer_as_seat_1(struct script *script)
 {
-    struct sas_proto_message hello;
+    struct sas_proto_message hello = {0};
     int fd = -1;
     for (int i = 0; i < MAX_TURNS && fd < 0; i++) {
         uv_run(&loop, UV_RUN_ONCE);
@@ -637,7 +637,7 @@
 {
     (void)state;
     struct script script;
-    struct sas_proto_message call;
+    struct sas_proto_message call = {0};
     start_with_scripted_seat_1();
     ask_for_loan(0, 1);
     answer_as_seat_1(&script);
@@ -660,7 +660,7 @@
 {
     (void)state;
     struct script script;
-    struct sas_proto_message call;
+    struct sas_proto_message call = {0};
     start_with_scripted_seat_1();
     ask_for_loan(0, 1);
     answer_as_seat_1(&script);
@@ -684,7 +684,7 @@
 {
     (void)state;
     struct script script;
-    struct sas_proto_message call;
+    struct sas_proto_message call = {0};
     start_with_scripted_seat_1();
     ask_for_loan(0, 1);
     answer_as_seat_1(&script);
@@ -709,7 +709,7 @@
     (void)state;
     struct script silent;
     struct script works;
-    struct sas_proto_message call;
+    struct sas_proto_message call = {0};
     start_with_scripted_seat_1();
     ask_for_loan(0, 1);
     answer_as_seat_1(&silent);
@@ -745,7 +745,7 @@
     (void)state;
     struct script script;
     struct script second;
-    struct sas_proto_message reply;
+    struct sas_proto_message reply = {0};
     size_t size;
     interval_ms = 1000000;
     prepare(2);
@@ -781,7 +781,7 @@
     start_owner(0, 1000, key);
     for (int i = 0; i < 3; i++) {
         struct script script;
-        struct sas_proto_message reply;
+        struct sas_proto_message reply = {0};
         call_as(&script, 1, 2000, 0);
         script.identity.receiver += i == 0 ? 2 : 0;
         script.identity.receiver_incarnation -= i == 1 ? 1 : 0;
@@ -806,7 +806,7 @@
 {
     (void)state;
     struct script script;
-    struct sas_proto_message reply;
+    struct sas_proto_message reply = {0};
     interval_ms = 1000000;
     prepare(2);
     start_owner(0, 1000, key);
@@ -887,7 +887,7 @@
 test_connections_of_one_address_are_bounded(void **state)
 {
     (void)state;
-    int fds[2 * SasPeer_CONNECTIONS_PER_SEAT + 3];
+    int fds[2 * SasPeer_CONNECTIONS_PER_SEAT + 3] = {0};
     int count = (int)(sizeof(fds) / sizeof(fds[0]));
     interval_ms = 1000000;
     start_all(2);
--- a/packages/proto/fuzz/make_corpus.c
+++ b/packages/proto/fuzz/make_corpus.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "samples.h"
+#include "../tests/samples.h"
 #include "sas/record.h"
 
 static void
--- a/packages/proto/tests/test_proto.c
+++ b/packages/proto/tests/test_proto.c
@@ -255,6 +255,7 @@
     assert_null(SasProto_EncodeBody(&config, &size, &error));
     config.body.config.bytes.bytes_len = SAS_RPC_MAX_CONFIG;
     g_autofree uint8_t *bytes = encode(&config, &size);
+    assert_non_null(bytes);
     assert_true(size <= SasProto_MAX_RECORD);
 }
 
@@ -276,9 +277,11 @@
     gossip->seats.seats_len = SAS_RPC_MAX_SEATS;
     gossip->seats.seats_val = (void *)zeros;
     g_autofree uint8_t *bytes = encode(&call, &size);
+    assert_non_null(bytes);
     assert_true(size <= SasProto_MAX_CALL_RECORD);
     struct sas_proto_message hello = Sample_Get(0);
     g_autofree uint8_t *hello_bytes = encode(&hello, &size);
+    assert_non_null(hello_bytes);
     assert_true(size <= SasProto_MAX_HELLO_RECORD);
 }
 
--- a/tools/bench_gossip.c
+++ b/tools/bench_gossip.c
@@ -118,8 +118,8 @@
         memset(seats, 0, sizeof(seats));
         memset(&session, 0, sizeof(session));
         struct sas_proto_message message = make_gossip(seats, count);
-        g_autofree uint8_t *record = SasProto_Encode(
-            get_key(), &session, &message, &sizes[count], NULL);
+        g_free(SasProto_Encode(get_key(), &session, &message, &sizes[count],
+                               NULL));
     }
     return sizes[count];
 }
