node: bad input gets a clear error, is counted, and runs nothing

A route marked once was known by the path as written: POST to /./visits/1, /x/../visits/1, /%76isits/1 or //visits/1 went out without a claim (200 without a key). The path that h2o normalized, with single slashes, now counts as well; a path that leads to another service is a bad request. 2. A head of 100 kB was passed on; the backend server closed its connection and the caller was told 502 lost, unknown. Over 32 kB it is refused, 400 bad-request, not-run. The same with methods no server knows: 405 method. 3. Look-ups and health answered POST and DELETE with 200: 405 now. 4. What h2o refuses by itself (400, 404, 413, 417) and connections over the limit were counted nowhere: sas_http_errors_total{port} and sas_connections_refused_total{port}.

Ruled out: two different Content-Length headers on one request; h2o takes the first and shows the others to nobody, and only that caller's own connection is concerned.

--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -31,5 +31,6 @@
 #define SasCaller_MAX_CONNECTIONS 4096
 #define SasCaller_SWEEP_MS 50
 #define SasCaller_READ_TIMEOUT_MS 30000
+#define SasCaller_MAX_HEADER_BYTES 32768
 
 #endif
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -82,6 +82,8 @@
         .max_connections = MAX_CONNECTIONS,
     };
     admin->server = SasServer_Open(parts->loop, &limits);
+    SasServer_RegisterCounters(admin->server, parts->counters->metrics,
+                               "admin");
     for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
         SasServer_AddHandler(admin->server, paths[i], handle, admin);
     }
--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -51,6 +51,8 @@
     struct sas_caller *caller = g_new0(struct sas_caller, 1);
     caller->parts = *parts;
     caller->server = SasServer_Open(parts->loop, &parts->limits);
+    SasServer_RegisterCounters(caller->server, parts->counters->metrics,
+                               "caller");
     SasServer_AddHandler(caller->server, "/s", handle_request, caller);
     SasServer_AddHandler(caller->server, "/v1/lookup", handle_lookup, caller);
     SasServer_AddHandler(caller->server, "/v1/health", handle_health, caller);
@@ -332,6 +334,60 @@
     return SasModel_FindService(model, service);
 }
 
+/* The path as h2o normalized it, "/s/SERVICE/PATH", from PATH's slash on and
+ * with single slashes; NULL when it leads to another service. */
+static const char *
+get_route(h2o_req_t *req, const struct sas_model *model, int service)
+{
+    char *path = SasServer_CopyText(req, req->path_normalized);
+    const char *route = NULL;
+    if (find_service(model, path, &route) != service) {
+        return NULL;
+    }
+    char *single = h2o_mem_alloc_pool(&req->pool, strlen(route) + 1);
+    size_t length = 0;
+    for (const char *c = route; *c != '\0'; c++) {
+        if (*c != '/' || length == 0 || single[length - 1] != '/') {
+            single[length++] = *c;
+        }
+    }
+    single[length] = '\0';
+    return single;
+}
+
+static bool
+is_known_method(const char *method)
+{
+    static const char *const names[] = {"GET",   "HEAD",   "POST",   "PUT",
+                                        "PATCH", "DELETE", "OPTIONS"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(method, names[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_read(h2o_req_t *req)
+{
+    const char *method = SasServer_CopyText(req, req->method);
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+}
+
+/* A head that a backend server finds too large ends its connection, and the
+ * caller would hear that its request may have run. */
+static bool
+is_head_too_large(const h2o_req_t *req)
+{
+    size_t size = req->path.len;
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *header = &req->headers.entries[i];
+        size += header->name->len + header->value.len;
+    }
+    return size > SasCaller_MAX_HEADER_BYTES;
+}
+
 static bool
 is_visible_text(const char *text, size_t max_length)
 {
@@ -405,12 +461,17 @@
     if (request.service == SasModel_NONE) {
         return refuse_early(caller, req, SAS_REFUSE_UNKNOWN_SERVICE);
     }
+    request.method = SasServer_CopyText(req, req->method);
+    if (!is_known_method(request.method)) {
+        return refuse_early(caller, req, SAS_REFUSE_METHOD);
+    }
+    request.route = get_route(req, model, request.service);
     char ip[SasModel_IP_SIZE];
     request.caller_ip = SasServer_GetCallerIp(req, ip, sizeof(ip));
-    if (!read_headers(req, &model->services[request.service], &request, ip)) {
+    if (request.route == NULL || is_head_too_large(req) ||
+        !read_headers(req, &model->services[request.service], &request, ip)) {
         return refuse_early(caller, req, SAS_REFUSE_BAD_REQUEST);
     }
-    request.method = SasServer_CopyText(req, req->method);
     request.target = target;
     request.body = req->entity.base;
     request.body_size = req->entity.len;
@@ -451,6 +512,9 @@
     struct sas_caller *caller = handler->data;
     const struct sas_model *model = caller->parts.model;
     const struct sas_counters *counters = caller->parts.counters;
+    if (!is_read(req)) {
+        return refuse_early(caller, req, SAS_REFUSE_METHOD);
+    }
     char ip[SasModel_IP_SIZE];
     uint32_t caller_ip = SasServer_GetCallerIp(req, ip, sizeof(ip));
     const char *other = SasServer_GetParameter(req, "address");
@@ -492,6 +556,9 @@
 handle_health(struct sas_server_handler *handler, h2o_req_t *req)
 {
     struct sas_caller *caller = handler->data;
+    if (!is_read(req)) {
+        return refuse_early(caller, req, SAS_REFUSE_METHOD);
+    }
     int64_t version = SasSteer_GetVersion(caller->parts.steer);
     bool ready = SasSteer_IsKnown(caller->parts.steer) && !caller->stopping;
     char body[96];
--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -126,8 +126,11 @@
     call->request.target = g_string_chunk_insert(call->texts, request->target);
     call->request.caller = g_string_chunk_insert(call->texts, request->caller);
     copy_headers(call, request->headers, request->header_count, call->headers);
+    /* Many servers take both spellings of a path for the same. */
     call->once =
-        SasModel_IsOnceRoute(parts->model, request->service, request->target);
+        SasModel_IsOnceRoute(parts->model, request->service,
+                             request->target) ||
+        SasModel_IsOnceRoute(parts->model, request->service, request->route);
     call->idempotent = !call->once && is_idempotent(request->method);
     call->query.service = request->service;
     call->query.caller_ip = request->caller_ip;
--- a/packages/node/src/reasons.c
+++ b/packages/node/src/reasons.c
@@ -15,6 +15,7 @@
     [SAS_REFUSE_STOPPING] = {"stopping", 503, ""},
     [SAS_REFUSE_UNKNOWN_SERVICE] = {"unknown-service", 404, ""},
     [SAS_REFUSE_BAD_REQUEST] = {"bad-request", 400, ""},
+    [SAS_REFUSE_METHOD] = {"method", 405, ""},
     [SAS_REFUSE_MEMORY] = {"memory", 503, ""},
     [SAS_REFUSE_NO_HEADROOM] = {"no-headroom", 503, ""},
     [SAS_REFUSE_QUEUE_FULL] = {"queue-full", 503, ""},
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "sas/metrics.h"
+
 #define SWEEP_MS 50
 /* Bodies up to this size are still taken while memory is short. */
 #define SMALL_BODY 65536
@@ -22,7 +24,10 @@
     bool listening;
     uv_timer_t sweep;
     int connections;
-    uint64_t refused_connections;
+    struct sas_metrics *metrics;
+    int http_errors;
+    int refused_connections;
+    uint64_t counted_errors;
     size_t held_bytes;
     int open_handles;
     bool closing;
@@ -106,6 +111,19 @@
     return 0;
 }
 
+void
+SasServer_RegisterCounters(struct sas_server *server,
+                           struct sas_metrics *metrics, const char *port)
+{
+    server->metrics = metrics;
+    server->http_errors =
+        SasMetrics_Register(metrics, "sas_http_errors_total", "port", port,
+                            "Answers to what is no request or too large");
+    server->refused_connections = SasMetrics_Register(
+        metrics, "sas_connections_refused_total", "port", port,
+        "Connections closed because there were too many");
+}
+
 static void
 on_handle_closed(uv_handle_t *handle)
 {
@@ -167,7 +185,7 @@
     }
     /* More callers than this would take the memory of those in progress. */
     if (server->connections >= server->limits.max_connections) {
-        server->refused_connections++;
+        SasMetrics_Add(server->metrics, server->refused_connections, 1);
         uv_close((uv_handle_t *)&connection->tcp, on_refused_closed);
         return;
     }
@@ -207,6 +225,19 @@
     return count;
 }
 
+/* h2o answers by itself what never becomes a request, and counts that. */
+static void
+count_errors(struct sas_server *server)
+{
+    uint64_t sum = 0;
+    for (int i = 0; i < H2O_STATUS_ERROR_MAX; i++) {
+        sum += server->context.emitted_error_status[i];
+    }
+    SasMetrics_Add(server->metrics, server->http_errors,
+                   sum - server->counted_errors);
+    server->counted_errors = sum;
+}
+
 /* Many large uploads at a time would fill the memory of a small VM, and it
  * would be killed with all requests in progress. h2o bounds each body; this
  * bounds their sum: over it, only small bodies are taken until it falls. */
@@ -214,6 +245,7 @@
 on_sweep(uv_timer_t *timer)
 {
     struct sas_server *server = timer->data;
+    count_errors(server);
     size_t sum = 0;
     server->config.http1.callbacks.foreach_request(&server->context,
                                                    add_held_bytes, &sum);
@@ -230,12 +262,6 @@
     return server->held_bytes;
 }
 
-uint64_t
-SasServer_GetRefusedConnections(const struct sas_server *server)
-{
-    return server->refused_connections;
-}
-
 /* Requests. */
 
 char *
--- a/packages/node/src/server.h
+++ b/packages/node/src/server.h
@@ -27,6 +27,8 @@
     void *data;
 };
 
+struct sas_metrics;
+
 struct sas_server_limits {
     size_t body_limit;   /* one request's body, bytes */
     size_t bodies_limit; /* all bodies held, bytes */
@@ -47,15 +49,18 @@
 /* The loop must run once more afterwards; all connections are closed. */
 void SasServer_Close(struct sas_server *server);
 
+/* Counts what the server refuses by itself: sas_http_errors_total (answers
+ * to what is no request, or too large) and sas_connections_refused_total
+ * (over max_connections), with the label port="NAME". */
+void SasServer_RegisterCounters(struct sas_server *server,
+                                struct sas_metrics *metrics, const char *port);
+
 /* Bytes of requests held now. */
 size_t SasServer_GetHeldBytes(const struct sas_server *server);
 
 /* Requests of which some bytes are held: still arriving, or in progress. */
 int SasServer_CountRequests(struct sas_server *server);
 
-/* Connections that were refused because there were too many. */
-uint64_t SasServer_GetRefusedConnections(const struct sas_server *server);
-
 /* Requests. */
 
 /* A copy with an ending NUL in the request's own memory. */
