--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -560,7 +560,7 @@
         return refuse_early(caller, req, SAS_REFUSE_METHOD);
     }
     int64_t version = SasSteer_GetVersion(caller->parts.steer);
-    bool ready = SasSteer_IsKnown(caller->parts.steer) && !caller->stopping;
+    bool ready = SasSteer_IsReady(caller->parts.steer) && !caller->stopping;
     char body[96];
     int size = snprintf(
         body, sizeof(body),
