Quarantine and retries in the request path

Cause: a request that crashes whatever runs it could take down every backend server, resent by its caller through any entry VM. What: guard.c drives the core's quarantine: a connection lost in mid-run makes a suspect, which runs only alone, on the idle server that its fingerprint chooses; a second crash quarantines it on all entry VMs by RPC and gossip; a probe answered by the same incarnation voids a loss that was no crash. Retries go through the core's retry budget, a counter for each reason and denial. Shown failing first: with SasGuard_Check answering ALLOW the two poison tests fail ('lost' and 'no-backend' instead of 'quarantined'), with it they pass.

--- a/packages/core/include/sas/retry.h
+++ b/packages/core/include/sas/retry.h
@@ -46,6 +46,7 @@
 };
 
 struct sas_retry {
+    int share_percent; /* SasRetry_SHARE_PERCENT, unless changed */
     int64_t faded_ms;
     int64_t first_tries;                   /* recent ones, in thousandths */
     int64_t retries;                       /* recent ones, in thousandths */
--- a/packages/core/src/retry.c
+++ b/packages/core/src/retry.c
@@ -29,6 +29,7 @@
 {
     memset(r, 0, sizeof(*r));
     r->faded_ms = now_ms;
+    r->share_percent = SasRetry_SHARE_PERCENT;
 }
 
 void
@@ -121,7 +122,7 @@
     if (!has_untried(tried, tried_count, candidates, candidate_count)) {
         return SAS_RETRY_NO_BACKEND;
     }
-    int64_t allowed = MAX(r->first_tries * SasRetry_SHARE_PERCENT / 100,
+    int64_t allowed = MAX(r->first_tries * r->share_percent / 100,
                           (int64_t)SasRetry_MIN_RETRIES * ONE);
     return r->retries + ONE <= allowed ? SAS_RETRY_YES : SAS_RETRY_NO_BUDGET;
 }
--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -24,7 +24,10 @@
     struct sas_forward_parts parts;
     GQueue *waiting; /* of struct sas_forward_call, one queue a service */
     int active;
-    double retry_credit; /* earned by first attempts, spent by retries */
+    struct sas_retry *retries; /* by service */
+    int *candidates;           /* backend servers, those of a service side
+                                  by side */
+    int *candidate_starts;     /* by service, and one more */
     uint64_t next_id;
 };
 
@@ -50,6 +53,7 @@
     int64_t waiting_since;
     int64_t answer_bytes;
     int attempts;
+    bool in_trial;     /* it runs alone as a suspect */
     bool may_have_run; /* an earlier attempt was sent and lost */
     bool stalled;      /* an earlier attempt met a silent connection */
 
@@ -74,15 +78,36 @@
                          GArray *out);
 static void check_and_start(struct sas_forward_call *call);
 
+static void
+list_candidates(struct sas_forward *forward)
+{
+    const struct sas_model *model = forward->parts.model;
+    int count = 0;
+    forward->candidates = g_new0(int, model->backend_count);
+    forward->candidate_starts = g_new0(int, model->service_count + 1);
+    for (int s = 0; s < model->service_count; s++) {
+        for (int b = 0; b < model->backend_count; b++) {
+            if (model->backends[b].service == s) {
+                forward->candidates[count++] = b;
+            }
+        }
+        forward->candidate_starts[s + 1] = count;
+    }
+}
+
 struct sas_forward *
 SasForward_Open(const struct sas_forward_parts *parts)
 {
     struct sas_forward *forward = g_new0(struct sas_forward, 1);
     forward->parts = *parts;
     forward->waiting = g_new0(GQueue, parts->model->service_count);
+    forward->retries = g_new0(struct sas_retry, parts->model->service_count);
     for (int i = 0; i < parts->model->service_count; i++) {
         g_queue_init(&forward->waiting[i]);
+        SasRetry_Init(&forward->retries[i], (int64_t)uv_now(parts->loop));
+        forward->retries[i].share_percent = (int)(parts->retry_share * 100);
     }
+    list_candidates(forward);
     return forward;
 }
 
@@ -90,6 +115,9 @@
 SasForward_Close(struct sas_forward *forward)
 {
     g_free(forward->waiting);
+    g_free(forward->retries);
+    g_free(forward->candidates);
+    g_free(forward->candidate_starts);
     g_free(forward);
 }
 
@@ -141,12 +169,47 @@
     call->timer.data = call;
     call->deadline_at = (int64_t)uv_now(parts->loop) +
                         MIN(request->deadline_ms, SasForward_MAX_DEADLINE_MS);
-    call->fingerprint = SasGuard_GetFingerprint(
+    call->fingerprint = SasQuarantine_GetFingerprint(
         request->method, request->target, request->body, request->body_size);
     check_and_start(call);
     return call;
 }
 
+/* Asks the guard; call->query.alone says whether it has to run alone. */
+static enum sas_quarantine_verdict
+ask_guard(struct sas_forward_call *call, int *retry_after_s)
+{
+    enum sas_quarantine_verdict verdict = SasGuard_Check(
+        call->forward->parts.guard, call->fingerprint, retry_after_s);
+    /* The trial that is under way is this call's own, and its first backend
+     * server could not be reached. */
+    if (verdict == SAS_QUARANTINE_WAIT && call->in_trial) {
+        verdict = SAS_QUARANTINE_ALONE;
+    }
+    call->query.alone = verdict == SAS_QUARANTINE_ALONE;
+    call->query.fingerprint = call->fingerprint.low;
+    return verdict;
+}
+
+/* True when the request may run, else it has been refused. */
+static bool
+check_guard(struct sas_forward_call *call)
+{
+    int retry_after_s = 0;
+    enum sas_quarantine_verdict verdict = ask_guard(call, &retry_after_s);
+    if (verdict == SAS_QUARANTINE_WAIT) {
+        refuse(call, SAS_REFUSE_SUSPECT, SAS_OUTCOME_NOT_RUN, retry_after_s);
+        return false;
+    }
+    if (verdict == SAS_QUARANTINE_REFUSE) {
+        /* An earlier sending of it ran, in part at least. */
+        refuse(call, SAS_REFUSE_QUARANTINED, SAS_OUTCOME_UNKNOWN,
+               retry_after_s);
+        return false;
+    }
+    return true;
+}
+
 /* Refuses at once what must not start, claims what may not repeat. */
 static void
 check_and_start(struct sas_forward_call *call)
@@ -156,16 +219,9 @@
         refuse(call, SAS_REFUSE_KEY_MISSING, SAS_OUTCOME_NOT_RUN, 0);
         return;
     }
-    int retry_after_s = 0;
-    enum sas_guard_verdict verdict =
-        SasGuard_Check(parts->guard, &call->fingerprint, &retry_after_s);
-    if (verdict == SAS_GUARD_REFUSE) {
-        /* An earlier sending of it ran, in part at least. */
-        refuse(call, SAS_REFUSE_QUARANTINED, SAS_OUTCOME_UNKNOWN,
-               retry_after_s);
+    if (!check_guard(call)) {
         return;
     }
-    call->query.alone = verdict == SAS_GUARD_ALONE;
     if (!call->once) {
         acquire(call);
         return;
@@ -320,8 +376,7 @@
     call->attempts++;
     uv_timer_stop(&call->timer);
     if (call->attempts == 1) {
-        forward->retry_credit =
-            MIN(forward->retry_credit + parts->retry_share, 10.0);
+        SasRetry_NoteFirst(&forward->retries[call->request.service], now);
     }
     char left[24];
     snprintf(left, sizeof(left), "%" G_GINT64_FORMAT, call->deadline_at - now);
@@ -359,6 +414,19 @@
                      &call->attempt);
 }
 
+/* False when the call may run only alone and is running so elsewhere. */
+static bool
+begin_trial(struct sas_forward_call *call)
+{
+    if (call->grant.alone && !call->in_trial) {
+        call->in_trial =
+            SasGuard_BeginTrial(call->forward->parts.guard, call->fingerprint,
+                                call->query.lasts_ms);
+        return call->in_trial;
+    }
+    return true;
+}
+
 /* Asks for a slot; true when the call has gone on or has ended. */
 static bool
 try_acquire(struct sas_forward_call *call)
@@ -370,6 +438,11 @@
     enum sas_refusal reason = SAS_REFUSE_NO_HEADROOM;
     enum sas_steer_answer answer = SasSteer_Acquire(
         call->forward->parts.steer, &call->query, &call->grant, &reason);
+    if (answer == SAS_STEER_GRANTED && !begin_trial(call)) {
+        release_grant(call);
+        refuse(call, SAS_REFUSE_SUSPECT, SAS_OUTCOME_NOT_RUN, RETRY_AFTER_S);
+        return true;
+    }
     if (answer == SAS_STEER_GRANTED) {
         start_attempt(call);
         return true;
@@ -547,24 +620,27 @@
 /* Retrying. */
 
 static bool
-may_retry(struct sas_forward_call *call, bool may_have_run)
+may_retry(struct sas_forward_call *call, enum sas_retry_reason reason,
+          bool may_have_run)
 {
     struct sas_forward *forward = call->forward;
     const struct sas_counters *counters = forward->parts.counters;
+    int service = call->request.service;
     int64_t now = (int64_t)uv_now(forward->parts.loop);
-    if (may_have_run && !call->idempotent) {
-        return false;
-    }
-    if (call->attempts >= SasForward_MAX_ATTEMPTS ||
-        now >= call->deadline_at || call->reply == NULL) {
-        return false;
-    }
-    if (forward->retry_credit < 1.0) {
-        SasMetrics_Add(counters->metrics, counters->retry_denied, 1);
-        return false;
-    }
-    forward->retry_credit -= 1.0;
-    return true;
+    int start = forward->candidate_starts[service];
+    enum sas_retry_verdict verdict =
+        SasRetry_MayRetry(&forward->retries[service], reason, call->idempotent,
+                          may_have_run ? SAS_RETRY_UNKNOWN : SAS_RETRY_NOT_RUN,
+                          call->deadline_at - now, call->query.tried,
+                          call->query.tried_count, forward->candidates + start,
+                          forward->candidate_starts[service + 1] - start, now);
+    bool granted =
+        verdict == SAS_RETRY_YES && call->attempts < SasRetry_MAX_TRIES;
+    SasMetrics_Add(counters->metrics,
+                   granted ? counters->retries[reason]
+                           : counters->retries_denied[verdict],
+                   1);
+    return granted;
 }
 
 static void
@@ -577,20 +653,23 @@
 
 /* Tries again elsewhere, or refuses. The attempt has ended already. */
 static void
-retry_or_refuse(struct sas_forward_call *call, int counter,
+retry_or_refuse(struct sas_forward_call *call, enum sas_retry_reason why,
                 enum sas_refusal reason, enum sas_outcome outcome)
 {
-    const struct sas_counters *counters = call->forward->parts.counters;
     bool may_have_run = outcome != SAS_OUTCOME_NOT_RUN;
     call->may_have_run |= may_have_run;
     note_tried(call);
     g_string_truncate(call->held, 0);
     g_array_set_size(call->answer_headers, 0);
-    if (!may_retry(call, may_have_run)) {
-        refuse(call, reason, outcome, RETRY_AFTER_S);
+    int retry_after_s = 0;
+    enum sas_quarantine_verdict verdict = ask_guard(call, &retry_after_s);
+    bool allowed =
+        verdict == SAS_QUARANTINE_ALLOW || verdict == SAS_QUARANTINE_ALONE;
+    if (call->reply == NULL || !allowed ||
+        !may_retry(call, why, may_have_run)) {
+        refuse(call, reason, outcome, MAX(retry_after_s, RETRY_AFTER_S));
         return;
     }
-    SasMetrics_Add(counters->metrics, counter, 1);
     acquire(call);
 }
 
@@ -670,11 +749,12 @@
 {
     struct sas_forward_call *call = (struct sas_forward_call *)attempt;
     const struct sas_forward_parts *parts = &call->forward->parts;
-    const struct sas_counters *counters = parts->counters;
-    SasGuard_NoteSurvived(parts->guard, &call->fingerprint);
+    if (call->grant.alone && !call->shed) {
+        SasGuard_NoteSurvived(parts->guard, call->fingerprint);
+    }
     release_grant(call);
     if (call->shed) {
-        retry_or_refuse(call, counters->retry_shed, SAS_REFUSE_SHED,
+        retry_or_refuse(call, SAS_RETRY_SHED, SAS_REFUSE_SHED,
                         SAS_OUTCOME_NOT_RUN);
         return;
     }
@@ -708,29 +788,28 @@
 {
     struct sas_forward_call *call = (struct sas_forward_call *)attempt;
     const struct sas_forward_parts *parts = &call->forward->parts;
-    const struct sas_counters *counters = parts->counters;
     bool lost = failure->sent && failure->error.code == SAS_EIO;
-    if (lost) {
-        SasGuard_NoteLost(parts->guard, &call->fingerprint,
-                          call->grant.backend, call->grant.alone);
+    if (lost && !SasSteer_IsLeaving(parts->steer, call->grant.backend)) {
+        SasGuard_NoteLost(parts->guard, call->fingerprint, call->grant.backend,
+                          call->grant.alone);
     }
     release_grant(call);
     if (call->streaming) {
         end_streaming(call, false);
     }
     else if (!failure->sent) {
-        retry_or_refuse(call, counters->retry_connect, SAS_REFUSE_NO_BACKEND,
+        retry_or_refuse(call, SAS_RETRY_CONNECT, SAS_REFUSE_NO_BACKEND,
                         SAS_OUTCOME_NOT_RUN);
     }
     else if (!lost) {
         refuse(call, SAS_REFUSE_DEADLINE, SAS_OUTCOME_UNKNOWN, RETRY_AFTER_S);
     }
     else if (failure->begun) {
-        retry_or_refuse(call, counters->retry_cut, SAS_REFUSE_ANSWER_CUT,
+        retry_or_refuse(call, SAS_RETRY_CUT, SAS_REFUSE_ANSWER_CUT,
                         SAS_OUTCOME_UNKNOWN);
     }
     else {
-        retry_or_refuse(call, counters->retry_lost, SAS_REFUSE_LOST,
+        retry_or_refuse(call, SAS_RETRY_CUT, SAS_REFUSE_LOST,
                         SAS_OUTCOME_UNKNOWN);
     }
 }
@@ -746,12 +825,10 @@
     const struct sas_forward_parts *parts = &call->forward->parts;
     int64_t now = (int64_t)uv_now(parts->loop);
     bool half_gone = now - call->attempt_at > call->deadline_at - now;
-    if (!call->idempotent || !(missing || half_gone) ||
-        call->forward->retry_credit < 1.0 || !may_retry(call, true)) {
+    if (!call->idempotent || !(missing || half_gone) || call->reply == NULL ||
+        !may_retry(call, SAS_RETRY_STALL, true)) {
         return;
     }
-    SasMetrics_Add(parts->counters->metrics, parts->counters->retry_stalled,
-                   1);
     SasUpstream_Cancel(attempt);
     call->may_have_run = true;
     call->stalled = true;
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -1,66 +1,209 @@
 #include "guard.h"
 
 #include <glib.h>
+#include <string.h>
+
 #include <xxhash.h>
 
+#include "sas/log.h"
+#include "sas/metrics.h"
+
+struct backend_row {
+    char incarnation[SasModel_NAME_SIZE]; /* as it said last */
+    int resets;                           /* losses that were no crash */
+    uint64_t doubted;                     /* a crash to confirm; 0: none */
+    int64_t lost_at;
+};
+
 struct sas_guard {
     uv_loop_t *loop;
+    const struct sas_model *model;
+    struct sas_guard_listener *listener;
+    struct sas_metrics *metrics;
+    int suspected;
+    int voided;
+    struct sas_quarantine core;
+    struct backend_row *backends;
+    struct sas_rpc_quarantine rows[SAS_RPC_MAX_QUARANTINES];
+    struct sas_rpc_crash crashes[SAS_RPC_MAX_QUARANTINES][SAS_RPC_MAX_CRASHES];
 };
 
 struct sas_guard *
 SasGuard_Open(uv_loop_t *loop, const struct sas_model *model,
-              const struct sas_counters *counters, struct sas_store *store)
+              const struct sas_counters *counters,
+              struct sas_guard_listener *listener)
 {
-    (void)model;
-    (void)counters;
-    (void)store;
     struct sas_guard *guard = g_new0(struct sas_guard, 1);
     guard->loop = loop;
+    guard->model = model;
+    guard->listener = listener;
+    guard->metrics = counters->metrics;
+    guard->backends = g_new0(struct backend_row, model->backend_count);
+    guard->suspected = SasMetrics_Register(
+        guard->metrics, "sas_suspected_total", NULL, NULL,
+        "Requests whose connection was lost while they ran");
+    guard->voided = SasMetrics_Register(
+        guard->metrics, "sas_suspicions_voided_total", NULL, NULL,
+        "Lost connections whose backend server had not crashed");
+    SasQuarantine_Init(&guard->core);
     return guard;
 }
 
 void
 SasGuard_Close(struct sas_guard *guard)
 {
+    g_free(guard->backends);
     g_free(guard);
 }
 
-struct sas_fingerprint
-SasGuard_GetFingerprint(const char *method, const char *target,
-                        const char *body, size_t body_size)
+static int64_t
+get_now(const struct sas_guard *guard)
 {
-    (void)method;
-    (void)target;
-    XXH128_hash_t hash = XXH3_128bits(body, body_size);
-    struct sas_fingerprint fingerprint = {hash.high64, hash.low64};
-    return fingerprint;
+    return (int64_t)uv_now(guard->loop);
 }
 
-enum sas_guard_verdict
-SasGuard_Check(struct sas_guard *guard,
-               const struct sas_fingerprint *fingerprint, int *retry_after_s)
+enum sas_quarantine_verdict
+SasGuard_Check(struct sas_guard *guard, struct sas_fingerprint fingerprint,
+               int *retry_after_s)
 {
-    (void)guard;
-    (void)fingerprint;
-    (void)retry_after_s;
-    return SAS_GUARD_ALLOW;
+    return SasQuarantine_Check(&guard->core, fingerprint, get_now(guard),
+                               retry_after_s);
+}
+
+bool
+SasGuard_BeginTrial(struct sas_guard *guard,
+                    struct sas_fingerprint fingerprint, int64_t lasts_ms)
+{
+    bool begun = SasQuarantine_BeginTrial(&guard->core, fingerprint, lasts_ms,
+                                          get_now(guard));
+    if (begun) {
+        guard->listener->on_change(guard->listener);
+    }
+    return begun;
 }
 
 void
-SasGuard_NoteLost(struct sas_guard *guard,
-                  const struct sas_fingerprint *fingerprint, int backend,
-                  bool alone)
+SasGuard_NoteLost(struct sas_guard *guard, struct sas_fingerprint fingerprint,
+                  int backend, bool alone)
 {
-    (void)guard;
-    (void)fingerprint;
-    (void)backend;
-    (void)alone;
+    struct backend_row *row = &guard->backends[backend];
+    const char *name = guard->model->backends[backend].name;
+    int64_t now = get_now(guard);
+    uint64_t crash =
+        SasQuarantine_GetCrash(name, row->incarnation, row->resets);
+    SasQuarantine_Suspect(&guard->core, fingerprint, crash, alone, now);
+    SasMetrics_Add(guard->metrics, guard->suspected, 1);
+    SasLog_Write(SasLog_WARN, "guard.suspect", name,
+                 "connection lost in mid-run of request %" G_GINT64_MODIFIER
+                 "x%s",
+                 fingerprint.low, alone ? ", which ran alone" : "");
+    row->doubted = crash;
+    row->lost_at = now;
+    guard->listener->on_change(guard->listener);
+    guard->listener->on_doubt(guard->listener, backend);
 }
 
 void
 SasGuard_NoteSurvived(struct sas_guard *guard,
-                      const struct sas_fingerprint *fingerprint)
+                      struct sas_fingerprint fingerprint)
+{
+    SasQuarantine_Clear(&guard->core, fingerprint, get_now(guard));
+    guard->listener->on_change(guard->listener);
+}
+
+/* A connection may be lost for other reasons than a crash: a reset on the
+ * way, a restart of a device. Such a loss must not condemn the requests on
+ * it. The same incarnation answering a probe that began after the loss
+ * proves that the backend server lived on. */
+void
+SasGuard_TakeProbe(struct sas_guard *guard, int backend,
+                   const struct sas_load_report *report)
+{
+    struct backend_row *row = &guard->backends[backend];
+    bool same = strcmp(row->incarnation, report->incarnation) == 0;
+    if (row->doubted != 0 && report->asked_at >= row->lost_at) {
+        if (same) {
+            row->resets++;
+            SasQuarantine_Void(&guard->core, row->doubted, get_now(guard));
+            SasMetrics_Add(guard->metrics, guard->voided, 1);
+            guard->listener->on_change(guard->listener);
+        }
+        row->doubted = 0;
+    }
+    if (!same) {
+        g_strlcpy(row->incarnation, report->incarnation,
+                  sizeof(row->incarnation));
+        row->resets = 0;
+    }
+}
+
+/* Peers. */
+
+int
+SasGuard_FillEntries(struct sas_guard *guard,
+                     struct sas_rpc_quarantine **entries)
+{
+    struct sas_quarantine_entry entry;
+    int64_t now = get_now(guard);
+    int count = 0;
+    while (count < SAS_RPC_MAX_QUARANTINES &&
+           SasQuarantine_Export(&guard->core, count, now, &entry)) {
+        struct sas_rpc_quarantine *row = &guard->rows[count];
+        row->high = entry.fingerprint.high;
+        row->low = entry.fingerprint.low;
+        row->left_ms = (u_int)entry.left_ms;
+        row->trial_ms = (u_int)entry.trial_ms;
+        row->crashes.crashes_len = (u_int)entry.crash_count;
+        row->crashes.crashes_val = guard->crashes[count];
+        for (int i = 0; i < entry.crash_count; i++) {
+            guard->crashes[count][i] = (struct sas_rpc_crash){
+                entry.crashes[i].id, entry.crashes[i].alone,
+                entry.crashes[i].cleared};
+        }
+        count++;
+    }
+    *entries = guard->rows;
+    return count;
+}
+
+/* Changes with every crash and mark that is known, not with time. */
+static uint64_t
+get_digest(const struct sas_guard *guard)
+{
+    uint64_t digest = 0;
+    for (int i = 0; i < guard->core.count; i++) {
+        const struct sas_quarantine_entry *entry = &guard->core.entries[i];
+        for (int j = 0; j < entry->crash_count; j++) {
+            const struct sas_crash *crash = &entry->crashes[j];
+            uint64_t parts[] = {entry->fingerprint.high,
+                                entry->fingerprint.low, crash->id,
+                                crash->alone, crash->cleared};
+            digest += XXH3_64bits(parts, sizeof(parts));
+        }
+    }
+    return digest;
+}
+
+bool
+SasGuard_TakeEntries(struct sas_guard *guard,
+                     const struct sas_rpc_quarantine *entries, int count)
 {
-    (void)guard;
-    (void)fingerprint;
+    uint64_t before = get_digest(guard);
+    for (int i = 0; i < count; i++) {
+        const struct sas_rpc_quarantine *row = &entries[i];
+        struct sas_quarantine_entry entry = {
+            .fingerprint = {row->high, row->low},
+            .left_ms = MIN(row->left_ms, SasQuarantine_LIFE_MS),
+            .trial_ms = MIN(row->trial_ms, SasForward_MAX_DEADLINE_MS),
+        };
+        u_int crashes =
+            MIN(row->crashes.crashes_len, (u_int)SasQuarantine_MAX_CRASHES);
+        for (u_int j = 0; j < crashes; j++) {
+            const struct sas_rpc_crash *crash = &row->crashes.crashes_val[j];
+            entry.crashes[entry.crash_count++] =
+                (struct sas_crash){crash->id, crash->alone, crash->cleared};
+        }
+        SasQuarantine_Merge(&guard->core, &entry, get_now(guard));
+    }
+    return get_digest(guard) != before;
 }
--- a/packages/node/src/guard.h
+++ b/packages/node/src/guard.h
@@ -1,7 +1,7 @@
 /* guard - requests that crash the backend servers that run them.
  *
- * Glue between the core's quarantine (sas/quarantine.h), the forwarder and
- * the peers.
+ * Glue between the core's quarantine (sas/quarantine.h), the forwarder, the
+ * probes and the peers.
  */
 #ifndef SAS_GUARD_H
 #define SAS_GUARD_H
@@ -10,45 +10,55 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <uv.h>
+
 #include "reasons.h"
 #include "sas/model.h"
-#include "sas/store.h"
+#include "sas/proto.h"
+#include "sas/quarantine.h"
+#include "upstream.h"
 
 struct sas_guard;
 
-struct sas_fingerprint {
-    uint64_t high;
-    uint64_t low;
-};
-
-enum sas_guard_verdict {
-    SAS_GUARD_ALLOW,
-    SAS_GUARD_ALONE, /* only where nothing else runs */
-    SAS_GUARD_REFUSE
+/* Who is told; embedded as first member. */
+struct sas_guard_listener {
+    /* Peers should hear of a suspicion at once. */
+    void (*on_change)(struct sas_guard_listener *listener);
+    /* A backend server's connection was lost: ask whether it still lives. */
+    void (*on_doubt)(struct sas_guard_listener *listener, int backend);
 };
 
 struct sas_guard *SasGuard_Open(uv_loop_t *loop, const struct sas_model *model,
                                 const struct sas_counters *counters,
-                                struct sas_store *store);
+                                struct sas_guard_listener *listener);
 void SasGuard_Close(struct sas_guard *guard);
 
-/* What identifies a request, whoever sends it and through which entry VM. */
-struct sas_fingerprint SasGuard_GetFingerprint(const char *method,
-                                               const char *target,
-                                               const char *body,
-                                               size_t body_size);
+/* Whether and how a request may run. */
+enum sas_quarantine_verdict SasGuard_Check(struct sas_guard *guard,
+                                           struct sas_fingerprint fingerprint,
+                                           int *retry_after_s);
 
-enum sas_guard_verdict
-SasGuard_Check(struct sas_guard *guard,
-               const struct sas_fingerprint *fingerprint, int *retry_after_s);
+/* Before a run alone that ends within lasts_ms; false: one is running. */
+bool SasGuard_BeginTrial(struct sas_guard *guard,
+                         struct sas_fingerprint fingerprint, int64_t lasts_ms);
 
 /* The connection was lost while the request ran on this backend server. */
 void SasGuard_NoteLost(struct sas_guard *guard,
-                       const struct sas_fingerprint *fingerprint, int backend,
+                       struct sas_fingerprint fingerprint, int backend,
                        bool alone);
 
-/* The request ran to its end. */
+/* The request ran alone to a whole answer. */
 void SasGuard_NoteSurvived(struct sas_guard *guard,
-                           const struct sas_fingerprint *fingerprint);
+                           struct sas_fingerprint fingerprint);
+
+/* A backend server's answer to a probe. */
+void SasGuard_TakeProbe(struct sas_guard *guard, int backend,
+                        const struct sas_load_report *report);
+
+/* Peers. Entries live until the next call. Take is true for something new. */
+int SasGuard_FillEntries(struct sas_guard *guard,
+                         struct sas_rpc_quarantine **entries);
+bool SasGuard_TakeEntries(struct sas_guard *guard,
+                          const struct sas_rpc_quarantine *entries, int count);
 
 #endif
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -36,6 +36,7 @@
     struct sas_configure_listener configure_listener;
     struct sas_steer_listener steer_listener;
     struct sas_lending_listener lending_listener;
+    struct sas_guard_listener guard_listener;
     uv_loop_t loop;
     const struct sas_settings *settings;
     int own_vm;
@@ -80,6 +81,9 @@
 {
     struct sas_node *node = NODE_OF(listener, upstream_listener);
     SasSteer_TakeLoad(node->steer, backend, report, 0);
+    if (report->asked_at != 0) {
+        SasGuard_TakeProbe(node->guard, backend, report);
+    }
     if (node->peers != NULL) {
         SasPeers_NoteLoad(node->peers, backend, report);
     }
@@ -127,6 +131,22 @@
     }
 }
 
+static void
+on_suspicion(struct sas_guard_listener *listener)
+{
+    struct sas_node *node = NODE_OF(listener, guard_listener);
+    if (node->peers != NULL) {
+        SasPeers_SendQuarantines(node->peers);
+    }
+}
+
+static void
+on_doubt(struct sas_guard_listener *listener, int backend)
+{
+    struct sas_node *node = NODE_OF(listener, guard_listener);
+    SasUpstream_Probe(node->upstream, backend);
+}
+
 /* Probes. */
 
 static void
@@ -242,8 +262,10 @@
     node->upstream =
         SasUpstream_Open(&node->loop, &settings->model, &node->counters,
                          &node->upstream_listener);
+    node->guard_listener.on_change = on_suspicion;
+    node->guard_listener.on_doubt = on_doubt;
     node->guard = SasGuard_Open(&node->loop, &settings->model, &node->counters,
-                                node->store);
+                                &node->guard_listener);
     snprintf(node->identity, sizeof(node->identity),
              "%s-%" G_GINT64_MODIFIER "x-%d",
              settings->model.vms[node->own_vm].name, get_wall_ms(),
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -39,6 +39,9 @@
                           struct sas_rpc_config *config);
 static bool take_config(struct sas_peer_handler *handler, int seat,
                         const struct sas_rpc_config *config);
+static bool take_quarantines(struct sas_peer_handler *handler, int seat,
+                             const struct sas_rpc_quarantine *entries,
+                             int count);
 static uint64_t answer_borrow(struct sas_peer_handler *handler, int seat,
                               const struct sas_rpc_borrow *borrow);
 static int take_return(struct sas_peer_handler *handler, int seat,
@@ -84,6 +87,7 @@
     peers->handler.take_gossip = take_gossip;
     peers->handler.provide_config = provide_config;
     peers->handler.take_config = take_config;
+    peers->handler.take_quarantines = take_quarantines;
     peers->handler.answer_borrow = answer_borrow;
     peers->handler.take_return = take_return;
     peers->handler.answer_disown = answer_disown;
@@ -143,6 +147,14 @@
     SasPeer_NoteChange(peers->peer);
 }
 
+void
+SasPeers_SendQuarantines(struct sas_peers *peers)
+{
+    struct sas_rpc_quarantine *entries;
+    int count = SasGuard_FillEntries(peers->parts.guard, &entries);
+    SasPeer_SendQuarantines(peers->peer, entries, count);
+}
+
 void
 SasPeers_SetLeaving(struct sas_peers *peers)
 {
@@ -199,6 +211,8 @@
     gossip->loads.loads_len = fill_loads(peers);
     gossip->loads.loads_val = peers->load_rows;
     SasLending_FillGossip(peers->parts.lending, gossip);
+    gossip->quarantines.quarantines_len = (u_int)SasGuard_FillEntries(
+        peers->parts.guard, &gossip->quarantines.quarantines_val);
 }
 
 static int
@@ -259,7 +273,18 @@
     for (u_int i = 0; i < gossip->loads.loads_len; i++) {
         take_load(peers, &gossip->loads.loads_val[i]);
     }
-    return false;
+    return SasGuard_TakeEntries(peers->parts.guard,
+                                gossip->quarantines.quarantines_val,
+                                (int)gossip->quarantines.quarantines_len);
+}
+
+static bool
+take_quarantines(struct sas_peer_handler *handler, int seat,
+                 const struct sas_rpc_quarantine *entries, int count)
+{
+    struct sas_peers *peers = (struct sas_peers *)handler;
+    (void)seat;
+    return SasGuard_TakeEntries(peers->parts.guard, entries, count);
 }
 
 static bool
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -32,6 +32,7 @@
 
 /* Something others should hear at once. */
 void SasPeers_NoteChange(struct sas_peers *peers);
+void SasPeers_SendQuarantines(struct sas_peers *peers);
 void SasPeers_SetLeaving(struct sas_peers *peers);
 
 /* A load report heard from a backend server itself, for the gossip. */
--- a/packages/node/src/reasons.c
+++ b/packages/node/src/reasons.c
@@ -27,6 +27,7 @@
     [SAS_REFUSE_ANSWER_CUT] = {"answer-cut", 502, ""},
     [SAS_REFUSE_ANSWER_UNFRAMED] = {"answer-unframed", 502, ""},
     [SAS_REFUSE_QUARANTINED] = {"quarantined", 503, ""},
+    [SAS_REFUSE_SUSPECT] = {"suspect", 503, ""},
     [SAS_REFUSE_KEY_MISSING] = {"key-missing", 400, ""},
     [SAS_REFUSE_KEY_REUSED] = {"key-reused", 422, ""},
     [SAS_REFUSE_CLAIM_STORE] = {"claim-store", 503, ""},
@@ -61,13 +62,6 @@
     return reasons[reason].status;
 }
 
-static int
-register_retry(struct sas_metrics *metrics, const char *reason)
-{
-    return SasMetrics_Register(metrics, "sas_retries_total", "reason", reason,
-                               "Requests tried again, by reason");
-}
-
 static int
 register_plain(struct sas_metrics *metrics, const char *name, const char *help)
 {
@@ -90,13 +84,18 @@
                                        "Whole answers passed to callers");
     counters->lookups =
         register_plain(metrics, "sas_lookups_total", "Look-ups answered");
-    counters->retry_connect = register_retry(metrics, "connect");
-    counters->retry_shed = register_retry(metrics, "shed");
-    counters->retry_lost = register_retry(metrics, "lost");
-    counters->retry_cut = register_retry(metrics, "cut");
-    counters->retry_stalled = register_retry(metrics, "stalled");
-    counters->retry_denied = register_plain(
-        metrics, "sas_retries_denied_total", "Retries the budget denied");
+    for (int i = 0; i < SAS_RETRY_REASONS; i++) {
+        counters->retries[i] = SasMetrics_Register(
+            metrics, "sas_retries_total", "reason",
+            SasRetry_GetReasonName((enum sas_retry_reason)i),
+            "Requests tried again, by reason");
+    }
+    for (int i = SAS_RETRY_YES + 1; i < SAS_RETRY_VERDICTS; i++) {
+        counters->retries_denied[i] = SasMetrics_Register(
+            metrics, "sas_retries_denied_total", "reason",
+            SasRetry_GetVerdictName((enum sas_retry_verdict)i),
+            "Failed tries that were not repeated, by reason");
+    }
     counters->late_bytes =
         register_plain(metrics, "sas_backend_connections_ended_total",
                        "Connections ended after an answer");
--- a/packages/node/src/reasons.h
+++ b/packages/node/src/reasons.h
@@ -5,6 +5,8 @@
 
 #include <stdint.h>
 
+#include "sas/retry.h"
+
 struct sas_metrics;
 
 /* What is known about whether a request ran. */
@@ -31,6 +33,7 @@
     SAS_REFUSE_ANSWER_CUT,
     SAS_REFUSE_ANSWER_UNFRAMED,
     SAS_REFUSE_QUARANTINED,
+    SAS_REFUSE_SUSPECT,
     SAS_REFUSE_KEY_MISSING,
     SAS_REFUSE_KEY_REUSED,
     SAS_REFUSE_CLAIM_STORE,
@@ -54,12 +57,8 @@
     int requests;
     int answers;
     int lookups;
-    int retry_connect;
-    int retry_shed;
-    int retry_lost;
-    int retry_cut;
-    int retry_stalled;
-    int retry_denied;
+    int retries[SAS_RETRY_REASONS];
+    int retries_denied[SAS_RETRY_VERDICTS];
     int late_bytes;
     int condemned;
     int cross_region;
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "sas/log.h"
 #include "sas/lookup.h"
 #include "sas/measure.h"
@@ -236,6 +238,13 @@
     steer->views[vm].leaving |= leaving;
 }
 
+bool
+SasSteer_IsLeaving(const struct sas_steer *steer, int backend)
+{
+    return steer->backends[backend].leaving ||
+           SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
+}
+
 static bool
 is_region_gone(const struct sas_steer *steer, int region)
 {
@@ -306,10 +315,9 @@
           int backend)
 {
     const struct backend_row *row = &steer->backends[backend];
-    return !row->leaving && !row->reserved &&
+    return !row->reserved && !SasSteer_IsLeaving(steer, backend) &&
            row->unreachable_until <= get_now(steer) &&
-           !was_tried(query, backend) &&
-           !SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
+           !was_tried(query, backend);
 }
 
 /* What the placement policy sees of one backend server. */
@@ -342,6 +350,27 @@
     return server;
 }
 
+/* One suspect always gets the same idle backend server, whichever entry VM
+ * sends it, and two suspects seldom the same one: if they ran alone side by
+ * side, one's crash would condemn the other. */
+static int
+choose_alone(const struct sas_place_server *servers, int count,
+             uint64_t fingerprint)
+{
+    int best = SasModel_NONE;
+    uint64_t best_score = 0;
+    for (int i = 0; i < count; i++) {
+        uint64_t parts[] = {fingerprint, (uint64_t)servers[i].backend};
+        uint64_t score = XXH3_64bits(parts, sizeof(parts));
+        if (servers[i].usable &&
+            (best == SasModel_NONE || score > best_score)) {
+            best = servers[i].backend;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
 static int
 choose_backend(struct sas_steer *steer, const struct sas_steer_query *query,
                int region, bool *any_usable)
@@ -357,6 +386,9 @@
         *any_usable |= steer->servers[count].usable || query->alone;
         count++;
     }
+    if (query->alone) {
+        return choose_alone(steer->servers, count, query->fingerprint);
+    }
     int index = steer->placement->pick(steer->placement, steer->servers, count,
                                        steer->parts.random);
     return index == SasModel_NONE ? SasModel_NONE
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -26,8 +26,9 @@
 
 struct sas_steer_query {
     int service;
-    uint32_t caller_ip; /* IPv4, host byte order */
-    bool alone;         /* on a backend server where nothing else runs */
+    uint32_t caller_ip;   /* IPv4, host byte order */
+    bool alone;           /* on a backend server where nothing else runs */
+    uint64_t fingerprint; /* chooses that backend server */
     int tried[SasSteer_MAX_TRIED];
     int tried_count;
     int64_t bytes;     /* of the request's body */
@@ -95,6 +96,9 @@
 void SasSteer_TakePeer(struct sas_steer *steer, int vm, bool live,
                        bool leaving);
 
+/* True once a backend server is leaving, whoever said so. */
+bool SasSteer_IsLeaving(const struct sas_steer *steer, int backend);
+
 /* Decisions. */
 
 /* Takes units for one request, or says why not. */
--- a/packages/node/src/upstream.c
+++ b/packages/node/src/upstream.c
@@ -392,6 +392,7 @@
         .queued = get_integer(object, "queued"),
         .slots = get_integer(object, "slots"),
         .leaving = json_is_true(json_object_get(object, "leaving")),
+        .asked_at = probe->opened_at,
     };
     const char *incarnation =
         json_string_value(json_object_get(object, "incarnation"));
--- a/packages/node/src/upstream.h
+++ b/packages/node/src/upstream.h
@@ -52,6 +52,7 @@
     int slots;
     bool leaving;
     char incarnation[SasModel_NAME_SIZE]; /* "" when not stated */
+    int64_t asked_at; /* when the probe began; 0: not from a probe */
 };
 
 /* Who hears of load reports; embedded as first member. */
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -362,6 +362,15 @@
         return [exchange(("127.0.0.1", port), "GET", "/v1/load").json()
                 for _, _, port in self.backends.values()]
 
+    def loads_of_open(self):
+        """The same, waiting for those that are restarting."""
+        def read():
+            try:
+                return self.loads()
+            except OSError:
+                return None
+        return wait_until(read, "every backend server answers")
+
     def count_key(self, key, what="started"):
         """How often requests with this key were started (or another count),
         on all backend servers together."""
