--- a/packages/core/tests/property_config.py
+++ b/packages/core/tests/property_config.py
@@ -118,9 +118,11 @@
         self.assertEqual(sas.take_text(sas.encode(made)), whole)
         decoded = sas.decode(whole, len(whole))
         self.assertEqual(sas.take_text(sas.encode(decoded)), whole)
-        if sas.take_text(sas.encode(old)) != whole:
-            self.assertIsNone(sas.apply_delta(new, delta, len(delta)))
-        for config in (old, new, made, decoded):
+        wrong, _ = make(mixed[:keep], 1)
+        if sas.take_text(sas.encode(old)) != sas.take_text(
+                sas.encode(wrong)):
+            self.assertIsNone(sas.apply_delta(wrong, delta, len(delta)))
+        for config in (old, new, made, decoded, wrong):
             sas.unref_config(config)
 
     @sas.SETTINGS
--- a/packages/core/tests/property_lookup.py
+++ b/packages/core/tests/property_lookup.py
@@ -51,7 +51,8 @@
             targets = make_targets(values)
             before = list(owners)
             moved = sas.reassign(keys, KEYS, old, targets, count, owners)
-            self.assertEqual(list(owners), list(assign(keys, targets)))
+            # No assertEqual: its account of 3,000 items takes minutes.
+            self.assertTrue(list(owners) == list(assign(keys, targets)))
             self.assertEqual(moved, sum(a != b for a, b
                                         in zip(before, owners)))
             old = targets
@@ -63,7 +64,7 @@
         keys = make_keys(seed)
         owners = assign(keys, make_targets(values))
         others = assign(keys, make_targets(values, order))
-        self.assertEqual(list(owners), [order[owner] for owner in others])
+        self.assertTrue(list(owners) == [order[owner] for owner in others])
 
     @sas.SETTINGS
     @given(weights, st.integers(0, 1000), st.data())
--- a/packages/core/tests/property_plan.py
+++ b/packages/core/tests/property_plan.py
@@ -160,10 +160,11 @@
 
     @settings(sas.SETTINGS, max_examples=600)
     @given(st.lists(st.integers(5, 50), min_size=1, max_size=4),
-           st.lists(step, max_size=30))
-    def test_no_clock_undoes_a_ramp(self, shares, steps):
+           st.lists(step, max_size=30), st.integers(0, 29))
+    def test_no_clock_undoes_a_ramp(self, shares, steps, change_at):
         """Rows that only rise: as long as no region is gone, nothing falls,
-        and a drain that began goes on."""
+        and a drain that began goes on; not when a new version repeats the
+        rows either."""
         shift = SHIFTS[0]
         rows = [(shift, i * 50, share, 30, 0, 0)
                 for i, share in enumerate(sorted(shares))]
@@ -174,7 +175,9 @@
         ordered = 0
         ahead = False
         draining = False
-        for elapsed, jump, signals, _ in steps:
+        for i, (elapsed, jump, signals, _) in enumerate(steps):
+            if i == change_at:
+                sas.build_plan(plan.plan, 2, text.encode(), sas.NOW)
             plan.advance(elapsed, jump, signals, (0, 0, 0))
             ahead = ahead or jump > 0
             if draining and not ahead:
--- a/packages/core/tests/test_config.c
+++ b/packages/core/tests/test_config.c
@@ -79,6 +79,8 @@
     {"\"to\":\"quebec\"", "\"to\":\"montreal\""},
     {"\"drain\":\"mtl-a-1\"", "\"drain\":\"mtl-z-1\""},
     {"\"at_ms\":1764680000000", "\"at_ms\":1764680099000"},
+    {"\"at_ms\":1764680000000", "\"at_ms\":-5"},
+    {"\"at_ms\":1764680000000", "\"at_ms\":true"},
     {"\"sheet\":\"time", "\"sheet\":\"\\u0000time"},
 };
 
--- a/packages/core/tests/test_measure.c
+++ b/packages/core/tests/test_measure.c
@@ -114,6 +114,7 @@
         assert_near(age_ms, (double)(now_ms - 2000));
         before = headroom;
     }
+    assert_near(get_headroom(9000, NULL), (FLOOR + (1 - FLOOR) / 16) / 2);
     assert_near(get_headroom(13000, NULL), FLOOR);
 }
 
