--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -17,9 +17,14 @@
 #define SasUpstream_CONNECT_TIMEOUT_MS 1000
 #define SasUpstream_PROBE_TIMEOUT_MS 1000
 #define SasUpstream_IDLE_LIMIT_MS 30000
-#define SasUpstream_PROVED_MS 1000
 #define SasUpstream_STALL_MS 1000
 #define SasUpstream_SWEEP_MS 100
+#define SasUpstream_NO_REUSE_MS 600000
+
+/* Steering. */
+#define SasSteer_SPILL_AFTER_MS 50
+#define SasSteer_DEFAULT_PLACEMENT "least-load"
+#define SasSteer_FIRST_ANSWER_BYTES 16384
 
 /* Requests. */
 #define SasForward_MAX_DEADLINE_MS 300000
@@ -31,5 +36,6 @@
 #define SasCaller_MAX_CONNECTIONS 4096
 #define SasCaller_SWEEP_MS 50
 #define SasCaller_READ_TIMEOUT_MS 30000
+#define SasCaller_MAX_HEADER_BYTES 32768
 
 #endif
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -82,6 +82,8 @@
         .max_connections = MAX_CONNECTIONS,
     };
     admin->server = SasServer_Open(parts->loop, &limits);
+    SasServer_RegisterCounters(admin->server, parts->counters->metrics,
+                               "admin");
     for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
         SasServer_AddHandler(admin->server, paths[i], handle, admin);
     }
@@ -401,7 +403,7 @@
         status, "vm",
         json_string(parts->settings->model.vms[parts->own_vm].name));
     json_object_set_new(status, "ready",
-                        json_boolean(SasSteer_IsKnown(parts->steer)));
+                        json_boolean(SasSteer_IsReady(parts->steer)));
     json_object_set_new(status, "version",
                         json_integer(SasSteer_GetVersion(parts->steer)));
     json_object_set_new(status, "time_ms", json_integer(parts->get_wall_ms()));
@@ -413,7 +415,7 @@
 static int
 get_health(struct sas_admin *admin, h2o_req_t *req)
 {
-    bool ready = SasSteer_IsKnown(admin->parts.steer);
+    bool ready = SasSteer_IsReady(admin->parts.steer);
     answer_json(req, ready ? 200 : 503,
                 json_pack("{s:b}", "ready", (int)ready));
     return 0;
--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -47,8 +47,11 @@
     struct sas_steer_query query;
     struct sas_steer_grant grant;
     int64_t attempt_at;
+    int64_t waiting_since;
+    int64_t answer_bytes;
     int attempts;
     bool may_have_run; /* an earlier attempt was sent and lost */
+    bool stalled;      /* an earlier attempt met a silent connection */
 
     /* the answer */
     int status;
@@ -125,8 +128,11 @@
     call->request.target = g_string_chunk_insert(call->texts, request->target);
     call->request.caller = g_string_chunk_insert(call->texts, request->caller);
     copy_headers(call, request->headers, request->header_count, call->headers);
+    /* Many servers take both spellings of a path for the same. */
     call->once =
-        SasModel_IsOnceRoute(parts->model, request->service, request->target);
+        SasModel_IsOnceRoute(parts->model, request->service,
+                             request->target) ||
+        SasModel_IsOnceRoute(parts->model, request->service, request->route);
     call->idempotent = !call->once && is_idempotent(request->method);
     call->query.service = request->service;
     call->query.caller_ip = request->caller_ip;
@@ -235,9 +241,8 @@
 release_grant(struct sas_forward_call *call)
 {
     struct sas_forward *forward = call->forward;
-    int64_t now = (int64_t)uv_now(forward->parts.loop);
     SasSteer_Release(forward->parts.steer, call->request.service, &call->grant,
-                     now - call->attempt_at);
+                     call->answer_bytes);
     SasForward_Wake(forward);
 }
 
@@ -309,6 +314,8 @@
     int64_t now = (int64_t)uv_now(parts->loop);
     call->state = CALL_RUNNING;
     call->attempt_at = now;
+    call->waiting_since = 0;
+    call->answer_bytes = 0;
     call->shed = false;
     call->attempts++;
     uv_timer_stop(&call->timer);
@@ -318,9 +325,9 @@
     }
     char left[24];
     snprintf(left, sizeof(left), "%" G_GINT64_FORMAT, call->deadline_at - now);
-    char id[40];
-    snprintf(id, sizeof(id), "%" G_GINT64_MODIFIER "x-%d", forward->next_id++,
-             call->attempts);
+    snprintf(call->attempt.request_id, sizeof(call->attempt.request_id),
+             "%s-%" G_GINT64_MODIFIER "x-%d", parts->id_prefix,
+             forward->next_id++, call->attempts);
     guint count = call->headers->len;
     g_autofree struct sas_http_header *headers =
         g_new(struct sas_http_header, count + OWN_HEADERS);
@@ -330,7 +337,7 @@
     headers[count].name = "Sas-Deadline-Ms";
     headers[count].value = left;
     headers[count + 1].name = "Sas-Request-Id";
-    headers[count + 1].value = id;
+    headers[count + 1].value = call->attempt.request_id;
     struct sas_http_request request = {
         .method = call->request.method,
         .target = call->request.target,
@@ -347,14 +354,19 @@
                        1);
     }
     SasUpstream_Send(parts->upstream, call->grant.backend, &request,
-                     call->deadline_at - now, !call->idempotent,
-                     &attempt_vtable, &call->attempt);
+                     call->deadline_at - now,
+                     !call->idempotent || call->stalled, &attempt_vtable,
+                     &call->attempt);
 }
 
 /* Asks for a slot; true when the call has gone on or has ended. */
 static bool
 try_acquire(struct sas_forward_call *call)
 {
+    int64_t now = (int64_t)uv_now(call->forward->parts.loop);
+    call->query.lasts_ms = call->deadline_at - now;
+    call->query.waited_ms =
+        call->waiting_since > 0 ? now - call->waiting_since : 0;
     enum sas_refusal reason = SAS_REFUSE_NO_HEADROOM;
     enum sas_steer_answer answer = SasSteer_Acquire(
         call->forward->parts.steer, &call->query, &call->grant, &reason);
@@ -389,6 +401,7 @@
         return;
     }
     call->state = CALL_WAITING;
+    call->waiting_since = now;
     g_queue_push_tail(queue, call);
     arm_timer(call,
               MIN(call->deadline_at, now + forward->parts.queue_wait_ms));
@@ -554,6 +567,14 @@
     return true;
 }
 
+static void
+note_tried(struct sas_forward_call *call)
+{
+    if (call->query.tried_count < SasSteer_MAX_TRIED) {
+        call->query.tried[call->query.tried_count++] = call->grant.backend;
+    }
+}
+
 /* Tries again elsewhere, or refuses. The attempt has ended already. */
 static void
 retry_or_refuse(struct sas_forward_call *call, int counter,
@@ -562,9 +583,7 @@
     const struct sas_counters *counters = call->forward->parts.counters;
     bool may_have_run = outcome != SAS_OUTCOME_NOT_RUN;
     call->may_have_run |= may_have_run;
-    if (call->query.tried_count < SasSteer_MAX_TRIED) {
-        call->query.tried[call->query.tried_count++] = call->grant.backend;
-    }
+    note_tried(call);
     g_string_truncate(call->held, 0);
     g_array_set_size(call->answer_headers, 0);
     if (!may_retry(call, may_have_run)) {
@@ -606,6 +625,7 @@
                 size_t size)
 {
     struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    call->answer_bytes += (int64_t)size;
     if (call->shed) {
         return;
     }
@@ -727,16 +747,19 @@
     int64_t now = (int64_t)uv_now(parts->loop);
     bool half_gone = now - call->attempt_at > call->deadline_at - now;
     if (!call->idempotent || !(missing || half_gone) ||
-        !may_retry(call, true)) {
+        call->forward->retry_credit < 1.0 || !may_retry(call, true)) {
         return;
     }
     SasMetrics_Add(parts->counters->metrics, parts->counters->retry_stalled,
                    1);
     SasUpstream_Cancel(attempt);
     call->may_have_run = true;
+    call->stalled = true;
     release_grant(call);
-    if (call->query.tried_count < SasSteer_MAX_TRIED) {
-        call->query.tried[call->query.tried_count++] = call->grant.backend;
+    /* A silent connection is not the fault of its backend server, which may
+     * be asked again over a new one; a slow one is not asked twice. */
+    if (!missing) {
+        note_tried(call);
     }
     acquire(call);
 }
--- a/packages/node/src/forward.h
+++ b/packages/node/src/forward.h
@@ -21,6 +21,7 @@
     int service;
     const char *method;
     const char *target; /* as the backend server gets it */
+    const char *route;  /* its path without dots, escapes, double slashes */
     const struct sas_http_header *headers;
     int header_count;
     const char *body;
@@ -67,6 +68,7 @@
     struct sas_upstream *upstream;
     struct sas_claims *claims;
     struct sas_guard *guard;
+    const char *id_prefix; /* of request ids; unique to this process */
     int64_t queue_wait_ms;
     double retry_share;
 };
--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -8,6 +8,10 @@
 #include <glib/gstdio.h>
 
 #include "sas/settings.h"
+#include "sas/sheet.h"
+
+/* 2 December 2025, 12:00 UTC. */
+#define NOON_MS INT64_C(1764676800000)
 
 /* The least that a deployment needs. */
 static const char minimal[] = "[store]\n"
@@ -80,7 +84,7 @@
                            "queue_wait_ms = 7\n"
                            "retry_share = 0.2\n"
                            "drain_notice_ms = 50\n"
-                           "stop_limit_ms = 60\n"
+                           "stop_limit_ms = 2550\n"
                            "placement = \"cone\"\n"
                            "[security]\n"
                            "peer_key_file = \"peer.key\"\n"
@@ -176,7 +180,7 @@
     assert_int_equal(settings.queue_wait_ms, 7);
     assert_true(settings.retry_share == 0.2);
     assert_int_equal(settings.drain_notice_ms, 50);
-    assert_int_equal(settings.stop_limit_ms, 60);
+    assert_int_equal(settings.stop_limit_ms, 2550);
     assert_string_equal(settings.placement, "cone");
     assert_string_equal(settings.peer_key_file, "/x/peer.key");
     assert_string_equal(settings.admin_token_file, "/etc/token");
@@ -250,9 +254,10 @@
     assert_refused("bodies_limit_mb = 16", "bodies_limit_mb = 7",
                    "f.toml:53: limits.bodies_limit_mb: less than one body of "
                    "body_limit_mb");
-    assert_refused("stop_limit_ms = 60", "stop_limit_ms = 49",
-                   "f.toml:57: limits.stop_limit_ms: shorter than "
-                   "drain_notice_ms");
+    assert_refused("stop_limit_ms = 2550", "stop_limit_ms = 2549",
+                   "f.toml:57: limits.stop_limit_ms: less than "
+                   "drain_notice_ms and the longest deadline_ms together, "
+                   "2550");
     assert_refused("\"10.0.0.9\"", "\"store.example\"",
                    "f.toml:6: store.ip: not an IP number: \"store.example\"");
     assert_refused("\"10.0.0.1\"", "\"0.0.0.0\"",
@@ -350,6 +355,21 @@
                    "given too");
 }
 
+static void
+test_tables_are_bounded(void **state)
+{
+    (void)state;
+    g_autoptr(GString) text = g_string_new(minimal);
+    for (int i = 0; i < SasModel_MAX_REGIONS; i++) {
+        g_string_append_printf(text, "[[region]]\nname = \"r%d\"\n", i);
+    }
+    g_autofree char *fitting = SasSettings_ListProblems(text->str, "f");
+    assert_null(strstr(fitting, "more than"));
+    g_string_append(text, "[[region]]\nname = \"one-more\"\n");
+    g_autofree char *list = SasSettings_ListProblems(text->str, "f");
+    assert_non_null(strstr(list, "f:45: region: more than 16\n"));
+}
+
 static void
 test_all_problems_are_listed_in_order(void **state)
 {
@@ -433,6 +453,42 @@
     SasSettings_Unload(&settings);
 }
 
+/* The sheet of an example must be taken by the settings beside it. */
+static void
+assert_sheet_fits(const char *settings_file, const char *sheet_file, int rows)
+{
+    g_autofree char *path = g_build_filename(SAS_EXAMPLES, sheet_file, NULL);
+    g_autofree char *text = NULL;
+    gsize size;
+    assert_true(g_file_get_contents(path, &text, &size, NULL));
+    g_autofree char *toml =
+        g_build_filename(SAS_EXAMPLES, settings_file, NULL);
+    struct sas_settings settings;
+    assert_int_equal(SasSettings_Load(&settings, toml, NULL), 0);
+    struct sas_sheet sheet;
+    struct sas_sheet_error error = {0};
+    int result = SasSheet_Parse(&sheet, &settings.model, text, size, NOON_MS,
+                                settings.utc_offset_s, &error);
+    if (result == 0) {
+        result = SasSheet_Check(&sheet, &settings.model, &error);
+    }
+    if (result != 0) {
+        fail_msg("%s, row %d, column %s: %s", sheet_file, error.row,
+                 error.column, error.reason);
+    }
+    assert_int_equal(sheet.row_count, rows);
+    SasSheet_Free(&sheet);
+    SasSettings_Unload(&settings);
+}
+
+static void
+test_example_sheets_fit_their_settings(void **state)
+{
+    (void)state;
+    assert_sheet_fits("hottes.toml", "hottes-morning.csv", 6);
+    assert_sheet_fits("qureshi.toml", "qureshi-morning.csv", 6);
+}
+
 int
 main(void)
 {
@@ -445,10 +501,12 @@
         cmocka_unit_test(test_references_to_nothing_are_refused),
         cmocka_unit_test(test_duplicates_are_refused),
         cmocka_unit_test(test_unsafe_combinations_are_refused),
+        cmocka_unit_test(test_tables_are_bounded),
         cmocka_unit_test(test_all_problems_are_listed_in_order),
         cmocka_unit_test(test_vm_is_found_by_name),
         cmocka_unit_test(test_absent_file_is_an_io_error),
         cmocka_unit_test(test_examples_load_at_their_sizes),
+        cmocka_unit_test(test_example_sheets_fit_their_settings),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
