--- a/packages/core/include/sas/place.h
+++ b/packages/core/include/sas/place.h
@@ -15,8 +15,8 @@
  * | least-in-flight | the fewest requests of this entry VM |
  * | two-choices     | the lower estimated load of two drawn at random |
  * | least-load      | the lowest estimated load of all |
- * | owned           | a free place of those that this entry VM owns |
- * | owned-first     | an owned free place, else one that looks idle |
+ * | owned           | a free place of those that this entry VM owns, near
+ * first | | owned-first     | an owned free place, else one that looks idle |
  * | cone            | the own failure domain while the imbalance stays in the
  *                     cone, else the lowest estimated load of all |
  *
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -6,6 +6,7 @@
 #include "sas/model.h"
 
 #define COLD_WEIGHT 2.0
+#define NEAR_BONUS 1.0 /* puts a near server with a free slot first */
 
 struct state {
     struct sas_place_policy policy;
@@ -318,7 +319,9 @@
     if (!server->usable || server->own_in_flight >= server->own_share) {
         return INFINITY;
     }
-    return load * (server->cold ? COLD_WEIGHT : 1) / server->slots;
+    double cost = load * (server->cold ? COLD_WEIGHT : 1) / server->slots;
+    bool is_near = server->same_domain && load + 1 <= server->slots;
+    return is_near ? cost - NEAR_BONUS : cost;
 }
 
 static bool
--- a/packages/core/tests/test_place.c
+++ b/packages/core/tests/test_place.c
@@ -177,10 +177,25 @@
         fixture->servers[i].reported_load = i == 1 ? 3 : 0;
     }
     assert_int_equal(pick_once(fixture, "owned"), 1);
+    fixture->servers[2].own_in_flight = 0;
+    assert_int_equal(pick_once(fixture, "owned"), 2);
+    fixture->servers[2].own_in_flight = 1;
     fixture->servers[1].own_in_flight = 1;
     assert_int_equal(pick_once(fixture, "owned"), SasModel_NONE);
 }
 
+static void
+test_owned_takes_a_near_free_slot_first(void **state)
+{
+    struct fixture *fixture = *state;
+    for (int i = 0; i < SERVERS; i++) {
+        fixture->servers[i].reported_load = i == 1 ? 2 : i < 2 ? 3 : 0;
+    }
+    assert_int_equal(pick_once(fixture, "owned"), 1);
+    fixture->servers[1].reported_load = 3;
+    assert_in_range(pick_once(fixture, "owned"), 2, 3);
+}
+
 static void
 test_owned_first_borrows_only_what_looks_idle(void **state)
 {
@@ -225,6 +240,7 @@
         TEST(test_reported_load_steers_away),
         TEST(test_cold_server_is_taken_later),
         TEST(test_owned_never_exceeds_its_share),
+        TEST(test_owned_takes_a_near_free_slot_first),
         TEST(test_owned_first_borrows_only_what_looks_idle),
         TEST(test_cone_stays_near_until_the_imbalance_leaves_it),
     };
--- a/tools/load/place_driver.c
+++ b/tools/load/place_driver.c
@@ -416,7 +416,7 @@
     run->is_central = is_jsq || strcmp(run->policy, "held") == 0;
     run->lends = strcmp(run->policy, "owned+loan") == 0;
     run->queue = is_jsq ? ENDLESS : options->queue;
-    run->wait_ms = run->is_central ? ENDLESS : options->wait_ms;
+    run->wait_ms = is_jsq ? ENDLESS : options->wait_ms;
     const char *name = run->is_central ? "least-load"
                        : run->lends    ? "owned"
                                        : run->policy;
@@ -531,13 +531,19 @@
            low[RATIO], high[RATIO], sum[ANSWERED], sum[SHEDS], sum[BUSIEST]);
 }
 
+static void
+set_default(char **option, const char *value)
+{
+    *option = *option != NULL ? *option : g_strdup(value);
+}
+
 int
 main(int argc, char **argv)
 {
     struct options options = {
         .nodes = 3,
         .load = 95,
-        .queue = 1,
+        .queue = 3,
         .wait_ms = 200,
         .near_ms = 0.2,
         .far_ms = 4,
@@ -545,11 +551,6 @@
         .arrivals = 200000,
         .seeds = 5,
         .skew = 1,
-        .shape = "exponential",
-        .report = "honest",
-        .fault = "none",
-        .policies = "jsq,held,random,round-robin,least-in-flight,two-choices,"
-                    "least-load,cone,owned,owned+loan,owned-first",
     };
 #define OPTION(name, type, field)                                             \
     {                                                                         \
@@ -578,6 +579,12 @@
         options.seeds > MAX_SEEDS || options.nodes > MAX_NODES) {
         return 2;
     }
+    set_default(&options.shape, "exponential");
+    set_default(&options.report, "honest");
+    set_default(&options.fault, "none");
+    set_default(&options.policies,
+                "jsq,held,random,round-robin,least-in-flight,two-choices,"
+                "least-load,cone,owned,owned+loan,owned-first");
     g_auto(GStrv) names = g_strsplit(options.policies, ",", -1);
     double jsq_p99[MAX_SEEDS];
     for (int s = 0; s < options.seeds; s++) {
@@ -595,5 +602,9 @@
     for (int i = 0; names[i] != NULL; i++) {
         print_policy(&options, names[i], jsq_p99);
     }
+    g_free(options.shape);
+    g_free(options.report);
+    g_free(options.fault);
+    g_free(options.policies);
     return 0;
 }
