Limits under load and faults: seven end-to-end tests

Story: caps and regions must hold with look-ups that are old, the store down, a frozen borrower, replaced entry VMs, a changed cap, a region gone, and three times the capacity. The stand-in now states the peak of requests that ran and waited on all servers of a region together.

--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -171,6 +171,12 @@
         for name in self.vms:
             self.wait_ready(name)
 
+    def peak(self, service, region):
+        """Most requests that ran and waited there at the same time."""
+        index = list(self.standins).index((service, region))
+        return exchange(("127.0.0.1", self.controls[index]), "GET",
+                        "/counts?key=none").json()["peak"]
+
     def start_standin(self, service, region, options):
         arguments = [
             BUILD + "/bin/sas_backend_standin",
@@ -279,6 +285,13 @@
     def wait_ready(self, name):
         wait_until(lambda: self.health(name) == 200, name + " is ready")
 
+    def memory_mb(self, name):
+        with open("/proc/%d/status" % self.nodes[name].process.pid) as file:
+            for line in file:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+        return 0
+
     # Callers.
 
     def caller_address(self, name):
--- /dev/null
+++ b/tests/e2e/test_limits.py
@@ -0,0 +1,188 @@
+"""Shifts stay under their caps; no region gets more than it carries."""
+
+import signal
+import subprocess
+import threading
+import time
+import unittest
+
+from harness import BUILD, Deployment, wait_until
+
+SERVICES = {"dossiers": {"backends": 4, "slots": 3, "queue": 50,
+                         "mean_ms": 20}}
+SLOTS = 12
+CAP = 40
+
+
+class Callers:
+    """Callers of montreal at all entry VMs, as if they all held old
+    look-ups; counts whose backend servers answered."""
+
+    def __init__(self, d, count=12, target="/s/dossiers/x?ms=10"):
+        self.d = d
+        self.regions = {}
+        self.refusals = {}
+        self.lock = threading.Lock()
+        self.over = False
+        self.started = time.monotonic()
+        vms = list(d.vms)
+        self.threads = [threading.Thread(
+            target=self.run, args=(vms[number % len(vms)], target, number))
+            for number in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, vm, target, number):
+        source = self.d.caller_ip("montreal", number + 1)
+        while not self.over:
+            try:
+                answer = self.d.request(vm, target, source=source)
+            except OSError:
+                continue
+            with self.lock:
+                table = self.regions if answer.status == 200 \
+                    else self.refusals
+                name = answer.region if answer.status == 200 \
+                    else (answer.reason, answer.outcome)
+                table[name] = table.get(name, 0) + 1
+
+    def count(self, region):
+        with self.lock:
+            return self.regions.get(region, 0)
+
+    def stop(self):
+        self.over = True
+        for thread in self.threads:
+            thread.join()
+        self.elapsed = time.monotonic() - self.started
+
+
+class LimitsTest(unittest.TestCase):
+
+    def run_shift(self, d, disturb):
+        """All of montreal's callers are ordered to quebec, under a cap."""
+        put = d.put_sheet("montreal-1", [
+            "+0,dossiers,montreal,quebec,100%%,%d req/s,," % CAP])
+        self.assertEqual(put.status, 200, put.body)
+        d.wait_version(1)
+        wait_until(lambda: all(
+            d.status(vm)["shifts"][0]["in_force_percent"] == 100
+            for vm in d.vms), "the shift is in force")
+        callers = Callers(d)
+        try:
+            disturb(d, callers)
+        finally:
+            callers.stop()
+        # The bucket of each entry VM holds 100 ms of its share, or one
+        # request where that is more.
+        allowed = CAP * (callers.elapsed + 0.1) + len(d.vms)
+        self.assertLessEqual(callers.count("quebec"), allowed)
+        self.assertGreater(callers.count("montreal"), 0)
+        self.assertLessEqual(d.peak("dossiers", "quebec"), SLOTS)
+        self.assertLessEqual(d.peak("dossiers", "montreal"), SLOTS)
+        return callers
+
+    def wait_for(self, callers, count):
+        before = callers.count("quebec")
+        wait_until(lambda: callers.count("quebec") >= before + count,
+                   "%d more shifted requests" % count)
+
+    # Many more callers than the cap allows come through all entry VMs,
+    # since look-ups that they hold still name them. The rest stays at home.
+    def test_a_shift_stays_under_its_cap(self):
+        with Deployment(vms=2, services=SERVICES) as d:
+            self.run_shift(d, lambda d, c: self.wait_for(c, 120))
+
+    # The store is down during the whole shift: nobody can be asked there.
+    def test_the_cap_holds_without_the_store(self):
+        with Deployment(vms=2, services=SERVICES) as d:
+            def disturb(d, callers):
+                d.control_platform(down=True)
+                self.wait_for(callers, 120)
+            self.run_shift(d, disturb)
+
+    # An entry VM that borrowed from the others is frozen until its loans
+    # have lapsed and were lent anew, then goes on as if nothing happened.
+    def test_a_frozen_borrower_uses_no_lapsed_loan(self):
+        with Deployment(vms=2, services=SERVICES) as d:
+            def disturb(d, callers):
+                self.wait_for(callers, 60)
+                d.pause("quebec-2")
+                self.wait_for(callers, 120)
+                d.resume("quebec-2")
+                self.wait_for(callers, 60)
+            self.run_shift(d, disturb)
+
+    # An entry VM dies and is replaced twice; the new process knows nothing
+    # of the loans that the old one made.
+    def test_a_replaced_entry_vm_does_not_raise_the_sum(self):
+        with Deployment(vms=2, services=SERVICES) as d:
+            def disturb(d, callers):
+                for _ in range(2):
+                    self.wait_for(callers, 40)
+                    d.restart("quebec-1")
+                self.wait_for(callers, 40)
+            self.run_shift(d, disturb)
+
+    # The cap is changed under load; neither version's is exceeded for long:
+    # the sum stays under the higher one at all times.
+    def test_a_new_version_changes_the_cap(self):
+        with Deployment(vms=2, services=SERVICES) as d:
+            def disturb(d, callers):
+                self.wait_for(callers, 40)
+                put = d.put_sheet("quebec-1", [
+                    "+0,dossiers,montreal,quebec,100%,10 req/s,,"])
+                self.assertEqual(put.status, 200)
+                d.wait_version(2)
+                self.wait_for(callers, 20)
+            self.run_shift(d, disturb)
+
+    # A whole region goes: its backend servers and its entry VMs. The other
+    # takes what it carries, and never more; the rest is told at once that
+    # it was not run.
+    def test_a_region_that_is_gone_overloads_no_other(self):
+        with Deployment(vms=2, services=SERVICES) as d:
+            d.put_sheet("montreal-1",
+                        ["+0,dossiers,montreal,quebec,100%,,,"])
+            d.wait_version(1)
+            callers = Callers(d, 40, "/s/dossiers/x?ms=60")
+            try:
+                wait_until(lambda: callers.count("quebec") > 50, "it works")
+                d.standins["dossiers", "quebec"].signal(signal.SIGKILL)
+                for vm in ("quebec-1", "quebec-2"):
+                    d.kill(vm)
+                before = callers.count("montreal")
+                wait_until(lambda: callers.count("montreal") > before + 200,
+                           "montreal takes over")
+            finally:
+                callers.stop()
+            self.assertLessEqual(d.peak("dossiers", "montreal"), SLOTS)
+            self.assertEqual([name for name in callers.refusals
+                              if name[0] in ("queue-timeout", "queue-full",
+                                             "no-headroom", "no-backend")
+                              and name[1] != "not-run"], [])
+
+    # Three times the capacity for some seconds. Those refused get their
+    # answer, the region's slots are used and never overrun, and the entry
+    # VMs' memory stays bounded.
+    def test_three_times_the_capacity(self):
+        with Deployment(regions=("montreal",), vms=2,
+                        services=SERVICES) as d:
+            targets = []
+            for name in d.vms:
+                targets += ["--target", "%s:%d" % d.caller_address(name)]
+            load = subprocess.run(
+                [BUILD + "/bin/sas_load", *targets, "--rate", "1800",
+                 "--duration", "4", "--service", "dossiers", "--path",
+                 "/x?ms=20", "--connections", "400"],
+                capture_output=True, text=True, check=True)
+            self.assertLessEqual(d.peak("dossiers", "montreal"), SLOTS)
+            started = sum(row["started"] for row in d.counts().values())
+            self.assertGreater(started, 0, load.stdout)
+            for name in d.vms:
+                self.assertEqual(d.health(name), 200)
+                self.assertLess(d.memory_mb(name), 256)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/backend.c
+++ b/tests/standins/backend.c
@@ -29,7 +29,9 @@
  *   GET /counts[?key=KEY]  per server, and per Idempotency-Key or else
  *                          Sas-Request-Id: started, finished, cancelled
  *                          (started but given up), crashed, dropped (never
- *                          started), shed. Holds the last 200000 keys;
+ *                          started), shed; and peak, the most requests that
+ *                          ran and waited on all servers of the process at
+ *                          the same time. Holds the last 200000 keys;
  *                          keys_lost counts those that fell out.
  *   PUT /servers/PATTERN   JSON with the settings to change on the servers
  *                          whose name matches (glob): slots, queue,
--- a/tests/standins/backend.h
+++ b/tests/standins/backend.h
@@ -100,6 +100,7 @@
     GHashTable *journal; /* key to struct counts */
     GQueue journal_keys; /* oldest first */
     int64_t journal_lost;
+    int peak; /* most requests running and queued on all servers together */
     char read_buffer[READ_SIZE];
     struct counts unnamed; /* requests without a key */
 };
--- a/tests/standins/backend_control.c
+++ b/tests/standins/backend_control.c
@@ -44,6 +44,7 @@
     json_object_set_new(answer, "servers", servers);
     json_object_set_new(answer, "keys", describe_journal(app, key));
     json_object_set_new(answer, "keys_lost", json_integer(app->journal_lost));
+    json_object_set_new(answer, "peak", json_integer(app->peak));
     answer_json(request, 200, answer);
 }
 
--- a/tests/standins/backend_server.c
+++ b/tests/standins/backend_server.c
@@ -481,9 +481,21 @@
     return ms;
 }
 
+static void
+note_peak(struct app *app)
+{
+    int total = 0;
+    for (guint i = 0; i < app->servers->len; i++) {
+        const struct server *server = g_ptr_array_index(app->servers, i);
+        total += server->running + (int)server->queue.length;
+    }
+    app->peak = MAX(app->peak, total);
+}
+
 static void
 take_sample(struct server *server)
 {
+    note_peak(server->app);
     server->samples[server->sample_count++ % MAX_SAMPLES] = (struct sample){
         .at_ms = (int64_t)uv_now(&server->app->loop),
         .running = server->running,
