plan: a first version that comes late is as fresh as one that comes at once

Cause: the node calls Advance from its start, without a version while the store is down. The first version that then came counted as a later one: no seeds from peers after 30 s, so its callers went home for a whole ramp. Fix: the seed window counts from the first Advance of the first version. Ruled out: asking for the window to be renewed at each version; a node that runs already has a level of its own and must not take one over.

--- a/packages/core/include/sas/plan.h
+++ b/packages/core/include/sas/plan.h
@@ -97,7 +97,8 @@
     struct sas_intention *drains; /* by time */
     int drain_count;
     bool started;
-    int64_t started_monotonic_ms;
+    bool fresh;             /* first version, not advanced yet */
+    int64_t fresh_since_ms; /* first Advance of the first version */
     int64_t monotonic_ms;
     int64_t wall_ms;
     int64_t clock_ms; /* the schedule's clock */
@@ -112,8 +113,9 @@
     double concurrent;
 };
 
-/* Takes over a configuration. *plan is zeroed before the first call; on later
- * calls the shares in force and the clocks are carried over. The plan keeps
+/* Takes over a configuration; number 0 stands for none yet. *plan is zeroed
+ * before the first call; on later calls the shares in force and the clocks
+ * are carried over. The plan keeps
  * the model, not the configuration. */
 void SasPlan_Build(struct sas_plan *plan, const struct sas_model *model,
                    const struct sas_config *config);
@@ -127,7 +129,8 @@
 
 /* Tells a fresh node what its peers have in force (the lowest heard of); it
  * is taken up to the schedule's point during the first SasPlan_SEED_MS after
- * the first Advance. True when the share in force changed. */
+ * the first Advance of its first version. True when the share in force
+ * changed. */
 bool SasPlan_Seed(struct sas_plan *plan, int service, int from, int to,
                   double share);
 
--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -41,8 +41,9 @@
     memset(plan, 0, sizeof(*plan));
     plan->model = model;
     plan->version = config->number;
+    plan->fresh = old.version == 0;
     plan->started = old.started;
-    plan->started_monotonic_ms = old.started_monotonic_ms;
+    plan->fresh_since_ms = old.fresh_since_ms;
     plan->monotonic_ms = old.monotonic_ms;
     plan->wall_ms = old.wall_ms;
     plan->clock_ms = old.clock_ms;
@@ -74,9 +75,13 @@
 SasPlan_Advance(struct sas_plan *plan, int64_t wall_ms, int64_t monotonic_ms,
                 const struct sas_plan_signals *signals)
 {
-    bool fresh = !plan->started;
+    bool fresh = plan->fresh;
     bool changed = false;
     int64_t elapsed_ms = advance_clock(plan, wall_ms, monotonic_ms);
+    if (fresh) {
+        plan->fresh_since_ms = plan->monotonic_ms;
+        plan->fresh = false;
+    }
     take_signals(plan, signals);
     for (int i = 0; i < plan->shift_count; i++) {
         changed |= advance_shift(plan, &plan->shifts[i], fresh, elapsed_ms);
@@ -90,9 +95,7 @@
 {
     int i = find_shift(plan, service, from, to);
     struct sas_shift *shift = i == SasModel_NONE ? NULL : &plan->shifts[i];
-    bool fresh =
-        plan->started &&
-        plan->monotonic_ms - plan->started_monotonic_ms <= SasPlan_SEED_MS;
+    bool fresh = plan->monotonic_ms - plan->fresh_since_ms <= SasPlan_SEED_MS;
     if (shift == NULL || !fresh || shift->active == SasModel_NONE ||
         plan->gone[to] || !(share > shift->in_force)) {
         return false;
@@ -385,7 +388,7 @@
     plan->wall_ms = wall_ms;
     if (!plan->started) {
         plan->started = true;
-        plan->started_monotonic_ms = monotonic_ms;
+
         plan->monotonic_ms = monotonic_ms;
         plan->clock_ms = wall_ms;
         return 0;
--- a/packages/core/tests/test_plan.c
+++ b/packages/core/tests/test_plan.c
@@ -159,6 +159,30 @@
     SasPlan_Free(&plan);
 }
 
+/* The store is down when an entry VM starts, so it has no version for ten
+ * minutes. When one comes it is as fresh as it was, and must still take over
+ * what its peers have in force. */
+static void
+test_a_late_first_version_is_seeded_too(void **state)
+{
+    (void)state;
+    static const struct sas_config nothing = {.sheet_text = ""};
+    struct sas_plan plan = {0};
+    SasPlan_Build(&plan, &fixture, &nothing);
+    run(&plan, NOW, 0, 600);
+    build(&plan, 1, RAMP_ROW);
+    assert_false(SasPlan_Seed(&plan, DOSSIERS, MONTREAL, QUEBEC, 0.6));
+    run(&plan, NOW + 601000, 601000, 0);
+    assert_true(get_share(&plan) < 0.003);
+    assert_true(SasPlan_Seed(&plan, DOSSIERS, MONTREAL, QUEBEC, 0.6));
+    assert_near(get_share(&plan), 0.6);
+    run(&plan, NOW + 602000, 602000, 30);
+    build(&plan, 2, "+0,galerie,montreal,quebec,60%,,,ramp=300\n");
+    run(&plan, NOW + 633000, 633000, 0);
+    assert_false(SasPlan_Seed(&plan, GALERIE, MONTREAL, QUEBEC, 0.6));
+    SasPlan_Free(&plan);
+}
+
 /* A process is stopped for an hour and wakes with one good measurement. */
 static void
 test_a_paused_process_does_not_catch_up_at_once(void **state)
@@ -342,6 +366,8 @@
         cmocka_unit_test_setup(test_a_clock_that_jumps_back_undoes_no_ramp,
                                set_up),
         cmocka_unit_test_setup(test_a_fresh_node_does_not_jump, set_up),
+        cmocka_unit_test_setup(test_a_late_first_version_is_seeded_too,
+                               set_up),
         cmocka_unit_test_setup(test_a_paused_process_does_not_catch_up_at_once,
                                set_up),
         cmocka_unit_test_setup(test_holds_are_stated_and_lifted, set_up),
