--- a/packages/core/include/sas/budget.h
+++ b/packages/core/include/sas/budget.h
@@ -36,11 +36,12 @@
 #define SasBudget_MAX_SEATS 32
 #define SasBudget_MAX_LOANS 64       /* each way, for one budget */
 #define SasBudget_MAX_PENDING 3      /* unanswered asks at one time */
+#define SasBudget_ANSWER_MS 1000     /* an answer is hardly to come after */
 #define SasBudget_LIFE_MS 15000      /* a loan's life where none is chosen */
 #define SasBudget_MARGIN_MS 1000     /* a lender holds a loan longer by this */
 #define SasBudget_CLOCK_PERCENT 2    /* and by this share of its life */
 #define SasBudget_RESERVE_PERCENT 10 /* of a floor: never lent */
-#define SasBudget_WINDOW_MS 2000     /* recent use: this window and the last */
+#define SasBudget_RECENT_MS 2000     /* recent use fades with this */
 #define SasBudget_BURST_MS 100       /* a rate bucket holds this much */
 #define SasBudget_RATE_PERCENT 99    /* of the allowance; for fast clocks */
 #define SasBudget_HINT_MS 10000      /* a peer's hint is worth nothing after */
@@ -58,7 +59,7 @@
     int64_t granted;  /* never rises */
     int64_t used;     /* units running on it (borrower) */
     int64_t until_ms; /* usable (borrower) or held (lender) until then */
-    int64_t asked_ms; /* when the newest renewal was asked for */
+    int64_t asked_ms; /* the question, then the newest renewal */
     uint32_t renewal; /* sequence number of the newest renewal */
     bool pending;     /* asked for, no answer yet (borrower) */
     bool closing;     /* not to be renewed */
@@ -96,9 +97,11 @@
     bool recovering;
     int64_t recover_until_ms;
     int64_t own_used;
-    int64_t window_ms; /* start of the window of recent use */
-    int64_t peak, last_peak;
-    int64_t refused, last_refused;
+    int64_t use;     /* recent means, in millionths: units in use, */
+    int64_t taken;   /* units taken a second, */
+    int64_t refused; /* and refused a second */
+    int64_t faded_ms;
+    bool short_of;     /* refused since the last loan came */
     int64_t tokens;    /* rates: thousandths of a milli-unit */
     int64_t filled_ms; /* rates: when the bucket was filled last */
 };
--- a/packages/core/src/budget.c
+++ b/packages/core/src/budget.c
@@ -1,5 +1,6 @@
 #include "sas/budget.h"
 
+#include <math.h>
 #include <string.h>
 
 #define NEVER INT64_MIN
@@ -8,6 +9,12 @@
 #define UNKNOWN_PEAK (INT64_MAX / (2 * SasBudget_MAX_SEATS))
 
 #define TOKEN_SCALE 1000 /* tokens in a milli-unit */
+#define MEAN_SCALE 1000000
+
+/* A lender keeps more than its mean need by this many roots of it; a
+ * borrower asks for its mean need only. Measured in docs/notes-budget.md. */
+#define LENDER_HEADROOM 0.5
+#define BORROWER_HEADROOM 0.0
 
 static int64_t
 at_most(int64_t value, int64_t limit)
@@ -33,8 +40,9 @@
 static int64_t burst_units(const struct sas_budget *b, int64_t now_ms);
 static void settle(struct sas_budget *b, int64_t now_ms);
 static void raise_entitled(struct sas_budget *b);
-static int64_t recent_need(const struct sas_budget *b);
-static void note_use(struct sas_budget *b, int64_t amount);
+static int64_t recent_need(const struct sas_budget *b, double headroom);
+static void fade(struct sas_budget *b, int64_t now_ms);
+static void note(int64_t *mean, int64_t units);
 
 /* Splitting a limit. */
 
@@ -75,7 +83,7 @@
     b->settings = *settings;
     b->epoch = epoch;
     b->announced = -1;
-    b->window_ms = now_ms;
+    b->faded_ms = now_ms;
     b->filled_ms = now_ms;
     for (int i = 0; i < settings->seats; i++) {
         b->floors[i] = floors[i];
@@ -180,7 +188,8 @@
         pot = 0;
     }
     if (pot < 0) {
-        b->refused += units;
+        note(&b->refused, units);
+        b->short_of = true;
         return -1;
     }
     if (pot == 0) {
@@ -189,7 +198,7 @@
     else {
         b->borrowed[pot - 1].used += units;
     }
-    note_use(b, 0);
+    note(&b->taken, units);
     return pot;
 }
 
@@ -210,11 +219,12 @@
 {
     settle(b, now_ms);
     if (amount * TOKEN_SCALE > b->tokens) {
-        b->refused += amount;
+        note(&b->refused, amount);
+        b->short_of = true;
         return false;
     }
     b->tokens -= amount * TOKEN_SCALE;
-    note_use(b, amount);
+    note(&b->taken, amount);
     return true;
 }
 
@@ -231,17 +241,12 @@
 SasBudget_GetWanted(struct sas_budget *b, int64_t now_ms)
 {
     settle(b, now_ms);
-    if (b->refused == 0) {
-        return 0;
-    }
     int64_t allowance = own_units(b) + borrowed_units(b, now_ms);
-    int64_t refused = b->refused;
-    if (b->settings.kind == SAS_BUDGET_RATE) {
-        refused = refused * 1000 / SasBudget_WINDOW_MS;
+    int64_t need = recent_need(b, BORROWER_HEADROOM);
+    if (!b->short_of || need <= allowance) {
+        return 0;
     }
-    /* Callers that try again are counted again: at most double. */
-    int64_t wanted = at_most(refused, at_least(allowance, 1));
-    return at_least(wanted, at_least(allowance / 4, 1));
+    return at_least(need - allowance, allowance / 8);
 }
 
 int
@@ -249,15 +254,22 @@
 {
     int64_t weights[SasBudget_MAX_SEATS] = {0};
     int64_t total = 0;
+    bool known = false;
     for (int i = 0; i < b->settings.seats; i++) {
         const struct sas_budget_peer *peer = &b->peers[i];
+        bool fresh = peer->hint_ms != NEVER &&
+                     now_ms - peer->hint_ms < SasBudget_HINT_MS;
         if (i == b->settings.own_seat || now_ms < peer->ask_ms) {
             continue;
         }
-        /* Nothing heard lately: unknown rather than empty, worth a try. */
-        bool fresh = peer->hint_ms != NEVER &&
-                     now_ms - peer->hint_ms < SasBudget_HINT_MS;
-        weights[i] = fresh ? peer->unused : b->floors[i] > 0;
+        /* Nothing heard lately: unknown rather than empty, worth a try when
+         * nobody is known to have something. */
+        if (!known && fresh && peer->unused > 0) {
+            known = true;
+            memset(weights, 0, sizeof(weights));
+            total = 0;
+        }
+        weights[i] = fresh ? peer->unused : !known && b->floors[i] > 0;
         total += weights[i];
     }
     if (total <= 0) {
@@ -279,7 +291,10 @@
     settle(b, now_ms);
     int pending = 0;
     for (int i = 0; i < SasBudget_MAX_LOANS; i++) {
-        pending += b->borrowed[i].id != 0 && b->borrowed[i].pending;
+        /* One that is cut off answers never: it must not stop the others
+         * from being asked for as long as a loan lives. */
+        pending += b->borrowed[i].pending &&
+                   now_ms - b->borrowed[i].asked_ms < SasBudget_ANSWER_MS;
     }
     struct sas_loan *loan = find_free(b->borrowed);
     if (loan == NULL || pending >= SasBudget_MAX_PENDING) {
@@ -294,6 +309,7 @@
     loan->id = (uint64_t)b->settings.incarnation << 32 | b->next_loan;
     loan->seat = lender;
     loan->pending = true;
+    loan->asked_ms = now_ms;
     loan->until_ms = now_ms + b->settings.life_ms;
     return loan->id;
 }
@@ -318,11 +334,7 @@
         return false;
     }
     peer->backoff_ms = SasBudget_MIN_BACKOFF_MS;
-    /* What was refused before is answered by this loan. */
-    if (b->settings.kind == SAS_BUDGET_RATE) {
-        granted = granted * SasBudget_WINDOW_MS / 1000;
-    }
-    b->refused = at_least(b->refused - granted, 0);
+    b->short_of = false;
     return true;
 }
 
@@ -351,7 +363,7 @@
 {
     settle(b, now_ms);
     int64_t allowance = own_units(b) + borrowed_units(b, now_ms);
-    int64_t need = recent_need(b);
+    int64_t need = recent_need(b, LENDER_HEADROOM);
     need += need / 8 + (need > 0);
     for (int i = 0; i < SasBudget_MAX_LOANS; i++) {
         const struct sas_loan *loan = &b->borrowed[i];
@@ -426,7 +438,8 @@
     if (b->recovering) {
         return 0;
     }
-    int64_t kept = at_least(reserve_of(b->entitled), recent_need(b));
+    int64_t kept =
+        at_least(reserve_of(b->entitled), recent_need(b, LENDER_HEADROOM));
     kept = at_least(kept, b->own_used + overdue_units(b, now_ms));
     return at_least(b->entitled - lent_units(b) - kept, 0);
 }
@@ -471,7 +484,8 @@
         closing += b->lent[i].closing ? b->lent[i].granted : 0;
     }
     int64_t lent = lent_units(b);
-    int64_t need = at_least(recent_need(b), reserve_of(b->entitled));
+    int64_t need =
+        at_least(recent_need(b, LENDER_HEADROOM), reserve_of(b->entitled));
     need = at_most(need, b->entitled);
     if (!loan->closing && need > b->entitled - lent + closing) {
         loan->closing = true;
@@ -672,6 +686,7 @@
     if (b->settings.kind == SAS_BUDGET_RATE) {
         fill_bucket(b, now_ms);
     }
+    fade(b, now_ms);
     for (int i = 0; i < SasBudget_MAX_LOANS; i++) {
         struct sas_loan *loan = &b->borrowed[i];
         if (loan->id != 0 && loan->until_ms <= now_ms) {
@@ -688,15 +703,6 @@
     if (b->recovering && now_ms >= b->recover_until_ms) {
         b->recovering = false;
     }
-    if (now_ms - b->window_ms >= SasBudget_WINDOW_MS) {
-        bool next = now_ms - b->window_ms < 2 * SasBudget_WINDOW_MS;
-        b->last_peak = next ? b->peak : 0;
-        b->last_refused = next ? b->refused : 0;
-        b->peak = 0;
-        b->refused = 0;
-        b->window_ms = now_ms;
-        note_use(b, 0);
-    }
 }
 
 /* Rises to the new floor as far as all that fall made room. Others that
@@ -715,26 +721,39 @@
     b->entitled = at_least(b->entitled, b->floors[own] - lacking);
 }
 
-/* Recent need in the budget's units: the peak of what ran, or what passed a
- * second, and what was refused on top, at most once as much. */
+/* What callers asked for lately. Of concurrent units only those that were
+ * let in show how long they stay, so what was refused is taken to be alike.
+ * The root is the spread of arrivals that are independent. */
 static int64_t
-recent_need(const struct sas_budget *b)
+recent_need(const struct sas_budget *b, double headroom)
 {
-    int64_t peak = at_least(b->peak, b->last_peak);
-    int64_t refused = at_least(b->refused, b->last_refused);
+    double refused = (double)b->refused / MEAN_SCALE;
+    double taken = (double)b->taken / MEAN_SCALE;
     if (b->settings.kind == SAS_BUDGET_RATE) {
-        peak = peak * 1000 / SasBudget_WINDOW_MS;
-        refused = refused * 1000 / SasBudget_WINDOW_MS;
+        return (int64_t)(taken + MIN(refused, taken) + taken / 8.0);
     }
-    return peak + at_most(refused, at_least(peak, 1));
+    double use = (double)b->use / MEAN_SCALE;
+    double need = taken > 0.0 ? use * (taken + refused) / taken : use;
+    need = MAX(need, refused > 0.0 ? 1.0 : 0.0);
+    return (int64_t)(need + headroom * sqrt(need) + 0.5);
 }
 
+/* Lets the recent means fade and brings in the units in use since. */
 static void
-note_use(struct sas_budget *b, int64_t amount)
+fade(struct sas_budget *b, int64_t now_ms)
 {
-    if (b->settings.kind == SAS_BUDGET_RATE) {
-        b->peak += amount;
-        return;
-    }
-    b->peak = at_least(b->peak, SasBudget_GetUsed(b));
+    int64_t passed = at_least(now_ms - b->faded_ms, 0);
+    double kept = exp(-(double)passed / SasBudget_RECENT_MS);
+    double used = (double)SasBudget_GetUsed(b) * MEAN_SCALE;
+    b->use = (int64_t)(used + ((double)b->use - used) * kept);
+    b->taken = (int64_t)((double)b->taken * kept);
+    b->refused = (int64_t)((double)b->refused * kept);
+    b->faded_ms = now_ms;
+}
+
+/* Adds units to a mean a second. */
+static void
+note(int64_t *mean, int64_t units)
+{
+    *mean += units * MEAN_SCALE * 1000 / SasBudget_RECENT_MS;
 }
--- a/packages/core/tests/property_budget.py
+++ b/packages/core/tests/property_budget.py
@@ -315,15 +315,124 @@
     @rule()
     def rush(self):
         """All seats let pass what they can for a while."""
-        for _ in range(400):
-            self.now += 100
-            self.room = min(self.burst, self.room + self.allowed() / 10)
+        for _ in range(800):
+            self.now += 50
+            self.room = min(self.burst, self.room + self.allowed() / 20)
             for i, seat in enumerate(self.seats):
                 while take_rate(seat.budget, QUANTUM, self.clock(i)):
                     self.room -= QUANTUM
             assert self.room >= 0, "more than cap * window + burst"
 
 
+def trace(machine, versions, rates, *steps):
+    """One interleaving, then all that ends by itself, always checked."""
+    run = machine()
+    run.begin(versions=(versions + versions[-1:] * 4)[:4], rates=rates)
+    try:
+        for name, arguments in steps + (("wait_for_next_end", {}),) * 6:
+            getattr(run, name)(**arguments)
+            run.sum_is_within_limit()
+    finally:
+        run.teardown()
+
+
+def borrow(i, j, wanted):
+    return "borrow", dict(pair=(i, j), wanted=wanted, first=0, second=0)
+
+
+def adopt(i, steps=1, tell=False):
+    return "adopt", dict(i=i, steps=steps, tell=tell)
+
+
+def crash(i, newer=0):
+    return "crash", dict(i=i, newer=newer)
+
+
+def renew_whole(first=0, second=0, again=False):
+    return "renew_whole", dict(i=0, pick=0, first=first, second=second,
+                               again=again)
+
+
+def arrive(kind):
+    return "deliver_all", dict(kind=kind)
+
+
+class TestTraces(unittest.TestCase):
+    """Interleavings that break the sum when one guard is taken out and that
+    a random search meets seldom. Seat 1 lends, seat 0 borrows, unless the
+    floors say otherwise."""
+    EVEN = [1000] * SEATS
+
+    def run_trace(self, versions, *steps):
+        trace(Budgets, versions, self.EVEN, *steps)
+
+    def test_answer_to_renewal_is_late(self):
+        self.run_trace([[0, 10, 0]], borrow(0, 1, 9),
+                       renew_whole(second=70000))
+
+    def test_answer_to_older_renewal(self):
+        self.run_trace([[0, 10, 0]], borrow(0, 1, 9),
+                       renew_whole(second=70000, again=True))
+
+    def test_renewal_at_lender_that_forgot(self):
+        self.run_trace([[0, 10, 0]], borrow(0, 1, 9), crash(1),
+                       ("wait", dict(ms=70000)), renew_whole())
+
+    def test_lender_that_forgot_lends_again(self):
+        self.run_trace([[0, 10, 0]], borrow(0, 1, 9), crash(1),
+                       borrow(2, 1, 9))
+
+    def test_disowned_for_earlier_incarnation(self):
+        self.run_trace([[0, 10, 0]], crash(1), arrive("disown"),
+                       arrive("disowned"), borrow(0, 1, 9), crash(1),
+                       arrive("disowned"))
+
+    def test_grant_of_earlier_incarnation_is_late(self):
+        self.run_trace([[0, 10, 0]],
+                       ("question", dict(pair=(0, 1), wanted=9)),
+                       arrive("lend"), crash(1), arrive("disown"),
+                       arrive("disowned"), arrive("lent"))
+
+    def test_return_while_some_is_in_use(self):
+        self.run_trace([[0, 10, 0]], borrow(0, 1, 9),
+                       ("use", dict(i=0, units=3, lasts=30000)),
+                       ("hand_back", dict(i=0, pick=0)), arrive("return"))
+
+    def test_request_outlasts_loan(self):
+        self.run_trace([[0, 10, 0]], borrow(0, 1, 9),
+                       ("use", dict(i=0, units=9, lasts=LIFE * 3)))
+
+    def test_epoch_is_skipped(self):
+        self.run_trace([[0, 0, 10], [0, 10, 0], [10, 0, 0]],
+                       adopt(2, tell=True), adopt(1), adopt(0, 2),
+                       adopt(2, tell=True))
+
+    def test_peer_is_epochs_ahead(self):
+        self.run_trace([[0, 10, 0], [10, 0, 0], [0, 10, 0]], adopt(0),
+                       adopt(1, 2, tell=True))
+
+    def test_floor_falls_while_in_use(self):
+        self.run_trace([[10, 0, 0], [0, 10, 0]],
+                       ("use", dict(i=0, units=10, lasts=30000)),
+                       adopt(0, tell=True), adopt(1))
+
+    def test_floor_falls_while_lent(self):
+        self.run_trace([[10, 0, 0], [0, 10, 0]], borrow(2, 0, 9),
+                       adopt(0, tell=True), adopt(1))
+
+    def test_floor_falls_to_what_is_lent(self):
+        self.run_trace([[20, 0, 0], [18, 2, 0]], borrow(2, 0, 18),
+                       adopt(0, tell=True), adopt(1), crash(0, 1))
+
+    def test_restart_into_lower_floor(self):
+        self.run_trace([[10, 0, 0], [0, 10, 0]], borrow(2, 0, 9), adopt(1),
+                       crash(0, 1), ("gossip", dict(pair=(0, 1))))
+
+    def test_fast_clocks(self):
+        trace(RateBudgets, [[20, 20, 20]], [1010] * SEATS, ("rush", {}),
+              ("rush", {}))
+
+
 SETTINGS = settings(PROFILE, max_examples=400, stateful_step_count=40)
 TestBudgets = Budgets.TestCase
 TestBudgets.settings = SETTINGS
--- a/packages/core/tests/test_budget.c
+++ b/packages/core/tests/test_budget.c
@@ -67,6 +67,53 @@
     assert_int_equal(SasBudget_GetUsed(&b), 1);
 }
 
+/* A question is doubled by the network: the lender must not set units aside
+ * twice, for the borrower takes only the first answer. */
+static void
+test_doubled_question_gets_the_same_grant(void **state)
+{
+    (void)state;
+    const int64_t floors[SEATS] = {20, 20, 20, 20, 20, 20, 20, 20, 20};
+    struct sas_budget b;
+    start(&b, SAS_BUDGET_CONCURRENT, 0, floors, 0);
+    assert_int_equal(SasBudget_Lend(&b, 1, 77, 5, 0), 5);
+    assert_int_equal(SasBudget_Lend(&b, 1, 77, 5, 1), 5);
+    assert_int_equal(SasBudget_GetAllowance(&b, 1), 15);
+    assert_int_equal(SasBudget_Lend(&b, 2, 77, 5, 1), 0);
+    SasBudget_TakeBack(&b, 1, 77, 2, 2);
+    SasBudget_TakeBack(&b, 1, 77, 4, 3);
+    assert_int_equal(SasBudget_GetAllowance(&b, 3), 18);
+}
+
+/* The process was paused past a loan's end with a request on it. Until that
+ * request is accounted for, it stands in the way of a new one; and a loan
+ * that the lender will not renew takes no new ones either. */
+static void
+test_overdue_and_closing_take_nothing_new(void **state)
+{
+    (void)state;
+    const int64_t floors[SEATS] = {1, 1, 1, 1, 1, 1, 1, 1, 1};
+    struct sas_budget b;
+    start(&b, SAS_BUDGET_CONCURRENT, 0, floors, 0);
+    uint64_t id = SasBudget_Ask(&b, 1, 0);
+    assert_true(SasBudget_Borrowed(&b, 1, id, 2, 0));
+    int pot = SasBudget_Take(&b, 1, 5000, 0);
+    assert_true(pot > 0);
+    uint32_t renewal = SasBudget_Renew(&b, id, 10);
+    SasBudget_Renewed(&b, id, renewal, false, 20);
+    assert_int_equal(SasBudget_FindSurplus(&b, 20)->id, id);
+    assert_int_equal(SasBudget_Return(&b, id, 20), 1);
+    assert_int_equal(SasBudget_Take(&b, 1, 5000, LIFE + 1), -1);
+    SasBudget_Give(&b, pot, 1, LIFE + 2);
+    assert_int_equal(SasBudget_Take(&b, 1, 5000, LIFE + 2), 0);
+
+    id = SasBudget_Ask(&b, 2, LIFE + 2);
+    assert_true(SasBudget_Borrowed(&b, 2, id, 2, LIFE + 2));
+    renewal = SasBudget_Renew(&b, id, LIFE + 10);
+    SasBudget_Renewed(&b, id, renewal, false, LIFE + 20);
+    assert_int_equal(SasBudget_Take(&b, 1, 5000, LIFE + 20), -1);
+}
+
 /* Drives one hot seat among idle ones for some seconds with all well, and
  * returns what it may use at the end. */
 static int64_t
@@ -152,6 +199,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_split_is_whole_and_same),
         cmocka_unit_test(test_long_request_needs_own_units),
+        cmocka_unit_test(test_doubled_question_gets_the_same_grant),
+        cmocka_unit_test(test_overdue_and_closing_take_nothing_new),
         cmocka_unit_test(test_one_hot_seat_gets_nine_tenths),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/core/tests/test_claim.c
+++ b/packages/core/tests/test_claim.c
@@ -84,6 +84,30 @@
     SasClaim_Free(&c);
 }
 
+/* The caller was told "not run" because the store went away. The word that
+ * the claim was written comes after all: sending now would make that untrue.
+ */
+static void
+test_given_up_attempt_never_sends(void **state)
+{
+    (void)state;
+    struct sas_claim c;
+    start(&c, "t1");
+    SasClaim_Handle(&c, SAS_CLAIM_INSERT_LOST, NULL, NULL);
+    struct sas_claim_step next =
+        SasClaim_Handle(&c, SAS_CLAIM_ROW_ABSENT, NULL, NULL);
+    assert_int_equal(next.action, SAS_CLAIM_INSERT);
+    next = SasClaim_Handle(&c, SAS_CLAIM_INSERT_FAILED, NULL, NULL);
+    assert_int_equal(next.action, SAS_CLAIM_RELEASE);
+    assert_int_equal(next.answer, SAS_CLAIM_NOT_RUN);
+    next = SasClaim_Handle(&c, SAS_CLAIM_INSERT_OK, NULL, "e1");
+    assert_int_not_equal(next.action, SAS_CLAIM_SEND);
+    next = SasClaim_Handle(&c, SAS_CLAIM_RELEASE_OK, NULL, "e2");
+    assert_int_equal(next.action, SAS_CLAIM_FINISH);
+    assert_int_equal(next.answer, SAS_CLAIM_NO_ANSWER);
+    SasClaim_Free(&c);
+}
+
 /* A large answer's body goes to an object first; when that fails the resend
  * is told that it ran. */
 static void
@@ -91,7 +115,7 @@
 {
     (void)state;
     struct sas_claim c;
-    g_autofree char *body = g_malloc0(SasClaim_MAX_INLINE + 1);
+    static const char body[SasClaim_MAX_INLINE + 1];
     start(&c, "t1");
     SasClaim_Handle(&c, SAS_CLAIM_INSERT_OK, NULL, "e1");
     SasClaim_Handle(&c, SAS_CLAIM_FIRST_BYTE, NULL, NULL);
@@ -125,6 +149,7 @@
         cmocka_unit_test(test_keys_do_not_run_together),
         cmocka_unit_test(test_row_survives_its_json),
         cmocka_unit_test(test_collision_never_mixes_callers),
+        cmocka_unit_test(test_given_up_attempt_never_sends),
         cmocka_unit_test(test_large_body_goes_to_object),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
