peer: an old process learns that it was replaced

Cause: a process that was paused, replaced and woke up, or that started with a clock that went back, was refused by all others and could not tell this from being cut off. The HELLO reply now names the highest incarnation known; the old process keeps it in replaced_by.

Also: a gossip with a version that the owner adopted a moment ago starts no fetch any more.

--- a/packages/peer/include/sas/peer.h
+++ b/packages/peer/include/sas/peer.h
@@ -122,7 +122,12 @@
 void SasPeer_InitOptions(struct sas_peer_options *options);
 
 /* Starts the task. The incarnation must be higher than that of every earlier
- * process of this seat, for example the wall clock at the start. */
+ * process of this seat, for example the wall clock at the start. A process
+ * that others hold for an older one is refused by them and finds the newer
+ * incarnation in SasPeer_GetMembership(peer)->replaced_by: it was paused and
+ * has to stop, or it has just started with a clock that went back and may
+ * open again above that. The process has to ignore SIGPIPE. After a failure
+ * the loop has to run once more, which releases the handles. */
 int SasPeer_Open(struct sas_peer **peer, uv_loop_t *loop,
                  const struct sas_model *model, int own_seat,
                  const uint8_t *key, size_t key_size, uint64_t incarnation,
--- a/packages/peer/src/connection.c
+++ b/packages/peer/src/connection.c
@@ -28,6 +28,9 @@
 static void send_hello(struct sas_connection *connection);
 static bool is_old(const struct sas_connection *connection,
                    uint64_t incarnation);
+static uint64_t get_newest(const struct sas_connection *connection,
+                           const struct sas_rpc_identity *identity);
+static void note_replaced(struct sas_peer *peer, uint64_t incarnation);
 static bool may_accept(struct sas_peer *peer,
                        struct sas_connection *connection);
 static bool get_remote_address(struct sas_connection *connection);
@@ -344,11 +347,7 @@
         return;
     }
     connection->seat = (int)identity->sender;
-    if (is_old(connection, identity->sender_incarnation)) {
-        SasConnection_Close(connection, SAS_PEER_OLD_INCARNATION);
-        return;
-    }
-    connection->remote_incarnation = identity->sender_incarnation;
+    connection->remote_incarnation = get_newest(connection, identity);
     connection->last_xid = message->xid;
     memcpy(connection->session.caller_nonce, message->body.hello.nonce,
            SAS_RPC_NONCE_SIZE);
@@ -368,6 +367,10 @@
         SasConnection_Close(connection, SAS_PEER_CONNECTION_LOST);
         return;
     }
+    if (connection->remote_incarnation != identity->sender_incarnation) {
+        SasConnection_Close(connection, SAS_PEER_OLD_INCARNATION);
+        return;
+    }
     memcpy(connection->session.answerer_nonce, nonce, sizeof(nonce));
     connection->state = SAS_CONNECTION_OPEN;
     SasRecord_SetLimit(&connection->reader, SasProto_MAX_CALL_RECORD);
@@ -387,10 +390,15 @@
     }
     if (identity->sender != (uint32_t)connection->seat ||
         identity->receiver != (uint32_t)peer->own_seat ||
-        identity->receiver_incarnation != peer->incarnation) {
+        identity->receiver_incarnation < peer->incarnation) {
         SasConnection_Close(connection, SAS_PEER_BAD_IDENTITY);
         return;
     }
+    if (identity->receiver_incarnation > peer->incarnation) {
+        note_replaced(peer, identity->receiver_incarnation);
+        SasConnection_Close(connection, SAS_PEER_OLD_INCARNATION);
+        return;
+    }
     if (is_old(connection, identity->sender_incarnation)) {
         SasConnection_Close(connection, SAS_PEER_OLD_INCARNATION);
         return;
@@ -455,6 +463,25 @@
            incarnation;
 }
 
+/* The incarnation of the caller of HELLO, or the higher one that is known:
+ * the reply names it, so that an old process learns that it was replaced. */
+static uint64_t
+get_newest(const struct sas_connection *connection,
+           const struct sas_rpc_identity *identity)
+{
+    const struct sas_peer *peer = connection->peer;
+    return MAX(identity->sender_incarnation,
+               peer->membership.members[connection->seat].incarnation);
+}
+
+static void
+note_replaced(struct sas_peer *peer, uint64_t incarnation)
+{
+    struct sas_member_news news = {.seat = peer->own_seat,
+                                   .incarnation = incarnation};
+    SasMembership_Merge(&peer->membership, &news, SasPeer_GetNow());
+}
+
 /* Limits */
 
 static bool
--- a/packages/peer/src/gossip.c
+++ b/packages/peer/src/gossip.c
@@ -23,6 +23,7 @@
 static int merge_seats(struct sas_peer *peer, int seat,
                        const struct sas_rpc_gossip *gossip);
 static void note_own_version(struct sas_peer *peer, uint64_t version);
+static bool is_newer(struct sas_peer *peer, uint64_t version);
 static void fetch_config(struct sas_peer *peer, int seat);
 static void on_config_answer(void *context, const struct sas_error *error,
                              const union sas_proto_body *body);
@@ -177,7 +178,7 @@
     int changes = merge_seats(peer, seat, gossip);
     bool is_new = peer->handler->take_gossip != NULL &&
                   peer->handler->take_gossip(peer->handler, seat, gossip);
-    if (gossip->config_version > peer->own_version) {
+    if (is_newer(peer, gossip->config_version)) {
         fetch_config(peer, seat);
     }
     if (is_new || (changes & SAS_CHANGE_MEMBER) != 0) {
@@ -337,6 +338,19 @@
     SasMembership_SetVersion(&peer->membership, version);
 }
 
+/* The owner may have adopted a version since it was last asked. */
+static bool
+is_newer(struct sas_peer *peer, uint64_t version)
+{
+    if (version > peer->own_version && peer->handler->fill_gossip != NULL) {
+        struct sas_rpc_gossip own;
+        memset(&own, 0, sizeof(own));
+        peer->handler->fill_gossip(peer->handler, &own);
+        note_own_version(peer, own.config_version);
+    }
+    return version > peer->own_version;
+}
+
 static void
 fetch_config(struct sas_peer *peer, int seat)
 {
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -386,9 +386,17 @@
                                   SasPeer_GetNow()) == SAS_MEMBER_GONE;
 }
 
+static bool
+last_knows_that_it_was_replaced(void)
+{
+    return SasPeer_GetMembership(owners[model.vm_count - 1].peer)
+               ->replaced_by == 5000;
+}
+
 /* A process dies and a new one starts for its seat. The others first hold it
  * for gone, then see the new incarnation. The old process, had it only been
- * paused, wakes up after that: nobody may talk to it any more. */
+ * paused, wakes up after that: nobody may talk to it any more, and it has
+ * to learn why. */
 static void
 test_a_process_is_replaced(void **state)
 {
@@ -417,6 +425,7 @@
     }
     assert_true(SasPeer_GetCounter(owners[0].peer, SAS_PEER_OLD_INCARNATION) >
                 0);
+    assert_true(run_until(last_knows_that_it_was_replaced));
     assert_true(first_holds_last_for_gone());
     finish();
 }
