--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -54,6 +54,7 @@
 static double cost_idle_slot(const struct sas_place_server *server,
                              double load);
 static double cost_owned(const struct sas_place_server *server, double load);
+static bool has_near_slot(const struct sas_place_server *server, double load);
 static int pick_cheapest(const struct sas_place_server *servers,
                          const double *loads, int count, GRand *random,
                          double (*cost)(const struct sas_place_server *,
@@ -301,7 +302,8 @@
 static double
 cost_near_slot(const struct sas_place_server *server, double load)
 {
-    return load + 1 <= server->slots ? cost_near_load(server, load) : INFINITY;
+    return has_near_slot(server, load) ? cost_near_load(server, load)
+                                       : INFINITY;
 }
 
 /* At most one request waits before this one: by the time that it gets there
@@ -313,6 +315,13 @@
     return load + 1 <= most ? cost_load(server, load) : INFINITY;
 }
 
+/* A cold server's slowness outweighs its nearness. */
+static bool
+has_near_slot(const struct sas_place_server *server, double load)
+{
+    return server->same_domain && !server->cold && load + 1 <= server->slots;
+}
+
 static double
 cost_owned(const struct sas_place_server *server, double load)
 {
@@ -320,8 +329,7 @@
         return INFINITY;
     }
     double cost = load * (server->cold ? COLD_WEIGHT : 1) / server->slots;
-    bool is_near = server->same_domain && load + 1 <= server->slots;
-    return is_near ? cost - NEAR_BONUS : cost;
+    return has_near_slot(server, load) ? cost - NEAR_BONUS : cost;
 }
 
 static bool
--- a/packages/core/tests/test_place.c
+++ b/packages/core/tests/test_place.c
@@ -166,6 +166,9 @@
     int picks[SERVERS];
     count_picks(fixture, "least-load", picks);
     assert_int_equal(picks[0], 0);
+    fixture->servers[1].usable = false;
+    count_picks(fixture, "owned", picks);
+    assert_int_equal(picks[0], 0);
 }
 
 static void
