steer: replaced servers get work again; a drain row takes out an entry VM

Three causes, found while writing down what a drain does:

The word leaving stuck to a backend server's name. After one drain by its own word or by the platform's list, its replacement got no work until the entry VMs were restarted. The core has a table for this (SasDeparture: sticks for an incarnation); it is used now, and peers' reports carry the incarnation to it. The list counts while it says leaving, and marks only the process at which it began to: one that lags holds up the new process only meanwhile, one that flaps does not bring back the old one. 2. The same for entry VMs: one that was stopped gracefully and started again was never again in the look-ups of the others. 3. A drain row that names an entry VM had no effect; it is out of the look-ups from that time on.

Ruled out: clearing the mark when the list says live (a list that flaps would give a leaving server new work; test_leaving has that story).

--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -80,7 +80,8 @@
         const struct sas_load_report *report)
 {
     struct sas_node *node = NODE_OF(listener, upstream_listener);
-    SasSteer_TakeLoad(node->steer, backend, report, 0);
+    SasSteer_TakeLoad(node->steer, backend, report,
+                      SasPeers_HashIncarnation(report->incarnation), 0);
     if (report->asked_at != 0) {
         SasGuard_TakeProbe(node->guard, backend, report);
     }
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -178,6 +178,14 @@
 
 /* Telling. */
 
+uint64_t
+SasPeers_HashIncarnation(const char *incarnation)
+{
+    return incarnation[0] != '\0'
+               ? XXH3_64bits(incarnation, strlen(incarnation))
+               : 0;
+}
+
 static u_int
 fill_loads(struct sas_peers *peers)
 {
@@ -196,9 +204,7 @@
         row->queued = (u_int)MAX(load->report.queued, 0);
         row->age_ms = (u_int)(now - load->heard_at);
         row->leaving = load->report.leaving;
-        row->incarnation = incarnation[0] != '\0'
-                               ? XXH3_64bits(incarnation, strlen(incarnation))
-                               : 0;
+        row->incarnation = SasPeers_HashIncarnation(incarnation);
     }
     return used;
 }
@@ -261,7 +267,7 @@
         .leaving = row->leaving,
     };
     SasSteer_TakeLoad(peers->parts.steer, (int)row->backend, &report,
-                      row->age_ms);
+                      row->incarnation, row->age_ms);
 }
 
 static bool
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -39,6 +39,9 @@
 void SasPeers_NoteLoad(struct sas_peers *peers, int backend,
                        const struct sas_load_report *report);
 
+/* How a backend server's incarnation is told to peers; 0 for "". */
+uint64_t SasPeers_HashIncarnation(const char *incarnation);
+
 /* [{"vm":...,"version":...,"age_ms":...,"state":...}] for the status. */
 json_t *SasPeers_Describe(const struct sas_peers *peers);
 
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -8,6 +8,7 @@
 #include "sas/log.h"
 #include "sas/lookup.h"
 #include "sas/measure.h"
+#include "sas/membership.h"
 #include "sas/place.h"
 #include "sas/plan.h"
 
@@ -21,12 +22,18 @@
 struct backend_row {
     int in_flight;
     bool reserved; /* a suspect runs alone there */
-    bool leaving;
-    int failures; /* connections in a row that could not be made */
+    bool listed;   /* by the platform as leaving, as last read */
+    int failures;  /* connections in a row that could not be made */
     int64_t unreachable_until;
     int64_t last_reached_at;
 };
 
+/* Who says of an entry VM that it is leaving; the sheet does so too. */
+struct vm_row {
+    bool told;   /* its own word */
+    bool listed; /* the platform's, as last read */
+};
+
 struct sas_steer {
     struct sas_steer_parts parts;
     const struct sas_model *model;
@@ -37,6 +44,8 @@
     struct sas_lookup lookup;
     struct sas_measure measure;
     struct backend_row *backends;
+    struct sas_departure_table departures;
+    struct vm_row *vms;
     struct sas_vm_view *views;
     struct sas_plan_signal *signals;
     bool *gone;
@@ -53,6 +62,8 @@
 free_tables(struct sas_steer *steer)
 {
     g_free(steer->backends);
+    SasDeparture_Close(&steer->departures);
+    g_free(steer->vms);
     g_free(steer->views);
     g_free(steer->signals);
     g_free(steer->gone);
@@ -69,6 +80,8 @@
     steer->parts = *parts;
     steer->model = model;
     steer->backends = g_new0(struct backend_row, model->backend_count);
+    SasDeparture_Init(&steer->departures, model->backend_count);
+    steer->vms = g_new0(struct vm_row, model->vm_count);
     steer->views = g_new0(struct sas_vm_view, model->vm_count);
     steer->signals = g_new0(struct sas_plan_signal,
                             model->service_count * model->region_count);
@@ -129,6 +142,17 @@
     return (int64_t)uv_now(steer->parts.loop);
 }
 
+/* What a server said sticks for its process: a list that flaps does not bring
+ * it back, and the process that replaces it starts afresh. A list that lags
+ * says leaving of that one too; so the list counts while it says so, and marks
+ * only the process at which it began to. */
+static bool
+has_left_word(const struct sas_steer *steer, int backend)
+{
+    return steer->backends[backend].listed ||
+           SasDeparture_IsLeaving(&steer->departures, backend);
+}
+
 /* News. */
 
 static void
@@ -154,21 +178,56 @@
     }
 }
 
+static void
+update_leaving(struct sas_steer *steer, int backend)
+{
+    SasMeasure_SetLeaving(&steer->measure, backend,
+                          has_left_word(steer, backend));
+}
+
+static void
+update_views(struct sas_steer *steer)
+{
+    for (int i = 0; i < steer->model->vm_count; i++) {
+        steer->views[i].leaving =
+            steer->vms[i].told || steer->vms[i].listed ||
+            SasPlan_IsDraining(&steer->plan, SAS_DRAIN_VM, i);
+    }
+}
+
+/* Reports on answers state no incarnation; such a word is that of whatever
+ * process runs now. */
+static bool
+note_departure(struct sas_steer *steer, int backend,
+               const struct sas_load_report *report, uint64_t incarnation,
+               int64_t measured_ms)
+{
+    if (incarnation != 0) {
+        return SasDeparture_NoteReport(&steer->departures, backend,
+                                       incarnation, report->leaving,
+                                       measured_ms);
+    }
+    return report->leaving &&
+           SasDeparture_NoteListed(&steer->departures, backend,
+                                   SAS_DEPARTURE_SERVER);
+}
+
 void
 SasSteer_TakeLoad(struct sas_steer *steer, int backend,
-                  const struct sas_load_report *report, int64_t age_ms)
+                  const struct sas_load_report *report, uint64_t incarnation,
+                  int64_t age_ms)
 {
     int slots = report->slots > 0 ? report->slots
                                   : steer->model->backends[backend].slots;
     SasMeasure_Report(&steer->measure, backend, report->running,
                       report->queued, slots, get_now(steer) - age_ms);
-    if (report->leaving && !steer->backends[backend].leaving) {
-        steer->backends[backend].leaving = true;
-        SasMeasure_SetLeaving(&steer->measure, backend, true);
+    if (note_departure(steer, backend, report, incarnation,
+                       get_now(steer) - age_ms)) {
         SasLog_Write(SasLog_INFO, "backend.leaving",
                      steer->model->backends[backend].name,
                      "it says that it is leaving");
     }
+    update_leaving(steer, backend);
 }
 
 void
@@ -199,14 +258,19 @@
     int vm = SasModel_FindVm(steer->model, name);
     if (vm != SasModel_NONE) {
         steer->views[vm].platform = SAS_VM_LIVE;
-        steer->views[vm].leaving |= leaving;
+        steer->vms[vm].listed = leaving;
         return;
     }
     int backend = SasModel_FindBackend(steer->model, name);
-    if (backend != SasModel_NONE && leaving) {
-        steer->backends[backend].leaving = true;
-        SasMeasure_SetLeaving(&steer->measure, backend, true);
+    if (backend == SasModel_NONE) {
+        return;
+    }
+    if (leaving && !steer->backends[backend].listed) {
+        SasDeparture_NoteListed(&steer->departures, backend,
+                                SAS_DEPARTURE_PLATFORM);
     }
+    steer->backends[backend].listed = leaving;
+    update_leaving(steer, backend);
 }
 
 void
@@ -235,13 +299,18 @@
 SasSteer_TakePeer(struct sas_steer *steer, int vm, bool live, bool leaving)
 {
     steer->views[vm].peers = live ? SAS_VM_LIVE : SAS_VM_DEAD;
-    steer->views[vm].leaving |= leaving;
+    /* A VM that left stays out when it has gone; the process that replaces
+     * it says afresh whether it is leaving. */
+    if (live) {
+        steer->vms[vm].told = leaving;
+    }
+    update_views(steer);
 }
 
 bool
 SasSteer_IsLeaving(const struct sas_steer *steer, int backend)
 {
-    return steer->backends[backend].leaving ||
+    return has_left_word(steer, backend) ||
            SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
 }
 
@@ -286,6 +355,7 @@
         rebuild_lookups(steer);
     }
     SasLending_SetCaps(steer->parts.lending, &steer->plan);
+    update_views(steer);
 }
 
 static void
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -83,9 +83,11 @@
 void SasSteer_TakeConfig(struct sas_steer *steer,
                          const struct sas_config *config);
 
-/* A backend server's statement, heard now (age 0) or from a peer. */
+/* A backend server's statement, heard now (age 0) or from a peer; the hash of
+ * its incarnation, 0 when it is not stated. */
 void SasSteer_TakeLoad(struct sas_steer *steer, int backend,
-                       const struct sas_load_report *report, int64_t age_ms);
+                       const struct sas_load_report *report,
+                       uint64_t incarnation, int64_t age_ms);
 void SasSteer_TakeHealth(struct sas_steer *steer, int backend, bool reachable);
 void SasSteer_NoteShed(struct sas_steer *steer, int backend);
 
