steer: the places of a server that each entry VM owns

What: places (slots and server_queue) go round the entry VMs of the region. Not measured yet with real processes; the default placement is unchanged.

--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -22,8 +22,9 @@
 struct backend_row {
     int in_flight;
     bool reserved; /* a suspect runs alone there */
-    bool listed;   /* by the platform as leaving, as last read */
-    int failures;  /* connections in a row that could not be made */
+    int own_places;
+    bool listed;  /* by the platform as leaving, as last read */
+    int failures; /* connections in a row that could not be made */
     int64_t unreachable_until;
     int64_t last_reached_at;
 };
@@ -57,6 +58,7 @@
 
 static void on_tick(uv_timer_t *timer);
 static void advance(struct sas_steer *steer);
+static int count_own_places(const struct sas_steer *steer, int backend);
 
 static void
 free_tables(struct sas_steer *steer)
@@ -105,6 +107,9 @@
         free_tables(steer);
         return NULL;
     }
+    for (int i = 0; i < model->backend_count; i++) {
+        steer->backends[i].own_places = count_own_places(steer, i);
+    }
     SasLookup_Init(&steer->lookup, model);
     SasMeasure_Init(&steer->measure, model, UNKNOWN_HEADROOM);
     uv_timer_init(parts->loop, &steer->timer);
@@ -390,6 +395,31 @@
            !was_tried(query, backend);
 }
 
+/* How many of a server's places (slots and queue) are this entry VM's. They
+ * go round the entry VMs of the server's region, beginning at another one for
+ * each server; entry VMs elsewhere own none. */
+static int
+count_own_places(const struct sas_steer *steer, int backend)
+{
+    const struct sas_model *model = steer->model;
+    int region = SasModel_GetBackendRegion(model, backend);
+    int own_rank = SasModel_NONE;
+    int vms = 0;
+    for (int i = 0; i < model->vm_count; i++) {
+        if (SasModel_GetVmRegion(model, i) == region) {
+            own_rank = i == steer->parts.own_vm ? vms : own_rank;
+            vms++;
+        }
+    }
+    if (own_rank == SasModel_NONE) {
+        return 0;
+    }
+    int places =
+        model->backends[backend].slots + steer->parts.settings->server_queue;
+    int rank = (own_rank + backend) % vms;
+    return places / vms + (rank < places % vms ? 1 : 0);
+}
+
 /* What the placement policy sees of one backend server. */
 static struct sas_place_server
 describe_server(const struct sas_steer *steer,
@@ -406,6 +436,7 @@
         .slots = model->backends[backend].slots,
         .queue = steer->parts.settings->server_queue,
         .own_in_flight = row->in_flight,
+        .own_share = row->own_places,
         .reported_load = MAX(others, 0),
         .report_age_ms = measured->reported ? now - measured->report_ms : -1,
         .usable = is_usable(steer, query, backend),
