--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -685,22 +685,45 @@
     close(listeners[1]);
 }
 
-/* The borrower is paused after it asked. The grant arrives meanwhile and
- * lies in the socket; the lender counts the loan as over. On waking, the
- * socket is read before the timer runs: the grant must not count. */
+/* The process is stopped inside a callback, and continues later. */
+static void
+on_grant_pause(void *context, const struct sas_error *error,
+               const union sas_proto_body *body)
+{
+    (void)context;
+    (void)body;
+    assert_null(error);
+    usleep(350 * 1000); /* longer than the call's timeout */
+}
+
+/* The borrower asked for two loans and is paused. A grant lies in its socket
+ * meanwhile; the lender counts the loan as over. On waking, the grant is
+ * read before any timer runs: it must not count. */
 static void
 test_a_paused_borrower_takes_no_old_grant(void **state)
 {
     (void)state;
     struct script script;
-    struct sas_proto_message call = {0};
+    struct sas_proto_message first = {0};
+    struct sas_proto_message second = {0};
+    struct sas_rpc_borrow borrow = {.budget = 1, .loan = 8, .wanted = 4};
+    size_t size;
+    size_t second_size;
     start_with_scripted_seat_1();
+    assert_int_equal(SasPeer_AskBorrow(owners[0].peer, 1, &borrow, 0,
+                                       on_grant_pause, NULL, NULL),
+                     0);
     ask_for_loan(0, 1);
     answer_as_seat_1(&script);
-    assert_true(receive(&script, &call));
-    struct sas_proto_message grant = grant_for(&call);
-    send_message(&script, &grant);
-    usleep(350 * 1000); /* longer than the call's timeout */
+    assert_true(receive(&script, &first));
+    struct sas_proto_message grant = grant_for(&first);
+    g_autofree uint8_t *bytes = seal(&script, &grant, &size);
+    assert_true(receive(&script, &second));
+    grant = grant_for(&second);
+    g_autofree uint8_t *more = seal(&script, &grant, &second_size);
+    bytes = g_realloc(bytes, size + second_size);
+    memcpy(bytes + size, more, second_size);
+    send_bytes(&script, bytes, size + second_size);
     assert_true(run_until(is_answered));
     assert_int_equal(answer_code, SAS_ETIMEOUT);
     assert_int_equal(granted, 0);
@@ -779,6 +802,45 @@
     close(listeners[1]);
 }
 
+/* A process is paused with its connections open. A new one for its seat is
+ * heard of. The old one wakes up and asks for a loan: nobody would ever see
+ * those units back. */
+static void
+test_an_old_process_gets_no_loan(void **state)
+{
+    (void)state;
+    struct script old;
+    struct script new;
+    struct sas_proto_message reply = {0};
+    struct sas_rpc_load load = {0};
+    struct sas_rpc_seat seat = {.seat = 1, .incarnation = 3000};
+    interval_ms = 1000000;
+    prepare(2);
+    start_owner(0, 1000, key);
+    call_as(&old, 1, 2000, 0);
+    call_as(&new, 1, 3000, 0);
+    struct sas_proto_message gossip = {
+        .xid = 2,
+        .procedure = SAS_RPC_GOSSIP,
+        .body.gossip = {.seat = 1,
+                        .incarnation = 3000,
+                        .loads = {1, &load},
+                        .seats = {1, &seat}},
+    };
+    send_message(&new, &gossip);
+    assert_true(receive(&new, &reply));
+    struct sas_proto_message borrow = make_borrow(2);
+    send_message(&old, &borrow);
+    assert_false(receive(&old, &reply));
+    assert_int_equal(owners[0].borrow_calls, 0);
+    assert_int_equal(
+        SasPeer_GetCounter(owners[0].peer, SAS_PEER_OLD_INCARNATION), 1);
+    finish();
+    close_script(&old);
+    close_script(&new);
+    close(listeners[1]);
+}
+
 /* A message with a right digest that names another receiver, or an earlier
  * incarnation of this one. */
 static void
@@ -937,6 +999,7 @@
         TEST(test_a_paused_borrower_takes_no_old_grant),
         TEST(test_a_silent_connection_is_replaced),
         TEST(test_a_replayed_call_is_refused),
+        TEST(test_an_old_process_gets_no_loan),
         TEST(test_a_message_for_another_is_refused),
         TEST(test_an_unknown_procedure_is_refused),
         TEST(test_random_bytes_on_the_port),
