steer: a fresh node takes the shares in force from a peer

Change: the gossip carries the shares in force; the first peer at the same version that has any seeds the plan, up to the schedule's point.

--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -25,6 +25,7 @@
     struct sas_peer *peer;
     struct heard_load *loads; /* by backend server, heard by this node */
     struct sas_rpc_load *load_rows;
+    struct sas_rpc_share shares[SAS_RPC_MAX_SHARES];
     char *config_text;
     uv_timer_t timer;
     int counters[SAS_PEER_COUNTER_COUNT];
@@ -217,6 +218,9 @@
     gossip->loads.loads_len = fill_loads(peers);
     gossip->loads.loads_val = peers->load_rows;
     SasLending_FillGossip(peers->parts.lending, gossip);
+    gossip->shares.shares_len = (u_int)SasSteer_FillShares(
+        peers->parts.steer, peers->shares, SAS_RPC_MAX_SHARES);
+    gossip->shares.shares_val = peers->shares;
     gossip->quarantines.quarantines_len = (u_int)SasGuard_FillEntries(
         peers->parts.guard, &gossip->quarantines.quarantines_val);
 }
@@ -276,6 +280,11 @@
 {
     struct sas_peers *peers = (struct sas_peers *)handler;
     SasLending_TakeGossip(peers->parts.lending, seat, gossip);
+    if (gossip->config_version ==
+        (uint64_t)SasSteer_GetVersion(peers->parts.steer)) {
+        SasSteer_TakeShares(peers->parts.steer, gossip->shares.shares_val,
+                            (int)gossip->shares.shares_len);
+    }
     for (u_int i = 0; i < gossip->loads.loads_len; i++) {
         take_load(peers, &gossip->loads.loads_val[i]);
     }
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -48,6 +48,7 @@
     struct sas_departure_table departures;
     struct vm_row *vms;
     struct sas_vm_view *views;
+    bool seeded; /* a peer's shares were taken */
     struct sas_plan_signal *signals;
     bool *gone;
     double *answer_bytes; /* by service, a moving average */
@@ -67,6 +68,7 @@
     SasDeparture_Close(&steer->departures);
     g_free(steer->vms);
     g_free(steer->views);
+
     g_free(steer->signals);
     g_free(steer->gone);
     g_free(steer->servers);
@@ -85,6 +87,7 @@
     SasDeparture_Init(&steer->departures, model->backend_count);
     steer->vms = g_new0(struct vm_row, model->vm_count);
     steer->views = g_new0(struct sas_vm_view, model->vm_count);
+
     steer->signals = g_new0(struct sas_plan_signal,
                             model->service_count * model->region_count);
     steer->gone = g_new0(bool, model->region_count);
@@ -319,6 +322,48 @@
            SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
 }
 
+int
+SasSteer_FillShares(const struct sas_steer *steer,
+                    struct sas_rpc_share *shares, int max)
+{
+    int count = MIN(steer->plan.shift_count, max);
+    for (int i = 0; i < count; i++) {
+        const struct sas_shift *shift = &steer->plan.shifts[i];
+        shares[i].service = (u_int)shift->service;
+        shares[i].from = (u_int)shift->from;
+        shares[i].to = (u_int)shift->to;
+        shares[i].millionths = (u_int)(shift->in_force * 1e6);
+    }
+    return count;
+}
+
+void
+SasSteer_TakeShares(struct sas_steer *steer,
+                    const struct sas_rpc_share *shares, int count)
+{
+    const struct sas_model *model = steer->model;
+    bool changed = false;
+    if (!steer->known || steer->seeded) {
+        return;
+    }
+    for (int i = 0; i < count; i++) {
+        const struct sas_rpc_share *row = &shares[i];
+        if (row->service >= (u_int)model->service_count ||
+            row->from >= (u_int)model->region_count ||
+            row->to >= (u_int)model->region_count ||
+            row->millionths > 1000000) {
+            continue;
+        }
+        changed |=
+            SasPlan_Seed(&steer->plan, (int)row->service, (int)row->from,
+                         (int)row->to, row->millionths / 1e6);
+    }
+    if (changed) {
+        steer->seeded = true;
+        rebuild_lookups(steer);
+    }
+}
+
 static bool
 is_region_gone(const struct sas_steer *steer, int region)
 {
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -101,6 +101,15 @@
 /* True once a backend server is leaving, whoever said so. */
 bool SasSteer_IsLeaving(const struct sas_steer *steer, int backend);
 
+/* The shares in force here, for the peers; and theirs: a fresh node takes
+ * those of the first peer that has any in place of 0, so that a restart in
+ * the middle of a ramp does not send its callers home. Fill returns how
+ * many. */
+int SasSteer_FillShares(const struct sas_steer *steer,
+                        struct sas_rpc_share *shares, int max);
+void SasSteer_TakeShares(struct sas_steer *steer,
+                         const struct sas_rpc_share *shares, int count);
+
 /* Decisions. */
 
 /* Takes units for one request, or says why not. */
--- a/packages/proto/peer_rpc.x
+++ b/packages/proto/peer_rpc.x
@@ -8,6 +8,7 @@
 const SAS_RPC_MAX_SEATS = 256;
 const SAS_RPC_MAX_BUDGETS = 512;
 const SAS_RPC_MAX_LOADS = 512;
+const SAS_RPC_MAX_SHARES = 128;
 const SAS_RPC_MAX_QUARANTINES = 128;
 const SAS_RPC_MAX_CRASHES = 8;
 const SAS_RPC_MAX_BACKENDS = 512;
@@ -74,6 +75,14 @@
     unsigned int trial_ms;
 };
 
+/* A share that the sender has in force, in millionths. */
+struct sas_rpc_share {
+    unsigned int service;
+    unsigned int from;
+    unsigned int to;
+    unsigned int millionths;
+};
+
 struct sas_rpc_gossip {
     unsigned int seat;
     unsigned hyper incarnation;
@@ -81,6 +90,7 @@
     unsigned hyper config_version;
     sas_rpc_budget budgets<SAS_RPC_MAX_BUDGETS>;
     sas_rpc_load loads<SAS_RPC_MAX_LOADS>;
+    sas_rpc_share shares<SAS_RPC_MAX_SHARES>;
     unsigned hyper quarantine_digest;
     sas_rpc_quarantine quarantines<SAS_RPC_MAX_QUARANTINES>;
     sas_rpc_seat seats<SAS_RPC_MAX_SEATS>;
--- a/packages/proto/tests/samples.c
+++ b/packages/proto/tests/samples.c
@@ -3,6 +3,7 @@
 static struct sas_rpc_budget budgets[] = {{1, 20, 3},
                                           {0xffffffffffffffff, 0, -1}};
 static struct sas_rpc_load loads[] = {{3, 2, 1, 40, TRUE, 0x1234567890}};
+static struct sas_rpc_share shares[] = {{0, 1, 2, 250000}};
 static struct sas_rpc_crash crashes[] = {{7, TRUE, FALSE}, {8, FALSE, TRUE}};
 static struct sas_rpc_quarantine quarantines[] = {
     {99, 1, {2, crashes}, 5000, 0}};
@@ -20,6 +21,7 @@
     .config_version = 5,
     .budgets = {2, budgets},
     .loads = {1, loads},
+    .shares = {1, shares},
     .quarantine_digest = 12,
     .quarantines = {1, quarantines},
     .seats = {2, seats},
