Placement: borrow nothing for a second from a server that shed

Cause: owned-first borrows what looks idle, so a server that reports less than it runs drew all borrowed requests and refused them, over and over.

--- a/packages/core/include/sas/place.h
+++ b/packages/core/include/sas/place.h
@@ -24,7 +24,8 @@
  * is the own requests plus the others' as last reported, where a report loses
  * weight with its age in favour of the mean over all servers: half of it
  * after SasPlace_HALF_LIFE_MS. A server that shed a request is to be entered
- * as full (reported_load = slots + queue), whatever it reports.
+ * as full (reported_load = slots + queue), whatever it reports; owned-first
+ * borrows nothing from it for SasPlace_SHED_MS.
  */
 #ifndef SAS_PLACE_H
 #define SAS_PLACE_H
@@ -37,6 +38,9 @@
 
 #define SasPlace_HALF_LIFE_MS 30
 
+/* For so long after a server shed a request, shed_lately is to be true. */
+#define SasPlace_SHED_MS 1000
+
 /* The cone of Zhou, Tan and Shroff, "Flexible Load Balancing with
  * Multi-dimensional State-space Collapse": the state is inside while the
  * shortest queue is at least this share of the longest. */
@@ -53,6 +57,7 @@
     bool usable;           /* neither leaving, down, nor suspected */
     bool same_domain;      /* as this entry VM */
     bool cold;             /* started lately, serves slowly */
+    bool shed_lately;      /* it refused a request of this entry VM */
 };
 
 struct sas_place_policy {
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -307,12 +307,15 @@
 }
 
 /* At most one request waits before this one: by the time that it gets there
- * a slot is likely to be free. */
+ * a slot is likely to be free. A server that reports less than it runs would
+ * draw all that is borrowed and refuse it, over and over; its 503 is the only
+ * sign, so that ends the borrowing for a while. */
 static double
 cost_idle_slot(const struct sas_place_server *server, double load)
 {
     int most = server->slots + MIN(1, server->queue);
-    return load + 1 <= most ? cost_load(server, load) : INFINITY;
+    bool is_idle = load + 1 <= most && !server->shed_lately;
+    return is_idle ? cost_load(server, load) : INFINITY;
 }
 
 /* A cold server's slowness outweighs its nearness. */
--- a/packages/core/tests/test_place.c
+++ b/packages/core/tests/test_place.c
@@ -212,6 +212,8 @@
     assert_int_equal(pick_once(fixture, "owned-first"), SasModel_NONE);
     fixture->servers[2].reported_load = 1;
     assert_int_equal(pick_once(fixture, "owned-first"), 2);
+    fixture->servers[2].shed_lately = true;
+    assert_int_equal(pick_once(fixture, "owned-first"), SasModel_NONE);
 }
 
 static void
--- a/tools/load/place_driver.c
+++ b/tools/load/place_driver.c
@@ -51,6 +51,7 @@
 struct node {
     struct sas_place_server view[SERVERS];
     double reported_at[SERVERS];
+    double shed_at[SERVERS];
     struct sas_place_policy *policy;
     GQueue queue;
     bool will_wake;
@@ -224,6 +225,7 @@
         double age = run->now - node->reported_at[i];
         server->usable = (job->shed_by >> i & 1) == 0;
         server->cold = get_slowness(run, i) == COLD;
+        server->shed_lately = run->now - node->shed_at[i] < SasPlace_SHED_MS;
         server->report_age_ms = node->reported_at[i] < 0 ? -1 : (int64_t)age;
         if (run->is_central) {
             server->own_in_flight = 0;
@@ -389,6 +391,7 @@
     struct job *job = &run->jobs[index];
     learn(run, index, SLOTS + run->queue);
     job->shed_by |= 1U << job->server;
+    run->nodes[job->node].shed_at[job->server] = run->now;
     job->lender = SasModel_NONE;
     if (job->tries >= run->options->tries) {
         job->latency = -1;
@@ -431,6 +434,7 @@
         g_queue_init(&node->queue);
         for (int i = 0; i < SERVERS; i++) {
             node->reported_at[i] = -1;
+            node->shed_at[i] = -SasPlace_SHED_MS;
             node->view[i] = (struct sas_place_server){
                 .backend = i,
                 .slots = SLOTS,
--- a/tools/load/place_matrix.sh
+++ b/tools/load/place_matrix.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # Runs every measurement of docs/notes-placement.md; $1 is place_driver, $2
-# the directory for the results, $3 how many to run at a time (3).
+# the directory for the results, $3 how many to run at a time (3), $4 the
+# policies where not all are wanted.
 set -eu
 driver=$1
 out=$2
@@ -8,6 +9,7 @@
 all="jsq,held,random,round-robin,least-in-flight,two-choices,least-load,cone,owned,owned+loan,owned-first"
 few="jsq,held,least-in-flight,two-choices,least-load,cone,owned,owned+loan,owned-first"
 own="held,owned,owned+loan,owned-first"
+[ -z "${4:-}" ] || { all=$4; few=$4; own=$4; }
 {
     for nodes in 3 9; do
         for load in 50 80 95 120; do
@@ -34,7 +36,7 @@
             echo "skew-$nodes-$skew --nodes $nodes --load 80 --skew $skew --policies $own"
         done
         for tries in 3 8; do
-            echo "tries-$nodes-$tries --nodes $nodes --tries $tries --policies two-choices,least-load,cone,owned-first"
+            echo "tries-$nodes-$tries --nodes $nodes --tries $tries --policies ${4:-two-choices,least-load,cone,owned-first}"
         done
         echo "even-$nodes --nodes $nodes --near 0.5 --far 0.5 --policies $few"
     done
