node: a replaced process grants nothing more and ends; a shed server counts as full

Cause: the peers tell an old process that its seat has a newer one (membership's replaced_by), but the node did not read it; and the forwarder never told the steering of a 503, so placement did not avoid that server. Not proved with real processes: two processes of one seat at the same address can't both listen on one machine; test_peer has the peers' part.

--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -788,6 +788,7 @@
     }
     release_grant(call);
     if (call->shed) {
+        SasSteer_NoteShed(parts->steer, call->grant.backend);
         retry_or_refuse(call, SAS_RETRY_SHED, SAS_REFUSE_SHED,
                         SAS_OUTCOME_NOT_RUN);
         return;
--- a/packages/node/src/lending.c
+++ b/packages/node/src/lending.c
@@ -37,6 +37,7 @@
     uv_timer_t timer;
     int64_t next_disown_ms;
     uint32_t next_incarnation;
+    bool stopped;
 };
 
 /* A question to a peer on its way. */
@@ -324,12 +325,21 @@
     return false;
 }
 
+void
+SasLending_Stop(struct sas_lending *lending)
+{
+    lending->stopped = true;
+}
+
 /* Using. */
 
 int
 SasLending_Take(struct sas_lending *lending, int budget, int64_t units,
                 int64_t lasts_ms)
 {
+    if (lending->stopped) {
+        return -1;
+    }
     if (budget == SasModel_NONE) {
         return 0;
     }
@@ -354,8 +364,8 @@
 bool
 SasLending_TakeRate(struct sas_lending *lending, int budget, int64_t amount)
 {
-    if (budget == SasModel_NONE) {
-        return true;
+    if (lending->stopped || budget == SasModel_NONE) {
+        return !lending->stopped;
     }
     struct row *row = get_row(lending, budget);
     int64_t most = row->core.settings.quantum;
@@ -619,7 +629,8 @@
                         const struct sas_rpc_borrow *borrow)
 {
     int budget = find_row(lending, borrow->budget);
-    if (budget == SasModel_NONE || borrow->wanted > INT64_MAX / 2) {
+    if (lending->stopped || budget == SasModel_NONE ||
+        borrow->wanted > INT64_MAX / 2) {
         return 0;
     }
     struct sas_budget *core = &get_row(lending, budget)->core;
--- a/packages/node/src/lending.h
+++ b/packages/node/src/lending.h
@@ -61,6 +61,9 @@
  * earlier process of this seat: only reserves can be used. */
 bool SasLending_IsRecovering(const struct sas_lending *lending);
 
+/* From now on nothing is granted: the seat belongs to another process. */
+void SasLending_Stop(struct sas_lending *lending);
+
 /* Using. A handle of SasModel_NONE always has room. Take returns the pot to
  * give the units back to, or -1; a refusal asks peers for a loan. */
 int SasLending_Take(struct sas_lending *lending, int budget, int64_t units,
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -37,6 +37,7 @@
     struct sas_steer_listener steer_listener;
     struct sas_lending_listener lending_listener;
     struct sas_guard_listener guard_listener;
+    struct sas_peers_listener peers_listener;
     uv_loop_t loop;
     const struct sas_settings *settings;
     int own_vm;
@@ -203,6 +204,33 @@
     }
 }
 
+static void
+start_stopping(struct sas_node *node)
+{
+    node->stopping_at = (int64_t)uv_now(&node->loop);
+    SasSteer_TakePeer(node->steer, node->own_vm, true, true);
+    SasCaller_StartStopping(node->caller);
+    SasPeers_SetLeaving(node->peers);
+    uv_timer_start(&node->stop_timer, on_stop_tick, STOP_TICK_MS,
+                   STOP_TICK_MS);
+}
+
+/* A VM that was frozen and replaced wakes up and still believes that it has
+ * its seat: two processes would use the same floors of every budget. The
+ * peers tell the older one, which grants nothing new and ends. */
+static void
+on_replaced(struct sas_peers_listener *listener)
+{
+    struct sas_node *node = NODE_OF(listener, peers_listener);
+    SasLog_Write(SasLog_ERROR, "node.replaced", NULL,
+                 "another process has this seat; this one stops");
+    SasLending_Stop(node->lending);
+    SasCaller_RefuseRequests(node->caller);
+    if (node->stopping_at == 0) {
+        start_stopping(node);
+    }
+}
+
 static void
 on_signal(uv_signal_t *handle, int number)
 {
@@ -212,14 +240,9 @@
                      "signal %d again: the stop is in progress", number);
         return;
     }
-    node->stopping_at = (int64_t)uv_now(&node->loop);
     SasLog_Write(SasLog_INFO, "node.stop", NULL, "signal %d: stopping",
                  number);
-    SasSteer_TakePeer(node->steer, node->own_vm, true, true);
-    SasCaller_StartStopping(node->caller);
-    SasPeers_SetLeaving(node->peers);
-    uv_timer_start(&node->stop_timer, on_stop_tick, STOP_TICK_MS,
-                   STOP_TICK_MS);
+    start_stopping(node);
 }
 
 /* Opening and closing. */
@@ -318,7 +341,9 @@
         .guard = node->guard,
         .lending = node->lending,
         .counters = &node->counters,
+        .listener = &node->peers_listener,
     };
+    node->peers_listener.on_replaced = on_replaced;
     node->peers = SasPeers_Open(&peers, error);
     if (node->peers == NULL) {
         return -1;
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -27,6 +27,7 @@
     struct sas_rpc_load *load_rows;
     struct sas_rpc_share shares[SAS_RPC_MAX_SHARES];
     char *config_text;
+    bool replaced;
     uv_timer_t timer;
     int counters[SAS_PEER_COUNTER_COUNT];
     uint64_t counted[SAS_PEER_COUNTER_COUNT];
@@ -355,6 +356,10 @@
     struct sas_metrics *metrics = peers->parts.counters->metrics;
     int64_t now = SasPeer_GetNow();
     bool cut_off = SasMembership_IsCutOff(table, now);
+    if (table->replaced_by != 0 && !peers->replaced) {
+        peers->replaced = true;
+        peers->parts.listener->on_replaced(peers->parts.listener);
+    }
     for (int i = 0; i < table->count; i++) {
         enum sas_member_state state = SasMembership_GetState(table, i, now);
         bool live = i == table->own || cut_off || state == SAS_MEMBER_LIVE ||
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -13,6 +13,12 @@
 
 struct sas_peers;
 
+/* Embedded as first member. */
+struct sas_peers_listener {
+    /* Another process has this seat now; this one must end. */
+    void (*on_replaced)(struct sas_peers_listener *listener);
+};
+
 struct sas_peers_parts {
     uv_loop_t *loop;
     const struct sas_settings *settings;
@@ -24,6 +30,7 @@
     struct sas_guard *guard;
     struct sas_lending *lending;
     const struct sas_counters *counters;
+    struct sas_peers_listener *listener;
 };
 
 struct sas_peers *SasPeers_Open(const struct sas_peers_parts *parts,
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -488,6 +488,8 @@
         .same_domain = model->backends[backend].domain ==
                        model->vms[steer->parts.own_vm].domain,
     };
+    server.shed_lately =
+        measured->shed && now - measured->shed_ms < SasPlace_SHED_MS;
     if (measured->shed && now - measured->shed_ms < SasMeasure_SHED_MS) {
         server.reported_load = server.slots + server.queue;
     }
