server: a slow upload is not cut off, a silent one is

Cause: h2o's read time limit counts from a request's start. A photo over a slow link that took 31 s was cut off although bytes came every second.

Ruled out: the socket's bytes_read, which the libuv binding of this h2o does not count; the size of what h2o holds of the request rises with each byte.

--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -35,7 +35,8 @@
 #define SasForward_MAX_WAITING 512
 #define SasCaller_MAX_CONNECTIONS 4096
 #define SasCaller_SWEEP_MS 50
-#define SasCaller_READ_TIMEOUT_MS 30000
+#define SasCaller_READ_TIMEOUT_MS 30000 /* without a byte */
+#define SasCaller_ARRIVAL_LIMIT_MS 300000
 #define SasCaller_MAX_HEADER_BYTES 32768
 
 #endif
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -24,6 +24,7 @@
     bool listening;
     uv_timer_t sweep;
     int connections;
+    GHashTable *by_socket; /* of struct connection, by h2o's socket */
     struct sas_metrics *metrics;
     int http_errors;
     int refused_connections;
@@ -36,6 +37,9 @@
 struct connection {
     uv_tcp_t tcp; /* first: libuv's handle is freed as a whole */
     struct sas_server *server;
+    h2o_socket_t *socket; /* h2o's; gone once the handle is closing */
+    size_t held_bytes;    /* of its request, as last seen */
+    int64_t active_at;    /* when bytes came, or a request was running */
 };
 
 static void on_sweep(uv_timer_t *timer);
@@ -60,7 +64,8 @@
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("sassafrassill"));
     server->config.max_request_entity_size = limits->body_limit;
     server->config.http1.upgrade_to_http2 = 0;
-    server->config.http1.req_timeout = SasCaller_READ_TIMEOUT_MS;
+    server->config.http1.req_timeout = SasCaller_ARRIVAL_LIMIT_MS;
+    server->by_socket = g_hash_table_new(NULL, NULL);
     server->host = h2o_config_register_host(
         &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     uv_tcp_init(loop, &server->listener);
@@ -160,6 +165,11 @@
 {
     struct connection *connection = (struct connection *)handle;
     connection->server->connections--;
+    /* The memory of h2o's socket may be in use again for a new one. */
+    GHashTable *table = connection->server->by_socket;
+    if (g_hash_table_lookup(table, connection->socket) == connection) {
+        g_hash_table_remove(table, connection->socket);
+    }
     g_free(connection);
 }
 
@@ -191,9 +201,11 @@
     }
     server->connections++;
     uv_tcp_nodelay(&connection->tcp, 1);
-    h2o_socket_t *socket = h2o_uv_socket_create(
-        (uv_stream_t *)&connection->tcp, on_connection_closed);
-    h2o_accept(&server->accept, socket);
+    connection->socket = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
+                                              on_connection_closed);
+    connection->active_at = (int64_t)uv_now(server->loop);
+    g_hash_table_insert(server->by_socket, connection->socket, connection);
+    h2o_accept(&server->accept, connection->socket);
 }
 
 static int
@@ -225,6 +237,48 @@
     return count;
 }
 
+static int
+note_running(h2o_req_t *req, void *data)
+{
+    struct sas_server *server = data;
+    struct connection *connection = g_hash_table_lookup(
+        server->by_socket, req->conn->callbacks->get_socket(req->conn));
+    if (connection != NULL && req->processed_at.at.tv_sec != 0) {
+        connection->active_at = (int64_t)uv_now(server->loop);
+    }
+    return 0;
+}
+
+/* h2o limits the time of a request's arrival from its start, which would cut
+ * off uploads over slow links, steady as they are. That limit is long; here
+ * those are cut off that have stopped sending, or send nothing. */
+static void
+cut_off_silent(struct sas_server *server)
+{
+    int64_t now = (int64_t)uv_now(server->loop);
+    server->config.http1.callbacks.foreach_request(&server->context,
+                                                   note_running, server);
+    GHashTableIter at;
+    gpointer value;
+    g_hash_table_iter_init(&at, server->by_socket);
+    while (g_hash_table_iter_next(&at, NULL, &value)) {
+        struct connection *connection = value;
+        if (uv_is_closing((uv_handle_t *)&connection->tcp)) {
+            continue;
+        }
+        const h2o_buffer_t *input = connection->socket->input;
+        size_t held_bytes = input != NULL ? input->size : 0;
+        if (held_bytes != connection->held_bytes) {
+            connection->held_bytes = held_bytes;
+            connection->active_at = now;
+        }
+        if (now - connection->active_at >= SasCaller_READ_TIMEOUT_MS) {
+            /* h2o reads the end of the stream and closes. */
+            shutdown(h2o_socket_get_fd(connection->socket), SHUT_RD);
+        }
+    }
+}
+
 /* h2o answers by itself what never becomes a request, and counts that. */
 static void
 count_errors(struct sas_server *server)
@@ -246,6 +300,7 @@
 {
     struct sas_server *server = timer->data;
     count_errors(server);
+    cut_off_silent(server);
     size_t sum = 0;
     server->config.http1.callbacks.foreach_request(&server->context,
                                                    add_held_bytes, &sum);
