--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -54,6 +54,7 @@
 static double cost_idle_slot(const struct sas_place_server *server,
                              double load);
 static double cost_owned(const struct sas_place_server *server, double load);
+static bool has_near_slot(const struct sas_place_server *server, double load);
 static int pick_cheapest(const struct sas_place_server *servers,
                          const double *loads, int count, GRand *random,
                          double (*cost)(const struct sas_place_server *,
@@ -301,16 +302,27 @@
 static double
 cost_near_slot(const struct sas_place_server *server, double load)
 {
-    return load + 1 <= server->slots ? cost_near_load(server, load) : INFINITY;
+    return has_near_slot(server, load) ? cost_near_load(server, load)
+                                       : INFINITY;
 }
 
 /* At most one request waits before this one: by the time that it gets there
- * a slot is likely to be free. */
+ * a slot is likely to be free. A server that reports less than it runs would
+ * draw all that is borrowed and refuse it, over and over; its 503 is the only
+ * sign, so that ends the borrowing for a while. */
 static double
 cost_idle_slot(const struct sas_place_server *server, double load)
 {
     int most = server->slots + MIN(1, server->queue);
-    return load + 1 <= most ? cost_load(server, load) : INFINITY;
+    bool is_idle = load + 1 <= most && !server->shed_lately;
+    return is_idle ? cost_load(server, load) : INFINITY;
+}
+
+/* A cold server's slowness outweighs its nearness. */
+static bool
+has_near_slot(const struct sas_place_server *server, double load)
+{
+    return server->same_domain && !server->cold && load + 1 <= server->slots;
 }
 
 static double
@@ -320,8 +332,7 @@
         return INFINITY;
     }
     double cost = load * (server->cold ? COLD_WEIGHT : 1) / server->slots;
-    bool is_near = server->same_domain && load + 1 <= server->slots;
-    return is_near ? cost - NEAR_BONUS : cost;
+    return has_near_slot(server, load) ? cost - NEAR_BONUS : cost;
 }
 
 static bool
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -22,8 +22,9 @@
 struct backend_row {
     int in_flight;
     bool reserved; /* a suspect runs alone there */
-    bool listed;   /* by the platform as leaving, as last read */
-    int failures;  /* connections in a row that could not be made */
+    int own_places;
+    bool listed;  /* by the platform as leaving, as last read */
+    int failures; /* connections in a row that could not be made */
     int64_t unreachable_until;
     int64_t last_reached_at;
 };
@@ -47,6 +48,7 @@
     struct sas_departure_table departures;
     struct vm_row *vms;
     struct sas_vm_view *views;
+    bool seeded; /* a peer's shares were taken */
     struct sas_plan_signal *signals;
     bool *gone;
     double *answer_bytes; /* by service, a moving average */
@@ -57,6 +59,7 @@
 
 static void on_tick(uv_timer_t *timer);
 static void advance(struct sas_steer *steer);
+static int count_own_places(const struct sas_steer *steer, int backend);
 
 static void
 free_tables(struct sas_steer *steer)
@@ -65,6 +68,7 @@
     SasDeparture_Close(&steer->departures);
     g_free(steer->vms);
     g_free(steer->views);
+
     g_free(steer->signals);
     g_free(steer->gone);
     g_free(steer->servers);
@@ -83,6 +87,7 @@
     SasDeparture_Init(&steer->departures, model->backend_count);
     steer->vms = g_new0(struct vm_row, model->vm_count);
     steer->views = g_new0(struct sas_vm_view, model->vm_count);
+
     steer->signals = g_new0(struct sas_plan_signal,
                             model->service_count * model->region_count);
     steer->gone = g_new0(bool, model->region_count);
@@ -105,6 +110,9 @@
         free_tables(steer);
         return NULL;
     }
+    for (int i = 0; i < model->backend_count; i++) {
+        steer->backends[i].own_places = count_own_places(steer, i);
+    }
     SasLookup_Init(&steer->lookup, model);
     SasMeasure_Init(&steer->measure, model, UNKNOWN_HEADROOM);
     uv_timer_init(parts->loop, &steer->timer);
@@ -314,6 +322,48 @@
            SasPlan_IsDraining(&steer->plan, SAS_DRAIN_BACKEND, backend);
 }
 
+int
+SasSteer_FillShares(const struct sas_steer *steer,
+                    struct sas_rpc_share *shares, int max)
+{
+    int count = MIN(steer->plan.shift_count, max);
+    for (int i = 0; i < count; i++) {
+        const struct sas_shift *shift = &steer->plan.shifts[i];
+        shares[i].service = (u_int)shift->service;
+        shares[i].from = (u_int)shift->from;
+        shares[i].to = (u_int)shift->to;
+        shares[i].millionths = (u_int)(shift->in_force * 1e6);
+    }
+    return count;
+}
+
+void
+SasSteer_TakeShares(struct sas_steer *steer,
+                    const struct sas_rpc_share *shares, int count)
+{
+    const struct sas_model *model = steer->model;
+    bool changed = false;
+    if (!steer->known || steer->seeded) {
+        return;
+    }
+    for (int i = 0; i < count; i++) {
+        const struct sas_rpc_share *row = &shares[i];
+        if (row->service >= (u_int)model->service_count ||
+            row->from >= (u_int)model->region_count ||
+            row->to >= (u_int)model->region_count ||
+            row->millionths > 1000000) {
+            continue;
+        }
+        changed |=
+            SasPlan_Seed(&steer->plan, (int)row->service, (int)row->from,
+                         (int)row->to, row->millionths / 1e6);
+    }
+    if (changed) {
+        steer->seeded = true;
+        rebuild_lookups(steer);
+    }
+}
+
 static bool
 is_region_gone(const struct sas_steer *steer, int region)
 {
@@ -390,6 +440,31 @@
            !was_tried(query, backend);
 }
 
+/* How many of a server's places (slots and queue) are this entry VM's. They
+ * go round the entry VMs of the server's region, beginning at another one for
+ * each server; entry VMs elsewhere own none. */
+static int
+count_own_places(const struct sas_steer *steer, int backend)
+{
+    const struct sas_model *model = steer->model;
+    int region = SasModel_GetBackendRegion(model, backend);
+    int own_rank = SasModel_NONE;
+    int vms = 0;
+    for (int i = 0; i < model->vm_count; i++) {
+        if (SasModel_GetVmRegion(model, i) == region) {
+            own_rank = i == steer->parts.own_vm ? vms : own_rank;
+            vms++;
+        }
+    }
+    if (own_rank == SasModel_NONE) {
+        return 0;
+    }
+    int places =
+        model->backends[backend].slots + steer->parts.settings->server_queue;
+    int rank = (own_rank + backend) % vms;
+    return places / vms + (rank < places % vms ? 1 : 0);
+}
+
 /* What the placement policy sees of one backend server. */
 static struct sas_place_server
 describe_server(const struct sas_steer *steer,
@@ -404,7 +479,9 @@
     struct sas_place_server server = {
         .backend = backend,
         .slots = model->backends[backend].slots,
+        .queue = steer->parts.settings->server_queue,
         .own_in_flight = row->in_flight,
+        .own_share = row->own_places,
         .reported_load = MAX(others, 0),
         .report_age_ms = measured->reported ? now - measured->report_ms : -1,
         .usable = is_usable(steer, query, backend),
@@ -412,7 +489,7 @@
                        model->vms[steer->parts.own_vm].domain,
     };
     if (measured->shed && now - measured->shed_ms < SasMeasure_SHED_MS) {
-        server.reported_load = server.slots;
+        server.reported_load = server.slots + server.queue;
     }
     if (query->alone && (row->in_flight > 0 || server.reported_load > 0)) {
         server.usable = false;
