--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -5,7 +5,6 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/time.h>
 
 #include "sas/metrics.h"
 
@@ -17,7 +16,7 @@
     GList *exchanges; /* of struct exchange */
     uv_timer_t sweep;
     bool stopping;
-    struct timeval refusing_since; /* 0: it does not refuse */
+    int64_t refusing_since; /* microseconds, real time; 0: it does not */
 };
 
 /* A request with h2o's side and the forwarder's side. It lives in the
@@ -83,8 +82,8 @@
 void
 SasCaller_RefuseRequests(struct sas_caller *caller)
 {
-    if (caller->refusing_since.tv_sec == 0) {
-        gettimeofday(&caller->refusing_since, NULL);
+    if (caller->refusing_since == 0) {
+        caller->refusing_since = g_get_real_time();
     }
 }
 
@@ -444,14 +443,21 @@
     return exchange;
 }
 
+/* When its first byte came, microseconds of real time. */
+static int64_t
+get_begin_us(const h2o_req_t *req)
+{
+    const struct timeval *begin = &req->timestamps.request_begin_at;
+    return (int64_t)begin->tv_sec * G_USEC_PER_SEC + begin->tv_usec;
+}
+
 static int
 handle_request(struct sas_server_handler *handler, h2o_req_t *req)
 {
     struct sas_caller *caller = handler->data;
     const struct sas_model *model = caller->parts.model;
-    if (caller->refusing_since.tv_sec != 0 &&
-        timercmp(&req->timestamps.request_begin_at, &caller->refusing_since,
-                 >)) {
+    if (caller->refusing_since != 0 &&
+        get_begin_us(req) > caller->refusing_since) {
         return refuse_early(caller, req, SAS_REFUSE_STOPPING);
     }
     const char *target = NULL;
