configure: the core adds the drain row

Cause: configure.c built the sheet of a drain by hand, beside the core's SasConfig_AddDrain with the same job.

--- a/packages/node/src/configure.c
+++ b/packages/node/src/configure.c
@@ -376,92 +376,60 @@
     end_put_done(put, json_integer_value(json_object_get(row, "version")));
 }
 
-static int
-compare_times(const void *left, const void *right)
+/* Makes the new version from the sheet that came. */
+static struct sas_config *
+build_from_sheet(const struct put *put, int64_t number,
+                 struct sas_sheet_error *place, struct sas_error *error)
 {
-    const struct sas_intention *a = left;
-    const struct sas_intention *b = right;
-    return (a->at_ms > b->at_ms) - (a->at_ms < b->at_ms);
+    const struct sas_configure_parts *parts = &put->configure->parts;
+    struct sas_sheet sheet = {0};
+    int64_t now = parts->get_wall_ms();
+    if (SasSheet_Parse(&sheet, parts->model, put->sheet, put->sheet_size, now,
+                       parts->utc_offset_s, place) != 0) {
+        return NULL;
+    }
+    g_autofree char *text = g_strndup(put->sheet, put->sheet_size);
+    struct sas_config *config = SasConfig_New(
+        number, put->operation, put->operator_name, now, &sheet, text, error);
+    if (config == NULL) {
+        SasSheet_Free(&sheet);
+    }
+    return config;
 }
 
-/* The rows in force and one drain row, with the times they already have. */
-static int
-build_drain_sheet(struct put *put, struct sas_sheet *sheet, GString *text,
-                  struct sas_sheet_error *error)
+static struct sas_config *
+build_from_drain(const struct put *put, int64_t number,
+                 struct sas_error *error)
 {
-    const struct sas_model *model = put->configure->parts.model;
-    int64_t now = put->configure->parts.get_wall_ms();
-    int count = put->base != NULL ? put->base->sheet.row_count : 0;
-    sheet->rows = g_new0(struct sas_intention, count + 1);
-    for (int i = 0; i < count; i++) {
-        sheet->rows[i] = put->base->sheet.rows[i];
-    }
-    struct sas_intention *row = &sheet->rows[count];
-    row->at_ms = now;
-    row->service = SasModel_NONE;
-    row->from = SasModel_NONE;
-    row->to = SasModel_NONE;
-    row->drain_kind = put->request.drain_kind;
-    row->drain_target = put->request.drain_target;
-    sheet->row_count = count + 1;
-    qsort(sheet->rows, (size_t)sheet->row_count, sizeof(*row), compare_times);
-    bool is_vm = row->drain_kind == SAS_DRAIN_VM;
-    const char *name = is_vm ? model->vms[put->request.drain_target].name
-                             : model->backends[put->request.drain_target].name;
-    g_autoptr(GDateTime) time = g_date_time_new_from_unix_utc(now / 1000);
-    g_autofree char *stamp = g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ");
-    g_string_assign(text, put->base != NULL
-                              ? put->base->sheet_text
-                              : "time,service,from,to,share,cap,drain,"
-                                "limits\n");
-    if (text->len > 0 && text->str[text->len - 1] != '\n') {
-        g_string_append_c(text, '\n');
-    }
-    g_string_append_printf(text, "%s,,,,,,%s,\n", stamp, name);
-    if (SasSheet_Check(sheet, model, error) != 0) {
-        SasSheet_Free(sheet);
-        return -1;
-    }
-    return 0;
+    const struct sas_configure_parts *parts = &put->configure->parts;
+    const struct sas_model *model = parts->model;
+    int target = put->request.drain_target;
+    const char *name = put->request.drain_kind == SAS_DRAIN_VM
+                           ? model->vms[target].name
+                           : model->backends[target].name;
+    return SasConfig_AddDrain(put->base, model, name, number, put->operation,
+                              put->operator_name, parts->get_wall_ms(), error);
 }
 
 /* Makes the new version from the head that was just read. */
 static int
 build_config(struct put *put, int64_t base_version,
-             struct sas_sheet_error *error)
+             struct sas_sheet_error *place)
 {
-    const struct sas_configure_parts *parts = &put->configure->parts;
-    struct sas_sheet sheet = {0};
-    g_autoptr(GString) text = g_string_new(NULL);
-    if (put->sheet == NULL) {
-        if (build_drain_sheet(put, &sheet, text, error) != 0) {
-            return -1;
-        }
-    }
-    else {
-        g_string_append_len(text, put->sheet, (gssize)put->sheet_size);
-        if (SasSheet_Parse(&sheet, parts->model, put->sheet, put->sheet_size,
-                           parts->get_wall_ms(), parts->utc_offset_s,
-                           error) != 0) {
-            return -1;
-        }
-    }
-    struct sas_error reason = {0};
+    const struct sas_model *model = put->configure->parts.model;
+    struct sas_error error = {0};
+    int64_t number = base_version + 1;
     SasConfig_Unref(put->config);
-    put->config =
-        SasConfig_New(base_version + 1, put->operation, put->operator_name,
-                      parts->get_wall_ms(), &sheet, text->str, &reason);
+    put->config = put->sheet != NULL
+                      ? build_from_sheet(put, number, place, &error)
+                      : build_from_drain(put, number, &error);
     if (put->config == NULL) {
-        SasSheet_Free(&sheet);
-        snprintf(error->reason, sizeof(error->reason), "%.*s",
-                 (int)sizeof(error->reason) - 1, reason.text);
-        return -1;
-    }
-    if (SasPlan_CheckCapacity(parts->model, put->config, NULL, error,
-                              &reason) != 0) {
+        if (error.code != SAS_OK) {
+            g_strlcpy(place->reason, error.text, sizeof(place->reason));
+        }
         return -1;
     }
-    return 0;
+    return SasPlan_CheckCapacity(model, put->config, NULL, place, &error);
 }
 
 static char *
