forward in three files; three waiting at a server; Retry-After jittered

Three is the default now. Behaviour of the split is unchanged: whole_answers, at_most_once, crashing_requests, silent_connections passed after it. Callers refused together come back over 1 to 2 s instead of all after 1 s.

--- a/packages/node/src/forward.h
+++ b/packages/node/src/forward.h
@@ -68,6 +68,7 @@
     struct sas_upstream *upstream;
     struct sas_claims *claims;
     struct sas_guard *guard;
+    GRand *random;
     const char *id_prefix; /* of request ids; unique to this process */
     int64_t queue_wait_ms;
     double retry_share;
--- /dev/null
+++ b/packages/node/src/forward_attempt.c
@@ -0,0 +1,444 @@
+/* The attempts of a request: waiting for a slot, sending, trying again. */
+#include <stdio.h>
+#include <string.h>
+
+#include "forward_call.h"
+#include "sas/metrics.h"
+
+#define OWN_HEADERS 2
+#define PACE_SAMPLES 32
+
+static const struct sas_upstream_vtable attempt_vtable;
+static void on_timer(uv_timer_t *timer);
+
+/* Waiting and starting an attempt. */
+
+static void
+arm_timer(struct sas_forward_call *call, int64_t at)
+{
+    int64_t now = (int64_t)uv_now(call->forward->parts.loop);
+    uv_timer_start(&call->timer, on_timer, (uint64_t)MAX(at - now, 0), 0);
+}
+
+static void
+start_attempt(struct sas_forward_call *call)
+{
+    struct sas_forward *forward = call->forward;
+    const struct sas_forward_parts *parts = &forward->parts;
+    int64_t now = (int64_t)uv_now(parts->loop);
+    call->state = CALL_RUNNING;
+    forward->paces[call->request.service].running++;
+    call->attempt_at = now;
+    call->waiting_since = 0;
+    call->answer_bytes = 0;
+    call->shed = false;
+    call->attempts++;
+    uv_timer_stop(&call->timer);
+    if (call->attempts == 1) {
+        SasRetry_NoteFirst(&forward->retries[call->request.service], now);
+    }
+    char left[24];
+    snprintf(left, sizeof(left), "%" G_GINT64_FORMAT, call->deadline_at - now);
+    snprintf(call->attempt.request_id, sizeof(call->attempt.request_id),
+             "%s-%" G_GINT64_MODIFIER "x-%d", parts->id_prefix,
+             forward->next_id++, call->attempts);
+    guint count = call->headers->len;
+    g_autofree struct sas_http_header *headers =
+        g_new(struct sas_http_header, count + OWN_HEADERS);
+    for (guint i = 0; i < count; i++) {
+        headers[i] = g_array_index(call->headers, struct sas_http_header, i);
+    }
+    headers[count].name = "Sas-Deadline-Ms";
+    headers[count].value = left;
+    headers[count + 1].name = "Sas-Request-Id";
+    headers[count + 1].value = call->attempt.request_id;
+    struct sas_http_request request = {
+        .method = call->request.method,
+        .target = call->request.target,
+        .headers = headers,
+        .header_count = (int)count + OWN_HEADERS,
+        .body = call->request.body,
+        .body_size = call->request.body_size,
+    };
+    if (call->claim != NULL) {
+        SasClaims_MarkSent(call->claim);
+    }
+    if (call->grant.cross_region) {
+        SasMetrics_Add(parts->counters->metrics, parts->counters->cross_region,
+                       1);
+    }
+    SasUpstream_Send(parts->upstream, call->grant.backend, &request,
+                     call->deadline_at - now,
+                     !call->idempotent || call->stalled, &attempt_vtable,
+                     &call->attempt);
+}
+
+void
+SasForwardCall_ReleaseGrant(struct sas_forward_call *call)
+{
+    struct sas_forward *forward = call->forward;
+    struct pace *pace = &forward->paces[call->request.service];
+    int64_t now = (int64_t)uv_now(forward->parts.loop);
+    pace->running--;
+    pace->elapsed_ms +=
+        ((double)(now - call->attempt_at) - pace->elapsed_ms) / PACE_SAMPLES;
+    SasSteer_Release(forward->parts.steer, call->request.service, &call->grant,
+                     call->answer_bytes);
+    SasForward_Wake(forward);
+}
+
+/* False when the call may run only alone and is running so elsewhere. */
+static bool
+begin_trial(struct sas_forward_call *call)
+{
+    if (call->grant.alone && !call->in_trial) {
+        call->in_trial =
+            SasGuard_BeginTrial(call->forward->parts.guard, call->fingerprint,
+                                call->query.lasts_ms);
+        return call->in_trial;
+    }
+    return true;
+}
+
+/* Asks for a slot; true when the call has gone on or has ended. */
+static bool
+try_acquire(struct sas_forward_call *call)
+{
+    int64_t now = (int64_t)uv_now(call->forward->parts.loop);
+    call->query.lasts_ms = call->deadline_at - now;
+    call->query.waited_ms =
+        call->waiting_since > 0 ? now - call->waiting_since : 0;
+    enum sas_refusal reason = SAS_REFUSE_NO_HEADROOM;
+    enum sas_steer_answer answer = SasSteer_Acquire(
+        call->forward->parts.steer, &call->query, &call->grant, &reason);
+    if (answer == SAS_STEER_GRANTED && !begin_trial(call)) {
+        SasSteer_Release(call->forward->parts.steer, call->request.service,
+                         &call->grant, 0);
+        SasForwardCall_Refuse(call, SAS_REFUSE_SUSPECT, SAS_OUTCOME_NOT_RUN,
+                              SasForwardCall_RETRY_AFTER_S);
+        return true;
+    }
+    if (answer == SAS_STEER_GRANTED) {
+        start_attempt(call);
+        return true;
+    }
+    if (answer == SAS_STEER_REFUSED) {
+        SasForwardCall_Refuse(call, reason, SAS_OUTCOME_NOT_RUN,
+                              SasForwardCall_RETRY_AFTER_S);
+        return true;
+    }
+    return false;
+}
+
+/* Whoever would wait longer than is allowed, by the pace of those before it,
+ * is told so at once instead of after that wait. */
+static bool
+is_hopeless(const struct sas_forward_call *call)
+{
+    const struct sas_forward *forward = call->forward;
+    const struct pace *pace = &forward->paces[call->request.service];
+    int ahead = (int)forward->waiting[call->request.service].length;
+    double wait_ms = (ahead + 1) * pace->elapsed_ms / MAX(pace->running, 1);
+    return pace->running > 0 && wait_ms > (double)forward->parts.queue_wait_ms;
+}
+
+void
+SasForwardCall_Acquire(struct sas_forward_call *call)
+{
+    struct sas_forward *forward = call->forward;
+    int64_t now = (int64_t)uv_now(forward->parts.loop);
+    GQueue *queue = &forward->waiting[call->request.service];
+    if (now >= call->deadline_at) {
+        SasForwardCall_Refuse(call, SAS_REFUSE_DEADLINE, SAS_OUTCOME_NOT_RUN,
+                              SasForwardCall_RETRY_AFTER_S);
+        return;
+    }
+    bool others_first = !g_queue_is_empty(queue) && call->attempts == 0;
+    if (!others_first && try_acquire(call)) {
+        return;
+    }
+    if (is_hopeless(call)) {
+        SasForwardCall_Refuse(call, SAS_REFUSE_NO_HEADROOM,
+                              SAS_OUTCOME_NOT_RUN,
+                              SasForwardCall_RETRY_AFTER_S);
+        return;
+    }
+    if (g_queue_get_length(queue) >= SasForward_MAX_WAITING) {
+        SasForwardCall_Refuse(call, SAS_REFUSE_QUEUE_FULL, SAS_OUTCOME_NOT_RUN,
+                              SasForwardCall_RETRY_AFTER_S);
+        return;
+    }
+    call->state = CALL_WAITING;
+    call->waiting_since = now;
+    g_queue_push_tail(queue, call);
+    arm_timer(call,
+              MIN(call->deadline_at, now + forward->parts.queue_wait_ms));
+}
+
+void
+SasForward_Wake(struct sas_forward *forward)
+{
+    for (int i = 0; i < forward->parts.model->service_count; i++) {
+        GQueue *queue = &forward->waiting[i];
+        while (!g_queue_is_empty(queue)) {
+            struct sas_forward_call *call = g_queue_pop_head(queue);
+            if (!try_acquire(call)) {
+                g_queue_push_head(queue, call);
+                break;
+            }
+        }
+    }
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    struct sas_forward_call *call = timer->data;
+    int64_t now = (int64_t)uv_now(call->forward->parts.loop);
+    if (call->state != CALL_WAITING) {
+        return;
+    }
+    g_queue_remove(&call->forward->waiting[call->request.service], call);
+    SasForwardCall_Refuse(call,
+                          now >= call->deadline_at ? SAS_REFUSE_DEADLINE
+                                                   : SAS_REFUSE_QUEUE_TIMEOUT,
+                          SAS_OUTCOME_NOT_RUN, SasForwardCall_RETRY_AFTER_S);
+}
+
+/* Retrying. */
+
+static bool
+may_retry(struct sas_forward_call *call, enum sas_retry_reason reason,
+          bool may_have_run)
+{
+    struct sas_forward *forward = call->forward;
+    const struct sas_counters *counters = forward->parts.counters;
+    int service = call->request.service;
+    int64_t now = (int64_t)uv_now(forward->parts.loop);
+    int start = forward->candidate_starts[service];
+    enum sas_retry_verdict verdict =
+        SasRetry_MayRetry(&forward->retries[service], reason, call->idempotent,
+                          may_have_run ? SAS_RETRY_UNKNOWN : SAS_RETRY_NOT_RUN,
+                          call->deadline_at - now, call->query.tried,
+                          call->query.tried_count, forward->candidates + start,
+                          forward->candidate_starts[service + 1] - start, now);
+    bool granted =
+        verdict == SAS_RETRY_YES && call->attempts < SasRetry_MAX_TRIES;
+    SasMetrics_Add(counters->metrics,
+                   granted ? counters->retries[reason]
+                           : counters->retries_denied[verdict],
+                   1);
+    return granted;
+}
+
+static void
+note_tried(struct sas_forward_call *call)
+{
+    if (call->query.tried_count < SasSteer_MAX_TRIED) {
+        call->query.tried[call->query.tried_count++] = call->grant.backend;
+    }
+}
+
+/* Tries again elsewhere, or refuses. The attempt has ended already. */
+static void
+retry_or_refuse(struct sas_forward_call *call, enum sas_retry_reason why,
+                enum sas_refusal reason, enum sas_outcome outcome)
+{
+    bool may_have_run = outcome != SAS_OUTCOME_NOT_RUN;
+    call->may_have_run |= may_have_run;
+    note_tried(call);
+    g_string_truncate(call->held, 0);
+    g_array_set_size(call->answer_headers, 0);
+    int retry_after_s = 0;
+    enum sas_quarantine_verdict verdict =
+        SasForwardCall_AskGuard(call, &retry_after_s);
+    bool allowed =
+        verdict == SAS_QUARANTINE_ALLOW || verdict == SAS_QUARANTINE_ALONE;
+    if (call->reply == NULL || !allowed ||
+        !may_retry(call, why, may_have_run)) {
+        SasForwardCall_Refuse(
+            call, reason, outcome,
+            MAX(retry_after_s, SasForwardCall_RETRY_AFTER_S));
+        return;
+    }
+    SasForwardCall_Acquire(call);
+}
+
+/* Attempts. */
+
+static bool
+is_shed(int status, const struct sas_http_header *headers, int header_count)
+{
+    const char *outcome =
+        SasHttp_FindHeader(headers, header_count, "sas-outcome");
+    return status == 503 && outcome != NULL && strcmp(outcome, "not-run") == 0;
+}
+
+static void
+attempt_on_head(struct sas_upstream_call *attempt, int status,
+                const struct sas_http_header *headers, int header_count)
+{
+    struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    call->status = status;
+    call->answer_length = -1;
+    call->shed = is_shed(status, headers, header_count);
+    const char *length =
+        SasHttp_FindHeader(headers, header_count, "content-length");
+    if (length != NULL) {
+        call->answer_length = g_ascii_strtoll(length, NULL, 10);
+    }
+    SasForwardCall_CopyHeaders(call, headers, header_count,
+                               call->answer_headers);
+}
+
+static void
+attempt_on_body(struct sas_upstream_call *attempt, const char *data,
+                size_t size)
+{
+    struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    call->answer_bytes += (int64_t)size;
+    if (call->shed) {
+        return;
+    }
+    if (call->streaming) {
+        call->reply->vtable->on_body(call->reply, data, size);
+        return;
+    }
+    /* The first bytes are held back, so that an answer which breaks early
+     * can be asked for again without the caller seeing a part of it. */
+    g_string_append_len(call->held, data, (gssize)size);
+    size_t limit =
+        call->once ? SasClaims_MAX_KEPT_BODY : SasForward_HOLD_BYTES;
+    if (call->held->len > limit && call->reply != NULL) {
+        call->streaming = true;
+        SasForwardCall_PassAnswer(call);
+    }
+}
+
+static void
+end_streaming(struct sas_forward_call *call, bool whole)
+{
+    const struct sas_counters *counters = call->forward->parts.counters;
+    if (call->claim != NULL) {
+        struct sas_claims_claim *claim = call->claim;
+        call->claim = NULL;
+        SasClaims_Lose(claim); /* ran, but too large to be kept */
+    }
+    if (whole) {
+        SasForwardCall_EndWhole(call);
+        return;
+    }
+    SasMetrics_Add(counters->metrics, counters->aborted, 1);
+    struct sas_forward_reply *reply = call->reply;
+    SasForwardCall_Finish(call);
+    if (reply != NULL) {
+        reply->vtable->on_abort(reply);
+    }
+}
+
+static void
+attempt_on_end(struct sas_upstream_call *attempt, bool whole)
+{
+    struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    const struct sas_forward_parts *parts = &call->forward->parts;
+    if (call->grant.alone && !call->shed) {
+        SasGuard_NoteSurvived(parts->guard, call->fingerprint);
+    }
+    SasForwardCall_ReleaseGrant(call);
+    if (call->shed) {
+        SasSteer_NoteShed(parts->steer, call->grant.backend);
+        retry_or_refuse(call, SAS_RETRY_SHED, SAS_REFUSE_SHED,
+                        SAS_OUTCOME_NOT_RUN);
+        return;
+    }
+    if (call->streaming) {
+        end_streaming(call, whole);
+        return;
+    }
+    if (!whole) {
+        SasForwardCall_Refuse(call, SAS_REFUSE_ANSWER_UNFRAMED,
+                              SAS_OUTCOME_RAN, SasForwardCall_RETRY_AFTER_S);
+        return;
+    }
+    if (call->answer_length < 0) {
+        call->answer_length = (int64_t)call->held->len;
+    }
+    if (call->claim != NULL) {
+        call->state = CALL_KEEPING;
+        SasClaims_Finish(
+            call->claim, call->status,
+            (const struct sas_http_header *)call->answer_headers->data,
+            (int)call->answer_headers->len, call->held->str, call->held->len);
+        return;
+    }
+    SasForwardCall_PassAnswer(call);
+    SasForwardCall_EndWhole(call);
+}
+
+static void
+attempt_on_fail(struct sas_upstream_call *attempt,
+                const struct sas_http_failure *failure)
+{
+    struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    const struct sas_forward_parts *parts = &call->forward->parts;
+    bool lost = failure->sent && failure->error.code == SAS_EIO;
+    if (lost && !SasSteer_IsLeaving(parts->steer, call->grant.backend)) {
+        SasGuard_NoteLost(parts->guard, call->fingerprint, call->grant.backend,
+                          call->grant.alone);
+    }
+    SasForwardCall_ReleaseGrant(call);
+    if (call->streaming) {
+        end_streaming(call, false);
+    }
+    else if (!failure->sent) {
+        retry_or_refuse(call, SAS_RETRY_CONNECT, SAS_REFUSE_NO_BACKEND,
+                        SAS_OUTCOME_NOT_RUN);
+    }
+    else if (!lost) {
+        SasForwardCall_Refuse(call, SAS_REFUSE_DEADLINE, SAS_OUTCOME_UNKNOWN,
+                              SasForwardCall_RETRY_AFTER_S);
+    }
+    else if (failure->begun) {
+        retry_or_refuse(call, SAS_RETRY_CUT, SAS_REFUSE_ANSWER_CUT,
+                        SAS_OUTCOME_UNKNOWN);
+    }
+    else {
+        retry_or_refuse(call, SAS_RETRY_CUT, SAS_REFUSE_LOST,
+                        SAS_OUTCOME_UNKNOWN);
+    }
+}
+
+/* The connection seems to have gone silent. What may repeat is tried over
+ * another one; without the backend server's own word that the request is
+ * missing, only after half of the time is gone. What may not repeat waits
+ * for its deadline: a second run would be worse than a late "unknown". */
+static void
+attempt_on_stall(struct sas_upstream_call *attempt, bool missing)
+{
+    struct sas_forward_call *call = (struct sas_forward_call *)attempt;
+    const struct sas_forward_parts *parts = &call->forward->parts;
+    int64_t now = (int64_t)uv_now(parts->loop);
+    bool half_gone = now - call->attempt_at > call->deadline_at - now;
+    if (!call->idempotent || !(missing || half_gone) || call->reply == NULL ||
+        !may_retry(call, SAS_RETRY_STALL, true)) {
+        return;
+    }
+    SasUpstream_Cancel(attempt);
+    call->may_have_run = true;
+    call->stalled = true;
+    SasForwardCall_ReleaseGrant(call);
+    /* A silent connection is not the fault of its backend server, which may
+     * be asked again over a new one; a slow one is not asked twice. */
+    if (!missing) {
+        note_tried(call);
+    }
+    SasForwardCall_Acquire(call);
+}
+
+static const struct sas_upstream_vtable attempt_vtable = {
+    .on_head = attempt_on_head,
+    .on_body = attempt_on_body,
+    .on_end = attempt_on_end,
+    .on_fail = attempt_on_fail,
+    .on_stall = attempt_on_stall,
+};
--- /dev/null
+++ b/packages/node/src/forward_call.h
@@ -0,0 +1,99 @@
+/* forward_call - the inside of forward: one request and its attempts.
+ *
+ * forward.c begins, ends and claims; forward_attempt.c waits for a slot,
+ * sends and tries again; forward_headers.c chooses what is passed on.
+ */
+#ifndef SAS_FORWARD_CALL_H
+#define SAS_FORWARD_CALL_H
+
+#include <glib.h>
+
+#include "forward.h"
+#include "guard.h"
+
+#define SasForwardCall_RETRY_AFTER_S 1
+
+enum call_state {
+    CALL_CLAIMING, /* the store is asked for the claim */
+    CALL_WAITING,  /* for a free slot */
+    CALL_RUNNING,  /* an attempt is on its way */
+    CALL_KEEPING,  /* the store is keeping the outcome */
+    CALL_OVER
+};
+
+/* How fast this node gets requests of a service done. */
+struct pace {
+    int running;
+    double elapsed_ms; /* of an attempt, a moving average */
+};
+
+struct sas_forward {
+    struct sas_forward_parts parts;
+    GQueue *waiting; /* of struct sas_forward_call, one queue a service */
+    int active;
+    struct sas_retry *retries; /* by service */
+    int *candidates;           /* backend servers, those of a service side
+                                  by side */
+    int *candidate_starts;     /* by service, and one more */
+    struct pace *paces;        /* by service */
+    uint64_t next_id;
+};
+
+struct sas_forward_call {
+    struct sas_upstream_call attempt; /* first: upstream's vtable */
+    struct sas_claims_user claims_user;
+    struct sas_forward *forward;
+    struct sas_forward_reply *reply; /* NULL once the caller has gone */
+    struct sas_forward_request request;
+    enum call_state state;
+    uv_timer_t timer; /* the deadline, or the end of waiting */
+    int64_t deadline_at;
+    GStringChunk *texts;
+    GArray *headers; /* of struct sas_http_header, as sent on */
+    char *own_body;  /* a copy that outlives the caller's, or NULL */
+    bool once;
+    bool idempotent;
+    struct sas_claims_claim *claim;
+    struct sas_fingerprint fingerprint;
+    struct sas_steer_query query;
+    struct sas_steer_grant grant;
+    int64_t attempt_at;
+    int64_t waiting_since;
+    int64_t answer_bytes;
+    int attempts;
+    bool in_trial;     /* it runs alone as a suspect */
+    bool may_have_run; /* an earlier attempt was sent and lost */
+    bool stalled;      /* an earlier attempt met a silent connection */
+
+    /* the answer */
+    int status;
+    GArray *answer_headers; /* of struct sas_http_header */
+    int64_t answer_length;
+    GString *held; /* body bytes that were not passed on yet */
+    bool streaming;
+    bool shed;
+};
+
+/* Ending (forward.c). Refuse counts, settles the claim and tells the caller.
+ */
+void SasForwardCall_Refuse(struct sas_forward_call *call,
+                           enum sas_refusal reason, enum sas_outcome outcome,
+                           int retry_after_s);
+void SasForwardCall_PassAnswer(struct sas_forward_call *call);
+void SasForwardCall_EndWhole(struct sas_forward_call *call);
+void SasForwardCall_Finish(struct sas_forward_call *call);
+
+/* Asks the guard; call->query.alone says whether it has to run alone. */
+enum sas_quarantine_verdict
+SasForwardCall_AskGuard(struct sas_forward_call *call, int *retry_after_s);
+
+/* Attempts (forward_attempt.c). */
+void SasForwardCall_Acquire(struct sas_forward_call *call);
+void SasForwardCall_ReleaseGrant(struct sas_forward_call *call);
+
+/* Copies the headers that go on from hop to hop (forward_headers.c). */
+void SasForwardCall_CopyHeaders(struct sas_forward_call *call,
+                                const struct sas_http_header *headers,
+                                int count, GArray *out);
+
+#endif
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -305,6 +305,7 @@
         .upstream = node->upstream,
         .claims = node->claims,
         .guard = node->guard,
+        .random = node->random,
         .id_prefix = node->identity,
         .queue_wait_ms = settings->queue_wait_ms,
         .retry_share = settings->retry_share,
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -13,7 +13,7 @@
 #define DEFAULT_BODY_LIMIT 32000000
 #define DEFAULT_BODIES_LIMIT 256000000
 #define DEFAULT_QUEUE_WAIT_MS 250
-#define DEFAULT_SERVER_QUEUE 2
+#define DEFAULT_SERVER_QUEUE 3
 #define MAX_SERVER_QUEUE 100
 #define DEFAULT_RETRY_SHARE 0.1
 /* Longer than an answer to a look-up may live in a caller's cache. */
