--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -43,6 +43,9 @@
                         help="more arguments of the backend stand-ins")
     parser.add_argument("--vary", action="append", default=[],
                         help="KEY=VALUE,VALUE of [limits] or placement")
+    parser.add_argument("--report", default="honest",
+                        help="what backend servers say of their load: "
+                        "honest, zero, random")
     parser.add_argument("--regions", type=int, default=3)
     return parser.parse_args()
 
@@ -107,6 +110,7 @@
                     limits=limits, placement=settings.get("placement"),
                     standin_arguments=["--rtt-ms", "2", "--probe-ms", "6"] +
                     arguments.standin.split()) as deployment:
+        deployment.control_backends("*", report=arguments.report)
         output, cpu_ms = run_load(deployment, arguments, load, seed)
         return read_row(output, cpu_ms, deployment, load)
 
