--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -765,8 +765,9 @@
 static struct sas_proto_message
 make_borrow(uint32_t xid)
 {
-    return (struct sas_proto_message){
-        .xid = xid, .procedure = SAS_RPC_BORROW, .body.borrow = {1, 0, 9, 4}};
+    return (struct sas_proto_message){.xid = xid,
+                                      .procedure = SAS_RPC_BORROW,
+                                      .body.borrow = {1, 0, 9, 4, 0}};
 }
 
 /* Somebody on the path records a request for a loan and sends it again: on
