Caps hold over one second; large requests pay in full; owned-first placement

Change: floors of rate caps are what may be used all the time so that no second exceeds the cap, only entry VMs of the target's region have one; what a request takes beyond the quantum is paid before the next may pass; owned-first is the default. Ruled out: fewer seats for small caps, whose floors then are not proportional between versions. Small caps use half of what is ordered at the least.

--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -23,7 +23,7 @@
 
 /* Steering. */
 #define SasSteer_SPILL_AFTER_MS 50
-#define SasSteer_DEFAULT_PLACEMENT "cone"
+#define SasSteer_DEFAULT_PLACEMENT "owned-first"
 #define SasSteer_FIRST_ANSWER_BYTES 16384
 
 /* Requests. */
--- a/packages/node/src/lending.c
+++ b/packages/node/src/lending.c
@@ -18,13 +18,15 @@
 /* Milli-units: one request; 100 ms of 100 Mbit/s. */
 #define REQUEST_QUANTUM 1000
 #define MBIT_QUANTUM 10000
+#define BURST_SHARE 0.1
 #define NAME_SIZE (3 * SasModel_NAME_SIZE)
 
 struct row {
     uint64_t id;
     char name[NAME_SIZE];
     struct sas_budget core;
-    double cap; /* of a shift: the one its floors are made from */
+    double cap;   /* of a shift: the one its floors are made from */
+    int64_t debt; /* of a rate: taken by a large request, not yet paid */
     bool asking;
 };
 
@@ -243,6 +245,24 @@
 
 /* Caps. */
 
+/* The rate, in milli-units, that may be used all the time so that the cap is
+ * not exceeded in any one second: each entry VM that has a floor may let pass
+ * a tenth of a second's worth at once, or one quantum where that is more.
+ * Only those of the target's region have one, the others borrow. */
+static double
+get_steady_rate(const struct sas_lending *lending,
+                const struct sas_shift *shift)
+{
+    const struct sas_model *model = lending->parts.model;
+    double cap = shift->cap * 1000;
+    int seats = 0;
+    for (int i = 0; i < model->vm_count; i++) {
+        seats += SasModel_GetVmRegion(model, i) == shift->to;
+    }
+    double bursts = (double)seats * (double)get_quantum(shift->cap_unit);
+    return MAX((cap - bursts) / (1 + BURST_SHARE), cap / 2);
+}
+
 /* A changed cap starts its budget anew: until the peers have said that they
  * hold no loan of the old one, only the reserve of the new floor is used.
  * The floors of two versions have the same proportions, so nodes that are
@@ -261,8 +281,13 @@
         return;
     }
     bool is_rate = shift->cap_unit != SAS_CAP_CONCURRENT;
-    get_floors(lending, is_rate ? shift->cap * 1000 : shift->cap, shift->to,
-               FAR_WEIGHT, floors);
+    if (is_rate) {
+        get_floors(lending, get_steady_rate(lending, shift), shift->to, 0,
+                   floors);
+    }
+    else {
+        get_floors(lending, shift->cap, shift->to, FAR_WEIGHT, floors);
+    }
     row->cap = shift->cap;
     if (is_rate || budget == SasModel_NONE) {
         init_core(lending, row, shift->cap_unit, floors, plan->version);
@@ -368,8 +393,18 @@
         return !lending->stopped;
     }
     struct row *row = get_row(lending, budget);
+    /* A request larger than the quantum is let pass for a quantum; what it
+     * took besides is paid before anything else may pass. Otherwise large
+     * uploads would count for less than they are. */
     int64_t most = row->core.settings.quantum;
-    if (SasBudget_TakeRate(&row->core, MIN(amount, most), SasPeer_GetNow())) {
+    int64_t now = SasPeer_GetNow();
+    while (row->debt > 0 &&
+           SasBudget_TakeRate(&row->core, MIN(row->debt, most), now)) {
+        row->debt -= MIN(row->debt, most);
+    }
+    if (row->debt == 0 &&
+        SasBudget_TakeRate(&row->core, MIN(amount, most), now)) {
+        row->debt = amount - MIN(amount, most);
         return true;
     }
     ask_for_loan(lending, budget);
