tests: failures hit frozen entry VMs too; races of puts; ends are seen

Operators now put at nearly the same moment and state the version they take for the one in force. An entry VM that ends by itself, or stops with a status other than 0, is a violation.

--- a/tests/e2e/history.py
+++ b/tests/e2e/history.py
@@ -304,7 +304,7 @@
 
 def check_healed(version, at_end):
     """at_end: entry VM -> its version and the status of a request."""
-    return ["%s has version %d and answers %s; version %d is in force" % (
+    return ["%s has version %s and answers %s; version %d is in force" % (
         vm, own, status, version)
         for vm, (own, status) in at_end.items()
         if own != version or status != 200]
--- a/tests/e2e/test_history.py
+++ b/tests/e2e/test_history.py
@@ -185,6 +185,8 @@
         self.assert_sound(history.check_healed(3, {"a": (3, 200)}))
         self.assert_found(history.check_healed(
             3, {"a": (3, 200), "b": (2, 200)}))
+        self.assert_found(history.check_healed(
+            3, {"a": (None, None), "b": (3, 200)}))
         self.assert_found(history.check_healed(
             3, {"a": (3, 503), "b": (3, 200)}))
 
--- a/tests/e2e/test_together.py
+++ b/tests/e2e/test_together.py
@@ -38,6 +38,7 @@
 MAX_SENDINGS = 25
 CALL_TIMEOUT_S = 8  # longer than any deadline and any freeze
 CAPS = (5, 10, 20)
+PUT_EVERY_S = 1.5
 # Faults that a single request brings with it.
 REQUEST_FAULTS = ("cut-chunked", "short", "close-framed", "late",
                   "reset-mid", "silent", "hang", "crash")
@@ -70,7 +71,8 @@
 
     def run(self, number, rng):
         home = REGIONS[number % 4 == 0]
-        source = self.d.caller_ip(home, number // 4 % BLOCKS * 256 + number + 1)
+        block = number // 4 % BLOCKS
+        source = self.d.caller_ip(home, block * 256 + number + 1)
         count = 0
         vms = sorted(self.d.vms)
         while not self.over:
@@ -168,12 +170,17 @@
 
     def run(self, name, rng):
         count = 0
+        cap = CAPS[-1]
         while not self.over:
+            # Both put at nearly the same moment. A cap that changes all the
+            # time would never be used to the full, so most sheets keep it.
+            time.sleep(PUT_EVERY_S - time.monotonic() % PUT_EVERY_S +
+                       rng.uniform(0, 0.02))
             count += 1
+            cap = rng.choice(CAPS) if rng.random() < 0.2 else cap
             # The number makes each sheet another one.
-            share = rng.choice((20, 60, 99)) + count * 0.0001
-            self.put(rng, "%s-%d" % (name, count), share, rng.choice(CAPS))
-            time.sleep(rng.uniform(0.2, 1.0))
+            share = rng.choice((50, 99)) + count * 0.0001
+            self.put(rng, "%s-%d" % (name, count), share, cap)
 
     def put(self, rng, operation, share, cap):
         rows = ["+0,dossiers,montreal,quebec,%.4f%%,%d req/s,," % (share, cap),
@@ -183,21 +190,31 @@
             rows.reverse()
         sheet = "time,service,from,to,share,cap,drain,limits\n" + "".join(
             row + "\n" for row in rows)
-        put = Put(operation, sheet, cap, time.monotonic())
+        put = Put(operation, sheet, cap)
+        base = self.read_version(rng.choice(sorted(self.d.vms)))
+        put.sent = time.monotonic()
         self.puts.append(put)
         while True:
-            put.answers.append(self.send(rng.choice(sorted(self.d.vms)), put))
+            put.answers.append(self.send(rng.choice(sorted(self.d.vms)), put,
+                                         base))
             put.done = time.monotonic()
             status, _ = put.answers[-1]
             if status in (200, 409, 422) or self.over:
                 return
             time.sleep(rng.uniform(0.05, 0.3))
 
-    def send(self, vm, put):
+    def read_version(self, vm):
+        """The version that the operator takes for the one in force."""
+        try:
+            return {"If_Match": '"%d"' % self.d.status(vm)["version"]}
+        except LOST:
+            return {}
+
+    def send(self, vm, put, base):
         try:
             answer = self.d.admin(vm, "PUT", "/v1/sheet", put.sheet,
                                   Sas_Operation=put.operation,
-                                  Sas_Operator="operator")
+                                  Sas_Operator="operator", **base)
         except ConnectionRefusedError:
             return 503, "refused"  # nothing was sent
         except LOST:
@@ -258,20 +275,22 @@
         self.d = d
         self.monitor = monitor
         self.rng = random.Random(seed)
-        self.busy = set()  # entry VMs that are not up
+        self.down = set()  # entry VMs that were killed or told to stop
         self.silenced = {region: [] for region in REGIONS}
         self.pending = []  # heap of (time, number, name, argument)
         self.number = 0
         self.log = []
+        self.ends = []  # of entry VMs that ended as they should not
 
     def run(self, seconds):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             self.begin(self.rng.choices(list(self.KINDS),
                                         list(self.KINDS.values()))[0])
-            pause = time.monotonic() + self.rng.uniform(0.05, 0.7)
+            pause = time.monotonic() + self.rng.uniform(0.05, 0.5)
             while time.monotonic() < pause:
                 self.undo_until(time.monotonic())
+                self.look_for_ends()
                 time.sleep(0.02)
 
     def begin(self, name):
@@ -293,7 +312,17 @@
                                                    argument))
             getattr(self, "undo_" + name)(argument)
 
+    def look_for_ends(self):
+        """Nothing that fails around it may end an entry VM."""
+        for vm in sorted(set(self.d.vms) - self.down):
+            status = self.d.nodes[vm].process.poll()
+            if status is not None:
+                self.ends.append("%s ended by itself, status %d" % (vm,
+                                                                    status))
+                self.down.add(vm)
+
     def heal(self):
+        self.look_for_ends()
         self.undo_until(float("inf"))
         self.d.control_platform(**HEALTHY_STORE)
         self.d.control_backends("*", **HEALTHY_SERVER)
@@ -302,36 +331,39 @@
     # Entry VMs.
 
     def pick_vm(self):
-        free = sorted(set(self.d.vms) - self.busy)
-        if not free:
-            return None
-        vm = self.rng.choice(free)
-        self.busy.add(vm)
-        return vm
+        """One that runs, be it frozen already."""
+        up = sorted(set(self.d.vms) - self.down)
+        return self.rng.choice(up) if up else None
 
     pick_kill = pick_freeze = pick_stop = pick_vm
 
     def do_kill(self, vm):
+        self.down.add(vm)
         self.d.kill(vm)
 
     def undo_kill(self, vm):
         self.d.nodes[vm].stop()
         self.monitor.incarnations[vm] += 1
         self.d.start_node(vm)
-        self.busy.discard(vm)
+        self.down.discard(vm)
 
     def do_freeze(self, vm):
         self.d.pause(vm)
 
     def undo_freeze(self, vm):
         self.d.resume(vm)
-        self.busy.discard(vm)
 
     def do_stop(self, vm):
+        self.down.add(vm)
         self.d.kill(vm, signal.SIGTERM)
 
-    # One that has not stopped by then is replaced all the same.
-    undo_stop = undo_kill
+    # One that has not stopped by then is replaced all the same. A process
+    # that had only just been started may not have known the signal yet.
+    def undo_stop(self, vm):
+        status = self.d.nodes[vm].process.poll()
+        if status not in (None, 0, -signal.SIGTERM):
+            self.ends.append("%s stopped with status %d" % (vm, status))
+        self.undo_kill(vm)
 
     # Backend servers.
 
@@ -427,15 +459,8 @@
                     "/table/config/head").json()
 
 
-def try_request(d, vm):
-    try:
-        return d.request(vm, "/s/dossiers/healed").status
-    except LOST:
-        return None
-
-
 def read_versions(d):
-    rows = d.admin("montreal-1", "GET", "/v1/history").json()["versions"]
+    rows = read_head(d)["history"]
     return [(row["version"], row["operation"]) for row in rows]
 
 
@@ -447,23 +472,31 @@
     return journal
 
 
+def read_state(d, vm):
+    """The version in force there, and the status of a request."""
+    try:
+        return (d.status(vm)["version"],
+                d.request(vm, "/s/dossiers/healed").status)
+    except LOST:
+        return None, None
+
+
 def wait_healed(d):
-    """Waits until each entry VM has the version in force and serves; the
-    check afterwards names those that never did."""
+    """Waits until each entry VM is ready, has the version in force and
+    serves; the check afterwards names those that never did."""
     version = read_head(d)["version"]
+    at_end = {}
 
     def look():
-        at_end.update({vm: (d.status(vm)["version"], try_request(d, vm))
-                       for vm in d.vms})
-        return not history.check_healed(version, at_end)
+        at_end.update({vm: read_state(d, vm) for vm in d.vms})
+        return (not history.check_healed(version, at_end) and
+                all(d.health(vm) == 200 for vm in d.vms))
 
-    at_end = {}
-    for vm in d.vms:
-        d.wait_ready(vm)
     try:
         wait_until(look, "all have healed")
     except AssertionError:
-        pass
+        at_end.update({vm: (at_end[vm][0], "not ready") for vm in d.vms
+                       if d.health(vm) != 200})
     return version, at_end
 
 
@@ -492,10 +525,11 @@
                 callers.stop()
                 monitor.stop()
             version, at_end = wait_healed(d)
+            failures.look_for_ends()
             sendings = callers.sendings
             wrong = self.check(d, sendings, operators.puts, monitor.sights,
                                failures) + \
-                history.check_healed(version, at_end)
+                history.check_healed(version, at_end) + failures.ends
             self.report(seed, seconds, sendings, operators.puts, version,
                         failures)
             if wrong:
@@ -534,7 +568,9 @@
             print("  %5d %s" % (count, name))
         shifted = sum(1 for one in sendings
                       if one.region not in (None, one.home))
-        print("  %5d in another region" % shifted, flush=True)
+        print("  %5d in another region" % shifted)
+        lost = sum(1 for put in puts if put.answers[-1][0] == 409)
+        print("  %5d puts lost a race" % lost, flush=True)
 
 
 def add_seed(seed, seconds):
