--- a/packages/core/include/sas/limits.h
+++ b/packages/core/include/sas/limits.h
@@ -23,7 +23,7 @@
 
 /* Steering. */
 #define SasSteer_SPILL_AFTER_MS 50
-#define SasSteer_DEFAULT_PLACEMENT "least-load"
+#define SasSteer_DEFAULT_PLACEMENT "owned-first"
 #define SasSteer_FIRST_ANSWER_BYTES 16384
 
 /* Requests. */
@@ -35,7 +35,8 @@
 #define SasForward_MAX_WAITING 512
 #define SasCaller_MAX_CONNECTIONS 4096
 #define SasCaller_SWEEP_MS 50
-#define SasCaller_READ_TIMEOUT_MS 30000
+#define SasCaller_READ_TIMEOUT_MS 30000 /* without a byte */
+#define SasCaller_ARRIVAL_LIMIT_MS 300000
 #define SasCaller_MAX_HEADER_BYTES 32768
 
 #endif
