--- a/tests/e2e/test_together.py
+++ b/tests/e2e/test_together.py
@@ -33,7 +33,7 @@
 SERVICES = {"dossiers": {"backends": SERVERS, "slots": SLOTS, "queue": 50,
                          "mean_ms": 20, "once": ["/certificates"],
                          "deadline_ms": DEADLINE_MS}}
-CALLERS = 32
+CALLERS = 64
 BLOCKS = 8  # of callers, a region; a share moves whole blocks
 MAX_SENDINGS = 25
 CALL_TIMEOUT_S = 8  # longer than any deadline and any freeze
@@ -530,7 +530,7 @@
             wrong = self.check(d, sendings, operators.puts, monitor.sights,
                                failures) + \
                 history.check_healed(version, at_end) + failures.ends
-            self.report(seed, seconds, sendings, operators.puts, version,
+            self.report(d, seed, seconds, sendings, operators.puts, version,
                         failures)
             if wrong:
                 print("\n".join(failures.log))
@@ -556,7 +556,7 @@
         wrong += history.check_sheets(puts, versions, sights)
         return wrong
 
-    def report(self, seed, seconds, sendings, puts, version, failures):
+    def report(self, d, seed, seconds, sendings, puts, version, failures):
         answers = {}
         for one in sendings:
             name = (one.status, one.outcome, one.reason)
@@ -570,7 +570,10 @@
                       if one.region not in (None, one.home))
         print("  %5d in another region" % shifted)
         lost = sum(1 for put in puts if put.answers[-1][0] == 409)
-        print("  %5d puts lost a race" % lost, flush=True)
+        print("  %5d puts lost a race" % lost)
+        for region in REGIONS:
+            print("  %5d at a time in %s" % (d.peak("dossiers", region),
+                                             region), flush=True)
 
 
 def add_seed(seed, seconds):
