budget: a seat without a floor begins to borrow a rate

Change: refused amounts count up to one quantum a second at the least. Test first: test_a_seat_without_a_floor_begins_to_borrow failed, passes now.

--- a/packages/core/src/budget.c
+++ b/packages/core/src/budget.c
@@ -737,7 +737,10 @@
     double refused = (double)b->refused / MEAN_SCALE;
     double taken = (double)b->taken / MEAN_SCALE;
     if (b->settings.kind == SAS_BUDGET_RATE) {
-        return (int64_t)(taken + MIN(refused, taken) + taken / 8.0);
+        /* A seat without a floor has taken nothing yet; it begins with what
+         * lets one amount pass a second. */
+        double most = MAX(taken, (double)b->settings.quantum);
+        return (int64_t)(taken + MIN(refused, most) + taken / 8.0 + 0.5);
     }
     double use = (double)b->use / MEAN_SCALE;
     double need = taken > 0.0 ? use * (taken + refused) / taken : use;
--- a/packages/core/tests/test_budget.c
+++ b/packages/core/tests/test_budget.c
@@ -214,6 +214,25 @@
     assert_true(passed <= 500 * 1000 + SEATS * 1000 + 5000);
 }
 
+/* A caller with an old look-up asks an entry VM that has no floor of the
+ * shift's cap. All its requests stayed at home for good, since nothing taken
+ * meant that nothing was wanted. */
+static void
+test_a_seat_without_a_floor_begins_to_borrow(void **state)
+{
+    (void)state;
+    struct sas_budget budget;
+    const int64_t floors[SEATS] = {0, 50000};
+    start(&budget, SAS_BUDGET_RATE, 0, floors, 0);
+    assert_int_equal(SasBudget_GetWanted(&budget, 0), 0);
+    int64_t wanted = 0;
+    for (int64_t now = 0; now < 2000; now += 400) {
+        assert_false(SasBudget_TakeRate(&budget, 1000, now));
+        wanted = MAX(wanted, SasBudget_GetWanted(&budget, now));
+    }
+    assert_true(wanted >= 500);
+}
+
 int
 main(void)
 {
@@ -224,6 +243,7 @@
         cmocka_unit_test(test_overdue_and_closing_take_nothing_new),
         cmocka_unit_test(test_busy_lender_keeps_its_floor),
         cmocka_unit_test(test_one_hot_seat_gets_nine_tenths),
+        cmocka_unit_test(test_a_seat_without_a_floor_begins_to_borrow),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
