--- a/packages/node/src/lending.c
+++ b/packages/node/src/lending.c
@@ -245,20 +245,29 @@
 
 /* Caps. */
 
+static int
+count_vms(const struct sas_lending *lending, int region)
+{
+    const struct sas_model *model = lending->parts.model;
+    int count = 0;
+    for (int i = 0; i < model->vm_count; i++) {
+        count += SasModel_GetVmRegion(model, i) == region;
+    }
+    return count;
+}
+
 /* The rate, in milli-units, that may be used all the time so that the cap is
  * not exceeded in any one second: each entry VM that has a floor may let pass
  * a tenth of a second's worth at once, or one quantum where that is more.
- * Only those of the target's region have one, the others borrow. */
+ * Only those of the target's region have one, the others borrow; all
+ * have one where that region has no entry VM. */
 static double
 get_steady_rate(const struct sas_lending *lending,
                 const struct sas_shift *shift)
 {
-    const struct sas_model *model = lending->parts.model;
     double cap = shift->cap * 1000;
-    int seats = 0;
-    for (int i = 0; i < model->vm_count; i++) {
-        seats += SasModel_GetVmRegion(model, i) == shift->to;
-    }
+    int seats = count_vms(lending, shift->to);
+    seats = seats > 0 ? seats : lending->parts.model->vm_count;
     double bursts = (double)seats * (double)get_quantum(shift->cap_unit);
     return MAX((cap - bursts) / (1 + BURST_SHARE), cap / 2);
 }
@@ -282,8 +291,9 @@
     }
     bool is_rate = shift->cap_unit != SAS_CAP_CONCURRENT;
     if (is_rate) {
-        get_floors(lending, get_steady_rate(lending, shift), shift->to, 0,
-                   floors);
+        bool has_vms = count_vms(lending, shift->to) > 0;
+        get_floors(lending, get_steady_rate(lending, shift), shift->to,
+                   has_vms ? 0 : FAR_WEIGHT, floors);
     }
     else {
         get_floors(lending, shift->cap, shift->to, FAR_WEIGHT, floors);
