node: secrets by the settings package's loader; unused functions gone

Cause: admin.c and peers.c read their secret files by hand beside SasSecret_ Load, which also refuses a file that everybody can read and wipes the memory; SasServer_GetHeldBytes and SasUpstream_CountConnections had no caller.

--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -7,6 +7,7 @@
 
 #include "sas/log.h"
 #include "sas/metrics.h"
+#include "sas/secret.h"
 
 #define MAX_CONNECTIONS 128
 #define JSON_TYPE "application/json"
@@ -38,27 +39,6 @@
 
 static int handle(struct sas_server_handler *handler, h2o_req_t *req);
 
-static int
-read_token(struct sas_admin *admin, const char *path, struct sas_error *error)
-{
-    if (path == NULL) {
-        return 0;
-    }
-    g_autoptr(GError) reason = NULL;
-    if (!g_file_get_contents(path, &admin->token, NULL, &reason)) {
-        SasError_Set(error, SAS_EINVAL, "admin.token", NULL, "%s",
-                     reason->message);
-        return -1;
-    }
-    g_strstrip(admin->token);
-    if (admin->token[0] == '\0') {
-        SasError_Set(error, SAS_EINVAL, "admin.token", NULL, "%s is empty",
-                     path);
-        return -1;
-    }
-    return 0;
-}
-
 struct sas_admin *
 SasAdmin_Open(const struct sas_admin_parts *parts,
               const struct sas_address *address, struct sas_error *error)
@@ -68,10 +48,13 @@
         "/v1/status", "/v1/health",  "/metrics"};
     struct sas_admin *admin = g_new0(struct sas_admin, 1);
     admin->parts = *parts;
-    if (read_token(admin, parts->settings->admin_token_file, error) != 0) {
-        g_free(admin->token);
-        g_free(admin);
-        return NULL;
+    const char *token_file = parts->settings->admin_token_file;
+    if (token_file != NULL) {
+        admin->token = SasSecret_Load(token_file, error);
+        if (admin->token == NULL) {
+            g_free(admin);
+            return NULL;
+        }
     }
     admin->unauthorized = SasMetrics_Register(
         parts->counters->metrics, "sas_admin_unauthorized_total", NULL, NULL,
--- a/packages/node/src/peers.c
+++ b/packages/node/src/peers.c
@@ -7,6 +7,7 @@
 
 #include "sas/log.h"
 #include "sas/metrics.h"
+#include "sas/secret.h"
 
 #define TICK_MS 250
 /* A report this old says nothing any more and is not passed on. */
@@ -54,32 +55,16 @@
 
 /* The key from its file, or NULL with an error. */
 static char *
-read_key(const char *path, gsize *size, struct sas_error *error)
+read_key(const char *path, struct sas_error *error)
 {
-    if (path == NULL) {
-        *size = strlen(NO_KEY);
-        return g_strdup(NO_KEY);
-    }
-    char *key = NULL;
-    g_autoptr(GError) reason = NULL;
-    if (!g_file_get_contents(path, &key, size, &reason)) {
-        SasError_Set(error, SAS_EINVAL, "peers.key", NULL, "%s",
-                     reason->message);
-        return NULL;
-    }
-    if (*size > 0 && key[*size - 1] == '\n') {
-        (*size)--;
-    }
-    return key;
+    return path != NULL ? SasSecret_Load(path, error) : g_strdup(NO_KEY);
 }
 
 struct sas_peers *
 SasPeers_Open(const struct sas_peers_parts *parts, struct sas_error *error)
 {
     const struct sas_model *model = &parts->settings->model;
-    gsize key_size = 0;
-    g_autofree char *key =
-        read_key(parts->settings->peer_key_file, &key_size, error);
+    char *key = read_key(parts->settings->peer_key_file, error);
     if (key == NULL) {
         return NULL;
     }
@@ -98,9 +83,11 @@
     struct sas_peer_options options;
     SasPeer_InitOptions(&options);
     options.random = parts->random;
-    if (SasPeer_Open(&peers->peer, parts->loop, model, parts->own_vm,
-                     (const uint8_t *)key, key_size, parts->incarnation,
-                     &peers->handler, &options, error) != 0) {
+    int opened = SasPeer_Open(
+        &peers->peer, parts->loop, model, parts->own_vm, (const uint8_t *)key,
+        strlen(key), parts->incarnation, &peers->handler, &options, error);
+    SasSecret_Free(key);
+    if (opened != 0) {
         g_free(peers->loads);
         g_free(peers->load_rows);
         g_free(peers);
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -29,7 +29,6 @@
     int http_errors;
     int refused_connections;
     uint64_t counted_errors;
-    size_t held_bytes;
     int open_handles;
     bool closing;
 };
@@ -304,19 +303,12 @@
     size_t sum = 0;
     server->config.http1.callbacks.foreach_request(&server->context,
                                                    add_held_bytes, &sum);
-    server->held_bytes = sum;
     server->config.max_request_entity_size =
         sum > server->limits.bodies_limit
             ? MIN(server->limits.body_limit, SMALL_BODY)
             : server->limits.body_limit;
 }
 
-size_t
-SasServer_GetHeldBytes(const struct sas_server *server)
-{
-    return server->held_bytes;
-}
-
 /* Requests. */
 
 char *
--- a/packages/node/src/server.h
+++ b/packages/node/src/server.h
@@ -55,9 +55,6 @@
 void SasServer_RegisterCounters(struct sas_server *server,
                                 struct sas_metrics *metrics, const char *port);
 
-/* Bytes of requests held now. */
-size_t SasServer_GetHeldBytes(const struct sas_server *server);
-
 /* Requests of which some bytes are held: still arriving, or in progress. */
 int SasServer_CountRequests(struct sas_server *server);
 
--- a/packages/node/src/upstream.c
+++ b/packages/node/src/upstream.c
@@ -169,12 +169,6 @@
     SasHttp_Resume(call->conn);
 }
 
-int
-SasUpstream_CountConnections(const struct sas_upstream *upstream, int backend)
-{
-    return upstream->states[backend].open_connections;
-}
-
 /* The share of a backend server's connections that this entry VM may keep
  * open without using them. */
 static bool
--- a/packages/node/src/upstream.h
+++ b/packages/node/src/upstream.h
@@ -87,8 +87,4 @@
 /* Asks a backend server for its load over a new or idle connection. */
 void SasUpstream_Probe(struct sas_upstream *upstream, int backend);
 
-/* Connections now open to a backend server. */
-int SasUpstream_CountConnections(const struct sas_upstream *upstream,
-                                 int backend);
-
 #endif
