--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -92,8 +92,6 @@
 /* State of a connection, times in loop milliseconds. HadStrayBytes: bytes
  * came that belong to no request. */
 bool SasHttp_HadStrayBytes(const struct sas_http_conn *conn);
-bool SasHttp_IsConnected(const struct sas_http_conn *conn);
-bool SasHttp_IsIdle(const struct sas_http_conn *conn);
 int64_t SasHttp_GetOpenedAt(const struct sas_http_conn *conn);
 int64_t SasHttp_GetLastReadAt(const struct sas_http_conn *conn);
 
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -179,24 +179,12 @@
     }
 }
 
-bool
-SasHttp_IsConnected(const struct sas_http_conn *conn)
-{
-    return conn->state == CONN_IDLE || conn->state == CONN_BUSY;
-}
-
 bool
 SasHttp_HadStrayBytes(const struct sas_http_conn *conn)
 {
     return conn->stray;
 }
 
-bool
-SasHttp_IsIdle(const struct sas_http_conn *conn)
-{
-    return conn->state == CONN_IDLE && conn->user == NULL;
-}
-
 int64_t
 SasHttp_GetOpenedAt(const struct sas_http_conn *conn)
 {
--- a/packages/node/src/configure.c
+++ b/packages/node/src/configure.c
@@ -131,12 +131,6 @@
     return configure->current;
 }
 
-bool
-SasConfigure_IsKnown(const struct sas_configure *configure)
-{
-    return configure->known;
-}
-
 bool
 SasConfigure_Offer(struct sas_configure *configure, struct sas_config *config)
 {
--- a/packages/node/src/configure.h
+++ b/packages/node/src/configure.h
@@ -81,9 +81,6 @@
 /* The version in force here, or NULL. */
 struct sas_config *SasConfigure_GetCurrent(struct sas_configure *configure);
 
-/* True once the store or a peer has told what is in force. */
-bool SasConfigure_IsKnown(const struct sas_configure *configure);
-
 /* Takes over a version if it is higher; true when it was. */
 bool SasConfigure_Offer(struct sas_configure *configure,
                         struct sas_config *config);
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -3,7 +3,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -116,21 +115,23 @@
 }
 
 static void
-on_capacity(struct sas_steer_listener *listener)
+wake_waiting(struct sas_node *node)
 {
-    struct sas_node *node = NODE_OF(listener, steer_listener);
     if (node->forward != NULL) {
         SasForward_Wake(node->forward);
     }
 }
 
+static void
+on_capacity(struct sas_steer_listener *listener)
+{
+    wake_waiting(NODE_OF(listener, steer_listener));
+}
+
 static void
 on_units(struct sas_lending_listener *listener)
 {
-    struct sas_node *node = NODE_OF(listener, lending_listener);
-    if (node->forward != NULL) {
-        SasForward_Wake(node->forward);
-    }
+    wake_waiting(NODE_OF(listener, lending_listener));
 }
 
 static void
--- a/packages/node/src/reasons.c
+++ b/packages/node/src/reasons.c
@@ -7,33 +7,32 @@
 struct reason {
     const char *name;
     int status;
-    const char *help;
 };
 
 static const struct reason reasons[SAS_REFUSE_COUNT] = {
-    [SAS_REFUSE_NO_CONFIG] = {"no-config", 503, ""},
-    [SAS_REFUSE_STOPPING] = {"stopping", 503, ""},
-    [SAS_REFUSE_UNKNOWN_SERVICE] = {"unknown-service", 404, ""},
-    [SAS_REFUSE_BAD_REQUEST] = {"bad-request", 400, ""},
-    [SAS_REFUSE_METHOD] = {"method", 405, ""},
-    [SAS_REFUSE_MEMORY] = {"memory", 503, ""},
-    [SAS_REFUSE_NO_HEADROOM] = {"no-headroom", 503, ""},
-    [SAS_REFUSE_QUEUE_FULL] = {"queue-full", 503, ""},
-    [SAS_REFUSE_QUEUE_TIMEOUT] = {"queue-timeout", 503, ""},
-    [SAS_REFUSE_NO_BACKEND] = {"no-backend", 503, ""},
-    [SAS_REFUSE_DEADLINE] = {"deadline", 504, ""},
-    [SAS_REFUSE_SHED] = {"shed", 503, ""},
-    [SAS_REFUSE_LOST] = {"lost", 502, ""},
-    [SAS_REFUSE_ANSWER_CUT] = {"answer-cut", 502, ""},
-    [SAS_REFUSE_ANSWER_UNFRAMED] = {"answer-unframed", 502, ""},
-    [SAS_REFUSE_QUARANTINED] = {"quarantined", 503, ""},
-    [SAS_REFUSE_SUSPECT] = {"suspect", 503, ""},
-    [SAS_REFUSE_KEY_MISSING] = {"key-missing", 400, ""},
-    [SAS_REFUSE_KEY_REUSED] = {"key-reused", 422, ""},
-    [SAS_REFUSE_CLAIM_STORE] = {"claim-store", 503, ""},
-    [SAS_REFUSE_CLAIM_RUNNING] = {"claim-running", 503, ""},
-    [SAS_REFUSE_CLAIM_LOST] = {"claim-lost", 502, ""},
-    [SAS_REFUSE_CALLER_GONE] = {"caller-gone", 499, ""},
+    [SAS_REFUSE_NO_CONFIG] = {"no-config", 503},
+    [SAS_REFUSE_STOPPING] = {"stopping", 503},
+    [SAS_REFUSE_UNKNOWN_SERVICE] = {"unknown-service", 404},
+    [SAS_REFUSE_BAD_REQUEST] = {"bad-request", 400},
+    [SAS_REFUSE_METHOD] = {"method", 405},
+    [SAS_REFUSE_MEMORY] = {"memory", 503},
+    [SAS_REFUSE_NO_HEADROOM] = {"no-headroom", 503},
+    [SAS_REFUSE_QUEUE_FULL] = {"queue-full", 503},
+    [SAS_REFUSE_QUEUE_TIMEOUT] = {"queue-timeout", 503},
+    [SAS_REFUSE_NO_BACKEND] = {"no-backend", 503},
+    [SAS_REFUSE_DEADLINE] = {"deadline", 504},
+    [SAS_REFUSE_SHED] = {"shed", 503},
+    [SAS_REFUSE_LOST] = {"lost", 502},
+    [SAS_REFUSE_ANSWER_CUT] = {"answer-cut", 502},
+    [SAS_REFUSE_ANSWER_UNFRAMED] = {"answer-unframed", 502},
+    [SAS_REFUSE_QUARANTINED] = {"quarantined", 503},
+    [SAS_REFUSE_SUSPECT] = {"suspect", 503},
+    [SAS_REFUSE_KEY_MISSING] = {"key-missing", 400},
+    [SAS_REFUSE_KEY_REUSED] = {"key-reused", 422},
+    [SAS_REFUSE_CLAIM_STORE] = {"claim-store", 503},
+    [SAS_REFUSE_CLAIM_RUNNING] = {"claim-running", 503},
+    [SAS_REFUSE_CLAIM_LOST] = {"claim-lost", 502},
+    [SAS_REFUSE_CALLER_GONE] = {"caller-gone", 499},
 };
 
 const char *
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -124,12 +124,6 @@
     return steer->version;
 }
 
-bool
-SasSteer_IsKnown(const struct sas_steer *steer)
-{
-    return steer->known;
-}
-
 bool
 SasSteer_IsReady(const struct sas_steer *steer)
 {
--- a/packages/node/src/steer.h
+++ b/packages/node/src/steer.h
@@ -140,12 +140,11 @@
 int SasSteer_Lookup(struct sas_steer *steer, int service, uint32_t caller_ip,
                     struct sas_steer_lookup *result);
 
-/* The configuration version in force, 0 while there is none; known once
- * the store or a peer has said what it is. */
+/* The configuration version in force, 0 while there is none. */
 int64_t SasSteer_GetVersion(const struct sas_steer *steer);
-bool SasSteer_IsKnown(const struct sas_steer *steer);
 
-/* Known, and its budgets are usable. */
+/* The store or a peer has said what is in force, and the budgets are
+ * usable. */
 bool SasSteer_IsReady(const struct sas_steer *steer);
 
 /* {"regions":[...],"shifts":[...],"budgets":[...]} as in docs/API.md. */
