--- a/packages/core/include/sas/membership.h
+++ b/packages/core/include/sas/membership.h
@@ -96,6 +96,9 @@
                         uint64_t incarnation, int64_t now_ms);
 void SasMembership_Close(struct sas_membership *table);
 
+/* More seats, unknown so far, and the times that go with them. */
+void SasMembership_Grow(struct sas_membership *table, int seat_count);
+
 /* The times for a number of seats and an interval, 0 for the usual one; Init
  * sets table->times so. */
 void SasMembership_GetTimes(int seat_count, int64_t interval_ms,
--- /dev/null
+++ b/packages/core/include/sas/owner.h
@@ -0,0 +1,43 @@
+/* owner - which backend servers an object belongs to.
+ *
+ * A backend server that handled an object a few seconds ago answers in a
+ * third of the time, so an object should meet as few servers as possible.
+ * Every entry VM works out the same order for an object from the table of
+ * servers alone, by weighted rendezvous hashing: when a server comes, goes or
+ * is shunned only its own objects move.
+ *
+ * The region of an object is the caller's while the region's slots suffice
+ * for an equal share of all the service's callers. A region with fewer slots
+ * keeps that part of its objects and gives the others, object by object, to
+ * regions with slots to spare. Without it the short region's servers drown
+ * while others idle; moving single requests in place of objects would make
+ * each of them cold work twice.
+ *
+ * Large bodies stay in the caller's failure domain while it has a server:
+ * there they cost no link between domains.
+ */
+#ifndef SAS_OWNER_H
+#define SAS_OWNER_H
+
+#include "sas/fleet.h"
+
+#define SasOwner_MAX_CANDIDATES 4
+
+struct sas_owner_query {
+    int service;
+    int zone;       /* of the caller */
+    bool near;      /* a large body */
+    uint64_t key;   /* hash of the object */
+    uint64_t homes; /* set of allowed regions; 0: any */
+};
+
+/* The object's servers, the owner first; at most max (no more than
+ * SasOwner_MAX_CANDIDATES). Only open ones that aren't shunned at now_ms. */
+int SasOwner_Rank(const struct sas_fleet *fleet,
+                  const struct sas_owner_query *query, int64_t now_ms,
+                  int *slots, int max);
+
+/* Hash of an object's name, or of anything that stands for it. */
+uint64_t SasOwner_HashKey(const char *key);
+
+#endif
--- /dev/null
+++ b/packages/core/src/fleet.c
@@ -0,0 +1,477 @@
+#include "sas/fleet.h"
+
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+struct sas_fleet {
+    struct sas_zone zones[SasFleet_MAX_ZONES];
+    int zone_count;
+    char regions[SasModel_MAX_REGIONS][SasModel_NAME_SIZE];
+    int region_count;
+    GPtrArray *services; /* struct sas_fleet_service * */
+    GHashTable *service_by_name;
+    GPtrArray *servers; /* struct sas_fleet_server *, by slot */
+    GArray *free_slots; /* int */
+    GHashTable *server_by_id;
+    struct sas_fleet_config *config;
+    GPtrArray *listeners;
+};
+
+static void free_service(gpointer data);
+static void free_route(gpointer data);
+
+/* Start and end. */
+
+struct sas_fleet *
+SasFleet_New(void)
+{
+    struct sas_fleet *fleet = g_new0(struct sas_fleet, 1);
+    fleet->services = g_ptr_array_new_with_free_func(free_service);
+    fleet->service_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    fleet->servers = g_ptr_array_new_with_free_func(g_free);
+    fleet->free_slots = g_array_new(FALSE, FALSE, sizeof(int));
+    fleet->server_by_id =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    fleet->listeners = g_ptr_array_new();
+    return fleet;
+}
+
+void
+SasFleet_Free(struct sas_fleet *fleet)
+{
+    if (fleet == NULL) {
+        return;
+    }
+    g_hash_table_destroy(fleet->server_by_id);
+    g_hash_table_destroy(fleet->service_by_name);
+    g_ptr_array_free(fleet->servers, TRUE);
+    g_ptr_array_free(fleet->services, TRUE);
+    g_array_free(fleet->free_slots, TRUE);
+    g_ptr_array_free(fleet->listeners, TRUE);
+    SasFleetConfig_Unref(fleet->config);
+    g_free(fleet);
+}
+
+void
+SasFleet_AddListener(struct sas_fleet *fleet,
+                     struct sas_fleet_listener *listener)
+{
+    g_ptr_array_add(fleet->listeners, listener);
+}
+
+static void
+tell_server(struct sas_fleet *fleet, int slot, bool gone)
+{
+    for (guint i = 0; i < fleet->listeners->len; i++) {
+        struct sas_fleet_listener *listener = fleet->listeners->pdata[i];
+        if (gone && listener->on_server_gone != NULL) {
+            listener->on_server_gone(listener, slot);
+        }
+        if (!gone && listener->on_server != NULL) {
+            listener->on_server(listener, slot);
+        }
+    }
+}
+
+/* Places. */
+
+static int
+add_region(struct sas_fleet *fleet, const char *name)
+{
+    int region = SasFleet_FindRegion(fleet, name);
+    if (region != SasModel_NONE) {
+        return region;
+    }
+    if (fleet->region_count == SasModel_MAX_REGIONS) {
+        return SasModel_NONE;
+    }
+    region = fleet->region_count++;
+    g_strlcpy(fleet->regions[region], name, SasModel_NAME_SIZE);
+    return region;
+}
+
+int
+SasFleet_AddZone(struct sas_fleet *fleet, const char *name, const char *region)
+{
+    int zone = SasFleet_FindZone(fleet, name);
+    if (zone != SasModel_NONE) {
+        return zone;
+    }
+    int region_handle = add_region(fleet, region);
+    if (region_handle == SasModel_NONE ||
+        fleet->zone_count == SasFleet_MAX_ZONES) {
+        return SasModel_NONE;
+    }
+    zone = fleet->zone_count++;
+    g_strlcpy(fleet->zones[zone].name, name, SasModel_NAME_SIZE);
+    fleet->zones[zone].region = region_handle;
+    return zone;
+}
+
+int
+SasFleet_FindZone(const struct sas_fleet *fleet, const char *name)
+{
+    for (int i = 0; i < fleet->zone_count; i++) {
+        if (strcmp(fleet->zones[i].name, name) == 0) {
+            return i;
+        }
+    }
+    return SasModel_NONE;
+}
+
+int
+SasFleet_FindRegion(const struct sas_fleet *fleet, const char *name)
+{
+    for (int i = 0; i < fleet->region_count; i++) {
+        if (strcmp(fleet->regions[i], name) == 0) {
+            return i;
+        }
+    }
+    return SasModel_NONE;
+}
+
+int
+SasFleet_CountZones(const struct sas_fleet *fleet)
+{
+    return fleet->zone_count;
+}
+
+int
+SasFleet_CountRegions(const struct sas_fleet *fleet)
+{
+    return fleet->region_count;
+}
+
+const struct sas_zone *
+SasFleet_GetZone(const struct sas_fleet *fleet, int zone)
+{
+    return &fleet->zones[zone];
+}
+
+const char *
+SasFleet_GetRegionName(const struct sas_fleet *fleet, int region)
+{
+    return fleet->regions[region];
+}
+
+/* Changes. */
+
+static void
+list_in_service(struct sas_fleet *fleet, int slot)
+{
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    struct sas_fleet_service *service =
+        SasFleet_GetService(fleet, server->service);
+    g_array_append_val(service->servers, slot);
+}
+
+static void
+unlist_in_service(struct sas_fleet *fleet, int slot)
+{
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    GArray *slots = SasFleet_GetService(fleet, server->service)->servers;
+    for (guint i = 0; i < slots->len; i++) {
+        if (g_array_index(slots, int, i) == slot) {
+            g_array_remove_index_fast(slots, i);
+            return;
+        }
+    }
+}
+
+static int
+take_slot(struct sas_fleet *fleet)
+{
+    if (fleet->free_slots->len > 0) {
+        guint last = fleet->free_slots->len - 1;
+        int slot = g_array_index(fleet->free_slots, int, last);
+        g_array_set_size(fleet->free_slots, last);
+        return slot;
+    }
+    g_ptr_array_add(fleet->servers, g_new0(struct sas_fleet_server, 1));
+    return (int)fleet->servers->len - 1;
+}
+
+/* Same process, same place: what was learned of it stays true. */
+static bool
+is_same_start(const struct sas_server_facts *a,
+              const struct sas_server_facts *b)
+{
+    return a->born_at == b->born_at && a->address.port == b->address.port &&
+           strcmp(a->address.ip, b->address.ip) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           strcmp(a->zone, b->zone) == 0;
+}
+
+int
+SasFleet_PutServer(struct sas_fleet *fleet,
+                   const struct sas_server_facts *facts)
+{
+    int zone = SasFleet_FindZone(fleet, facts->zone);
+    if (zone == SasModel_NONE) {
+        return -1;
+    }
+    int slot = SasFleet_FindServer(fleet, facts->id);
+    if (slot != SasModel_NONE) {
+        struct sas_fleet_server *server = fleet->servers->pdata[slot];
+        if (is_same_start(&server->facts, facts)) {
+            server->facts = *facts;
+            tell_server(fleet, slot, false);
+            return slot;
+        }
+        SasFleet_RemoveServer(fleet, facts->id);
+    }
+    slot = take_slot(fleet);
+    struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    server->present = true;
+    server->service = SasFleet_AddService(fleet, facts->service);
+    server->zone = zone;
+    server->hash = XXH3_64bits(facts->id, strlen(facts->id));
+    server->facts = *facts;
+    g_hash_table_insert(fleet->server_by_id, g_strdup(facts->id),
+                        GINT_TO_POINTER(slot + 1));
+    list_in_service(fleet, slot);
+    tell_server(fleet, slot, false);
+    return slot;
+}
+
+bool
+SasFleet_RemoveServer(struct sas_fleet *fleet, const char *id)
+{
+    int slot = SasFleet_FindServer(fleet, id);
+    if (slot == SasModel_NONE) {
+        return false;
+    }
+    tell_server(fleet, slot, true);
+    unlist_in_service(fleet, slot);
+    g_hash_table_remove(fleet->server_by_id, id);
+    struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    uint32_t generation = server->generation + 1;
+    memset(server, 0, sizeof(*server));
+    server->generation = generation;
+    g_array_append_val(fleet->free_slots, slot);
+    return true;
+}
+
+bool
+SasFleet_SetEvacuated(struct sas_fleet *fleet, int zone, bool evacuated)
+{
+    bool changed = fleet->zones[zone].evacuated != evacuated;
+    fleet->zones[zone].evacuated = evacuated;
+    return changed;
+}
+
+bool
+SasFleet_ApplyConfig(struct sas_fleet *fleet, struct sas_fleet_config *config,
+                     int64_t now_ms)
+{
+    if (fleet->config != NULL && config->version <= fleet->config->version) {
+        SasFleetConfig_Unref(config);
+        return false;
+    }
+    config->applied_at = now_ms;
+    SasFleetConfig_Unref(fleet->config);
+    fleet->config = config;
+    for (guint i = 0; i < fleet->listeners->len; i++) {
+        struct sas_fleet_listener *listener = fleet->listeners->pdata[i];
+        if (listener->on_config != NULL) {
+            listener->on_config(listener, config);
+        }
+    }
+    return true;
+}
+
+/* Configurations. */
+
+struct sas_fleet_config *
+SasFleetConfig_New(int64_t version)
+{
+    struct sas_fleet_config *config = g_new0(struct sas_fleet_config, 1);
+    config->references = 1;
+    config->version = version;
+    config->routes = g_ptr_array_new_with_free_func(free_route);
+    return config;
+}
+
+struct sas_route *
+SasFleetConfig_AddRoute(struct sas_fleet_config *config, const char *name,
+                        const char *host, const char *prefix)
+{
+    struct sas_route *route = g_new0(struct sas_route, 1);
+    route->name = g_strdup(name);
+    route->host = g_strdup(host);
+    route->prefix = g_strdup(prefix);
+    route->max_attempts = 1;
+    route->parts = g_array_new(FALSE, FALSE, sizeof(struct sas_route_part));
+    g_ptr_array_add(config->routes, route);
+    return route;
+}
+
+void
+SasRoute_AddPart(struct sas_route *route, int service, double weight)
+{
+    struct sas_route_part part = {.service = service, .weight = weight};
+    g_array_append_val(route->parts, part);
+}
+
+static void
+free_route(gpointer data)
+{
+    struct sas_route *route = data;
+    g_free(route->name);
+    g_free(route->host);
+    g_free(route->prefix);
+    g_array_free(route->parts, TRUE);
+    g_free(route);
+}
+
+struct sas_fleet_config *
+SasFleetConfig_Ref(struct sas_fleet_config *config)
+{
+    config->references++;
+    return config;
+}
+
+void
+SasFleetConfig_Unref(struct sas_fleet_config *config)
+{
+    if (config == NULL || --config->references > 0) {
+        return;
+    }
+    g_ptr_array_free(config->routes, TRUE);
+    g_free(config);
+}
+
+const struct sas_route *
+SasFleetConfig_FindRoute(const struct sas_fleet_config *config,
+                         const char *host, const char *target)
+{
+    size_t host_size = strcspn(host, ":");
+    size_t path_size = strcspn(target, "?");
+    const struct sas_route *best = NULL;
+    size_t best_size = 0;
+    for (guint i = 0; i < config->routes->len; i++) {
+        const struct sas_route *route = config->routes->pdata[i];
+        size_t size = strlen(route->prefix);
+        if (size <= best_size || size > path_size ||
+            strlen(route->host) != host_size ||
+            strncasecmp(route->host, host, host_size) != 0 ||
+            strncmp(route->prefix, target, size) != 0) {
+            continue;
+        }
+        best = route;
+        best_size = size;
+    }
+    return best;
+}
+
+struct sas_fleet_config *
+SasFleet_GetConfig(const struct sas_fleet *fleet)
+{
+    return fleet->config;
+}
+
+/* Services. */
+
+int
+SasFleet_AddService(struct sas_fleet *fleet, const char *name)
+{
+    int service = SasFleet_FindService(fleet, name);
+    if (service != SasModel_NONE) {
+        return service;
+    }
+    struct sas_fleet_service *row = g_new0(struct sas_fleet_service, 1);
+    g_strlcpy(row->name, name, sizeof(row->name));
+    row->servers = g_array_new(FALSE, FALSE, sizeof(int));
+    g_ptr_array_add(fleet->services, row);
+    service = (int)fleet->services->len - 1;
+    g_hash_table_insert(fleet->service_by_name, row->name,
+                        GINT_TO_POINTER(service + 1));
+    return service;
+}
+
+static void
+free_service(gpointer data)
+{
+    struct sas_fleet_service *service = data;
+    g_array_free(service->servers, TRUE);
+    g_free(service);
+}
+
+int
+SasFleet_FindService(const struct sas_fleet *fleet, const char *name)
+{
+    gpointer place = g_hash_table_lookup(fleet->service_by_name, name);
+    return place == NULL ? SasModel_NONE : GPOINTER_TO_INT(place) - 1;
+}
+
+int
+SasFleet_CountServices(const struct sas_fleet *fleet)
+{
+    return (int)fleet->services->len;
+}
+
+struct sas_fleet_service *
+SasFleet_GetService(const struct sas_fleet *fleet, int service)
+{
+    return fleet->services->pdata[service];
+}
+
+/* Backend servers. */
+
+int
+SasFleet_CountSlots(const struct sas_fleet *fleet)
+{
+    return (int)fleet->servers->len;
+}
+
+struct sas_fleet_server *
+SasFleet_At(const struct sas_fleet *fleet, int slot)
+{
+    struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    return server->present ? server : NULL;
+}
+
+struct sas_fleet_server *
+SasFleet_GetServer(const struct sas_fleet *fleet, struct sas_server_ref ref)
+{
+    if (ref.slot < 0 || ref.slot >= (int)fleet->servers->len) {
+        return NULL;
+    }
+    struct sas_fleet_server *server = SasFleet_At(fleet, ref.slot);
+    return server != NULL && server->generation == ref.generation ? server
+                                                                  : NULL;
+}
+
+struct sas_server_ref
+SasFleet_GetRef(const struct sas_fleet *fleet, int slot)
+{
+    const struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    struct sas_server_ref ref = {
+        .slot = slot,
+        .generation = server->generation,
+    };
+    return ref;
+}
+
+int
+SasFleet_FindServer(const struct sas_fleet *fleet, const char *id)
+{
+    gpointer place = g_hash_table_lookup(fleet->server_by_id, id);
+    return place == NULL ? SasModel_NONE : GPOINTER_TO_INT(place) - 1;
+}
+
+int
+SasFleet_GetServerRegion(const struct sas_fleet *fleet, int slot)
+{
+    const struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    return fleet->zones[server->zone].region;
+}
+
+bool
+SasFleet_IsOpen(const struct sas_fleet *fleet, int slot)
+{
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    return server != NULL && !server->facts.draining &&
+           !fleet->zones[server->zone].evacuated;
+}
--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -73,6 +73,20 @@
     memset(table, 0, sizeof(*table));
 }
 
+void
+SasMembership_Grow(struct sas_membership *table, int seat_count)
+{
+    if (seat_count <= table->count) {
+        return;
+    }
+    table->members =
+        g_renew(struct sas_member, table->members, (gsize)seat_count);
+    memset(&table->members[table->count], 0,
+           (size_t)(seat_count - table->count) * sizeof(*table->members));
+    table->count = seat_count;
+    SasMembership_GetTimes(seat_count, 0, &table->times);
+}
+
 void
 SasMembership_GetTimes(int seat_count, int64_t interval_ms,
                        struct sas_membership_times *times)
--- /dev/null
+++ b/packages/core/src/owner.c
@@ -0,0 +1,180 @@
+#include "sas/owner.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Seeds, so that the choice of the region and of the server within it are
+ * independent. */
+#define REGION_SEED 0x9e3779b97f4a7c15ULL
+#define SERVER_SEED 0xc2b2ae3d27d4eb4fULL
+
+struct candidate {
+    int slot;
+    int rank; /* of its place; lower is nearer */
+    double score;
+};
+
+uint64_t
+SasOwner_HashKey(const char *key)
+{
+    return XXH3_64bits(key, strlen(key));
+}
+
+static uint64_t
+mix(uint64_t a, uint64_t b, uint64_t seed)
+{
+    uint64_t words[2] = {a, b};
+    return XXH3_64bits_withSeed(words, sizeof(words), seed);
+}
+
+/* In (0, 1). */
+static double
+to_unit(uint64_t hash)
+{
+    return ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
+}
+
+static bool
+is_allowed(const struct sas_fleet *fleet, const struct sas_owner_query *query,
+           int slot, int64_t now_ms)
+{
+    if (!SasFleet_IsOpen(fleet, slot) ||
+        SasFleet_At(fleet, slot)->traffic.shunned_until_ms > now_ms) {
+        return false;
+    }
+    int region = SasFleet_GetServerRegion(fleet, slot);
+    return query->homes == 0 || (query->homes >> region & 1) != 0;
+}
+
+/* Slots of the service's open servers by region. Shunned ones count: the
+ * object's region must not depend on what one entry VM has seen. */
+static double
+sum_slots(const struct sas_fleet *fleet, const struct sas_owner_query *query,
+          double *by_region)
+{
+    const GArray *servers =
+        SasFleet_GetService(fleet, query->service)->servers;
+    memset(by_region, 0, SasModel_MAX_REGIONS * sizeof(*by_region));
+    double sum = 0;
+    for (guint i = 0; i < servers->len; i++) {
+        int slot = g_array_index(servers, int, i);
+        if (is_allowed(fleet, query, slot, INT64_MAX)) {
+            int region = SasFleet_GetServerRegion(fleet, slot);
+            double slots = SasFleet_At(fleet, slot)->facts.slots;
+            by_region[region] += slots;
+            sum += slots;
+        }
+    }
+    return sum;
+}
+
+/* The region among those with slots beyond their own share. */
+static int
+pick_spare_region(const double *slots, int count, double share, double unit)
+{
+    double spare = 0;
+    for (int r = 0; r < count; r++) {
+        spare += MAX(slots[r] - share, 0);
+    }
+    double point = unit * spare;
+    int last = SasModel_NONE;
+    for (int r = 0; r < count; r++) {
+        double part = MAX(slots[r] - share, 0);
+        if (part <= 0) {
+            continue;
+        }
+        last = r;
+        if (point < part) {
+            return r;
+        }
+        point -= part;
+    }
+    return last;
+}
+
+static int
+pick_region(const struct sas_fleet *fleet, const struct sas_owner_query *query,
+            int home)
+{
+    double slots[SasModel_MAX_REGIONS];
+    double sum = sum_slots(fleet, query, slots);
+    int count = SasFleet_CountRegions(fleet);
+    double share = sum / count;
+    double keep = share > 0 ? slots[home] / share : 1;
+    double unit = to_unit(mix(query->key, (uint64_t)home, REGION_SEED));
+    if (unit < keep) {
+        return home;
+    }
+    /* unit is evenly spread over [keep, 1) here. */
+    int region =
+        pick_spare_region(slots, count, share, (unit - keep) / (1 - keep));
+    return region == SasModel_NONE ? home : region;
+}
+
+/* 0 for the object's own place, then outwards. */
+static int
+get_rank(const struct sas_fleet *fleet, const struct sas_owner_query *query,
+         int slot, int region, int home)
+{
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    int server_region = SasFleet_GetServerRegion(fleet, slot);
+    if (query->near && server->zone == query->zone) {
+        return 0;
+    }
+    if (server_region == region) {
+        return 1;
+    }
+    return server_region == home ? 2 : 3;
+}
+
+static void
+insert(struct candidate *best, int *count, int max,
+       const struct candidate *candidate)
+{
+    int place = *count;
+    while (place > 0 && (best[place - 1].rank > candidate->rank ||
+                         (best[place - 1].rank == candidate->rank &&
+                          best[place - 1].score < candidate->score))) {
+        place--;
+    }
+    if (place >= max) {
+        return;
+    }
+    int moved = MIN(*count, max - 1) - place;
+    memmove(&best[place + 1], &best[place], (size_t)moved * sizeof(*best));
+    best[place] = *candidate;
+    *count = MIN(*count + 1, max);
+}
+
+int
+SasOwner_Rank(const struct sas_fleet *fleet,
+              const struct sas_owner_query *query, int64_t now_ms, int *slots,
+              int max)
+{
+    struct candidate best[SasOwner_MAX_CANDIDATES];
+    int count = 0;
+    max = MIN(max, SasOwner_MAX_CANDIDATES);
+    int home = SasFleet_GetZone(fleet, query->zone)->region;
+    int region = query->near ? home : pick_region(fleet, query, home);
+    const GArray *servers =
+        SasFleet_GetService(fleet, query->service)->servers;
+    for (guint i = 0; i < servers->len; i++) {
+        int slot = g_array_index(servers, int, i);
+        if (!is_allowed(fleet, query, slot, now_ms)) {
+            continue;
+        }
+        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        double unit = to_unit(mix(query->key, server->hash, SERVER_SEED));
+        struct candidate candidate = {
+            .slot = slot,
+            .rank = get_rank(fleet, query, slot, region, home),
+            .score = -server->facts.slots / log(unit),
+        };
+        insert(best, &count, max, &candidate);
+    }
+    for (int i = 0; i < count; i++) {
+        slots[i] = best[i].slot;
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/gateway/include/sas/gateway.h
@@ -0,0 +1,50 @@
+/* gateway - an entry VM on a living model: callers' requests, look-ups,
+ * health and metrics, and the talk with other entry VMs.
+ *
+ * The model is filled by a source that the owner opens on the same loop; the
+ * gateway doesn't know which. It is ready once a configuration is in force
+ * and the source says that it has seen all servers.
+ */
+#ifndef SAS_GATEWAY_H
+#define SAS_GATEWAY_H
+
+#include <uv.h>
+
+#include "sas/entry.h"
+#include "sas/error.h"
+#include "sas/fleet.h"
+
+struct sas_gateway;
+struct sas_mesh_facts;
+
+/* Where the model comes from; embed it as first member. */
+struct sas_source {
+    /* Begins; the gateway is open, so entry VMs may be added. */
+    void (*start)(struct sas_source *source, struct sas_gateway *gateway);
+    bool (*is_ready)(const struct sas_source *source);
+    /* No more calls are made; the loop runs out of its handles. */
+    void (*stop)(struct sas_source *source);
+};
+
+/* Opening and closing: Run ends after SIGTERM or SIGINT, when callers have
+ * been served out. 0: a graceful stop; 1: it could not start. */
+struct sas_gateway *SasGateway_Open(uv_loop_t *loop, struct sas_fleet *fleet,
+                                    const struct sas_entry_settings *settings,
+                                    const struct sas_entry_wire *wire,
+                                    struct sas_source *source,
+                                    struct sas_error *error);
+int SasGateway_Run(struct sas_gateway *gateway);
+void SasGateway_Close(struct sas_gateway *gateway);
+
+/* For the source: another entry VM, and what to announce of this one. */
+void SasGateway_AddVm(struct sas_gateway *gateway,
+                      const struct sas_mesh_facts *facts);
+int SasGateway_CountVms(const struct sas_gateway *gateway); /* live ones */
+const struct sas_mesh_facts *
+SasGateway_GetOwn(const struct sas_gateway *gateway);
+
+/* The file is read again on SIGHUP. */
+void SasGateway_SetReload(struct sas_gateway *gateway,
+                          void (*reload)(void *data), void *data);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/directory.c
@@ -0,0 +1,116 @@
+#include "directory.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+#include "sas/log.h"
+
+static void
+reply_text(struct sas_http_exchange *exchange, int status, const char *type,
+           const char *text)
+{
+    struct sas_http_header header = {"Content-Type", type};
+    struct sas_http_reply reply = {
+        .status = status,
+        .headers = &header,
+        .header_count = 1,
+        .body = text,
+        .body_size = strlen(text),
+    };
+    SasHttpExchange_Reply(exchange, &reply);
+}
+
+/* The value of a query parameter; names of places need no decoding beyond
+ * what GLib does. Free with g_free. */
+static char *
+get_parameter(const char *target, const char *name)
+{
+    const char *query = strchr(target, '?');
+    if (query == NULL) {
+        return NULL;
+    }
+    g_auto(GStrv) pairs = g_strsplit(query + 1, "&", -1);
+    size_t size = strlen(name);
+    for (int i = 0; pairs[i] != NULL; i++) {
+        if (strncmp(pairs[i], name, size) == 0 && pairs[i][size] == '=') {
+            return g_uri_unescape_string(pairs[i] + size + 1, NULL);
+        }
+    }
+    return NULL;
+}
+
+static void
+answer_lookup(struct sas_directory *directory,
+              struct sas_http_exchange *exchange)
+{
+    const char *target = SasHttpExchange_GetTarget(exchange);
+    const struct sas_entry_wire *wire = directory->wire;
+    g_autofree char *zone = get_parameter(target, wire->lookup_zone);
+    g_autofree char *region = get_parameter(target, wire->lookup_region);
+    struct sas_address addresses[SasMesh_MAX_NAMED];
+    int count = SasMesh_Find(
+        directory->mesh,
+        zone != NULL ? SasFleet_FindZone(directory->fleet, zone)
+                     : SasModel_NONE,
+        region != NULL ? SasFleet_FindRegion(directory->fleet, region)
+                       : SasModel_NONE,
+        addresses, SasMesh_MAX_NAMED);
+    if (count == 0) {
+        reply_text(exchange, 503, "text/plain", "no entry VM is known\n");
+        return;
+    }
+    json_t *list = json_array();
+    for (int i = 0; i < count; i++) {
+        g_autofree char *text =
+            g_strdup_printf("%s:%d", addresses[i].ip, addresses[i].port);
+        json_array_append_new(list, json_string(text));
+    }
+    json_t *object = json_object();
+    json_object_set_new(object, wire->lookup_addresses, list);
+    json_object_set_new(
+        object, wire->lookup_ttl_s,
+        json_integer(directory->settings->bounds.lookup_ttl_ms / 1000));
+    char *text = json_dumps(object, JSON_COMPACT);
+    reply_text(exchange, 200, "application/json", text);
+    free(text);
+    json_decref(object);
+}
+
+static void
+answer_metrics(struct sas_directory *directory,
+               struct sas_http_exchange *exchange)
+{
+    g_autofree char *text = SasMetrics_Format(directory->metrics);
+    reply_text(exchange, 200, "text/plain; version=0.0.4", text);
+}
+
+static void
+on_request(struct sas_http_handler *handler,
+           struct sas_http_exchange *exchange)
+{
+    struct sas_directory *directory = (struct sas_directory *)handler;
+    const char *target = SasHttpExchange_GetTarget(exchange);
+    size_t size = strcspn(target, "?");
+    g_autofree char *path = g_strndup(target, size);
+    if (strcmp(path, directory->wire->lookup_path) == 0) {
+        answer_lookup(directory, exchange);
+    }
+    else if (strcmp(path, directory->wire->ready_path) == 0) {
+        bool ready = directory->ready && !directory->leaving;
+        reply_text(exchange, ready ? 200 : 503, "text/plain",
+                   ready ? "ready\n" : "not ready\n");
+    }
+    else if (strcmp(path, "/metrics") == 0) {
+        answer_metrics(directory, exchange);
+    }
+    else {
+        reply_text(exchange, 404, "text/plain", "no such page\n");
+    }
+}
+
+void
+SasDirectory_Init(struct sas_directory *directory)
+{
+    directory->handler.on_request = on_request;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.c
@@ -0,0 +1,324 @@
+#include "sas/gateway.h"
+
+#include <string.h>
+
+#include "directory.h"
+#include "mesh.h"
+#include "pool.h"
+#include "relay.h"
+#include "sas/http_server.h"
+#include "sas/log.h"
+#include "sas/metrics.h"
+
+#define SWEEP_MS 500
+
+/* Of the memory limit, what bodies may take: the rest is for the connections
+ * (two buffers of the kernel's each) and the answers on their way. */
+#define BODIES_SHARE 0.35
+
+/* Descriptors kept for backend servers, the store and files. */
+#define OTHER_DESCRIPTORS 1200
+
+/* Before SIGKILL comes: the last answers are out and the process is gone. */
+#define STOP_MARGIN_MS 500
+
+/* For so long after the stop began, callers that hold an older look-up may
+ * still send requests. */
+#define STOP_NOTICE_MS 3500
+#define STOP_IDLE_MS 1500
+#define STOP_CHECK_MS 50
+
+#define DEFAULT_HEADER_BYTES 16384
+#define DEFAULT_BODY_BYTES (64 * 1024 * 1024)
+#define DEFAULT_HEADER_MS 3000
+#define DEFAULT_IDLE_MS 60000
+#define SMALL_BODY_BYTES 4096
+#define SIDE_CONNECTIONS 512
+
+enum {
+    LISTEN_CALLER,
+    LISTEN_READY,
+    LISTEN_LOOKUP,
+    LISTEN_COUNT
+};
+
+struct sas_gateway {
+    struct sas_fleet_listener listener;
+    uv_loop_t *loop;
+    struct sas_fleet *fleet;
+    const struct sas_entry_settings *settings;
+    struct sas_source *source;
+    struct sas_metrics *metrics;
+    struct sas_mesh *mesh;
+    struct sas_pool *pool;
+    struct sas_relay *relay;
+    struct sas_directory directory;
+    struct sas_http_server *servers[LISTEN_COUNT];
+    GRand *random;
+    uv_timer_t sweep;
+    uv_timer_t stop;
+    uv_signal_t signals[3];
+    int64_t stop_began_at;
+    void (*reload)(void *data);
+    void *reload_data;
+};
+
+static void on_sweep(uv_timer_t *timer);
+static void on_signal(uv_signal_t *signal, int number);
+static void on_stop_check(uv_timer_t *timer);
+
+static struct sas_http_server_limits
+get_caller_limits(const struct sas_gateway *gateway)
+{
+    struct sas_http_server_limits limits = {
+        .header_bytes = DEFAULT_HEADER_BYTES,
+        .body_bytes = DEFAULT_BODY_BYTES,
+        .bodies_bytes =
+            (size_t)((double)gateway->settings->memory_bytes * BODIES_SHARE),
+        .header_ms = DEFAULT_HEADER_MS,
+        .idle_ms = DEFAULT_IDLE_MS,
+        .connections =
+            MAX(gateway->settings->max_descriptors - OTHER_DESCRIPTORS, 64),
+    };
+    const struct sas_fleet_config *config =
+        SasFleet_GetConfig(gateway->fleet);
+    if (config != NULL && config->limits.header_bytes > 0) {
+        limits.header_bytes = config->limits.header_bytes;
+        limits.body_bytes = config->limits.body_bytes;
+        limits.header_ms = config->limits.header_ms;
+        limits.idle_ms = config->limits.idle_ms;
+    }
+    return limits;
+}
+
+static void
+on_config(struct sas_fleet_listener *listener,
+          const struct sas_fleet_config *config)
+{
+    struct sas_gateway *gateway = (struct sas_gateway *)listener;
+    SasMesh_SetVersion(gateway->mesh, config->version);
+    struct sas_http_server_limits limits = get_caller_limits(gateway);
+    SasHttpServer_SetLimits(gateway->servers[LISTEN_CALLER], &limits);
+    SasLog_Write(SasLog_INFO, "config.apply", "",
+                 "version=%" G_GINT64_FORMAT " routes=%u", config->version,
+                 config->routes->len);
+}
+
+static int
+open_servers(struct sas_gateway *gateway, struct sas_error *error)
+{
+    struct sas_http_server_limits limits = get_caller_limits(gateway);
+    struct sas_http_server_limits small = limits;
+    small.body_bytes = SMALL_BODY_BYTES;
+    small.connections = SIDE_CONNECTIONS;
+    const struct sas_entry_settings *s = gateway->settings;
+    const struct sas_address *addresses[LISTEN_COUNT] = {
+        &s->caller, &s->ready, &s->lookup};
+    for (int i = 0; i < LISTEN_COUNT; i++) {
+        struct sas_http_handler *handler =
+            i == LISTEN_CALLER ? SasRelay_GetHandler(gateway->relay)
+                               : &gateway->directory.handler;
+        gateway->servers[i] = SasHttpServer_Open(
+            gateway->loop, addresses[i], i == LISTEN_CALLER ? &limits : &small,
+            handler, error);
+        if (gateway->servers[i] == NULL) {
+            return -1;
+        }
+    }
+    return 0;
+}
+
+static void
+open_parts(struct sas_gateway *gateway, const struct sas_entry_wire *wire)
+{
+    gateway->pool = SasPool_New(gateway->loop, gateway->fleet);
+    struct sas_relay_options options = {
+        .loop = gateway->loop,
+        .fleet = gateway->fleet,
+        .pool = gateway->pool,
+        .mesh = gateway->mesh,
+        .metrics = gateway->metrics,
+        .settings = gateway->settings,
+        .wire = wire,
+        .random = gateway->random,
+    };
+    gateway->relay = SasRelay_New(&options);
+    gateway->directory.fleet = gateway->fleet;
+    gateway->directory.mesh = gateway->mesh;
+    gateway->directory.metrics = gateway->metrics;
+    gateway->directory.settings = gateway->settings;
+    gateway->directory.wire = wire;
+    SasDirectory_Init(&gateway->directory);
+}
+
+struct sas_gateway *
+SasGateway_Open(uv_loop_t *loop, struct sas_fleet *fleet,
+                const struct sas_entry_settings *settings,
+                const struct sas_entry_wire *wire, struct sas_source *source,
+                struct sas_error *error)
+{
+    struct sas_gateway *gateway = g_new0(struct sas_gateway, 1);
+    gateway->listener.on_config = on_config;
+    gateway->loop = loop;
+    gateway->fleet = fleet;
+    gateway->settings = settings;
+    gateway->source = source;
+    gateway->metrics = SasMetrics_New();
+    gateway->random = g_rand_new();
+    gateway->mesh =
+        SasMesh_Open(loop, fleet, settings, gateway->random, error);
+    if (gateway->mesh == NULL) {
+        return NULL;
+    }
+    open_parts(gateway, wire);
+    if (open_servers(gateway, error) != 0) {
+        return NULL;
+    }
+    SasFleet_AddListener(fleet, &gateway->listener);
+    uv_timer_init(loop, &gateway->sweep);
+    uv_timer_init(loop, &gateway->stop);
+    gateway->sweep.data = gateway;
+    gateway->stop.data = gateway;
+    uv_timer_start(&gateway->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+    static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+    for (int i = 0; i < 3; i++) {
+        uv_signal_init(loop, &gateway->signals[i]);
+        gateway->signals[i].data = gateway;
+        uv_signal_start(&gateway->signals[i], on_signal, numbers[i]);
+    }
+    return gateway;
+}
+
+int
+SasGateway_Run(struct sas_gateway *gateway)
+{
+    SasLog_Write(SasLog_INFO, "process.start", "", "zone=%s address=%s:%d",
+                 gateway->settings->zone, gateway->settings->caller.ip,
+                 gateway->settings->caller.port);
+    gateway->source->start(gateway->source, gateway);
+    uv_run(gateway->loop, UV_RUN_DEFAULT);
+    SasLog_Write(SasLog_INFO, "process.stop", "", "after_ms=%" G_GINT64_FORMAT,
+                 (int64_t)uv_now(gateway->loop) - gateway->stop_began_at);
+    return 0;
+}
+
+void
+SasGateway_Close(struct sas_gateway *gateway)
+{
+    for (int i = 0; i < LISTEN_COUNT; i++) {
+        SasHttpServer_Close(gateway->servers[i]);
+    }
+    SasPool_Free(gateway->pool);
+    SasMesh_Close(gateway->mesh);
+    uv_close((uv_handle_t *)&gateway->sweep, NULL);
+    uv_close((uv_handle_t *)&gateway->stop, NULL);
+    for (int i = 0; i < 3; i++) {
+        uv_close((uv_handle_t *)&gateway->signals[i], NULL);
+    }
+    uv_run(gateway->loop, UV_RUN_DEFAULT);
+    SasRelay_Free(gateway->relay);
+    SasMetrics_Free(gateway->metrics);
+    g_rand_free(gateway->random);
+    g_free(gateway);
+}
+
+void
+SasGateway_AddVm(struct sas_gateway *gateway,
+                 const struct sas_mesh_facts *facts)
+{
+    SasMesh_AddVm(gateway->mesh, facts);
+}
+
+int
+SasGateway_CountVms(const struct sas_gateway *gateway)
+{
+    return SasMesh_Count(gateway->mesh);
+}
+
+const struct sas_mesh_facts *
+SasGateway_GetOwn(const struct sas_gateway *gateway)
+{
+    return SasMesh_GetOwn(gateway->mesh);
+}
+
+void
+SasGateway_SetReload(struct sas_gateway *gateway, void (*reload)(void *data),
+                     void *data)
+{
+    gateway->reload = reload;
+    gateway->reload_data = data;
+}
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+    struct sas_gateway *gateway = timer->data;
+    SasPool_Sweep(gateway->pool);
+    bool ready = SasFleet_GetConfig(gateway->fleet) != NULL &&
+                 gateway->source->is_ready(gateway->source);
+    if (ready != gateway->directory.ready) {
+        gateway->directory.ready = ready;
+        SasLog_Write(SasLog_INFO, "process.ready", "", "ready=%d", ready);
+    }
+}
+
+/* Stopping: out of the look-ups and not ready at once; requests that still
+ * come are served, for callers keep what they were told for a while. */
+
+static void
+begin_stop(struct sas_gateway *gateway, int number)
+{
+    if (gateway->stop_began_at != 0) {
+        return;
+    }
+    gateway->stop_began_at = (int64_t)uv_now(gateway->loop);
+    SasLog_Write(SasLog_INFO, "process.stopping", "",
+                 "signal=%d requests=%d connections=%d", number,
+                 SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]),
+                 SasHttpServer_CountConnections(
+                     gateway->servers[LISTEN_CALLER]));
+    gateway->directory.leaving = true;
+    SasMesh_Leave(gateway->mesh);
+    SasHttpServer_Drain(gateway->servers[LISTEN_CALLER], STOP_IDLE_MS);
+    uv_timer_start(&gateway->stop, on_stop_check, STOP_CHECK_MS,
+                   STOP_CHECK_MS);
+}
+
+static void
+on_stop_check(uv_timer_t *timer)
+{
+    struct sas_gateway *gateway = timer->data;
+    int64_t since_ms =
+        (int64_t)uv_now(gateway->loop) - gateway->stop_began_at;
+    if (since_ms >= STOP_NOTICE_MS) {
+        SasRelay_Stop(gateway->relay);
+    }
+    int left = SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]);
+    bool quiet = since_ms >= STOP_NOTICE_MS && left == 0;
+    bool late =
+        since_ms >= gateway->settings->bounds.grace_ms - STOP_MARGIN_MS;
+    if (!quiet && !late) {
+        return;
+    }
+    if (left > 0) {
+        SasLog_Write(SasLog_ERROR, "process.stop", "",
+                     "requests=%d are cut off at the stop's limit", left);
+    }
+    uv_timer_stop(timer);
+    gateway->source->stop(gateway->source);
+    uv_stop(gateway->loop);
+}
+
+static void
+on_signal(uv_signal_t *signal, int number)
+{
+    struct sas_gateway *gateway = signal->data;
+    if (number != SIGHUP) {
+        begin_stop(gateway, number);
+        return;
+    }
+    SasLog_Write(SasLog_INFO, "process.reload", "", "signal=%d", number);
+    if (gateway->reload != NULL) {
+        gateway->reload(gateway->reload_data);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/mesh.c
@@ -0,0 +1,470 @@
+#include "mesh.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include <rpc/rpc.h>
+
+#include "sas/generated/mesh.h"
+#include "sas/http.h"
+#include "sas/log.h"
+#include "sas/membership.h"
+
+#define MAX_DATAGRAM 1400
+#define OWN_SEAT 0
+
+struct vm {
+    struct sas_mesh_facts facts;
+    uint64_t name_hash;
+    int zone;
+    struct sockaddr_storage peer;
+    enum sas_member_state told; /* state in the last log line */
+};
+
+struct sas_mesh {
+    uv_loop_t *loop;
+    uv_udp_t socket;
+    uv_timer_t rounds;
+    int open_handles;
+    struct sas_fleet *fleet;
+    GRand *random;
+    GArray *vms; /* struct vm, by seat */
+    struct sas_membership table;
+};
+
+static void on_round(uv_timer_t *timer);
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
+                        const struct sockaddr *from, unsigned flags);
+static void send_news(struct sas_mesh *mesh, const struct vm *vm,
+                      bool wants_reply);
+
+static int64_t
+get_now(const struct sas_mesh *mesh)
+{
+    return (int64_t)uv_now(mesh->loop);
+}
+
+static struct vm *
+get_vm(const struct sas_mesh *mesh, int seat)
+{
+    return &g_array_index(mesh->vms, struct vm, seat);
+}
+
+/* Opening and closing. */
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    struct sas_mesh *mesh = handle->data;
+    mesh->open_handles--;
+    if (mesh->open_handles == 0) {
+        SasMembership_Close(&mesh->table);
+        g_array_free(mesh->vms, TRUE);
+        g_free(mesh);
+    }
+}
+
+static int
+add_seat(struct sas_mesh *mesh, const struct sas_mesh_facts *facts)
+{
+    struct vm vm = {.facts = *facts};
+    vm.zone = SasFleet_FindZone(mesh->fleet, facts->zone);
+    vm.name_hash = XXH3_64bits(facts->name, strlen(facts->name));
+    if (vm.zone == SasModel_NONE ||
+        SasHttp_GetSockaddr(&facts->peer, &vm.peer) != 0 ||
+        mesh->vms->len >= SasMesh_MAX_VMS) {
+        return SasModel_NONE;
+    }
+    g_array_append_val(mesh->vms, vm);
+    return (int)mesh->vms->len - 1;
+}
+
+struct sas_mesh *
+SasMesh_Open(uv_loop_t *loop, struct sas_fleet *fleet,
+             const struct sas_entry_settings *settings, GRand *random,
+             struct sas_error *error)
+{
+    struct sas_mesh *mesh = g_new0(struct sas_mesh, 1);
+    mesh->loop = loop;
+    mesh->fleet = fleet;
+    mesh->random = random;
+    mesh->vms = g_array_new(FALSE, TRUE, sizeof(struct vm));
+    struct sas_mesh_facts own = {
+        .caller = settings->caller,
+        .peer = settings->peer,
+        .incarnation = (uint64_t)(g_get_real_time() / 1000),
+    };
+    g_strlcpy(own.name, settings->name, sizeof(own.name));
+    g_strlcpy(own.zone, settings->zone, sizeof(own.zone));
+    int seat = add_seat(mesh, &own);
+    SasMembership_Init(&mesh->table, 1, OWN_SEAT, own.incarnation,
+                       get_now(mesh));
+    uv_udp_init(loop, &mesh->socket);
+    uv_timer_init(loop, &mesh->rounds);
+    mesh->socket.data = mesh;
+    mesh->rounds.data = mesh;
+    mesh->open_handles = 2;
+    int rc = seat == OWN_SEAT
+                 ? uv_udp_bind(&mesh->socket,
+                               (struct sockaddr *)&get_vm(mesh, seat)->peer, 0)
+                 : UV_EINVAL;
+    if (rc != 0) {
+        SasError_Set(error, SAS_EIO, "mesh.bind", settings->peer.ip, "%s",
+                     uv_strerror(rc));
+        SasMesh_Close(mesh);
+        return NULL;
+    }
+    uv_udp_recv_start(&mesh->socket, on_alloc, on_datagram);
+    uint64_t interval_ms = (uint64_t)mesh->table.times.interval_ms;
+    uv_timer_start(&mesh->rounds, on_round, interval_ms, interval_ms);
+    return mesh;
+}
+
+void
+SasMesh_Close(struct sas_mesh *mesh)
+{
+    if (mesh == NULL) {
+        return;
+    }
+    uv_close((uv_handle_t *)&mesh->socket, on_closed);
+    uv_close((uv_handle_t *)&mesh->rounds, on_closed);
+}
+
+/* The own entry VM. */
+
+const struct sas_mesh_facts *
+SasMesh_GetOwn(const struct sas_mesh *mesh)
+{
+    return &get_vm(mesh, OWN_SEAT)->facts;
+}
+
+int
+SasMesh_GetOwnZone(const struct sas_mesh *mesh)
+{
+    return get_vm(mesh, OWN_SEAT)->zone;
+}
+
+static int
+get_region(const struct sas_mesh *mesh, int seat)
+{
+    return SasFleet_GetZone(mesh->fleet, get_vm(mesh, seat)->zone)->region;
+}
+
+bool
+SasMesh_IsOwnRegion(const struct sas_mesh *mesh, int region)
+{
+    return get_region(mesh, OWN_SEAT) == region;
+}
+
+void
+SasMesh_SetVersion(struct sas_mesh *mesh, int64_t config_version)
+{
+    SasMembership_SetVersion(&mesh->table, (uint64_t)config_version);
+}
+
+static void
+tell_all(struct sas_mesh *mesh)
+{
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        send_news(mesh, get_vm(mesh, seat), false);
+    }
+}
+
+void
+SasMesh_Leave(struct sas_mesh *mesh)
+{
+    SasMembership_SetLeaving(&mesh->table);
+    SasMembership_Beat(&mesh->table, get_now(mesh));
+    tell_all(mesh);
+}
+
+static int
+find_seat(const struct sas_mesh *mesh, uint64_t name_hash)
+{
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
+        if (get_vm(mesh, seat)->name_hash == name_hash) {
+            return seat;
+        }
+    }
+    return SasModel_NONE;
+}
+
+/* The seat of an entry VM, with its newest addresses. */
+static int
+learn_vm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts)
+{
+    uint64_t hash = XXH3_64bits(facts->name, strlen(facts->name));
+    int seat = find_seat(mesh, hash);
+    if (seat == SasModel_NONE) {
+        seat = add_seat(mesh, facts);
+        SasMembership_Grow(&mesh->table, (int)mesh->vms->len);
+        SasLog_Write(SasLog_INFO, "mesh.learn", facts->name,
+                     "zone=%s address=%s known=%u", facts->zone,
+                     facts->caller.ip, mesh->vms->len);
+        return seat;
+    }
+    struct vm *vm = get_vm(mesh, seat);
+    if (seat != OWN_SEAT && facts->incarnation > vm->facts.incarnation) {
+        vm->facts = *facts;
+        SasHttp_GetSockaddr(&facts->peer, &vm->peer);
+    }
+    return seat;
+}
+
+void
+SasMesh_AddVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts)
+{
+    int seat = learn_vm(mesh, facts);
+    if (seat > OWN_SEAT) {
+        send_news(mesh, get_vm(mesh, seat), true);
+    }
+}
+
+/* Live ones. */
+
+static bool
+is_live(const struct sas_mesh *mesh, int seat)
+{
+    return SasMembership_GetState(&mesh->table, seat, get_now(mesh)) ==
+           SAS_MEMBER_LIVE;
+}
+
+int
+SasMesh_Count(const struct sas_mesh *mesh)
+{
+    int count = 0;
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
+        count += is_live(mesh, seat) ? 1 : 0;
+    }
+    return MAX(count, 1);
+}
+
+int
+SasMesh_CountInRegion(const struct sas_mesh *mesh, int region)
+{
+    int count = 0;
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
+        if (get_region(mesh, seat) == region && is_live(mesh, seat)) {
+            count++;
+        }
+    }
+    return MAX(count, 1);
+}
+
+static int
+collect(const struct sas_mesh *mesh, int zone, int region,
+        struct sas_address *addresses, int max)
+{
+    int count = 0;
+    for (int seat = 0; seat < (int)mesh->vms->len && count < max; seat++) {
+        if ((zone == SasModel_NONE || get_vm(mesh, seat)->zone == zone) &&
+            (region == SasModel_NONE || get_region(mesh, seat) == region) &&
+            is_live(mesh, seat)) {
+            addresses[count++] = get_vm(mesh, seat)->facts.caller;
+        }
+    }
+    return count;
+}
+
+int
+SasMesh_Find(const struct sas_mesh *mesh, int zone, int region,
+             struct sas_address *addresses, int max)
+{
+    int count = 0;
+    if (zone != SasModel_NONE) {
+        count = collect(mesh, zone, SasModel_NONE, addresses, max);
+    }
+    if (count == 0 && region != SasModel_NONE) {
+        count = collect(mesh, SasModel_NONE, region, addresses, max);
+    }
+    if (count == 0) {
+        count =
+            collect(mesh, SasModel_NONE, SasModel_NONE, addresses, max);
+    }
+    return count;
+}
+
+int64_t
+SasMesh_GetHighestVersion(const struct sas_mesh *mesh)
+{
+    return (int64_t)mesh->table.highest_version;
+}
+
+bool
+SasMesh_PickPeer(struct sas_mesh *mesh, struct sas_address *peer)
+{
+    int live = 0;
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (!is_live(mesh, seat)) {
+            continue;
+        }
+        live++;
+        if (g_rand_int_range(mesh->random, 0, live) == 0) {
+            *peer = get_vm(mesh, seat)->facts.peer;
+        }
+    }
+    return live > 0;
+}
+
+/* Rounds. */
+
+static void
+log_changes(struct sas_mesh *mesh)
+{
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        struct vm *vm = get_vm(mesh, seat);
+        int64_t now_ms = get_now(mesh);
+        enum sas_member_state state =
+            SasMembership_GetState(&mesh->table, seat, now_ms);
+        if (state != vm->told) {
+            SasLog_Write(
+                SasLog_INFO, "mesh.state", vm->facts.name,
+                "from=%s to=%s age_ms=%" G_GINT64_FORMAT,
+                SasMembership_GetStateName(vm->told),
+                SasMembership_GetStateName(state),
+                SasMembership_GetAge(&mesh->table, seat, now_ms));
+            vm->told = state;
+        }
+    }
+}
+
+static void
+on_round(uv_timer_t *timer)
+{
+    struct sas_mesh *mesh = timer->data;
+    int64_t now_ms = get_now(mesh);
+    SasMembership_Beat(&mesh->table, now_ms);
+    int seat = SasModel_NONE;
+    if (SasMembership_PickPeers(&mesh->table, mesh->random, now_ms, &seat,
+                                1) == 1) {
+        send_news(mesh, get_vm(mesh, seat), true);
+    }
+    log_changes(mesh);
+    uv_timer_set_repeat(timer, (uint64_t)mesh->table.times.interval_ms);
+}
+
+/* Datagrams. */
+
+static void
+fill_news(struct sas_mesh *mesh, sas_mesh_news *news, u_int *count)
+{
+    struct sas_member_news digest[SAS_MESH_MAX_NEWS];
+    int filled = SasMembership_FillDigest(&mesh->table, mesh->random,
+                                          get_now(mesh), digest,
+                                          SAS_MESH_MAX_NEWS);
+    for (int i = 0; i < filled; i++) {
+        news[i].name_hash = get_vm(mesh, digest[i].seat)->name_hash;
+        news[i].incarnation = digest[i].incarnation;
+        news[i].config_version = digest[i].config_version;
+        news[i].heartbeat = digest[i].heartbeat;
+        news[i].doubt = digest[i].doubt;
+        news[i].age_ms = (u_int)digest[i].age_ms;
+        news[i].leaving = digest[i].leaving;
+    }
+    *count = (u_int)filled;
+}
+
+static void
+send_news(struct sas_mesh *mesh, const struct vm *vm, bool wants_reply)
+{
+    const struct sas_mesh_facts *own = SasMesh_GetOwn(mesh);
+    sas_mesh_news news[SAS_MESH_MAX_NEWS];
+    sas_mesh_message message = {
+        .format = SAS_MESH_FORMAT,
+        .wants_reply = wants_reply,
+        .sender =
+            {
+                .name = (char *)own->name,
+                .zone = (char *)own->zone,
+                .ip = (char *)own->peer.ip,
+                .caller_port = (u_int)own->caller.port,
+                .peer_port = (u_int)own->peer.port,
+                .incarnation = own->incarnation,
+            },
+        .news = {.news_val = news},
+    };
+    fill_news(mesh, news, &message.news.news_len);
+    char bytes[MAX_DATAGRAM];
+    XDR xdr;
+    xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
+    if (xdr_sas_mesh_message(&xdr, &message)) {
+        uv_buf_t buffer = uv_buf_init(bytes, xdr_getpos(&xdr));
+        /* A full socket loses the datagram, as the network may. */
+        uv_udp_try_send(&mesh->socket, &buffer, 1,
+                        (const struct sockaddr *)&vm->peer);
+    }
+    xdr_destroy(&xdr);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static _Thread_local char bytes[MAX_DATAGRAM + 1];
+    (void)handle;
+    (void)suggested;
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+take_message(struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    struct sas_mesh_facts facts = {
+        .caller.port = (int)message->sender.caller_port,
+        .peer.port = (int)message->sender.peer_port,
+        .incarnation = message->sender.incarnation,
+    };
+    g_strlcpy(facts.name, message->sender.name, sizeof(facts.name));
+    g_strlcpy(facts.zone, message->sender.zone, sizeof(facts.zone));
+    g_strlcpy(facts.caller.ip, message->sender.ip, sizeof(facts.caller.ip));
+    g_strlcpy(facts.peer.ip, message->sender.ip, sizeof(facts.peer.ip));
+    int seat = learn_vm(mesh, &facts);
+    if (seat == SasModel_NONE || seat == OWN_SEAT) {
+        return;
+    }
+    int64_t now_ms = get_now(mesh);
+    for (u_int i = 0; i < message->news.news_len; i++) {
+        const sas_mesh_news *row = &message->news.news_val[i];
+        struct sas_member_news news = {
+            .seat = find_seat(mesh, row->name_hash),
+            .leaving = row->leaving,
+            .incarnation = row->incarnation,
+            .config_version = row->config_version,
+            .heartbeat = row->heartbeat,
+            .doubt = row->doubt,
+            .age_ms = row->age_ms,
+        };
+        if (news.seat != SasModel_NONE) {
+            SasMembership_Merge(&mesh->table, &news, now_ms);
+        }
+    }
+    SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation, now_ms);
+    if (message->wants_reply) {
+        send_news(mesh, get_vm(mesh, seat), false);
+    }
+}
+
+static void
+on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
+            const struct sockaddr *from, unsigned flags)
+{
+    struct sas_mesh *mesh = socket->data;
+    if (count <= 0 || count > MAX_DATAGRAM || from == NULL ||
+        (flags & UV_UDP_PARTIAL) != 0) {
+        return;
+    }
+    sas_mesh_message message = {0};
+    XDR xdr;
+    xdrmem_create(&xdr, data->base, (u_int)count, XDR_DECODE);
+    bool decoded = xdr_sas_mesh_message(&xdr, &message);
+    if (decoded && message.format == SAS_MESH_FORMAT) {
+        take_message(mesh, &message);
+    }
+    else {
+        SasLog_Write(SasLog_WARN, "mesh.decode", "",
+                     "a datagram of %zd bytes is not a message", count);
+    }
+    xdr_destroy(&xdr);
+    xdr_free((xdrproc_t)xdr_sas_mesh_message, (char *)&message);
+}
--- /dev/null
+++ b/packages/gateway/src/mesh.h
@@ -0,0 +1,66 @@
+/* mesh - the entry VMs that there are, and which of them live.
+ *
+ * Nobody is told of the others: an entry VM says hello to those that its
+ * settings or the store name, and each datagram carries its sender's
+ * addresses, so that whoever hears it knows it too. After that each round of
+ * gossip goes to one of them at random and is answered; sas/membership.h
+ * decides from it who lives. Messages are XDR in datagrams: a lost one is
+ * made good by the next round.
+ */
+#ifndef SAS_MESH_H
+#define SAS_MESH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "sas/entry.h"
+#include "sas/fleet.h"
+
+#define SasMesh_MAX_VMS 2048
+#define SasMesh_MAX_NAMED 8 /* addresses in one answer to a look-up */
+
+struct sas_mesh;
+
+struct sas_mesh_facts {
+    char name[SasModel_NAME_SIZE];
+    char zone[SasModel_NAME_SIZE];
+    struct sas_address caller;
+    struct sas_address peer;
+    uint64_t incarnation; /* wall-clock ms of its start */
+};
+
+/* Opening and closing. */
+struct sas_mesh *SasMesh_Open(uv_loop_t *loop, struct sas_fleet *fleet,
+                              const struct sas_entry_settings *settings,
+                              GRand *random, struct sas_error *error);
+void SasMesh_Close(struct sas_mesh *mesh);
+
+/* The own entry VM. */
+const struct sas_mesh_facts *SasMesh_GetOwn(const struct sas_mesh *mesh);
+int SasMesh_GetOwnZone(const struct sas_mesh *mesh);
+bool SasMesh_IsOwnRegion(const struct sas_mesh *mesh, int region);
+void SasMesh_SetVersion(struct sas_mesh *mesh, int64_t config_version);
+
+/* Tells everybody that this process ends soon. */
+void SasMesh_Leave(struct sas_mesh *mesh);
+
+/* Another entry VM, from the store: it is greeted at once. */
+void SasMesh_AddVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts);
+
+/* Live ones, this one included. */
+int SasMesh_Count(const struct sas_mesh *mesh);
+int SasMesh_CountInRegion(const struct sas_mesh *mesh, int region);
+
+/* The callers' addresses of live entry VMs in the zone; where there is none,
+ * of those in the region; where there is none, of all. */
+int SasMesh_Find(const struct sas_mesh *mesh, int zone, int region,
+                 struct sas_address *addresses, int max);
+
+/* The highest configuration that any entry VM has told of, and the address
+ * of one live entry VM to ask for what it knows; false when alone. */
+int64_t SasMesh_GetHighestVersion(const struct sas_mesh *mesh);
+bool SasMesh_PickPeer(struct sas_mesh *mesh, struct sas_address *peer);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/pool.c
@@ -0,0 +1,169 @@
+#include "pool.h"
+
+#include <string.h>
+
+struct sas_pooled {
+    struct sas_http_owner owner;
+    struct sas_pool *pool;
+    struct sas_http_conn *conn;
+    struct sas_server_ref server;
+    bool idle;
+    int64_t idle_since;
+    int64_t idle_ms;
+};
+
+struct sas_pool {
+    struct sas_fleet_listener listener;
+    uv_loop_t *loop;
+    struct sas_fleet *fleet;
+    GPtrArray *by_slot; /* GPtrArray of struct sas_pooled, oldest first */
+    int opened;
+};
+
+static void
+on_closed(struct sas_http_owner *owner, struct sas_http_conn *conn)
+{
+    (void)conn;
+    struct sas_pooled *pooled = (struct sas_pooled *)owner;
+    GPtrArray *list = pooled->pool->by_slot->pdata[pooled->server.slot];
+    g_ptr_array_remove(list, pooled);
+    g_free(pooled);
+}
+
+/* Connections with a request on them stay: a leaving server still answers
+ * what it has. */
+static void
+on_server_gone(struct sas_fleet_listener *listener, int slot)
+{
+    struct sas_pool *pool = (struct sas_pool *)listener;
+    if (slot >= (int)pool->by_slot->len) {
+        return;
+    }
+    GPtrArray *list = pool->by_slot->pdata[slot];
+    for (guint i = list->len; i > 0; i--) {
+        struct sas_pooled *pooled = list->pdata[i - 1];
+        if (pooled->idle) {
+            SasHttp_Close(pooled->conn);
+        }
+    }
+}
+
+static void
+free_list(gpointer data)
+{
+    g_ptr_array_free(data, TRUE);
+}
+
+struct sas_pool *
+SasPool_New(uv_loop_t *loop, struct sas_fleet *fleet)
+{
+    struct sas_pool *pool = g_new0(struct sas_pool, 1);
+    pool->listener.on_server_gone = on_server_gone;
+    pool->loop = loop;
+    pool->fleet = fleet;
+    pool->by_slot = g_ptr_array_new_with_free_func(free_list);
+    SasFleet_AddListener(fleet, &pool->listener);
+    return pool;
+}
+
+void
+SasPool_Free(struct sas_pool *pool)
+{
+    for (guint slot = 0; slot < pool->by_slot->len; slot++) {
+        GPtrArray *list = pool->by_slot->pdata[slot];
+        while (list->len > 0) {
+            struct sas_pooled *pooled = list->pdata[list->len - 1];
+            SasHttp_Close(pooled->conn);
+        }
+    }
+    g_ptr_array_free(pool->by_slot, TRUE);
+    g_free(pool);
+}
+
+static struct sas_pooled *
+find_idle(GPtrArray *list, struct sas_server_ref server)
+{
+    /* The one used last: the others grow old and are closed. */
+    for (guint i = list->len; i > 0; i--) {
+        struct sas_pooled *pooled = list->pdata[i - 1];
+        if (pooled->idle && pooled->server.generation == server.generation &&
+            SasHttp_IsIdle(pooled->conn)) {
+            g_ptr_array_remove_index(list, i - 1);
+            return pooled;
+        }
+    }
+    return NULL;
+}
+
+struct sas_pooled *
+SasPool_Take(struct sas_pool *pool, int slot)
+{
+    while ((int)pool->by_slot->len <= slot) {
+        g_ptr_array_add(pool->by_slot, g_ptr_array_new());
+    }
+    GPtrArray *list = pool->by_slot->pdata[slot];
+    struct sas_server_ref server = SasFleet_GetRef(pool->fleet, slot);
+    struct sas_pooled *pooled = find_idle(list, server);
+    if (pooled == NULL) {
+        pooled = g_new0(struct sas_pooled, 1);
+        pooled->owner.on_closed = on_closed;
+        pooled->pool = pool;
+        pooled->server = server;
+        pooled->conn = SasHttp_Connect(
+            pool->loop, &SasFleet_At(pool->fleet, slot)->facts.address,
+            SasPool_CONNECT_MS, &pooled->owner);
+        pool->opened++;
+    }
+    pooled->idle = false;
+    g_ptr_array_add(list, pooled);
+    return pooled;
+}
+
+struct sas_http_conn *
+SasPool_GetConn(const struct sas_pooled *pooled)
+{
+    return pooled->conn;
+}
+
+void
+SasPool_Give(struct sas_pooled *pooled, int64_t idle_ms)
+{
+    struct sas_pool *pool = pooled->pool;
+    if (SasFleet_GetServer(pool->fleet, pooled->server) == NULL) {
+        SasHttp_Close(pooled->conn);
+        return;
+    }
+    pooled->idle = true;
+    pooled->idle_since = (int64_t)uv_now(pool->loop);
+    /* A fifth less than the server says: its clock began before ours. */
+    pooled->idle_ms = idle_ms > 0 ? MIN(idle_ms * 4 / 5, SasPool_IDLE_MS)
+                                  : SasPool_IDLE_MS;
+}
+
+void
+SasPool_Drop(struct sas_pooled *pooled)
+{
+    SasHttp_Close(pooled->conn);
+}
+
+void
+SasPool_Sweep(struct sas_pool *pool)
+{
+    int64_t now_ms = (int64_t)uv_now(pool->loop);
+    for (guint slot = 0; slot < pool->by_slot->len; slot++) {
+        GPtrArray *list = pool->by_slot->pdata[slot];
+        for (guint i = list->len; i > 0; i--) {
+            struct sas_pooled *pooled = list->pdata[i - 1];
+            if (pooled->idle &&
+                now_ms - pooled->idle_since >= pooled->idle_ms) {
+                SasHttp_Close(pooled->conn);
+            }
+        }
+    }
+}
+
+int
+SasPool_CountOpened(const struct sas_pool *pool)
+{
+    return pool->opened;
+}
--- /dev/null
+++ b/packages/gateway/src/pool.h
@@ -0,0 +1,46 @@
+/* pool - kept connections to the backend servers.
+ *
+ * A connection carries one request at a time. Take gives an idle one or a new
+ * one; the HTTP client tells the pool when it closes, and Give puts it back.
+ * A connection that has been idle for nearly as long as its server keeps idle
+ * ones is closed here first: a request sent across the server's close is lost
+ * without a word of whether it ran.
+ */
+#ifndef SAS_POOL_H
+#define SAS_POOL_H
+
+#include <uv.h>
+
+#include "sas/fleet.h"
+#include "sas/http.h"
+
+/* Where a server states no idle time. The shortest seen is 10 s. */
+#define SasPool_IDLE_MS 8000
+
+/* A server that has not accepted by then is taken for dead; a connection
+ * across regions takes 50 ms. */
+#define SasPool_CONNECT_MS 400
+
+struct sas_pool;
+struct sas_pooled;
+
+struct sas_pool *SasPool_New(uv_loop_t *loop, struct sas_fleet *fleet);
+void SasPool_Free(struct sas_pool *pool);
+
+/* A connection for one request to the server at the slot. */
+struct sas_pooled *SasPool_Take(struct sas_pool *pool, int slot);
+struct sas_http_conn *SasPool_GetConn(const struct sas_pooled *pooled);
+
+/* After a whole answer; idle_ms is what the server said of idle connections,
+ * 0 for nothing. */
+void SasPool_Give(struct sas_pooled *pooled, int64_t idle_ms);
+
+/* Ends it with whatever runs on it. */
+void SasPool_Drop(struct sas_pooled *pooled);
+
+/* Closes what has been idle for too long; call it every second or so. */
+void SasPool_Sweep(struct sas_pool *pool);
+
+int SasPool_CountOpened(const struct sas_pool *pool);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/relay.c
@@ -0,0 +1,416 @@
+/* Decisions on a request: its route, its service, its server, its end. */
+#include "relay_call.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sas/log.h"
+
+/* What a caller is told where nothing is known of when it will be better. */
+#define RETRY_AFTER_MS 200
+
+static void on_request(struct sas_http_handler *handler,
+                       struct sas_http_exchange *exchange);
+static void on_abandoned(struct sas_http_handler *handler,
+                         struct sas_http_exchange *exchange);
+
+struct sas_relay *
+SasRelay_New(const struct sas_relay_options *options)
+{
+    struct sas_relay *relay = g_new0(struct sas_relay, 1);
+    relay->options = *options;
+    relay->handler.on_request = on_request;
+    relay->handler.on_abandoned = on_abandoned;
+    relay->services = g_ptr_array_new_with_free_func(g_free);
+    relay->slots = g_ptr_array_new_with_free_func(g_free);
+    relay->splits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return relay;
+}
+
+void
+SasRelay_Free(struct sas_relay *relay)
+{
+    g_ptr_array_free(relay->services, TRUE);
+    g_ptr_array_free(relay->slots, TRUE);
+    g_hash_table_destroy(relay->splits);
+    g_free(relay);
+}
+
+struct sas_http_handler *
+SasRelay_GetHandler(struct sas_relay *relay)
+{
+    return &relay->handler;
+}
+
+void
+SasRelay_Stop(struct sas_relay *relay)
+{
+    relay->stopping = true;
+}
+
+int64_t
+SasRelay_Now(const struct sas_relay *relay)
+{
+    return (int64_t)uv_now(relay->options.loop);
+}
+
+static struct service_state *
+get_service(struct sas_relay *relay, int service)
+{
+    const struct sas_entry_bounds *bounds = &relay->options.settings->bounds;
+    while ((int)relay->services->len <= service) {
+        struct service_state *state = g_new0(struct service_state, 1);
+        SasRepeat_Init(&state->repeats, bounds->retry_share,
+                       bounds->retry_burst, bounds->retry_window_ms);
+        g_ptr_array_add(relay->services, state);
+    }
+    return relay->services->pdata[service];
+}
+
+struct slot_state *
+SasRelay_GetSlot(struct sas_relay *relay, int slot)
+{
+    while ((int)relay->slots->len <= slot) {
+        g_ptr_array_add(relay->slots, g_new0(struct slot_state, 1));
+    }
+    struct slot_state *state = relay->slots->pdata[slot];
+    uint32_t generation =
+        SasFleet_GetRef(relay->options.fleet, slot).generation;
+    if (state->generation != generation || state->cold_sends.bucket_ms == 0) {
+        memset(state, 0, sizeof(*state));
+        state->generation = generation;
+        SasWindow_Init(&state->cold_sends, 1000);
+    }
+    return state;
+}
+
+/* Ends of a request. */
+
+static void
+free_call(struct relay_call *call)
+{
+    SasFleetConfig_Unref(call->config);
+    g_ptr_array_free(call->answer_headers, TRUE);
+    g_string_free(call->answer_body, TRUE);
+    g_free(call);
+}
+
+static void
+log_end(const struct relay_call *call, const char *outcome, int status)
+{
+    const struct sas_relay *relay = call->relay;
+    SasLog_Write(
+        SasLog_INFO, "request", call->server_id,
+        "request=%s outcome=%s status=%d route=%s service=%s tried=%d "
+        "took_ms=%d load=%.1f config=%" G_GINT64_FORMAT
+        " config_age_ms=%" G_GINT64_FORMAT,
+        call->request_id, outcome, status,
+        call->route != NULL ? call->route->name : "",
+        call->route != NULL
+            ? SasFleet_GetService(relay->options.fleet, call->service)->name
+            : "",
+        call->tried_count, (int)(SasRelay_Now(relay) - call->began_at),
+        call->load_when_sent, call->config != NULL ? call->config->version : 0,
+        call->config != NULL ? SasRelay_Now(relay) - call->config->applied_at
+                             : 0);
+}
+
+static void
+count_outcome(struct sas_relay *relay, const char *outcome)
+{
+    int metric = SasMetrics_Register(
+        relay->options.metrics, "sas_requests_total", "outcome", outcome,
+        "Requests of callers by how they ended");
+    SasMetrics_Add(relay->options.metrics, metric, 1);
+}
+
+void
+SasRelay_Finish(struct relay_call *call, const char *outcome,
+                const struct sas_http_reply *reply)
+{
+    log_end(call, outcome, reply->status);
+    count_outcome(call->relay, outcome);
+    SasHttpExchange_Reply(call->exchange, reply);
+    free_call(call);
+}
+
+void
+SasRelay_Refuse(struct relay_call *call, const char *outcome,
+                int64_t retry_after_ms)
+{
+    char seconds[32];
+    snprintf(seconds, sizeof(seconds), "%.3f",
+             (double)retry_after_ms / 1000.0);
+    struct sas_http_header header = {"Retry-After", seconds};
+    struct sas_http_reply reply = {
+        .status = 503,
+        .headers = &header,
+        .header_count = 1,
+        .body = "",
+    };
+    SasRelay_Finish(call, outcome, &reply);
+}
+
+void
+SasRelay_Fail(struct relay_call *call, const char *outcome, int status)
+{
+    struct sas_http_reply reply = {.status = status, .body = ""};
+    SasRelay_Finish(call, outcome, &reply);
+}
+
+/* The server. */
+
+static bool
+was_tried(const struct relay_call *call, int slot)
+{
+    for (int i = 0; i < call->tried_count; i++) {
+        if (call->tried[i] == slot) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A server that has just started breaks down under more than a few requests a
+ * second, and its failure looks like a crash. Its own region's entry VMs
+ * share what it bears; the others leave it alone. */
+static bool
+is_too_cold(struct relay_call *call, int slot, int64_t now_ms)
+{
+    struct sas_relay *relay = call->relay;
+    const struct sas_fleet *fleet = relay->options.fleet;
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    struct slot_state *state = SasRelay_GetSlot(relay, slot);
+    const struct sas_fleet_service *service =
+        SasFleet_GetService(fleet, server->service);
+    if (MAX(server->facts.cold_until_ms, state->cold_until_ms) <= now_ms ||
+        service->cold_per_s <= 0) {
+        return false;
+    }
+    const struct sas_entry_bounds *bounds = &relay->options.settings->bounds;
+    int region = SasFleet_GetServerRegion(fleet, slot);
+    if (!SasMesh_IsOwnRegion(relay->options.mesh, region)) {
+        return true;
+    }
+    int share = SasCold_GetShare(
+        service->cold_per_s, bounds->cold_factor, bounds->cold_slack,
+        SasMesh_CountInRegion(relay->options.mesh, region));
+    return SasWindow_Count(&state->cold_sends, now_ms) >= share;
+}
+
+/* Whether the request may go on to another server at all. */
+static const char *
+find_obstacle(struct relay_call *call, int64_t now_ms)
+{
+    if (call->deadline_at - now_ms < SasRelay_MIN_LEFT_MS) {
+        return "no time left";
+    }
+    if (call->tried_count == 0) {
+        return NULL;
+    }
+    if (call->attempts >= call->route->max_attempts ||
+        call->tried_count >= SasRelay_MAX_TRIED) {
+        return "no attempts left";
+    }
+    struct service_state *service = get_service(call->relay, call->service);
+    if (!SasRepeat_Take(&service->repeats,
+                        SasMesh_Count(call->relay->options.mesh), now_ms)) {
+        return "no repeats left";
+    }
+    return NULL;
+}
+
+static void
+give_up(struct relay_call *call, const char *outcome, int64_t retry_after_ms)
+{
+    if (call->attempts > 0) {
+        SasRelay_Fail(call, outcome, 502);
+        return;
+    }
+    SasRelay_Refuse(call, outcome, retry_after_ms);
+}
+
+/* Sends the request to the best server that is left, or ends it. */
+void
+SasRelay_Choose(struct relay_call *call)
+{
+    struct sas_relay *relay = call->relay;
+    int64_t now_ms = SasRelay_Now(relay);
+    const char *obstacle = find_obstacle(call, now_ms);
+    if (obstacle != NULL) {
+        give_up(call, obstacle, RETRY_AFTER_MS);
+        return;
+    }
+    struct sas_fleet *fleet = relay->options.fleet;
+    struct sas_owner_query query = {
+        .service = call->service,
+        .zone = SasMesh_GetOwnZone(relay->options.mesh),
+        .near = call->route->kind == SAS_ROUTE_UPLOAD,
+        .key = call->key,
+        .homes = call->route->homes,
+    };
+    int slots[SasOwner_MAX_CANDIDATES];
+    int count =
+        SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
+    int64_t room_ms = RETRY_AFTER_MS;
+    const char *reason = "no server";
+    for (int i = 0; i < count; i++) {
+        struct sas_fleet_server *server = SasFleet_At(fleet, slots[i]);
+        if (was_tried(call, slots[i])) {
+            continue;
+        }
+        if (is_too_cold(call, slots[i], now_ms)) {
+            reason = "server cold";
+            continue;
+        }
+        if (SasTraffic_HasRoom(server, SasTraffic_MAX_WAITING, now_ms)) {
+            SasRelay_Send(call, slots[i]);
+            return;
+        }
+        room_ms = SasTraffic_EstimateRoomMs(server, SasTraffic_MAX_WAITING,
+                                            now_ms);
+        reason = "owner full";
+        break;
+    }
+    give_up(call, reason, room_ms);
+}
+
+/* The service. */
+
+/* Each part of a split gets its share at every moment: the object's hash
+ * chooses, so that an object stays with a service, and where a part has
+ * fallen behind its weight it gets the request instead. */
+static int
+pick_part(struct relay_call *call)
+{
+    const GArray *parts = call->route->parts;
+    if (parts->len == 1) {
+        return g_array_index(parts, struct sas_route_part, 0).service;
+    }
+    double unit = (double)(call->key >> 11) / 9007199254740992.0;
+    guint picked = parts->len - 1;
+    for (guint i = 0; i < parts->len; i++) {
+        unit -= g_array_index(parts, struct sas_route_part, i).weight;
+        if (unit < 0) {
+            picked = i;
+            break;
+        }
+    }
+    struct split_state *state =
+        g_hash_table_lookup(call->relay->splits, call->route->name);
+    if (state == NULL) {
+        state = g_new0(struct split_state, 1);
+        g_hash_table_insert(call->relay->splits,
+                            g_strdup(call->route->name), state);
+    }
+    double sum = 0;
+    guint len = MIN(parts->len, G_N_ELEMENTS(state->sent));
+    for (guint i = 0; i < len; i++) {
+        sum += state->sent[i];
+    }
+    guint furthest = picked;
+    double most = 0.04 * sum + 2;
+    for (guint i = 0; i < len; i++) {
+        double weight = g_array_index(parts, struct sas_route_part, i).weight;
+        double behind = weight * sum - state->sent[i];
+        if (behind > most) {
+            most = behind;
+            furthest = i;
+        }
+    }
+    for (guint i = 0; i < len; i++) {
+        state->sent[i] *= 0.995;
+    }
+    state->sent[MIN(furthest, len - 1)] += 1;
+    return g_array_index(parts, struct sas_route_part, furthest).service;
+}
+
+static int64_t
+get_deadline(const struct relay_call *call)
+{
+    const char *text = SasHttpExchange_FindHeader(
+        call->exchange, call->relay->options.wire->deadline_ms);
+    int64_t limit_ms = SasRelay_DEFAULT_DEADLINE_MS;
+    if (text != NULL && strtoll(text, NULL, 10) > 0) {
+        limit_ms = MIN(limit_ms, strtoll(text, NULL, 10));
+    }
+    if (call->route->timeout_ms > 0) {
+        limit_ms = MIN(limit_ms, call->route->timeout_ms);
+    }
+    return call->began_at + limit_ms;
+}
+
+static uint64_t
+hash_object(const struct relay_call *call)
+{
+    const struct sas_entry_wire *wire = call->relay->options.wire;
+    const char *key =
+        SasHttpExchange_FindHeader(call->exchange, wire->object_key);
+    if (key == NULL || !call->route->sticky) {
+        key = call->request_id;
+    }
+    return SasOwner_HashKey(key);
+}
+
+static struct relay_call *
+new_call(struct sas_relay *relay, struct sas_http_exchange *exchange)
+{
+    struct relay_call *call = g_new0(struct relay_call, 1);
+    call->relay = relay;
+    call->exchange = exchange;
+    call->began_at = SasHttpExchange_GetBeganAt(exchange);
+    call->answer_headers = g_ptr_array_new_with_free_func(g_free);
+    call->answer_body = g_string_new(NULL);
+    const char *id = SasHttpExchange_FindHeader(
+        exchange, relay->options.wire->request_id);
+    g_strlcpy(call->request_id, id != NULL ? id : "",
+              sizeof(call->request_id));
+    SasHttpExchange_SetUser(exchange, call);
+    return call;
+}
+
+static void
+on_request(struct sas_http_handler *handler,
+           struct sas_http_exchange *exchange)
+{
+    struct sas_relay *relay = (struct sas_relay *)handler;
+    struct relay_call *call = new_call(relay, exchange);
+    struct sas_fleet_config *config =
+        SasFleet_GetConfig(relay->options.fleet);
+    if (relay->stopping) {
+        SasRelay_Refuse(call, "stopping", RETRY_AFTER_MS);
+        return;
+    }
+    if (config == NULL) {
+        SasRelay_Refuse(call, "no configuration", RETRY_AFTER_MS);
+        return;
+    }
+    call->config = SasFleetConfig_Ref(config);
+    const char *host = SasHttpExchange_FindHeader(exchange, "Host");
+    call->route = SasFleetConfig_FindRoute(
+        config, host != NULL ? host : "", SasHttpExchange_GetTarget(exchange));
+    if (call->route == NULL) {
+        SasRelay_Fail(call, "no route", 404);
+        return;
+    }
+    call->deadline_at = get_deadline(call);
+    call->key = hash_object(call);
+    call->service = pick_part(call);
+    SasRepeat_NoteRequest(&get_service(relay, call->service)->repeats,
+                          SasRelay_Now(relay));
+    SasRelay_Choose(call);
+}
+
+static void
+on_abandoned(struct sas_http_handler *handler,
+             struct sas_http_exchange *exchange)
+{
+    (void)handler;
+    struct relay_call *call = SasHttpExchange_GetUser(exchange);
+    SasRelay_Cancel(call);
+    log_end(call, "caller left", 0);
+    count_outcome(call->relay, "caller left");
+    free_call(call);
+}
--- /dev/null
+++ b/packages/gateway/src/relay_attempt.c
@@ -0,0 +1,339 @@
+/* One attempt of a request at a backend server. */
+#include "relay_call.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "sas/log.h"
+
+static void on_head(struct sas_http_user *user, int status,
+                    const struct sas_http_header *headers, int header_count);
+static void on_body(struct sas_http_user *user, const char *data, size_t size);
+static void on_end(struct sas_http_user *user, bool whole, bool reusable);
+static void on_fail(struct sas_http_user *user,
+                    const struct sas_http_failure *failure);
+
+static const struct sas_http_user_vtable user_vtable = {
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_end = on_end,
+    .on_fail = on_fail,
+};
+
+/* Sending. */
+
+/* Header fields of the caller, those of the attempt in place of its own. */
+static int
+fill_headers(const struct relay_call *call, struct sas_http_header *headers,
+             const char *left_ms)
+{
+    const struct sas_entry_wire *wire = call->relay->options.wire;
+    int given = 0;
+    const struct sas_http_header *from =
+        SasHttpExchange_GetHeaders(call->exchange, &given);
+    int count = 0;
+    for (int i = 0; i < given; i++) {
+        const char *name = from[i].name;
+        if (SasHttp_IsHopHeader(name) || strcasecmp(name, "Host") == 0 ||
+            strcasecmp(name, "Expect") == 0 ||
+            strcasecmp(name, wire->deadline_ms) == 0 ||
+            strcasecmp(name, wire->target) == 0) {
+            continue;
+        }
+        headers[count++] = from[i];
+    }
+    headers[count].name = wire->deadline_ms;
+    headers[count++].value = left_ms;
+    headers[count].name = wire->target;
+    headers[count++].value = call->server_id;
+    return count;
+}
+
+void
+SasRelay_Send(struct relay_call *call, int slot)
+{
+    struct sas_relay *relay = call->relay;
+    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
+    int64_t now_ms = SasRelay_Now(relay);
+    int64_t left_ms = call->deadline_at - now_ms;
+    SasRelay_ClearAnswer(call);
+    call->server = SasFleet_GetRef(relay->options.fleet, slot);
+    g_strlcpy(call->server_id, server->facts.id, sizeof(call->server_id));
+    call->sent_at = now_ms;
+    call->load_when_sent = SasTraffic_EstimateLoad(server, now_ms);
+    call->tried[call->tried_count++] = slot;
+    SasTraffic_NoteSent(server);
+    SasWindow_Add(&SasRelay_GetSlot(relay, slot)->cold_sends, 1, now_ms);
+
+    struct sas_http_header headers[SasHttp_MAX_HEADERS + 4];
+    char left[24];
+    snprintf(left, sizeof(left), "%d", (int)left_ms);
+    struct sas_http_request request = {
+        .method = SasHttpExchange_GetMethod(call->exchange),
+        .target = SasHttpExchange_GetTarget(call->exchange),
+        .host = SasHttpExchange_FindHeader(call->exchange, "Host"),
+        .headers = headers,
+        .header_count = fill_headers(call, headers, left),
+    };
+    request.body = SasHttpExchange_GetBody(call->exchange, &request.body_size);
+    call->user.vtable = &user_vtable;
+    call->pooled = SasPool_Take(relay->options.pool, slot);
+    SasHttp_Send(SasPool_GetConn(call->pooled), &request, left_ms,
+                 &call->user);
+}
+
+static void
+end_attempt(struct relay_call *call)
+{
+    struct sas_fleet_server *server =
+        SasFleet_GetServer(call->relay->options.fleet, call->server);
+    if (server != NULL) {
+        SasTraffic_NoteEnded(server);
+    }
+    call->pooled = NULL;
+}
+
+void
+SasRelay_Cancel(struct relay_call *call)
+{
+    if (call->pooled != NULL) {
+        struct sas_pooled *pooled = call->pooled;
+        end_attempt(call);
+        SasPool_Drop(pooled);
+    }
+}
+
+/* The answer. */
+
+void
+SasRelay_ClearAnswer(struct relay_call *call)
+{
+    call->status = 0;
+    call->sealed = false;
+    call->not_run = false;
+    call->spoiled = false;
+    call->idle_ms = 0;
+    call->report.running = -1;
+    call->report.waiting = 0;
+    g_ptr_array_set_size(call->answer_headers, 0);
+    g_string_truncate(call->answer_body, 0);
+}
+
+static void
+read_report(struct relay_call *call, const char *text)
+{
+    int running = 0;
+    int waiting = 0;
+    if (sscanf(text, "%d,%d", &running, &waiting) == 2 && running >= 0 &&
+        waiting >= 0) {
+        call->report.running = running;
+        call->report.waiting = waiting;
+    }
+}
+
+/* "timeout=5, max=100": whole seconds that the server keeps an idle
+ * connection. */
+static int64_t
+read_keep_alive(const char *text)
+{
+    const char *found = strstr(text, "timeout=");
+    return found == NULL ? 0 : strtoll(found + strlen("timeout="), NULL, 10) *
+                                   1000;
+}
+
+static void
+take_header(struct relay_call *call, const struct sas_http_header *header)
+{
+    const struct sas_entry_wire *wire = call->relay->options.wire;
+    if (strcasecmp(header->name, wire->load) == 0) {
+        read_report(call, header->value);
+        return;
+    }
+    if (strcasecmp(header->name, "Keep-Alive") == 0) {
+        call->idle_ms = read_keep_alive(header->value);
+        return;
+    }
+    if (strcasecmp(header->name, wire->seal) == 0) {
+        call->sealed = true;
+    }
+    else if (strcasecmp(header->name, wire->not_run) == 0) {
+        call->not_run = true;
+    }
+    else if (strcasecmp(header->name, "Content-Encoding") == 0) {
+        call->spoiled = true;
+    }
+    if (!SasHttp_IsHopHeader(header->name)) {
+        g_ptr_array_add(call->answer_headers, g_strdup(header->name));
+        g_ptr_array_add(call->answer_headers, g_strdup(header->value));
+    }
+}
+
+static void
+on_head(struct sas_http_user *user, int status,
+        const struct sas_http_header *headers, int header_count)
+{
+    struct relay_call *call = (struct relay_call *)user;
+    const struct sas_entry_wire *wire = call->relay->options.wire;
+    const char *id =
+        SasHttp_FindHeader(headers, header_count, wire->request_id);
+    /* A second answer to an earlier request may come where ours is due; the
+     * id tells. Taken for ours, a caller would get another's record. A
+     * server that refuses a request may leave the id out. */
+    bool refused = SasHttp_FindHeader(headers, header_count, wire->not_run) ||
+                   status == 421;
+    if ((id != NULL && strcmp(id, call->request_id) != 0) ||
+        (id == NULL && !refused && call->request_id[0] != '\0')) {
+        SasHttp_SkipAnswer(SasPool_GetConn(call->pooled));
+        SasLog_Write(SasLog_WARN, "relay.answer", call->server_id,
+                     "request=%s outcome=skipped answer of another request",
+                     call->request_id);
+        return;
+    }
+    SasRelay_ClearAnswer(call);
+    call->status = status;
+    for (int i = 0; i < header_count; i++) {
+        take_header(call, &headers[i]);
+    }
+}
+
+static void
+on_body(struct sas_http_user *user, const char *data, size_t size)
+{
+    struct relay_call *call = (struct relay_call *)user;
+    if (call->answer_body->len + size > SasRelay_MAX_ANSWER) {
+        call->spoiled = true;
+        return;
+    }
+    g_string_append_len(call->answer_body, data, (gssize)size);
+}
+
+/* Whether the answer may go to the caller as it is. A success counts only
+ * with the server's seal; and the statuses that promise "not run" must not
+ * come from a server that doesn't say so. */
+static bool
+is_deliverable(const struct relay_call *call)
+{
+    if (call->spoiled) {
+        return false;
+    }
+    switch (call->status) {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+        return false;
+    default:
+        return call->sealed || call->status / 100 != 2;
+    }
+}
+
+static void
+deliver(struct relay_call *call)
+{
+    int count = (int)call->answer_headers->len / 2;
+    struct sas_http_header headers[SasHttp_MAX_HEADERS];
+    count = MIN(count, SasHttp_MAX_HEADERS);
+    for (int i = 0; i < count; i++) {
+        headers[i].name = call->answer_headers->pdata[2 * i];
+        headers[i].value = call->answer_headers->pdata[2 * i + 1];
+    }
+    struct sas_http_reply reply = {
+        .status = call->status,
+        .headers = headers,
+        .header_count = count,
+        .body = call->answer_body->str,
+        .body_size = call->answer_body->len,
+    };
+    SasRelay_Finish(call, call->status / 100 == 2 ? "answered" : "failed",
+                    &reply);
+}
+
+/* May it run once more although it may have run? */
+static void
+repeat_or_fail(struct relay_call *call, const char *outcome)
+{
+    if (call->route->kind == SAS_ROUTE_SAFE) {
+        SasRelay_Choose(call);
+        return;
+    }
+    SasRelay_Fail(call, outcome, 502);
+}
+
+static void
+on_end(struct sas_http_user *user, bool whole, bool reusable)
+{
+    struct relay_call *call = (struct relay_call *)user;
+    struct sas_relay *relay = call->relay;
+    (void)whole; /* framed by its close, and closed in order: whole too */
+    int64_t now_ms = SasRelay_Now(relay);
+    struct sas_pooled *pooled = call->pooled;
+    struct sas_fleet_server *server =
+        SasFleet_GetServer(relay->options.fleet, call->server);
+    end_attempt(call);
+    if (reusable) {
+        SasPool_Give(pooled, call->idle_ms);
+    }
+    bool not_run = call->not_run || call->status == 421;
+    if (server != NULL) {
+        SasTraffic_NoteReport(server, &call->report, now_ms);
+        if (not_run) {
+            SasTraffic_NoteShed(server, now_ms);
+        }
+        else {
+            SasTraffic_NoteAnswered(server, (double)(now_ms - call->sent_at),
+                                    call->load_when_sent);
+        }
+    }
+    if (not_run) {
+        SasRelay_Choose(call);
+        return;
+    }
+    call->attempts++;
+    if (is_deliverable(call)) {
+        deliver(call);
+        return;
+    }
+    repeat_or_fail(call, "spoiled answer");
+}
+
+static void
+note_failure(struct relay_call *call, bool refused)
+{
+    struct sas_relay *relay = call->relay;
+    struct sas_fleet_server *server =
+        SasFleet_GetServer(relay->options.fleet, call->server);
+    if (server == NULL) {
+        return;
+    }
+    int64_t now_ms = SasRelay_Now(relay);
+    if (SasTraffic_NoteFailure(server, now_ms)) {
+        SasLog_Write(SasLog_WARN, "server.shunned", call->server_id,
+                     "failures=%d for_ms=%d cause=%s",
+                     server->traffic.failures, SasTraffic_SHUN_MS,
+                     refused ? "no connection" : "connection lost");
+    }
+}
+
+static void
+on_fail(struct sas_http_user *user, const struct sas_http_failure *failure)
+{
+    struct relay_call *call = (struct relay_call *)user;
+    end_attempt(call);
+    if (failure->error.code == SAS_ETIMEOUT) {
+        call->attempts++;
+        SasRelay_Fail(call, "timed out", 504);
+        return;
+    }
+    note_failure(call, !failure->sent);
+    SasLog_Write(SasLog_WARN, failure->error.step, call->server_id,
+                 "request=%s sent=%d begun=%d %s", call->request_id,
+                 failure->sent, failure->begun, failure->error.text);
+    if (!failure->sent) {
+        SasRelay_Choose(call);
+        return;
+    }
+    call->attempts++;
+    repeat_or_fail(call, "connection lost");
+}
--- /dev/null
+++ b/packages/gateway/src/relay_call.h
@@ -0,0 +1,100 @@
+/* relay_call - the parts of relay.c and relay_attempt.c that both use. */
+#ifndef SAS_RELAY_CALL_H
+#define SAS_RELAY_CALL_H
+
+#include "relay.h"
+#include "sas/allowance.h"
+#include "sas/http.h"
+#include "sas/owner.h"
+#include "sas/traffic.h"
+
+#define SasRelay_MAX_TRIED 8
+
+/* Answers longer than this are given up as faulty. */
+#define SasRelay_MAX_ANSWER (16 * 1024 * 1024)
+
+/* Less time than this is not worth a try: the way there and back. */
+#define SasRelay_MIN_LEFT_MS 15
+
+/* Where neither the caller nor the route states a limit. */
+#define SasRelay_DEFAULT_DEADLINE_MS 30000
+
+struct service_state {
+    struct sas_repeat_allowance repeats;
+};
+
+/* What a server that has just started bears, by slot. */
+struct slot_state {
+    uint32_t generation;
+    struct sas_window cold_sends;
+    int64_t cold_until_ms; /* suspected, beside what is announced */
+};
+
+struct split_state { /* of a route by name */
+    double sent[16];
+};
+
+struct sas_relay {
+    struct sas_http_handler handler;
+    struct sas_fleet_listener listener;
+    struct sas_relay_options options;
+    GPtrArray *services; /* struct service_state *, by handle */
+    GPtrArray *slots;    /* struct slot_state *, by slot */
+    GHashTable *splits;  /* struct split_state by route name */
+    GPtrArray *calls;
+    bool stopping;
+    int requests_metric;
+    int outcome_metrics[32];
+    int outcome_count;
+};
+
+/* One request of a caller, from its arrival to its answer. */
+struct relay_call {
+    struct sas_http_user user; /* of the current attempt's connection */
+    struct sas_relay *relay;
+    struct sas_http_exchange *exchange;
+    struct sas_fleet_config *config;
+    const struct sas_route *route;
+    int service;
+    uint64_t key;
+    char request_id[64];
+    int64_t began_at;
+    int64_t deadline_at;
+    int tried[SasRelay_MAX_TRIED];
+    int tried_count;
+    int attempts; /* that reached, or may have reached, a server */
+
+    /* the current attempt */
+    struct sas_pooled *pooled;
+    struct sas_server_ref server;
+    char server_id[SasFleet_ID_SIZE];
+    int64_t sent_at;
+    double load_when_sent;
+
+    /* its answer */
+    int status;
+    GPtrArray *answer_headers; /* char *, names and values by turns */
+    GString *answer_body;
+    struct sas_traffic_report report;
+    bool sealed;
+    bool not_run;
+    bool spoiled; /* not what the server made */
+    int64_t idle_ms;
+};
+
+/* relay.c */
+int64_t SasRelay_Now(const struct sas_relay *relay);
+void SasRelay_Choose(struct relay_call *call);
+void SasRelay_Refuse(struct relay_call *call, const char *outcome,
+                     int64_t retry_after_ms);
+void SasRelay_Fail(struct relay_call *call, const char *outcome, int status);
+void SasRelay_Finish(struct relay_call *call, const char *outcome,
+                     const struct sas_http_reply *reply);
+struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
+
+/* relay_attempt.c */
+void SasRelay_Send(struct relay_call *call, int slot);
+void SasRelay_Cancel(struct relay_call *call);
+void SasRelay_ClearAnswer(struct relay_call *call);
+
+#endif
--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -19,19 +19,17 @@
 #include <uv.h>
 
 #include "sas/error.h"
+#include "sas/http_head.h"
 #include "sas/model.h"
 
-#define SasHttp_MAX_HEADERS 100
-#define SasHttp_MAX_HEADER_BYTES 65536
-
-struct sas_http_header {
-    const char *name;
-    const char *value;
-};
+/* Sent bytes that the peer's kernel has not acknowledged for so long end the
+ * connection: three retransmissions of a busy link fit into it. */
+#define SasHttp_UNACKED_LIMIT_MS 1500
 
 struct sas_http_request {
     const char *method;
     const char *target;
+    const char *host; /* NULL: the peer's address */
     const struct sas_http_header *headers;
     int header_count;
     const char *body; /* must stay until the request has ended */
@@ -85,12 +83,17 @@
                   const struct sas_http_request *request, int64_t timeout_ms,
                   struct sas_http_user *user);
 
+/* From within on_head: this answer belongs to another request. It is dropped
+ * and the next one on the connection is waited for. */
+void SasHttp_SkipAnswer(struct sas_http_conn *conn);
+
 /* Stops and restarts reading, to hold back a fast sender. */
 void SasHttp_Pause(struct sas_http_conn *conn);
 void SasHttp_Resume(struct sas_http_conn *conn);
 
 /* State of a connection, times in loop milliseconds. HadStrayBytes: bytes
  * came that belong to no request. */
+bool SasHttp_IsIdle(const struct sas_http_conn *conn);
 bool SasHttp_HadStrayBytes(const struct sas_http_conn *conn);
 int64_t SasHttp_GetOpenedAt(const struct sas_http_conn *conn);
 int64_t SasHttp_GetLastReadAt(const struct sas_http_conn *conn);
@@ -112,10 +115,6 @@
                               const char *name);
 void SasHttp_FreeResponse(struct sas_http_response *response);
 
-/* The value of a header, NULL when absent; names ignore case. */
-const char *SasHttp_FindHeader(const struct sas_http_header *headers,
-                               int header_count, const char *name);
-
 /* The usual reason phrase of a status. */
 const char *SasHttp_GetReason(int status);
 
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -3,6 +3,8 @@
 #include <errno.h>
 #include <glib.h>
 #include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -42,15 +44,18 @@
 
     /* the current answer */
     http_parser parser;
-    GString *header_text; /* NUL-separated names and values */
-    GArray *header_offsets;
-    bool last_was_value;
+    struct sas_http_head head;
     bool framed_by_close;
+    bool skipping; /* the answer being read is another request's */
     bool ended;
     bool stray;
-    char read_buffer[READ_BUFFER_SIZE];
 };
 
+/* Bytes are used up within the read callback, so the connections of a thread
+ * share one buffer: 64 kB for each of some hundred idle connections would be
+ * most of a process's memory. */
+static _Thread_local char read_buffer[READ_BUFFER_SIZE];
+
 static void begin_write(struct sas_http_conn *conn);
 static void fail(struct sas_http_conn *conn, enum sas_code code,
                  const char *step, const char *text);
@@ -60,6 +65,20 @@
 static void on_timer(uv_timer_t *timer);
 static const http_parser_settings *get_parser_settings(void);
 
+/* A connection that something on the way has lost track of goes silent for
+ * good, while new ones work; without this limit a request sent on it waits
+ * for an answer until its own deadline. */
+static void
+limit_unacked(uv_tcp_t *tcp)
+{
+    uv_os_fd_t fd;
+    unsigned int limit_ms = SasHttp_UNACKED_LIMIT_MS;
+    if (uv_fileno((uv_handle_t *)tcp, &fd) == 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+                   sizeof(limit_ms));
+    }
+}
+
 struct sas_http_conn *
 SasHttp_Connect(uv_loop_t *loop, const struct sas_address *address,
                 int64_t connect_timeout_ms, struct sas_http_owner *owner)
@@ -70,8 +89,7 @@
     conn->opened_at = (int64_t)uv_now(loop);
     conn->last_read_at = conn->opened_at;
     conn->out_head = g_string_new(NULL);
-    conn->header_text = g_string_new(NULL);
-    conn->header_offsets = g_array_new(FALSE, FALSE, sizeof(size_t));
+    SasHttpHead_Init(&conn->head);
     snprintf(conn->peer, sizeof(conn->peer), "%s:%d", address->ip,
              address->port);
     uv_tcp_init(loop, &conn->tcp);
@@ -91,6 +109,7 @@
         return conn;
     }
     uv_tcp_nodelay(&conn->tcp, 1);
+    limit_unacked(&conn->tcp);
     return conn;
 }
 
@@ -103,8 +122,7 @@
         return;
     }
     g_string_free(conn->out_head, TRUE);
-    g_string_free(conn->header_text, TRUE);
-    g_array_free(conn->header_offsets, TRUE);
+    SasHttpHead_Close(&conn->head);
     g_free(conn);
 }
 
@@ -137,14 +155,14 @@
     conn->begun = false;
     conn->ended = false;
     conn->framed_by_close = false;
-    conn->last_was_value = false;
-    g_string_truncate(conn->header_text, 0);
-    g_array_set_size(conn->header_offsets, 0);
+    conn->skipping = false;
+    SasHttpHead_Reset(&conn->head);
     http_parser_init(&conn->parser, HTTP_RESPONSE);
     conn->parser.data = conn;
 
     g_string_printf(conn->out_head, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                    request->method, request->target, conn->peer);
+                    request->method, request->target,
+                    request->host != NULL ? request->host : conn->peer);
     for (int i = 0; i < request->header_count; i++) {
         g_string_append_printf(conn->out_head, "%s: %s\r\n",
                                request->headers[i].name,
@@ -179,6 +197,18 @@
     }
 }
 
+void
+SasHttp_SkipAnswer(struct sas_http_conn *conn)
+{
+    conn->skipping = true;
+}
+
+bool
+SasHttp_IsIdle(const struct sas_http_conn *conn)
+{
+    return conn->state == CONN_IDLE && conn->user == NULL;
+}
+
 bool
 SasHttp_HadStrayBytes(const struct sas_http_conn *conn)
 {
@@ -197,18 +227,6 @@
     return conn->last_read_at;
 }
 
-const char *
-SasHttp_FindHeader(const struct sas_http_header *headers, int header_count,
-                   const char *name)
-{
-    for (int i = 0; i < header_count; i++) {
-        if (strcasecmp(headers[i].name, name) == 0) {
-            return headers[i].value;
-        }
-    }
-    return NULL;
-}
-
 const char *
 SasHttp_GetReason(int status)
 {
@@ -320,8 +338,8 @@
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
     (void)suggested;
-    struct sas_http_conn *conn = handle->data;
-    *buffer = uv_buf_init(conn->read_buffer, sizeof(conn->read_buffer));
+    (void)handle;
+    *buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
 static void
@@ -393,21 +411,6 @@
 
 /* Parser callbacks. */
 
-static void
-append_text(struct sas_http_conn *conn, const char *at, size_t length,
-            bool is_value)
-{
-    bool first = conn->header_offsets->len == 0;
-    if (first || is_value != conn->last_was_value) {
-        if (!first) {
-            g_string_append_c(conn->header_text, '\0');
-        }
-        g_array_append_val(conn->header_offsets, conn->header_text->len);
-        conn->last_was_value = is_value;
-    }
-    g_string_append_len(conn->header_text, at, (gssize)length);
-}
-
 static int
 on_header_field(http_parser *parser, const char *at, size_t length)
 {
@@ -415,12 +418,8 @@
     if (parser->flags & F_TRAILING) {
         return 0;
     }
-    if (conn->header_text->len + length > SasHttp_MAX_HEADER_BYTES ||
-        conn->header_offsets->len >= 2 * SasHttp_MAX_HEADERS) {
-        return -1;
-    }
-    append_text(conn, at, length, false);
-    return 0;
+    return SasHttpHead_AppendName(&conn->head, at, length,
+                                  SasHttp_MAX_HEADER_BYTES);
 }
 
 static int
@@ -430,11 +429,8 @@
     if (parser->flags & F_TRAILING) {
         return 0;
     }
-    if (conn->header_text->len + length > SasHttp_MAX_HEADER_BYTES) {
-        return -1;
-    }
-    append_text(conn, at, length, true);
-    return 0;
+    return SasHttpHead_AppendValue(&conn->head, at, length,
+                                   SasHttp_MAX_HEADER_BYTES);
 }
 
 static int
@@ -448,20 +444,9 @@
                    parser->status_code == 304;
     conn->framed_by_close = !no_body && !(parser->flags & F_CHUNKED) &&
                             !(parser->flags & F_CONTENTLENGTH);
-    struct sas_http_header headers[SasHttp_MAX_HEADERS];
-    int count = 0;
-    for (guint i = 0;
-         i + 1 < conn->header_offsets->len && count < SasHttp_MAX_HEADERS;
-         i += 2) {
-        headers[count].name = conn->header_text->str +
-                              g_array_index(conn->header_offsets, size_t, i);
-        headers[count].value =
-            conn->header_text->str +
-            g_array_index(conn->header_offsets, size_t, i + 1);
-        count++;
-    }
-    conn->user->vtable->on_head(conn->user, (int)parser->status_code, headers,
-                                count);
+    SasHttpHead_Finish(&conn->head);
+    conn->user->vtable->on_head(conn->user, (int)parser->status_code,
+                                conn->head.fields, conn->head.count);
     if (conn->state == CONN_CLOSING) {
         return -1;
     }
@@ -472,6 +457,9 @@
 on_body(http_parser *parser, const char *at, size_t length)
 {
     struct sas_http_conn *conn = parser->data;
+    if (conn->skipping) {
+        return 0;
+    }
     conn->user->vtable->on_body(conn->user, at, length);
     return conn->state == CONN_CLOSING ? -1 : 0;
 }
@@ -480,10 +468,9 @@
 on_message_complete(http_parser *parser)
 {
     struct sas_http_conn *conn = parser->data;
-    if (parser->status_code / 100 == 1) {
-        g_string_truncate(conn->header_text, 0);
-        g_array_set_size(conn->header_offsets, 0);
-        conn->last_was_value = false;
+    if (parser->status_code / 100 == 1 || conn->skipping) {
+        SasHttpHead_Reset(&conn->head);
+        conn->skipping = false;
         return 0;
     }
     conn->ended = true;
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -1,9 +1,12 @@
 /* sassafrassilld - the process of an entry VM. */
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "node.h"
 #include "sas/log.h"
+#include "sas/platform.h"
 
 enum {
     EXIT_USAGE = 2
@@ -11,6 +14,7 @@
 
 struct options {
     char *settings;
+    char *platform;
     char *vm;
     char *log;
     gboolean check;
@@ -56,6 +60,68 @@
     return status;
 }
 
+struct live {
+    const char *path;
+    struct sas_entry_settings settings;
+};
+
+static void
+reload(void *data)
+{
+    struct live *live = data;
+    struct sas_entry_settings settings;
+    struct sas_error error = {0};
+    if (SasPlatform_LoadSettings(&settings, live->path, &error) != 0) {
+        SasLog_WriteError(SasLog_ERROR, &error);
+        return;
+    }
+    /* Addresses and places are fixed for a process. */
+    live->settings.bounds = settings.bounds;
+}
+
+/* An entry VM on the users' platform: everything beyond its own addresses is
+ * learned at run time. */
+static int
+run_live(const struct options *options)
+{
+    struct live live = {.path = options->platform};
+    struct sas_error error = {0};
+    if (SasPlatform_LoadSettings(&live.settings, live.path, &error) != 0) {
+        return fail(error.text);
+    }
+    if (options->check) {
+        printf("%s: ok\n", live.path);
+        return 0;
+    }
+    if (SasLog_Open(live.settings.name, "-", "info", &error) != 0) {
+        return fail(error.text);
+    }
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    signal(SIGPIPE, SIG_IGN);
+    struct sas_fleet *fleet = SasFleet_New();
+    for (int i = 0; i < live.settings.place_count; i++) {
+        SasFleet_AddZone(fleet, live.settings.places[i].zone,
+                         live.settings.places[i].region);
+    }
+    struct sas_source *source =
+        SasPlatform_Open(&loop, fleet, &live.settings);
+    struct sas_gateway *gateway =
+        SasGateway_Open(&loop, fleet, &live.settings, SasPlatform_GetWire(),
+                        source, &error);
+    if (gateway == NULL) {
+        SasLog_WriteError(SasLog_ERROR, &error);
+        return EXIT_FAILURE;
+    }
+    SasGateway_SetReload(gateway, reload, &live);
+    int status = SasGateway_Run(gateway);
+    SasGateway_Close(gateway);
+    SasPlatform_Close(source);
+    SasFleet_Free(fleet);
+    SasLog_Close();
+    return status;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -63,6 +129,9 @@
     const GOptionEntry entries[] = {
         {"settings", 's', 0, G_OPTION_ARG_FILENAME, &options.settings,
          "The deployment's settings (TOML)", "FILE"},
+        {"platform-settings", 'p', 0, G_OPTION_ARG_FILENAME,
+         &options.platform,
+         "Run on the users' platform, by its settings file", "FILE"},
         {"vm", 'v', 0, G_OPTION_ARG_STRING, &options.vm,
          "Which entry VM of the settings this process is", "NAME"},
         {"log", 'l', 0, G_OPTION_ARG_FILENAME, &options.log,
@@ -83,10 +152,12 @@
     if (!parsed) {
         return fail(reason->message);
     }
-    if (options.settings == NULL) {
-        return fail("--settings FILE is needed; see --help");
+    if ((options.settings == NULL) == (options.platform == NULL)) {
+        return fail("one of --settings FILE and --platform-settings FILE is "
+                    "needed; see --help");
     }
-    int status = run(&options);
+    int status = options.platform != NULL ? run_live(&options) : run(&options);
+    g_free(options.platform);
     g_free(options.settings);
     g_free(options.vm);
     g_free(options.log);
--- a/packages/observe/src/log.c
+++ b/packages/observe/src/log.c
@@ -50,6 +50,15 @@
 static FILE *log_file;
 static char *log_vm;
 
+static FILE *
+open_file(const char *path)
+{
+    if (path == NULL) {
+        return stderr;
+    }
+    return strcmp(path, "-") == 0 ? stdout : fopen(path, "ae");
+}
+
 int
 SasLog_Open(const char *vm, const char *path, const char *level,
             struct sas_error *error)
@@ -60,7 +69,7 @@
                      level);
         return -1;
     }
-    FILE *file = path == NULL ? stderr : fopen(path, "ae");
+    FILE *file = open_file(path);
     if (file == NULL) {
         SasError_Set(error, SAS_EIO, "log.open", "", "%s: %s", path,
                      g_strerror(errno));
@@ -90,7 +99,7 @@
         return;
     }
     log_category = NULL;
-    if (log_file != stderr) {
+    if (log_file != stderr && log_file != stdout) {
         fclose(log_file);
     }
     log_file = NULL;
--- a/packages/proto/generate.sh
+++ b/packages/proto/generate.sh
@@ -1,10 +1,12 @@
 #!/bin/bash
-# Writes the XDR code of peer_rpc.x anew (rpcgen, package rpcsvc-proto).
+# Writes the XDR code of the .x files anew (rpcgen, package rpcsvc-proto).
 set -eu
 cd "$(dirname "$0")"
-header=include/sas/generated/peer_rpc.h
-source=src/generated/peer_rpc_xdr.c
-rm -f "$header" "$source"
-rpcgen -h -o "$header" peer_rpc.x
-rpcgen -c -o "$source" peer_rpc.x
-sed -i 's|#include "peer_rpc.h"|#include "sas/generated/peer_rpc.h"|' "$source"
+for name in peer_rpc mesh; do
+    header=include/sas/generated/$name.h
+    source=src/generated/${name}_xdr.c
+    rm -f "$header" "$source"
+    rpcgen -h -o "$header" $name.x
+    rpcgen -c -o "$source" $name.x
+    sed -i "s|#include \"$name.h\"|#include \"sas/generated/$name.h\"|" "$source"
+done
--- /dev/null
+++ b/packages/proto/mesh.x
@@ -0,0 +1,37 @@
+/* mesh - the datagrams between entry VMs that find each other at run time.
+ * packages/proto/generate.sh turns it into include/sas/generated/mesh.h and
+ * src/generated/mesh_xdr.c. Every list and text has a bound, so that the
+ * decoder never allocates more than that.
+ */
+
+const SAS_MESH_FORMAT = 1;
+const SAS_MESH_MAX_NEWS = 24;
+const SAS_MESH_MAX_TEXT = 47;
+
+/* The sender: enough for a receiver that has never heard of it. */
+struct sas_mesh_vm {
+    string name<SAS_MESH_MAX_TEXT>;
+    string zone<SAS_MESH_MAX_TEXT>;
+    string ip<SAS_MESH_MAX_TEXT>;
+    unsigned int caller_port;
+    unsigned int peer_port;
+    unsigned hyper incarnation;
+};
+
+/* What the sender knows of an entry VM, itself included. */
+struct sas_mesh_news {
+    unsigned hyper name_hash;
+    unsigned hyper incarnation;
+    unsigned hyper config_version;
+    unsigned int heartbeat;
+    unsigned int doubt;
+    unsigned int age_ms;
+    bool leaving;
+};
+
+struct sas_mesh_message {
+    unsigned int format;
+    bool wants_reply;
+    sas_mesh_vm sender;
+    sas_mesh_news news<SAS_MESH_MAX_NEWS>;
+};
