http: a reset behind an answer without a length is no end of it

Ruled out: a FIN sent by the server - SO_ERROR was ECONNRESET at exactly the broken answers. Now SO_ERROR is asked at each end of a stream. The test failed before.

--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -366,6 +366,21 @@
     user->vtable->on_end(user, whole, reusable);
 }
 
+/* When the peer's reset comes in one turn with the last bytes before it,
+ * libuv reports the end of the stream and leaves the socket's error unread.
+ * An answer without a length would then pass for whole though the server
+ * broke down halfway through it; the error is still there to be asked for. */
+static bool
+was_reset(const struct sas_http_conn *conn)
+{
+    uv_os_fd_t fd;
+    int cause = 0;
+    socklen_t size = sizeof(cause);
+    return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0 ||
+           getsockopt(fd, SOL_SOCKET, SO_ERROR, &cause, &size) != 0 ||
+           cause != 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
@@ -385,8 +400,9 @@
         conn->begun = true;
         conn->last_read_at = (int64_t)uv_now(stream->loop);
     }
-    else if (count != UV_EOF) {
-        fail(conn, SAS_EIO, "http.read", uv_strerror((int)count));
+    else if (count != UV_EOF || was_reset(conn)) {
+        fail(conn, SAS_EIO, "http.read",
+             uv_strerror(count != UV_EOF ? (int)count : UV_ECONNRESET));
         return;
     }
     size_t used = http_parser_execute(&conn->parser, get_parser_settings(),
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -15,6 +15,7 @@
     uv_write_t write;
     const char *answer;
     bool close_after;
+    bool reset_after; /* ends with a reset right behind the answer */
     int port;
 };
 
@@ -82,6 +83,13 @@
     }
     uv_buf_t buffer = uv_buf_init((char *)server->answer,
                                   (unsigned int)strlen(server->answer));
+    if (server->reset_after) {
+        uv_try_write(stream, &buffer, 1);
+        uv_tcp_close_reset((uv_tcp_t *)stream, server_closed);
+        server->conn.data = NULL;
+        stop_server(server);
+        return;
+    }
     server->write.data = server;
     uv_write(&server->write, stream, &buffer, 1, server_written);
 }
@@ -171,11 +179,10 @@
     client_head, client_body, client_end, client_fail};
 
 static struct client
-exchange(const char *answer, bool close_after, const char *method)
+exchange_with(struct server server, const char *method)
 {
     uv_loop_t loop;
     uv_loop_init(&loop);
-    struct server server = {.answer = answer, .close_after = close_after};
     start_server(&loop, &server);
     struct client client = {
         .user.vtable = &client_vtable,
@@ -194,6 +201,13 @@
     return client;
 }
 
+static struct client
+exchange(const char *answer, bool close_after, const char *method)
+{
+    struct server server = {.answer = answer, .close_after = close_after};
+    return exchange_with(server, method);
+}
+
 static void
 expect(struct client *client, int ends, bool whole, bool reusable,
        const char *body)
@@ -255,6 +269,23 @@
     expect(&client, 1, false, false, "hi");
 }
 
+/* An inspector would get half a certificate as a whole one: the server sends
+ * an answer without a length and crashes in the middle of it. Its last bytes
+ * and the reset reach us in one turn of the loop; libuv then reports the end
+ * of the stream as if the server had closed it in order. */
+static void
+test_a_reset_behind_a_close_framed_answer_fails(void **state)
+{
+    (void)state;
+    struct server server = {
+        .answer = "HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nha",
+        .reset_after = true,
+    };
+    struct client client = exchange_with(server, "GET");
+    assert_true(client.failure.begun);
+    expect(&client, 0, false, false, "");
+}
+
 /* Bytes of an earlier answer arrive after its end. The next caller on this
  * connection would read them as the head of its own answer. */
 static void
@@ -338,6 +369,7 @@
         cmocka_unit_test(test_whole_answers_leave_the_connection_reusable),
         cmocka_unit_test(test_cut_answers_fail),
         cmocka_unit_test(test_close_framed_answer_is_not_whole),
+        cmocka_unit_test(test_a_reset_behind_a_close_framed_answer_fails),
         cmocka_unit_test(test_late_bytes_end_the_connection),
         cmocka_unit_test(test_informational_answers_are_skipped),
         cmocka_unit_test(test_a_paused_answer_leaves_the_connection_readable),
