--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -57,10 +57,15 @@
     int reported_waiting;
     int in_flight_at_report;
     int64_t reported_at; /* 0: never */
-    double service_ms;   /* smoothed time from sending to the answer */
-    int failures;        /* in a row */
-    int64_t shunned_until_ms;
-    int64_t shed_at; /* last refusal without running; 0: never */
+    double service_ms;     /* smoothed time from sending to the answer */
+    int timeouts;          /* in a row */
+    int64_t busy_since;    /* last answer, or the first request since idle */
+    int failures;          /* in a row */
+    bool tripped;          /* shunned, then tried by one request */
+    int64_t shunned_until; /* while tripped */
+    int64_t hold_ms;       /* how long it was shunned last */
+    int64_t warned_until;  /* shunned on another entry VM's word */
+    int64_t well_at;       /* its last answer in the usual time */
 };
 
 struct sas_fleet_server {
@@ -78,7 +83,9 @@
     char health_path[SasModel_NAME_SIZE * 2];
     int max_connections;   /* that a server accepts, from all entry VMs */
     double cold_per_s;     /* requests a cold server bears; 0: no limit */
-    GArray *servers;       /* int, slots of its present servers */
+    double typical_ms;     /* of its quicker servers; 0: unknown */
+    int64_t typical_at;
+    GArray *servers; /* int, slots of its present servers */
 };
 
 /* What may be repeated. */
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -22,9 +22,37 @@
  * request with a known object takes. */
 #define SasTraffic_HALF_LIFE_MS 150
 
-/* A server that failed so often in a row gets nothing for a while. */
-#define SasTraffic_SHUN_FAILURES 2
-#define SasTraffic_SHUN_MS 1500
+/* A server trips when it fails, falls silent or lets requests run into their
+ * limits. Then it gets nothing
+ * for a while, and after that one request at a time until one of them shows
+ * that it is well. Its objects go to their next servers meanwhile: on a day
+ * when ten of 24 servers took twelve times as long for nine seconds, half of
+ * all requests in that time ran into their limit at those ten. */
+#define SasTraffic_FAILURES 2 /* without a connection, or cut, in a row */
+
+/* No answer for so long to two requests or more: nothing takes that long at a
+ * healthy server, new objects in a queue included. */
+#define SasTraffic_SILENT_MS 650
+
+/* Requests in a row that ran into their limit. */
+#define SasTraffic_TIMEOUTS 2
+
+/* A trial must end within so many usual times. Its object is mostly new to
+ * the server, which alone takes three of them. */
+#define SasTraffic_TRIAL 4.0
+
+/* How long it gets nothing: at first, and doubled up to the second. */
+#define SasTraffic_HOLD_MS 1500
+#define SasTraffic_MAX_HOLD_MS 6000
+
+/* An answer so recent proves a server well against another's word; and so
+ * long after a hold the tester's verdict should have come. */
+#define SasTraffic_WELL_MS 400
+#define SasTraffic_VERDICT_MS 900
+
+/* Where more than this part of a service's servers is in trouble, the cause
+ * is not the servers, and shunning them would only leave fewer. */
+#define SasTraffic_MAX_TRIPPED 0.5
 
 /* A report as it comes with an answer; running < 0: none came. */
 struct sas_traffic_report {
@@ -32,22 +60,64 @@
     int waiting;
 };
 
-/* A request was sent there, and it ended; NoteAnswered also took the time
- * that it spent there and how many were there when it was sent. */
-void SasTraffic_NoteSent(struct sas_fleet_server *server);
-void SasTraffic_NoteEnded(struct sas_fleet_server *server);
+/* How an attempt ended. */
+struct sas_traffic_end {
+    double elapsed_ms;
+    double load_when_sent;
+    bool timed_out;
+    bool failed; /* an error, which says nothing of the usual time */
+};
+
+/* A request was sent there, and it ended, however that was. */
+void SasTraffic_NoteSent(struct sas_fleet_server *server, int64_t now_ms);
+void SasTraffic_NoteEnded(struct sas_fleet_server *server, int64_t now_ms);
+
+/* What an answer says of the load. */
 void SasTraffic_NoteReport(struct sas_fleet_server *server,
                            const struct sas_traffic_report *report,
                            int64_t now_ms);
-void SasTraffic_NoteAnswered(struct sas_fleet_server *server,
-                             double elapsed_ms, double load_when_sent);
 
-/* It refused a request without running it: it is fuller than it was thought
- * to be. */
-void SasTraffic_NoteShed(struct sas_fleet_server *server, int64_t now_ms);
+/* What these say of the server: all others should hear of a change. */
+enum sas_traffic_change {
+    SAS_TRAFFIC_SAME,
+    SAS_TRAFFIC_TRIPPED, /* for traffic.hold_ms from now on */
+    SAS_TRAFFIC_WELL
+};
+
+/* It ran the request, or didn't in time. */
+enum sas_traffic_change SasTraffic_NoteRun(struct sas_fleet *fleet, int slot,
+                                           const struct sas_traffic_end *end,
+                                           int64_t now_ms);
+
+/* No connection, or it broke. */
+enum sas_traffic_change SasTraffic_NoteFailure(struct sas_fleet *fleet,
+                                               int slot, int64_t now_ms);
+
+/* Another server has its address: it trips at once, and for long. */
+enum sas_traffic_change SasTraffic_NoteReplaced(struct sas_fleet *fleet,
+                                                int slot, int64_t now_ms);
+
+/* Looks whether it has fallen silent. */
+enum sas_traffic_change SasTraffic_CheckSilence(struct sas_fleet *fleet,
+                                                int slot, int64_t now_ms);
 
-/* No connection, or it broke. True when the server is shunned from now on. */
-bool SasTraffic_NoteFailure(struct sas_fleet_server *server, int64_t now_ms);
+/* Another entry VM says that it has tripped for left_ms more, or is well (0).
+ * tester: this entry VM tries it again for all. Believed unless the server
+ * has answered here in its usual time just now: one entry VM with a bad link
+ * would otherwise take healthy servers from all. */
+void SasTraffic_TakeWord(struct sas_fleet_server *server, int64_t left_ms,
+                         bool tester, int64_t now_ms);
+
+/* The trial after the hold is another's; this one waits for its word. */
+void SasTraffic_AwaitWord(struct sas_fleet_server *server);
+
+/* Whether it gets no new request at this moment. */
+bool SasTraffic_IsShunned(const struct sas_fleet_server *server,
+                          int64_t now_ms);
+
+/* The usual time of a service's requests, milliseconds; 0: unknown. */
+double SasTraffic_GetTypicalMs(struct sas_fleet *fleet, int service,
+                               int64_t now_ms);
 
 /* Requests there, running and waiting. */
 double SasTraffic_EstimateLoad(const struct sas_fleet_server *server,
--- a/packages/core/src/owner.c
+++ b/packages/core/src/owner.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "sas/traffic.h"
+
 /* Seeds, so that the choice of the region and of the server within it are
  * independent. */
 #define REGION_SEED 0x9e3779b97f4a7c15ULL
@@ -40,18 +42,20 @@
            int slot, int64_t now_ms)
 {
     if (!SasFleet_IsOpen(fleet, slot) ||
-        SasFleet_At(fleet, slot)->traffic.shunned_until_ms > now_ms) {
+        SasTraffic_IsShunned(SasFleet_At(fleet, slot), now_ms)) {
         return false;
     }
     int region = SasFleet_GetServerRegion(fleet, slot);
     return query->homes == 0 || (query->homes >> region & 1) != 0;
 }
 
-/* Slots of the service's open servers by region. Shunned ones count: the
- * object's region must not depend on what one entry VM has seen. */
+/* Slots of the service's servers that requests may go to, by region. Those
+ * that are shunned don't count: when seven of a region's ten servers were
+ * slow, the other three got all of its objects and queued them. Which are
+ * shunned all entry VMs tell each other. */
 static double
 sum_slots(const struct sas_fleet *fleet, const struct sas_owner_query *query,
-          double *by_region)
+          int64_t now_ms, double *by_region)
 {
     const GArray *servers =
         SasFleet_GetService(fleet, query->service)->servers;
@@ -59,7 +63,7 @@
     double sum = 0;
     for (guint i = 0; i < servers->len; i++) {
         int slot = g_array_index(servers, int, i);
-        if (is_allowed(fleet, query, slot, INT64_MAX)) {
+        if (is_allowed(fleet, query, slot, now_ms)) {
             int region = SasFleet_GetServerRegion(fleet, slot);
             double slots = SasFleet_At(fleet, slot)->facts.slots;
             by_region[region] += slots;
@@ -95,10 +99,10 @@
 
 static int
 pick_region(const struct sas_fleet *fleet, const struct sas_owner_query *query,
-            int home)
+            int home, int64_t now_ms)
 {
     double slots[SasModel_MAX_REGIONS];
-    double sum = sum_slots(fleet, query, slots);
+    double sum = sum_slots(fleet, query, now_ms, slots);
     int count = SasFleet_CountRegions(fleet);
     double share = sum / count;
     double keep = share > 0 ? slots[home] / share : 1;
@@ -156,7 +160,7 @@
     int count = 0;
     max = MIN(max, SasOwner_MAX_CANDIDATES);
     int home = SasFleet_GetZone(fleet, query->zone)->region;
-    int region = query->near ? home : pick_region(fleet, query, home);
+    int region = query->near ? home : pick_region(fleet, query, home, now_ms);
     const GArray *servers =
         SasFleet_GetService(fleet, query->service)->servers;
     for (guint i = 0; i < servers->len; i++) {
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -31,6 +31,7 @@
     GRand *random;
     GArray *vms; /* struct vm, by seat */
     struct sas_membership table;
+    struct sas_mesh_user *user;
 };
 
 static void on_round(uv_timer_t *timer);
@@ -39,6 +40,8 @@
                         const struct sockaddr *from, unsigned flags);
 static void send_news(struct sas_mesh *mesh, const struct vm *vm,
                       bool wants_reply);
+static void send_message(struct sas_mesh *mesh, const struct vm *vm,
+                         sas_mesh_message *message);
 
 static int64_t
 get_now(const struct sas_mesh *mesh)
@@ -132,6 +135,12 @@
     uv_close((uv_handle_t *)&mesh->rounds, on_closed);
 }
 
+void
+SasMesh_SetUser(struct sas_mesh *mesh, struct sas_mesh_user *user)
+{
+    mesh->user = user;
+}
+
 /* The own entry VM. */
 
 const struct sas_mesh_facts *
@@ -286,6 +295,40 @@
     return count;
 }
 
+void
+SasMesh_TellTrip(struct sas_mesh *mesh, uint64_t server_hash, int64_t left_ms)
+{
+    sas_mesh_trip trip = {
+        .server_hash = server_hash,
+        .left_ms = (u_int)left_ms,
+    };
+    sas_mesh_message message = {
+        .trips = {.trips_len = 1, .trips_val = &trip},
+    };
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (is_live(mesh, seat)) {
+            send_message(mesh, get_vm(mesh, seat), &message);
+        }
+    }
+}
+
+bool
+SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash, int region)
+{
+    int tester = SasModel_NONE;
+    uint64_t best = 0;
+    for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
+        uint64_t words[2] = {server_hash, get_vm(mesh, seat)->name_hash};
+        uint64_t score = XXH3_64bits(words, sizeof(words));
+        if (score >= best && get_region(mesh, seat) == region &&
+            is_live(mesh, seat)) {
+            best = score;
+            tester = seat;
+        }
+    }
+    return tester == OWN_SEAT;
+}
+
 int64_t
 SasMesh_GetHighestVersion(const struct sas_mesh *mesh)
 {
@@ -382,30 +425,23 @@
     *count = (u_int)filled;
 }
 
+/* Fills in the sender and sends. */
 static void
-send_news(struct sas_mesh *mesh, const struct vm *vm, bool wants_reply)
+send_message(struct sas_mesh *mesh, const struct vm *vm,
+             sas_mesh_message *message)
 {
     const struct sas_mesh_facts *own = SasMesh_GetOwn(mesh);
-    sas_mesh_news news[SAS_MESH_MAX_NEWS];
-    sas_mesh_message message = {
-        .format = SAS_MESH_FORMAT,
-        .wants_reply = wants_reply,
-        .sender =
-            {
-                .name = (char *)own->name,
-                .zone = (char *)own->zone,
-                .ip = (char *)own->peer.ip,
-                .caller_port = (u_int)own->caller.port,
-                .peer_port = (u_int)own->peer.port,
-                .incarnation = own->incarnation,
-            },
-        .news = {.news_val = news},
-    };
-    fill_news(mesh, news, &message.news.news_len);
+    message->format = SAS_MESH_FORMAT;
+    message->sender.name = (char *)own->name;
+    message->sender.zone = (char *)own->zone;
+    message->sender.ip = (char *)own->peer.ip;
+    message->sender.caller_port = (u_int)own->caller.port;
+    message->sender.peer_port = (u_int)own->peer.port;
+    message->sender.incarnation = own->incarnation;
     char bytes[MAX_DATAGRAM];
     XDR xdr;
     xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
-    if (xdr_sas_mesh_message(&xdr, &message)) {
+    if (xdr_sas_mesh_message(&xdr, message)) {
         uv_buf_t buffer = uv_buf_init(bytes, xdr_getpos(&xdr));
         /* A full socket loses the datagram, as the network may. */
         uv_udp_try_send(&mesh->socket, &buffer, 1,
@@ -414,6 +450,18 @@
     xdr_destroy(&xdr);
 }
 
+static void
+send_news(struct sas_mesh *mesh, const struct vm *vm, bool wants_reply)
+{
+    sas_mesh_news news[SAS_MESH_MAX_NEWS];
+    sas_mesh_message message = {
+        .wants_reply = wants_reply,
+        .news = {.news_val = news},
+    };
+    fill_news(mesh, news, &message.news.news_len);
+    send_message(mesh, vm, &message);
+}
+
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -456,6 +504,10 @@
         }
     }
     SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation, now_ms);
+    for (u_int i = 0; i < message->trips.trips_len; i++) {
+        const sas_mesh_trip *trip = &message->trips.trips_val[i];
+        mesh->user->on_trip(mesh->user, trip->server_hash, trip->left_ms);
+    }
     if (message->wants_reply) {
         send_news(mesh, get_vm(mesh, seat), false);
     }
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -31,10 +31,18 @@
     uint64_t incarnation; /* wall-clock ms of its start */
 };
 
+/* Who hears of backend servers that others have stopped sending to; embed it
+ * as first member. left_ms 0: the server is well again. */
+struct sas_mesh_user {
+    void (*on_trip)(struct sas_mesh_user *user, uint64_t server_hash,
+                    int64_t left_ms);
+};
+
 /* Opening and closing. */
 struct sas_mesh *SasMesh_Open(uv_loop_t *loop, struct sas_fleet *fleet,
                               const struct sas_entry_settings *settings,
                               GRand *random, struct sas_error *error);
+void SasMesh_SetUser(struct sas_mesh *mesh, struct sas_mesh_user *user);
 void SasMesh_Close(struct sas_mesh *mesh);
 
 /* The own entry VM. */
@@ -58,6 +66,17 @@
 int SasMesh_Find(const struct sas_mesh *mesh, int zone, int region,
                  struct sas_address *addresses, int max);
 
+/* Tells all others of a backend server; see on_trip. */
+void SasMesh_TellTrip(struct sas_mesh *mesh, uint64_t server_hash,
+                      int64_t left_ms);
+
+/* Whether this is the entry VM, one of the server's region, that tries a
+ * tripped server again for all others. Each of them trying by itself would
+ * cost a request each: with nine entry VMs and ten slow servers that was a
+ * tenth of all requests. */
+bool SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash,
+                      int region);
+
 /* The highest configuration that any entry VM has told of, and the address
  * of one live entry VM to ask for what it knows; false when alone. */
 int64_t SasMesh_GetHighestVersion(const struct sas_mesh *mesh);
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -9,11 +9,18 @@
 
 #include "sas/log.h"
 
+/* A refusal by a server with free slots says nothing of the next try; the
+ * caller may come back at once. */
+#define EARLY_SHED_RETRY_MS 30
+#define MAX_EARLY_SHEDS 3
+
 /* What a caller is told where nothing is known of when it will be better. */
 #define RETRY_AFTER_MS 200
 
 static void on_request(struct sas_http_handler *handler,
                        struct sas_http_exchange *exchange);
+static void on_trip(struct sas_mesh_user *user, uint64_t server_hash,
+                    int64_t left_ms);
 static void on_abandoned(struct sas_http_handler *handler,
                          struct sas_http_exchange *exchange);
 
@@ -24,6 +31,8 @@
     relay->options = *options;
     relay->handler.on_request = on_request;
     relay->handler.on_abandoned = on_abandoned;
+    relay->peers.on_trip = on_trip;
+    SasMesh_SetUser(options->mesh, &relay->peers);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
     relay->splits =
@@ -167,11 +176,67 @@
     SasRelay_Finish(call, outcome, &reply);
 }
 
+static bool
+is_tester(const struct sas_relay *relay, int slot)
+{
+    const struct sas_fleet *fleet = relay->options.fleet;
+    return SasMesh_IsTester(relay->options.mesh,
+                            SasFleet_At(fleet, slot)->hash,
+                            SasFleet_GetServerRegion(fleet, slot));
+}
+
+void
+SasRelay_TellChange(struct sas_relay *relay, int slot,
+                    enum sas_traffic_change change, const char *cause)
+{
+    if (change == SAS_TRAFFIC_SAME) {
+        return;
+    }
+    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
+    const struct sas_server_traffic *traffic = &server->traffic;
+    bool tripped = change == SAS_TRAFFIC_TRIPPED;
+    SasMesh_TellTrip(relay->options.mesh, server->hash,
+                     tripped ? traffic->hold_ms : 0);
+    if (tripped && !is_tester(relay, slot)) {
+        SasTraffic_AwaitWord(server);
+    }
+    SasLog_WriteFields(
+        SasLog_WARN, tripped ? "server.tripped" : "server.well",
+        server->facts.id, "{s:s, s:i, s:i, s:f, s:f}", "cause",
+        tripped ? cause : "its trial", "for_ms",
+        tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight, "service_ms", traffic->service_ms,
+        "usual_ms",
+        SasFleet_GetService(relay->options.fleet, server->service)
+            ->typical_ms);
+}
+
+static void
+on_trip(struct sas_mesh_user *user, uint64_t server_hash, int64_t left_ms)
+{
+    struct sas_relay *relay =
+        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
+    struct sas_fleet *fleet = relay->options.fleet;
+    for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
+        struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        if (server != NULL && server->hash == server_hash) {
+            SasTraffic_TakeWord(server, left_ms, is_tester(relay, slot),
+                                SasRelay_Now(relay));
+            return;
+        }
+    }
+}
+
 /* The server. */
 
 static bool
 was_tried(const struct relay_call *call, int slot)
 {
+    /* A server that refuses requests though it has free slots refuses some
+     * of them, not all; it knows the object and another one doesn't. */
+    if (call->shed_early && slot == call->server.slot &&
+        call->tried_count < MAX_EARLY_SHEDS) {
+        return false;
+    }
     for (int i = 0; i < call->tried_count; i++) {
         if (call->tried[i] == slot) {
             return true;
@@ -247,7 +312,8 @@
     int64_t now_ms = SasRelay_Now(relay);
     const char *obstacle = find_obstacle(call, now_ms);
     if (obstacle != NULL) {
-        give_up(call, obstacle, RETRY_AFTER_MS);
+        give_up(call, obstacle,
+                call->shed_early ? EARLY_SHED_RETRY_MS : RETRY_AFTER_MS);
         return;
     }
     struct sas_fleet *fleet = relay->options.fleet;
@@ -268,6 +334,12 @@
         if (was_tried(call, slots[i])) {
             continue;
         }
+        enum sas_traffic_change change =
+            SasTraffic_CheckSilence(fleet, slots[i], now_ms);
+        if (change == SAS_TRAFFIC_TRIPPED) {
+            SasRelay_TellChange(relay, slots[i], change, "silent");
+            continue;
+        }
         if (is_too_cold(call, slots[i], now_ms)) {
             reason = "server cold";
             continue;
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -64,7 +64,7 @@
     call->sent_at = now_ms;
     call->load_when_sent = SasTraffic_EstimateLoad(server, now_ms);
     call->tried[call->tried_count++] = slot;
-    SasTraffic_NoteSent(server);
+    SasTraffic_NoteSent(server, now_ms);
     SasWindow_Add(&SasRelay_GetSlot(relay, slot)->cold_sends, 1, now_ms);
 
     struct sas_http_header headers[SasHttp_MAX_HEADERS + 4];
@@ -90,7 +90,7 @@
     struct sas_fleet_server *server =
         SasFleet_GetServer(call->relay->options.fleet, call->server);
     if (server != NULL) {
-        SasTraffic_NoteEnded(server);
+        SasTraffic_NoteEnded(server, SasRelay_Now(call->relay));
     }
     call->pooled = NULL;
 }
@@ -262,6 +262,27 @@
     SasRelay_Fail(call, outcome, 502);
 }
 
+static void
+note_run(struct relay_call *call, bool timed_out)
+{
+    struct sas_relay *relay = call->relay;
+    struct sas_fleet *fleet = relay->options.fleet;
+    if (SasFleet_GetServer(fleet, call->server) == NULL) {
+        return;
+    }
+    int64_t now_ms = SasRelay_Now(relay);
+    struct sas_traffic_end end = {
+        .elapsed_ms = (double)(now_ms - call->sent_at),
+        .load_when_sent = call->load_when_sent,
+        .timed_out = timed_out,
+        .failed = !timed_out && call->status / 100 != 2,
+    };
+    SasRelay_TellChange(
+        relay, call->server.slot,
+        SasTraffic_NoteRun(fleet, call->server.slot, &end, now_ms),
+        timed_out ? "timed out" : "slow");
+}
+
 static void
 on_end(struct sas_http_user *user, bool whole, bool reusable)
 {
@@ -277,14 +298,21 @@
         SasPool_Give(pooled, call->idle_ms);
     }
     bool not_run = call->not_run || call->status == 421;
+    call->shed_early = call->not_run && call->status != 421 &&
+                       server != NULL &&
+                       call->load_when_sent < server->facts.slots;
     if (server != NULL) {
         SasTraffic_NoteReport(server, &call->report, now_ms);
-        if (not_run) {
-            SasTraffic_NoteShed(server, now_ms);
+        if (!not_run) {
+            note_run(call, false);
         }
-        else {
-            SasTraffic_NoteAnswered(server, (double)(now_ms - call->sent_at),
-                                    call->load_when_sent);
+        if (call->status == 421) {
+            /* Its address is another server's by now; its entry lags. */
+            SasRelay_TellChange(
+                relay, call->server.slot,
+                SasTraffic_NoteReplaced(relay->options.fleet,
+                                        call->server.slot, now_ms),
+                "address is another server's");
         }
     }
     if (not_run) {
@@ -300,22 +328,17 @@
 }
 
 static void
-note_failure(struct relay_call *call, bool refused)
+note_failure(struct relay_call *call, bool connected)
 {
     struct sas_relay *relay = call->relay;
-    struct sas_fleet_server *server =
-        SasFleet_GetServer(relay->options.fleet, call->server);
-    if (server == NULL) {
+    struct sas_fleet *fleet = relay->options.fleet;
+    if (SasFleet_GetServer(fleet, call->server) == NULL) {
         return;
     }
-    int64_t now_ms = SasRelay_Now(relay);
-    if (SasTraffic_NoteFailure(server, now_ms)) {
-        SasLog_WriteFields(SasLog_WARN, "server.shunned", call->server_id,
-                           "{s:i, s:i, s:s}", "failures",
-                           server->traffic.failures, "for_ms",
-                           SasTraffic_SHUN_MS, "cause",
-                           refused ? "no connection" : "connection lost");
-    }
+    SasRelay_TellChange(
+        relay, call->server.slot,
+        SasTraffic_NoteFailure(fleet, call->server.slot, SasRelay_Now(relay)),
+        connected ? "connection lost" : "no connection");
 }
 
 static void
@@ -325,10 +348,11 @@
     end_attempt(call);
     if (failure->error.code == SAS_ETIMEOUT) {
         call->attempts++;
+        note_run(call, true);
         SasRelay_Fail(call, "timed out", 504);
         return;
     }
-    note_failure(call, !failure->sent);
+    note_failure(call, failure->sent);
     SasLog_WriteFields(SasLog_WARN, "attempt.failed", call->server_id,
                        "{s:s, s:b, s:b, s:s, s:s}", "request",
                        call->request_id, "sent", failure->sent, "begun",
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -36,16 +36,12 @@
 
 struct sas_relay {
     struct sas_http_handler handler;
-    struct sas_fleet_listener listener;
+    struct sas_mesh_user peers;
     struct sas_relay_options options;
     GPtrArray *services; /* struct service_state *, by handle */
     GPtrArray *slots;    /* struct slot_state *, by slot */
     GHashTable *splits;  /* struct split_state by route name */
-    GPtrArray *calls;
     bool stopping;
-    int requests_metric;
-    int outcome_metrics[32];
-    int outcome_count;
 };
 
 /* One request of a caller, from its arrival to its answer. */
@@ -79,6 +75,7 @@
     bool sealed;
     bool not_run;
     bool spoiled; /* not what the server made */
+    bool shed_early; /* the last server refused it though it had free slots */
     int64_t idle_ms;
 };
 
@@ -90,6 +87,8 @@
 void SasRelay_Fail(struct relay_call *call, const char *outcome, int status);
 void SasRelay_Finish(struct relay_call *call, const char *outcome,
                      const struct sas_http_reply *reply);
+void SasRelay_TellChange(struct sas_relay *relay, int slot,
+                         enum sas_traffic_change change, const char *cause);
 struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
 
 /* relay_attempt.c */
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -6,6 +6,7 @@
 
 const SAS_MESH_FORMAT = 1;
 const SAS_MESH_MAX_NEWS = 24;
+const SAS_MESH_MAX_TRIPS = 8;
 const SAS_MESH_MAX_TEXT = 47;
 
 /* The sender: enough for a receiver that has never heard of it. */
@@ -29,9 +30,17 @@
     bool leaving;
 };
 
+/* The sender has stopped sending to a backend server for so long, because
+ * it failed, fell silent or is slow; 0: it is well again. */
+struct sas_mesh_trip {
+    unsigned hyper server_hash;
+    unsigned int left_ms;
+};
+
 struct sas_mesh_message {
     unsigned int format;
     bool wants_reply;
     sas_mesh_vm sender;
     sas_mesh_news news<SAS_MESH_MAX_NEWS>;
+    sas_mesh_trip trips<SAS_MESH_MAX_TRIPS>;
 };
