--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -59,6 +59,8 @@
     int64_t reported_at; /* 0: never */
     double service_ms;     /* smoothed time from sending to the answer */
     int timeouts;          /* in a row */
+    int64_t queued_since;  /* it has not been seen with a short queue since */
+    int64_t brief_until;   /* only a short queue is allowed there until then */
     int64_t busy_since;    /* last answer, or the first request since idle */
     int failures;          /* in a row */
     bool tripped;          /* shunned, then tried by one request */
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -18,6 +18,15 @@
  * by a third, from 6 to 9 nothing more, while servers began to refuse. */
 #define SasTraffic_MAX_WAITING 6
 
+/* A queue absorbs a burst. One that stands serves nobody: every request waits
+ * in it and is late, while the slots do no more work than with a short one.
+ * So where a queue has stood for SasTraffic_STANDING_MS only a short one is
+ * allowed, for SasTraffic_BRIEF_MS; more for what is more urgent. */
+#define SasTraffic_STANDING_MS 500
+#define SasTraffic_BRIEF_MS 2000
+#define SasTraffic_BRIEF_WAITING 2
+#define SasTraffic_BRIEF_URGENT 4
+
 /* The others' part of a report halves in this time, about the time that a
  * request with a known object takes. */
 #define SasTraffic_HALF_LIFE_MS 150
@@ -28,7 +37,8 @@
  * that it is well. Its objects go to their next servers meanwhile: on a day
  * when ten of 24 servers took twelve times as long for nine seconds, half of
  * all requests in that time ran into their limit at those ten. */
-#define SasTraffic_FAILURES 2 /* without a connection, or cut, in a row */
+#define SasTraffic_FAILURES 2 /* without a connection, in a row */
+#define SasTraffic_CUTS 3     /* or with one that broke under a request */
 
 /* No answer for so long to two requests or more: nothing takes that long at a
  * healthy server, new objects in a queue included. */
@@ -89,9 +99,10 @@
                                            const struct sas_traffic_end *end,
                                            int64_t now_ms);
 
-/* No connection, or it broke. */
+/* No connection, or it broke under a request (cut). */
 enum sas_traffic_change SasTraffic_NoteFailure(struct sas_fleet *fleet,
-                                               int slot, int64_t now_ms);
+                                               int slot, bool cut,
+                                               int64_t now_ms);
 
 /* Another server has its address: it trips at once, and for long. */
 enum sas_traffic_change SasTraffic_NoteReplaced(struct sas_fleet *fleet,
@@ -123,6 +134,11 @@
 double SasTraffic_EstimateLoad(const struct sas_fleet_server *server,
                                int64_t now_ms);
 
+/* How many requests may wait there now; urgent: the route isn't of the lowest
+ * rank. */
+int SasTraffic_GetMaxWaiting(const struct sas_fleet_server *server,
+                             bool urgent, int64_t now_ms);
+
 /* Whether one more request fits under slots and max_waiting. */
 bool SasTraffic_HasRoom(const struct sas_fleet_server *server, int max_waiting,
                         int64_t now_ms);
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -27,6 +27,21 @@
     server->traffic.busy_since = now_ms;
 }
 
+static void
+note_queue(struct sas_server_traffic *traffic, int waiting, int64_t now_ms)
+{
+    if (waiting < SasTraffic_BRIEF_WAITING) {
+        traffic->queued_since = 0;
+        return;
+    }
+    if (traffic->queued_since == 0) {
+        traffic->queued_since = now_ms;
+    }
+    if (now_ms - traffic->queued_since >= SasTraffic_STANDING_MS) {
+        traffic->brief_until = now_ms + SasTraffic_BRIEF_MS;
+    }
+}
+
 void
 SasTraffic_NoteReport(struct sas_fleet_server *server,
                       const struct sas_traffic_report *report, int64_t now_ms)
@@ -39,6 +54,7 @@
     traffic->reported_waiting = report->waiting;
     traffic->in_flight_at_report = traffic->in_flight;
     traffic->reported_at = now_ms;
+    note_queue(traffic, report->waiting, now_ms);
 }
 
 /* The usual time of a service. */
@@ -174,11 +190,13 @@
 }
 
 enum sas_traffic_change
-SasTraffic_NoteFailure(struct sas_fleet *fleet, int slot, int64_t now_ms)
+SasTraffic_NoteFailure(struct sas_fleet *fleet, int slot, bool cut,
+                       int64_t now_ms)
 {
     struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
+    int limit = cut ? SasTraffic_CUTS : SasTraffic_FAILURES;
     traffic->failures++;
-    if (!traffic->tripped && traffic->failures < SasTraffic_FAILURES) {
+    if (!traffic->tripped && traffic->failures < limit) {
         return SAS_TRAFFIC_SAME;
     }
     return trip(fleet, slot, now_ms);
@@ -268,6 +286,16 @@
     return traffic->in_flight + MAX(others, 0) * left;
 }
 
+int
+SasTraffic_GetMaxWaiting(const struct sas_fleet_server *server, bool urgent,
+                         int64_t now_ms)
+{
+    if (now_ms >= server->traffic.brief_until) {
+        return SasTraffic_MAX_WAITING;
+    }
+    return urgent ? SasTraffic_BRIEF_URGENT : SasTraffic_BRIEF_WAITING;
+}
+
 bool
 SasTraffic_HasRoom(const struct sas_fleet_server *server, int max_waiting,
                    int64_t now_ms)
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -294,6 +294,20 @@
     return NULL;
 }
 
+/* Some other route of the configuration is of lower rank. */
+static bool
+is_urgent(const struct relay_call *call)
+{
+    const GPtrArray *routes = call->config->routes;
+    for (guint i = 0; i < routes->len; i++) {
+        const struct sas_route *route = routes->pdata[i];
+        if (route->priority > call->route->priority) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 give_up(struct relay_call *call, const char *outcome, int64_t retry_after_ms)
 {
@@ -344,12 +358,13 @@
             reason = "server cold";
             continue;
         }
-        if (SasTraffic_HasRoom(server, SasTraffic_MAX_WAITING, now_ms)) {
+        int waiting =
+            SasTraffic_GetMaxWaiting(server, is_urgent(call), now_ms);
+        if (SasTraffic_HasRoom(server, waiting, now_ms)) {
             SasRelay_Send(call, slots[i]);
             return;
         }
-        room_ms = SasTraffic_EstimateRoomMs(server, SasTraffic_MAX_WAITING,
-                                            now_ms);
+        room_ms = SasTraffic_EstimateRoomMs(server, waiting, now_ms);
         reason = "owner full";
         break;
     }
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -337,7 +337,8 @@
     }
     SasRelay_TellChange(
         relay, call->server.slot,
-        SasTraffic_NoteFailure(fleet, call->server.slot, SasRelay_Now(relay)),
+        SasTraffic_NoteFailure(fleet, call->server.slot, connected,
+                               SasRelay_Now(relay)),
         connected ? "connection lost" : "no connection");
 }
 
