Cold servers: shares by rank, those that come back from the dead and reopened zones

Now only those that took no connections, and zones taken back. Shares of a cold server's rate are by rank, so that more entry VMs than requests still use it.

--- a/packages/core/include/sas/allowance.h
+++ b/packages/core/include/sas/allowance.h
@@ -38,7 +38,9 @@
                     int64_t now_ms);
 
 /* How many requests one entry VM may send to a cold server in a second when
- * vms of them do: 0 where the whole is too small to be shared. */
-int SasCold_GetShare(double cold_per_s, double factor, double slack, int vms);
+ * vms of them do; rank, from 0, is its place among them for this server. The
+ * first get one more where the whole can't be divided. */
+int SasCold_GetShare(double cold_per_s, double factor, double slack, int vms,
+                     int rank);
 
 #endif
--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -64,6 +64,7 @@
     int64_t busy_since;    /* last answer, or the first request since idle */
     int failures;          /* in a row */
     bool tripped;          /* shunned, then tried by one request */
+    bool was_down;         /* it tripped since it took no connections */
     int64_t shunned_until; /* while tripped */
     int64_t hold_ms;       /* how long it was shunned last */
     int64_t warned_until;  /* shunned on another entry VM's word */
@@ -85,6 +86,7 @@
     char health_path[SasModel_NAME_SIZE * 2];
     int max_connections;   /* that a server accepts, from all entry VMs */
     double cold_per_s;     /* requests a cold server bears; 0: no limit */
+    int64_t cold_ms;       /* how long a server is cold after its start */
     double typical_ms;     /* of its quicker servers; 0: unknown */
     int64_t typical_at;
     GArray *servers; /* int, slots of its present servers */
@@ -143,6 +145,8 @@
     void (*on_server_gone)(struct sas_fleet_listener *listener, int slot);
     void (*on_config)(struct sas_fleet_listener *listener,
                       const struct sas_fleet_config *config);
+    /* An evacuated zone has been taken back. */
+    void (*on_reopened)(struct sas_fleet_listener *listener, int zone);
 };
 
 /* Start and end. */
--- a/packages/core/src/allowance.c
+++ b/packages/core/src/allowance.c
@@ -35,8 +35,11 @@
 }
 
 int
-SasCold_GetShare(double cold_per_s, double factor, double slack, int vms)
+SasCold_GetShare(double cold_per_s, double factor, double slack, int vms,
+                 int rank)
 {
     double limit = cold_per_s * factor + slack;
-    return (int)floor(SasAllowance_MARGIN * limit / MAX(vms, 1));
+    int whole = (int)floor(SasAllowance_MARGIN * limit);
+    vms = MAX(vms, 1);
+    return whole / vms + (rank < whole % vms ? 1 : 0);
 }
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -258,6 +258,13 @@
 {
     bool changed = fleet->zones[zone].evacuated != evacuated;
     fleet->zones[zone].evacuated = evacuated;
+    for (guint i = 0; changed && !evacuated && i < fleet->listeners->len;
+         i++) {
+        struct sas_fleet_listener *listener = fleet->listeners->pdata[i];
+        if (listener->on_reopened != NULL) {
+            listener->on_reopened(listener, zone);
+        }
+    }
     return changed;
 }
 
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -126,6 +126,7 @@
     traffic->hold_ms = traffic->tripped
                            ? MIN(traffic->hold_ms * 2, SasTraffic_MAX_HOLD_MS)
                            : SasTraffic_HOLD_MS;
+    traffic->was_down = traffic->tripped && traffic->was_down;
     traffic->tripped = true;
     traffic->shunned_until = now_ms + traffic->hold_ms;
     return SAS_TRAFFIC_TRIPPED;
@@ -199,7 +200,9 @@
     if (!traffic->tripped && traffic->failures < limit) {
         return SAS_TRAFFIC_SAME;
     }
-    return trip(fleet, slot, now_ms);
+    enum sas_traffic_change change = trip(fleet, slot, now_ms);
+    traffic->was_down = traffic->was_down || !cut;
+    return change;
 }
 
 enum sas_traffic_change
--- /dev/null
+++ b/packages/core/tests/test_allowance.c
@@ -0,0 +1,78 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "sas/allowance.h"
+
+#define VMS 9
+
+static void
+test_a_window_never_counts_less_than_its_span(void **state)
+{
+    (void)state;
+    struct sas_window window;
+    SasWindow_Init(&window, 1000);
+    for (int64_t t = 0; t < 5000; t += 10) {
+        SasWindow_Add(&window, 1, t);
+        double expected = t < 1000 ? (double)t / 10 + 1 : 100;
+        double count = SasWindow_Count(&window, t);
+        assert_true(count >= expected);
+        assert_true(count <= expected + 6);
+    }
+    assert_true(SasWindow_Count(&window, 9000) == 0);
+}
+
+/* Load: all servers turn requests away at once, on the heaviest second of the
+ * day, and every entry VM sends each of them once more. Whichever VMs the
+ * callers use, the sum must stay under the share and the burst of all. */
+static void
+test_repeats_of_all_entry_vms_stay_under_the_common_limit(void **state)
+{
+    (void)state;
+    struct sas_repeat_allowance allowances[VMS];
+    for (int vm = 0; vm < VMS; vm++) {
+        SasRepeat_Init(&allowances[vm], 0.2, 58, 10000);
+    }
+    int requests = 0;
+    int repeats = 0;
+    for (int64_t t = 0; t < 10000; t += 2) {
+        int vm = t < 5000 ? 0 : (int)(t / 2) % VMS; /* first all at one */
+        SasRepeat_NoteRequest(&allowances[vm], t);
+        requests++;
+        repeats += SasRepeat_Take(&allowances[vm], VMS, t) ? 1 : 0;
+    }
+    assert_true(repeats <= 0.2 * requests + 58);
+    assert_true(repeats >= 0.7 * 0.2 * requests);
+}
+
+/* Load: a zone's servers come back cold together. Each bears 9 requests a
+ * second and breaks down above 18; all entry VMs of the region send. */
+static void
+test_cold_shares_add_up_to_less_than_a_server_bears(void **state)
+{
+    (void)state;
+    for (int vms = 1; vms <= 30; vms++) {
+        int sum = 0;
+        for (int rank = 0; rank < vms; rank++) {
+            sum += SasCold_GetShare(9, 1.5, 5, vms, rank);
+        }
+        assert_true(sum <= 18);
+        assert_true(sum >= 15); /* it is not left unused */
+    }
+    assert_int_equal(SasCold_GetShare(9, 1.5, 5, 3, 0), 5);
+    assert_int_equal(SasCold_GetShare(9, 1.5, 5, 30, 0), 1);
+    assert_int_equal(SasCold_GetShare(9, 1.5, 5, 30, 29), 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_a_window_never_counts_less_than_its_span),
+        cmocka_unit_test(
+            test_repeats_of_all_entry_vms_stay_under_the_common_limit),
+        cmocka_unit_test(test_cold_shares_add_up_to_less_than_a_server_bears),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/core/tests/test_fleet.c
@@ -0,0 +1,216 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "fleet_support.h"
+
+struct counter {
+    struct sas_fleet_listener listener;
+    struct sas_fleet *fleet;
+    int put;
+    int gone;
+    int configs;
+    char last_gone[SasFleet_ID_SIZE];
+};
+
+static void
+count_server(struct sas_fleet_listener *listener, int slot)
+{
+    (void)slot;
+    ((struct counter *)listener)->put++;
+}
+
+static void
+count_gone(struct sas_fleet_listener *listener, int slot)
+{
+    struct counter *counter = (struct counter *)listener;
+    counter->gone++;
+    /* It is still there to be looked at. */
+    snprintf(counter->last_gone, sizeof(counter->last_gone), "%s",
+             SasFleet_At(counter->fleet, slot)->facts.id);
+}
+
+static void
+count_config(struct sas_fleet_listener *listener,
+             const struct sas_fleet_config *config)
+{
+    (void)config;
+    ((struct counter *)listener)->configs++;
+}
+
+static struct counter
+listen_to(struct sas_fleet *fleet)
+{
+    struct counter counter = {
+        .listener = {.on_server = count_server,
+                     .on_server_gone = count_gone,
+                     .on_config = count_config},
+        .fleet = fleet,
+    };
+    return counter;
+}
+
+static void
+test_servers_come_change_and_go(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct counter counter = listen_to(fleet);
+    SasFleet_AddListener(fleet, &counter.listener);
+    struct sas_server_facts facts = make_facts("s1", "forms", "a");
+    int slot = SasFleet_PutServer(fleet, &facts);
+    struct sas_server_ref ref = SasFleet_GetRef(fleet, slot);
+    assert_true(SasFleet_IsOpen(fleet, slot));
+    SasFleet_At(fleet, slot)->traffic.in_flight = 2;
+    facts.draining = true;
+    assert_int_equal(SasFleet_PutServer(fleet, &facts), slot);
+    assert_false(SasFleet_IsOpen(fleet, slot));
+    /* The same start of the same process: what was learned stays. */
+    assert_int_equal(SasFleet_GetServer(fleet, ref)->traffic.in_flight, 2);
+    assert_true(SasFleet_RemoveServer(fleet, "s1"));
+    assert_false(SasFleet_RemoveServer(fleet, "s1"));
+    assert_null(SasFleet_GetServer(fleet, ref));
+    assert_int_equal(counter.put, 2);
+    assert_int_equal(counter.gone, 1);
+    assert_string_equal(counter.last_gone, "s1");
+    SasFleet_Free(fleet);
+}
+
+/* A crew's look-up would wait at a server that has only just started: it
+ * crashes and comes back under its old id, and what was learned of the dead
+ * process (its load, that it was shunned) were taken for the new one's. The
+ * later start is a new server, and old references to it lead nowhere. */
+static void
+test_a_later_start_under_the_same_id_is_a_new_server(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct sas_server_facts facts = make_facts("s1", "forms", "a");
+    int slot = SasFleet_PutServer(fleet, &facts);
+    struct sas_server_ref before = SasFleet_GetRef(fleet, slot);
+    SasFleet_At(fleet, slot)->traffic.in_flight = 5;
+    facts.born_at = 2;
+    slot = SasFleet_PutServer(fleet, &facts);
+    assert_null(SasFleet_GetServer(fleet, before));
+    assert_int_equal(SasFleet_At(fleet, slot)->traffic.in_flight, 0);
+    assert_int_equal(SasFleet_FindServer(fleet, "s1"), slot);
+    SasFleet_Free(fleet);
+}
+
+/* A filing would reach the photo store: a server ends and another service
+ * gets its address and its place in the table. Whoever still holds a
+ * reference to the old one must not find the new one by it. */
+static void
+test_a_slot_used_again_does_not_answer_to_old_references(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct sas_server_facts facts = make_facts("s1", "forms", "a");
+    int slot = SasFleet_PutServer(fleet, &facts);
+    struct sas_server_ref before = SasFleet_GetRef(fleet, slot);
+    SasFleet_RemoveServer(fleet, "s1");
+    struct sas_server_facts other = make_facts("s2", "scans", "a");
+    assert_int_equal(SasFleet_PutServer(fleet, &other), slot);
+    assert_null(SasFleet_GetServer(fleet, before));
+    int forms = SasFleet_FindService(fleet, "forms");
+    int scans = SasFleet_FindService(fleet, "scans");
+    assert_int_equal(SasFleet_GetService(fleet, forms)->servers->len, 0);
+    assert_int_equal(SasFleet_GetService(fleet, scans)->servers->len, 1);
+    SasFleet_Free(fleet);
+}
+
+static void
+test_an_unknown_zone_names_no_server(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct sas_server_facts facts = make_facts("s1", "forms", "nowhere");
+    assert_int_equal(SasFleet_PutServer(fleet, &facts), -1);
+    assert_int_equal(SasFleet_FindServer(fleet, "s1"), SasModel_NONE);
+    SasFleet_Free(fleet);
+}
+
+static void
+test_an_evacuated_zone_is_closed_until_it_is_taken_back(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct sas_server_facts facts = make_facts("s1", "forms", "a");
+    int slot = SasFleet_PutServer(fleet, &facts);
+    int zone = SasFleet_FindZone(fleet, "a");
+    assert_true(SasFleet_SetEvacuated(fleet, zone, true));
+    assert_false(SasFleet_SetEvacuated(fleet, zone, true));
+    assert_false(SasFleet_IsOpen(fleet, slot));
+    SasFleet_SetEvacuated(fleet, zone, false);
+    assert_true(SasFleet_IsOpen(fleet, slot));
+    SasFleet_Free(fleet);
+}
+
+/* Callers would be sent by yesterday's routes: a late answer of the store, or
+ * a peer that lags, brings an older configuration after a newer one. */
+static void
+test_a_configuration_never_goes_back(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct counter counter = listen_to(fleet);
+    SasFleet_AddListener(fleet, &counter.listener);
+    assert_true(SasFleet_ApplyConfig(fleet, SasFleetConfig_New(7), 100));
+    struct sas_fleet_config *held =
+        SasFleetConfig_Ref(SasFleet_GetConfig(fleet));
+    assert_false(SasFleet_ApplyConfig(fleet, SasFleetConfig_New(5), 101));
+    assert_false(SasFleet_ApplyConfig(fleet, SasFleetConfig_New(7), 102));
+    assert_true(SasFleet_ApplyConfig(fleet, SasFleetConfig_New(12), 103));
+    assert_int_equal(SasFleet_GetConfig(fleet)->version, 12);
+    assert_int_equal(counter.configs, 2);
+    /* A request in progress keeps the one that it began with. */
+    assert_int_equal(held->version, 7);
+    SasFleetConfig_Unref(held);
+    SasFleet_Free(fleet);
+}
+
+static const char *
+find_route(const struct sas_fleet_config *config, const char *host,
+           const char *target)
+{
+    const struct sas_route *route =
+        SasFleetConfig_FindRoute(config, host, target);
+    return route != NULL ? route->name : "";
+}
+
+static void
+test_the_longest_prefix_of_the_host_is_the_route(void **state)
+{
+    (void)state;
+    struct sas_fleet_config *config = SasFleetConfig_New(1);
+    SasFleetConfig_AddRoute(config, "all", "x.example", "/");
+    SasFleetConfig_AddRoute(config, "forms", "x.example", "/forms/");
+    SasFleetConfig_AddRoute(config, "old", "x.example", "/forms/old/");
+    SasFleetConfig_AddRoute(config, "other", "y.example", "/forms/");
+    assert_string_equal(find_route(config, "x.example", "/forms/7"), "forms");
+    assert_string_equal(find_route(config, "X.Example:80", "/forms/old/7"),
+                        "old");
+    assert_string_equal(find_route(config, "x.example", "/forms"), "all");
+    assert_string_equal(find_route(config, "x.example", "/?p=/forms/"), "all");
+    assert_string_equal(find_route(config, "y.example", "/"), "");
+    assert_string_equal(find_route(config, "z.example", "/forms/7"), "");
+    SasFleetConfig_Unref(config);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_servers_come_change_and_go),
+        cmocka_unit_test(test_a_later_start_under_the_same_id_is_a_new_server),
+        cmocka_unit_test(
+            test_a_slot_used_again_does_not_answer_to_old_references),
+        cmocka_unit_test(test_an_unknown_zone_names_no_server),
+        cmocka_unit_test(
+            test_an_evacuated_zone_is_closed_until_it_is_taken_back),
+        cmocka_unit_test(test_a_configuration_never_goes_back),
+        cmocka_unit_test(test_the_longest_prefix_of_the_host_is_the_route),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/core/tests/test_traffic.c
@@ -0,0 +1,240 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "fleet_support.h"
+#include "sas/traffic.h"
+
+#define SERVERS 8
+
+static struct sas_fleet *
+start(void)
+{
+    struct sas_fleet *fleet = new_fleet();
+    add_servers(fleet, "forms", "a", SERVERS);
+    for (int slot = 0; slot < SERVERS; slot++) {
+        SasFleet_At(fleet, slot)->traffic.service_ms = 100;
+    }
+    return fleet;
+}
+
+static enum sas_traffic_change
+end_run(struct sas_fleet *fleet, int slot, double elapsed_ms, bool timed_out,
+        int64_t now_ms)
+{
+    struct sas_traffic_end end = {
+        .elapsed_ms = elapsed_ms,
+        .timed_out = timed_out,
+    };
+    return SasTraffic_NoteRun(fleet, slot, &end, now_ms);
+}
+
+static void
+test_the_load_of_others_fades_and_the_own_is_exact(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    SasTraffic_NoteSent(server, 0);
+    SasTraffic_NoteSent(server, 0);
+    assert_true(SasTraffic_EstimateLoad(server, 0) == 2);
+    struct sas_traffic_report report = {.running = 3, .waiting = 3};
+    SasTraffic_NoteReport(server, &report, 1000);
+    assert_true(SasTraffic_EstimateLoad(server, 1000) == 6);
+    SasTraffic_NoteSent(server, 1000);
+    assert_true(SasTraffic_EstimateLoad(server, 1000) == 7);
+    double later = SasTraffic_EstimateLoad(
+        server, 1000 + SasTraffic_HALF_LIFE_MS);
+    assert_true(later > 4.9 && later < 5.1);
+    SasFleet_Free(fleet);
+}
+
+/* Load: the workers' queue is kept full by more callers than they serve. With
+ * nine waiting every answer is late; with two the same number of answers is
+ * in time. A short burst, in contrast, may fill the queue. */
+static void
+test_a_standing_queue_is_cut_short_and_a_burst_is_not(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    struct sas_traffic_report full = {.running = 3, .waiting = 5};
+    struct sas_traffic_report free = {.running = 3, .waiting = 0};
+    SasTraffic_NoteReport(server, &full, 1000);
+    SasTraffic_NoteReport(server, &full, 1400);
+    SasTraffic_NoteReport(server, &free, 1450);
+    SasTraffic_NoteReport(server, &full, 1500);
+    SasTraffic_NoteReport(server, &full, 1900);
+    assert_int_equal(SasTraffic_GetMaxWaiting(server, false, 1900),
+                     SasTraffic_MAX_WAITING);
+    SasTraffic_NoteReport(server, &full, 2000);
+    assert_int_equal(SasTraffic_GetMaxWaiting(server, false, 2000),
+                     SasTraffic_BRIEF_WAITING);
+    assert_int_equal(SasTraffic_GetMaxWaiting(server, true, 2000),
+                     SasTraffic_BRIEF_URGENT);
+    assert_int_equal(
+        SasTraffic_GetMaxWaiting(server, false, 2000 + SasTraffic_BRIEF_MS),
+        SasTraffic_MAX_WAITING);
+    SasFleet_Free(fleet);
+}
+
+/* A third of the lookups hang for nine seconds: some servers take twelve
+ * times as long, and each request to them waits for its own limit. Two such
+ * limits in a row suffice to know it, and one trial to know that it is over. */
+static void
+test_requests_that_run_into_their_limits_trip_a_server(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    const struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    assert_int_equal(end_run(fleet, 0, 1000, true, 1000), SAS_TRAFFIC_SAME);
+    assert_int_equal(end_run(fleet, 0, 1000, true, 1010),
+                     SAS_TRAFFIC_TRIPPED);
+    assert_true(SasTraffic_IsShunned(server, 1010));
+    /* What had been sent before still comes back and changes nothing. */
+    assert_int_equal(end_run(fleet, 0, 1000, true, 1500), SAS_TRAFFIC_SAME);
+    int64_t trial_at = 1010 + SasTraffic_HOLD_MS;
+    assert_false(SasTraffic_IsShunned(server, trial_at));
+    SasTraffic_NoteSent(SasFleet_At(fleet, 0), trial_at);
+    assert_true(SasTraffic_IsShunned(server, trial_at + 1)); /* one only */
+    SasTraffic_NoteEnded(SasFleet_At(fleet, 0), trial_at + 900);
+    assert_int_equal(end_run(fleet, 0, 900, false, trial_at + 900),
+                     SAS_TRAFFIC_TRIPPED);
+    int64_t again_at = trial_at + 900 + 2LL * SasTraffic_HOLD_MS;
+    assert_true(SasTraffic_IsShunned(server, again_at - 1));
+    assert_int_equal(end_run(fleet, 0, 300, false, again_at),
+                     SAS_TRAFFIC_WELL);
+    assert_false(SasTraffic_IsShunned(server, again_at));
+    SasFleet_Free(fleet);
+}
+
+/* New objects take three times as long as known ones; a server with a run of
+ * them is not in trouble, and shunning it would make more objects new. */
+static void
+test_a_run_of_new_objects_trips_nothing(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    for (int i = 0; i < 50; i++) {
+        assert_int_equal(end_run(fleet, 0, 350, false, 1000 + i),
+                         SAS_TRAFFIC_SAME);
+    }
+    SasFleet_Free(fleet);
+}
+
+static void
+test_silence_counts_only_with_work_in_hand(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    assert_int_equal(SasTraffic_CheckSilence(fleet, 0, 100000),
+                     SAS_TRAFFIC_SAME);
+    SasTraffic_NoteSent(server, 100000);
+    SasTraffic_NoteSent(server, 100001);
+    assert_int_equal(
+        SasTraffic_CheckSilence(fleet, 0, 100000 + SasTraffic_SILENT_MS),
+        SAS_TRAFFIC_SAME);
+    assert_int_equal(
+        SasTraffic_CheckSilence(fleet, 0, 100001 + SasTraffic_SILENT_MS),
+        SAS_TRAFFIC_TRIPPED);
+    SasFleet_Free(fleet);
+}
+
+/* An outage that one entry VM alone sees (its own link) looks as if all
+ * servers had failed. It must not shun most of them: then the rest drowns. */
+static void
+test_no_more_than_half_of_a_service_is_shunned(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    int tripped = 0;
+    for (int slot = 0; slot < SERVERS; slot++) {
+        for (int i = 0; i < SasTraffic_FAILURES; i++) {
+            if (SasTraffic_NoteFailure(fleet, slot, false, 1000) ==
+                SAS_TRAFFIC_TRIPPED) {
+                tripped++;
+            }
+        }
+    }
+    assert_int_equal(tripped, SERVERS / 2);
+    SasFleet_Free(fleet);
+}
+
+/* A server that loses some answers still serves most callers: three cuts in a
+ * row are needed where two refused connections show that nobody is there. */
+static void
+test_cuts_weigh_less_than_refused_connections(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    for (int i = 0; i < 10; i++) {
+        assert_int_equal(SasTraffic_NoteFailure(fleet, 0, true, 1000),
+                         SAS_TRAFFIC_SAME);
+        assert_int_equal(SasTraffic_NoteFailure(fleet, 0, true, 1000),
+                         SAS_TRAFFIC_SAME);
+        end_run(fleet, 0, 100, false, 1000);
+    }
+    SasTraffic_NoteFailure(fleet, 1, false, 1000);
+    assert_int_equal(SasTraffic_NoteFailure(fleet, 1, false, 1000),
+                     SAS_TRAFFIC_TRIPPED);
+    SasFleet_Free(fleet);
+}
+
+/* One entry VM has a bad link to a healthy server and tells all others that
+ * it failed. Those that have an answer from just now know better. */
+static void
+test_an_own_fresh_answer_outweighs_anothers_word(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    end_run(fleet, 0, 100, false, 1000);
+    SasTraffic_TakeWord(SasFleet_At(fleet, 0), 1500, false, 1100);
+    assert_false(SasTraffic_IsShunned(SasFleet_At(fleet, 0), 1100));
+    SasTraffic_TakeWord(SasFleet_At(fleet, 1), 1500, false, 1100);
+    assert_true(SasTraffic_IsShunned(SasFleet_At(fleet, 1), 1100));
+    SasFleet_Free(fleet);
+}
+
+/* Nine entry VMs would try each slow server again by themselves, and a tenth
+ * of all requests went into such trials: the tester alone tries, the others
+ * wait for its word, and go on by themselves when none comes. */
+static void
+test_only_the_tester_tries_again(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    struct sas_fleet_server *tester = SasFleet_At(fleet, 0);
+    struct sas_fleet_server *other = SasFleet_At(fleet, 1);
+    SasTraffic_TakeWord(tester, 1500, true, 1000);
+    SasTraffic_TakeWord(other, 1500, false, 1000);
+    assert_true(SasTraffic_IsShunned(tester, 2499));
+    assert_false(SasTraffic_IsShunned(tester, 2500));
+    assert_true(SasTraffic_IsShunned(other, 2500));
+    SasTraffic_TakeWord(other, 0, false, 2600);
+    assert_false(SasTraffic_IsShunned(other, 2600));
+    SasTraffic_TakeWord(other, 1500, false, 3000);
+    assert_false(SasTraffic_IsShunned(
+        other, 3000 + 1500 + SasTraffic_VERDICT_MS));
+    SasFleet_Free(fleet);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_the_load_of_others_fades_and_the_own_is_exact),
+        cmocka_unit_test(
+            test_a_standing_queue_is_cut_short_and_a_burst_is_not),
+        cmocka_unit_test(
+            test_requests_that_run_into_their_limits_trip_a_server),
+        cmocka_unit_test(test_a_run_of_new_objects_trips_nothing),
+        cmocka_unit_test(test_silence_counts_only_with_work_in_hand),
+        cmocka_unit_test(test_no_more_than_half_of_a_service_is_shunned),
+        cmocka_unit_test(test_cuts_weigh_less_than_refused_connections),
+        cmocka_unit_test(test_an_own_fresh_answer_outweighs_anothers_word),
+        cmocka_unit_test(test_only_the_tester_tries_again),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -26,6 +26,10 @@
  * still send requests. */
 #define STOP_NOTICE_MS 3500
 #define STOP_IDLE_MS 1500
+
+/* Without a single connection nobody holds one; new ones come while look-ups
+ * of before are still kept. */
+#define STOP_EMPTY_MS 2500
 #define STOP_CHECK_MS 50
 
 #define DEFAULT_HEADER_BYTES 16384
@@ -308,7 +312,10 @@
         SasRelay_Stop(gateway->relay);
     }
     int left = SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]);
-    bool quiet = since_ms >= STOP_NOTICE_MS && left == 0;
+    bool empty = SasHttpServer_CountConnections(
+                     gateway->servers[LISTEN_CALLER]) == 0;
+    bool quiet = (since_ms >= STOP_NOTICE_MS && left == 0) ||
+                 (since_ms >= STOP_EMPTY_MS && empty);
     bool late =
         since_ms >= gateway->settings->bounds.grace_ms - STOP_MARGIN_MS;
     if (!quiet && !late) {
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -296,11 +296,12 @@
 }
 
 void
-SasMesh_TellTrip(struct sas_mesh *mesh, uint64_t server_hash, int64_t left_ms)
+SasMesh_TellTrip(struct sas_mesh *mesh, const struct sas_mesh_trip_news *news)
 {
     sas_mesh_trip trip = {
-        .server_hash = server_hash,
-        .left_ms = (u_int)left_ms,
+        .server_hash = news->server_hash,
+        .left_ms = (u_int)news->left_ms,
+        .restarted = news->restarted,
     };
     sas_mesh_message message = {
         .trips = {.trips_len = 1, .trips_val = &trip},
@@ -312,21 +313,26 @@
     }
 }
 
-bool
-SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash, int region)
-{
-    int tester = SasModel_NONE;
-    uint64_t best = 0;
-    for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
-        uint64_t words[2] = {server_hash, get_vm(mesh, seat)->name_hash};
-        uint64_t score = XXH3_64bits(words, sizeof(words));
-        if (score >= best && get_region(mesh, seat) == region &&
-            is_live(mesh, seat)) {
-            best = score;
-            tester = seat;
+static uint64_t
+score_vm(const struct sas_mesh *mesh, uint64_t server_hash, int seat)
+{
+    uint64_t words[2] = {server_hash, get_vm(mesh, seat)->name_hash};
+    return XXH3_64bits(words, sizeof(words));
+}
+
+int
+SasMesh_GetRank(const struct sas_mesh *mesh, uint64_t server_hash, int region)
+{
+    bool member = get_region(mesh, OWN_SEAT) == region;
+    uint64_t own = score_vm(mesh, server_hash, OWN_SEAT);
+    int rank = 0;
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (get_region(mesh, seat) == region && is_live(mesh, seat) &&
+            (!member || score_vm(mesh, server_hash, seat) > own)) {
+            rank++;
         }
     }
-    return tester == OWN_SEAT;
+    return rank;
 }
 
 int64_t
@@ -506,7 +512,12 @@
     SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation, now_ms);
     for (u_int i = 0; i < message->trips.trips_len; i++) {
         const sas_mesh_trip *trip = &message->trips.trips_val[i];
-        mesh->user->on_trip(mesh->user, trip->server_hash, trip->left_ms);
+        struct sas_mesh_trip_news news = {
+            .server_hash = trip->server_hash,
+            .left_ms = trip->left_ms,
+            .restarted = trip->restarted,
+        };
+        mesh->user->on_trip(mesh->user, &news);
     }
     if (message->wants_reply) {
         send_news(mesh, get_vm(mesh, seat), false);
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -33,9 +33,15 @@
 
 /* Who hears of backend servers that others have stopped sending to; embed it
  * as first member. left_ms 0: the server is well again. */
+struct sas_mesh_trip_news {
+    uint64_t server_hash;
+    int64_t left_ms;
+    bool restarted; /* well again, and had not taken connections */
+};
+
 struct sas_mesh_user {
-    void (*on_trip)(struct sas_mesh_user *user, uint64_t server_hash,
-                    int64_t left_ms);
+    void (*on_trip)(struct sas_mesh_user *user,
+                    const struct sas_mesh_trip_news *news);
 };
 
 /* Opening and closing. */
@@ -67,15 +73,16 @@
                  struct sas_address *addresses, int max);
 
 /* Tells all others of a backend server; see on_trip. */
-void SasMesh_TellTrip(struct sas_mesh *mesh, uint64_t server_hash,
-                      int64_t left_ms);
-
-/* Whether this is the entry VM, one of the server's region, that tries a
- * tripped server again for all others. Each of them trying by itself would
- * cost a request each: with nine entry VMs and ten slow servers that was a
- * tenth of all requests. */
-bool SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash,
-                      int region);
+void SasMesh_TellTrip(struct sas_mesh *mesh,
+                      const struct sas_mesh_trip_news *news);
+
+/* The place of this entry VM, from 0, among the live ones of the server's
+ * region in an order of the server's own; the number of them when it isn't in
+ * that region. The first tries a tripped server again for all others: each of
+ * them trying by itself would cost a request each, and with nine entry VMs and
+ * ten slow servers that was a tenth of all requests. */
+int SasMesh_GetRank(const struct sas_mesh *mesh, uint64_t server_hash,
+                    int region);
 
 /* The highest configuration that any entry VM has told of, and the address
  * of one live entry VM to ask for what it knows; false when alone. */
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -19,8 +19,9 @@
 
 static void on_request(struct sas_http_handler *handler,
                        struct sas_http_exchange *exchange);
-static void on_trip(struct sas_mesh_user *user, uint64_t server_hash,
-                    int64_t left_ms);
+static void on_reopened(struct sas_fleet_listener *listener, int zone);
+static void on_trip(struct sas_mesh_user *user,
+                    const struct sas_mesh_trip_news *news);
 static void on_abandoned(struct sas_http_handler *handler,
                          struct sas_http_exchange *exchange);
 
@@ -32,6 +33,8 @@
     relay->handler.on_request = on_request;
     relay->handler.on_abandoned = on_abandoned;
     relay->peers.on_trip = on_trip;
+    relay->listener.on_reopened = on_reopened;
+    SasFleet_AddListener(options->fleet, &relay->listener);
     SasMesh_SetUser(options->mesh, &relay->peers);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
@@ -180,9 +183,40 @@
 is_tester(const struct sas_relay *relay, int slot)
 {
     const struct sas_fleet *fleet = relay->options.fleet;
-    return SasMesh_IsTester(relay->options.mesh,
-                            SasFleet_At(fleet, slot)->hash,
-                            SasFleet_GetServerRegion(fleet, slot));
+    int region = SasFleet_GetServerRegion(fleet, slot);
+    int rank = SasMesh_GetRank(relay->options.mesh,
+                               SasFleet_At(fleet, slot)->hash, region);
+    /* A region that has lost all its entry VMs has no tester; then each of
+     * the others tries by itself. */
+    return rank == 0;
+}
+
+/* A server that is back may have started anew, and its entry tells so only
+ * with its next heartbeat. Sent to at once by everybody it breaks down again:
+ * it is taken for cold until then. */
+static void
+suspect_cold(struct sas_relay *relay, int slot)
+{
+    const struct sas_fleet *fleet = relay->options.fleet;
+    const struct sas_fleet_service *service =
+        SasFleet_GetService(fleet, SasFleet_At(fleet, slot)->service);
+    SasRelay_GetSlot(relay, slot)->cold_until_ms =
+        SasRelay_Now(relay) + service->cold_ms;
+}
+
+static void
+on_reopened(struct sas_fleet_listener *listener, int zone)
+{
+    struct sas_relay *relay =
+        (struct sas_relay *)((char *)listener -
+                             offsetof(struct sas_relay, listener));
+    const struct sas_fleet *fleet = relay->options.fleet;
+    for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
+        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        if (server != NULL && server->zone == zone) {
+            suspect_cold(relay, slot);
+        }
+    }
 }
 
 void
@@ -195,8 +229,15 @@
     struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
     const struct sas_server_traffic *traffic = &server->traffic;
     bool tripped = change == SAS_TRAFFIC_TRIPPED;
-    SasMesh_TellTrip(relay->options.mesh, server->hash,
-                     tripped ? traffic->hold_ms : 0);
+    struct sas_mesh_trip_news news = {
+        .server_hash = server->hash,
+        .left_ms = tripped ? traffic->hold_ms : 0,
+        .restarted = !tripped && traffic->was_down,
+    };
+    if (news.restarted) {
+        suspect_cold(relay, slot);
+    }
+    SasMesh_TellTrip(relay->options.mesh, &news);
     if (tripped && !is_tester(relay, slot)) {
         SasTraffic_AwaitWord(server);
     }
@@ -211,16 +252,19 @@
 }
 
 static void
-on_trip(struct sas_mesh_user *user, uint64_t server_hash, int64_t left_ms)
+on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
 {
     struct sas_relay *relay =
         (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
     struct sas_fleet *fleet = relay->options.fleet;
     for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
         struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-        if (server != NULL && server->hash == server_hash) {
-            SasTraffic_TakeWord(server, left_ms, is_tester(relay, slot),
+        if (server != NULL && server->hash == news->server_hash) {
+            SasTraffic_TakeWord(server, news->left_ms, is_tester(relay, slot),
                                 SasRelay_Now(relay));
+            if (news->restarted) {
+                suspect_cold(relay, slot);
+            }
             return;
         }
     }
@@ -268,7 +312,8 @@
     }
     int share = SasCold_GetShare(
         service->cold_per_s, bounds->cold_factor, bounds->cold_slack,
-        SasMesh_CountInRegion(relay->options.mesh, region));
+        SasMesh_CountInRegion(relay->options.mesh, region),
+        SasMesh_GetRank(relay->options.mesh, server->hash, region));
     return SasWindow_Count(&state->cold_sends, now_ms) >= share;
 }
 
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -37,6 +37,7 @@
 struct sas_relay {
     struct sas_http_handler handler;
     struct sas_mesh_user peers;
+    struct sas_fleet_listener listener;
     struct sas_relay_options options;
     GPtrArray *services; /* struct service_state *, by handle */
     GPtrArray *slots;    /* struct slot_state *, by slot */
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -35,6 +35,7 @@
 struct sas_mesh_trip {
     unsigned hyper server_hash;
     unsigned int left_ms;
+    bool restarted; /* well again, and had not taken connections */
 };
 
 struct sas_mesh_message {
