--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -47,7 +47,7 @@
     int slots; /* requests that it runs at the same time */
     bool draining;
     int64_t cold_until_ms; /* 0: warm */
-    int64_t born_at;       /* start of its process, wall-clock ms; 0: unknown */
+    int64_t born_at; /* start of its process, wall-clock ms; 0: unknown */
 };
 
 /* What this process has seen of a backend server; see sas/traffic.h. */
@@ -56,7 +56,7 @@
     int reported_running;
     int reported_waiting;
     int in_flight_at_report;
-    int64_t reported_at; /* 0: never */
+    int64_t reported_at;   /* 0: never */
     double service_ms;     /* smoothed time from sending to the answer */
     int timeouts;          /* in a row */
     int64_t queued_since;  /* it has not been seen with a short queue since */
@@ -84,10 +84,10 @@
 struct sas_fleet_service {
     char name[SasFleet_ID_SIZE];
     char health_path[SasModel_NAME_SIZE * 2];
-    int max_connections;   /* that a server accepts, from all entry VMs */
-    double cold_per_s;     /* requests a cold server bears; 0: no limit */
-    int64_t cold_ms;       /* how long a server is cold after its start */
-    double typical_ms;     /* of its quicker servers; 0: unknown */
+    int max_connections; /* that a server accepts, from all entry VMs */
+    double cold_per_s;   /* requests a cold server bears; 0: no limit */
+    int64_t cold_ms;     /* how long a server is cold after its start */
+    double typical_ms;   /* of its quicker servers; 0: unknown */
     int64_t typical_at;
     GArray *servers; /* int, slots of its present servers */
 };
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -241,9 +241,8 @@
         return;
     }
     if (!tester) {
-        traffic->warned_until =
-            MAX(traffic->warned_until,
-                now_ms + left_ms + SasTraffic_VERDICT_MS);
+        traffic->warned_until = MAX(traffic->warned_until,
+                                    now_ms + left_ms + SasTraffic_VERDICT_MS);
         return;
     }
     if (!traffic->tripped) {
@@ -257,9 +256,8 @@
 SasTraffic_AwaitWord(struct sas_fleet_server *server)
 {
     struct sas_server_traffic *traffic = &server->traffic;
-    traffic->warned_until =
-        MAX(traffic->warned_until,
-            traffic->shunned_until + SasTraffic_VERDICT_MS);
+    traffic->warned_until = MAX(
+        traffic->warned_until, traffic->shunned_until + SasTraffic_VERDICT_MS);
 }
 
 bool
--- a/packages/core/tests/test_owner.c
+++ b/packages/core/tests/test_owner.c
@@ -28,7 +28,7 @@
     struct sas_owner_query query = make_query(fleet, zone, object);
     int slot = SasModel_NONE;
     return SasOwner_Rank(fleet, &query, 0, &slot, 1) == 1 ? slot
-                                                         : SasModel_NONE;
+                                                          : SasModel_NONE;
 }
 
 /* How many of the objects of a zone's callers a region owns. */
@@ -39,9 +39,8 @@
     int count = 0;
     for (int i = 0; i < OBJECTS; i++) {
         int slot = find_owner(fleet, zone, i);
-        if (slot != SasModel_NONE &&
-            SasFleet_GetServerRegion(fleet, slot) ==
-                SasFleet_FindRegion(fleet, region)) {
+        if (slot != SasModel_NONE && SasFleet_GetServerRegion(fleet, slot) ==
+                                         SasFleet_FindRegion(fleet, region)) {
             count++;
         }
     }
--- a/packages/core/tests/test_traffic.c
+++ b/packages/core/tests/test_traffic.c
@@ -44,8 +44,8 @@
     assert_true(SasTraffic_EstimateLoad(server, 1000) == 6);
     SasTraffic_NoteSent(server, 1000);
     assert_true(SasTraffic_EstimateLoad(server, 1000) == 7);
-    double later = SasTraffic_EstimateLoad(
-        server, 1000 + SasTraffic_HALF_LIFE_MS);
+    double later =
+        SasTraffic_EstimateLoad(server, 1000 + SasTraffic_HALF_LIFE_MS);
     assert_true(later > 4.9 && later < 5.1);
     SasFleet_Free(fleet);
 }
@@ -81,7 +81,8 @@
 
 /* A third of the lookups hang for nine seconds: some servers take twelve
  * times as long, and each request to them waits for its own limit. Two such
- * limits in a row suffice to know it, and one trial to know that it is over. */
+ * limits in a row suffice to know it, and one trial to know that it is over.
+ */
 static void
 test_requests_that_run_into_their_limits_trip_a_server(void **state)
 {
@@ -89,8 +90,7 @@
     struct sas_fleet *fleet = start();
     const struct sas_fleet_server *server = SasFleet_At(fleet, 0);
     assert_int_equal(end_run(fleet, 0, 1000, true, 1000), SAS_TRAFFIC_SAME);
-    assert_int_equal(end_run(fleet, 0, 1000, true, 1010),
-                     SAS_TRAFFIC_TRIPPED);
+    assert_int_equal(end_run(fleet, 0, 1000, true, 1010), SAS_TRAFFIC_TRIPPED);
     assert_true(SasTraffic_IsShunned(server, 1010));
     /* What had been sent before still comes back and changes nothing. */
     assert_int_equal(end_run(fleet, 0, 1000, true, 1500), SAS_TRAFFIC_SAME);
@@ -215,8 +215,8 @@
     SasTraffic_TakeWord(other, 0, false, 2600);
     assert_false(SasTraffic_IsShunned(other, 2600));
     SasTraffic_TakeWord(other, 1500, false, 3000);
-    assert_false(SasTraffic_IsShunned(
-        other, 3000 + 1500 + SasTraffic_VERDICT_MS));
+    assert_false(
+        SasTraffic_IsShunned(other, 3000 + 1500 + SasTraffic_VERDICT_MS));
     SasFleet_Free(fleet);
 }
 
--- a/packages/gateway/include/sas/entry.h
+++ b/packages/gateway/include/sas/entry.h
@@ -53,14 +53,14 @@
     const char *request_id;  /* of one attempt of a caller */
     const char *deadline_ms; /* what is left of the caller's patience */
     const char *object_key;
-    const char *seal;        /* a backend server's mark on its answer */
-    const char *target;      /* the only server that may run a request */
-    const char *load;        /* running,waiting,slots */
-    const char *not_run;     /* the server has not run the request */
-    const char *cold_ms;     /* how long a server stays cold */
+    const char *seal;    /* a backend server's mark on its answer */
+    const char *target;  /* the only server that may run a request */
+    const char *load;    /* running,waiting,slots */
+    const char *not_run; /* the server has not run the request */
+    const char *cold_ms; /* how long a server stays cold */
     const char *ready_path;
     const char *lookup_path;
-    const char *lookup_zone;      /* query parameters */
+    const char *lookup_zone; /* query parameters */
     const char *lookup_region;
     const char *lookup_addresses; /* members of the answer */
     const char *lookup_ttl_s;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -85,8 +85,7 @@
         .connections =
             MAX(gateway->settings->max_descriptors - OTHER_DESCRIPTORS, 64),
     };
-    const struct sas_fleet_config *config =
-        SasFleet_GetConfig(gateway->fleet);
+    const struct sas_fleet_config *config = SasFleet_GetConfig(gateway->fleet);
     if (config != NULL && config->limits.header_bytes > 0) {
         limits.header_bytes = config->limits.header_bytes;
         limits.body_bytes = config->limits.body_bytes;
@@ -117,8 +116,8 @@
     small.body_bytes = SMALL_BODY_BYTES;
     small.connections = SIDE_CONNECTIONS;
     const struct sas_entry_settings *s = gateway->settings;
-    const struct sas_address *addresses[LISTEN_COUNT] = {
-        &s->caller, &s->ready, &s->lookup, &s->peer};
+    const struct sas_address *addresses[LISTEN_COUNT] = {&s->caller, &s->ready,
+                                                         &s->lookup, &s->peer};
     struct sas_http_handler *handlers[LISTEN_COUNT] = {
         SasRelay_GetHandler(gateway->relay), &gateway->directory.handler,
         &gateway->directory.handler, gateway->source->peers};
@@ -290,11 +289,11 @@
         return;
     }
     gateway->stop_began_at = (int64_t)uv_now(gateway->loop);
-    SasLog_Write(SasLog_INFO, "process.stopping", "",
-                 "signal=%d requests=%d connections=%d", number,
-                 SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]),
-                 SasHttpServer_CountConnections(
-                     gateway->servers[LISTEN_CALLER]));
+    SasLog_Write(
+        SasLog_INFO, "process.stopping", "",
+        "signal=%d requests=%d connections=%d", number,
+        SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]),
+        SasHttpServer_CountConnections(gateway->servers[LISTEN_CALLER]));
     gateway->directory.leaving = true;
     SasMesh_Leave(gateway->mesh);
     SasHttpServer_Drain(gateway->servers[LISTEN_CALLER], STOP_IDLE_MS);
@@ -306,14 +305,13 @@
 on_stop_check(uv_timer_t *timer)
 {
     struct sas_gateway *gateway = timer->data;
-    int64_t since_ms =
-        (int64_t)uv_now(gateway->loop) - gateway->stop_began_at;
+    int64_t since_ms = (int64_t)uv_now(gateway->loop) - gateway->stop_began_at;
     if (since_ms >= STOP_NOTICE_MS) {
         SasRelay_Stop(gateway->relay);
     }
     int left = SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]);
-    bool empty = SasHttpServer_CountConnections(
-                     gateway->servers[LISTEN_CALLER]) == 0;
+    bool empty =
+        SasHttpServer_CountConnections(gateway->servers[LISTEN_CALLER]) == 0;
     bool quiet = (since_ms >= STOP_NOTICE_MS && left == 0) ||
                  (since_ms >= STOP_EMPTY_MS && empty);
     bool late =
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -289,8 +289,7 @@
         count = collect(mesh, SasModel_NONE, region, addresses, max);
     }
     if (count == 0) {
-        count =
-            collect(mesh, SasModel_NONE, SasModel_NONE, addresses, max);
+        count = collect(mesh, SasModel_NONE, SasModel_NONE, addresses, max);
     }
     return count;
 }
@@ -384,12 +383,11 @@
         enum sas_member_state state =
             SasMembership_GetState(&mesh->table, seat, now_ms);
         if (state != vm->told) {
-            SasLog_Write(
-                SasLog_INFO, "mesh.state", vm->facts.name,
-                "from=%s to=%s age_ms=%" G_GINT64_FORMAT,
-                SasMembership_GetStateName(vm->told),
-                SasMembership_GetStateName(state),
-                SasMembership_GetAge(&mesh->table, seat, now_ms));
+            SasLog_Write(SasLog_INFO, "mesh.state", vm->facts.name,
+                         "from=%s to=%s age_ms=%" G_GINT64_FORMAT,
+                         SasMembership_GetStateName(vm->told),
+                         SasMembership_GetStateName(state),
+                         SasMembership_GetAge(&mesh->table, seat, now_ms));
             vm->told = state;
         }
     }
@@ -416,9 +414,8 @@
 fill_news(struct sas_mesh *mesh, sas_mesh_news *news, u_int *count)
 {
     struct sas_member_news digest[SAS_MESH_MAX_NEWS];
-    int filled = SasMembership_FillDigest(&mesh->table, mesh->random,
-                                          get_now(mesh), digest,
-                                          SAS_MESH_MAX_NEWS);
+    int filled = SasMembership_FillDigest(
+        &mesh->table, mesh->random, get_now(mesh), digest, SAS_MESH_MAX_NEWS);
     for (int i = 0; i < filled; i++) {
         news[i].name_hash = get_vm(mesh, digest[i].seat)->name_hash;
         news[i].incarnation = digest[i].incarnation;
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -90,8 +90,7 @@
 /* Among the live ones of the own failure domain the first by the hash of its
  * name: all of them agree on it without a message, and where their views
  * differ for a while two ask instead of one. False when it is this one. */
-bool SasMesh_FindLeader(const struct sas_mesh *mesh,
-                        struct sas_address *peer);
+bool SasMesh_FindLeader(const struct sas_mesh *mesh, struct sas_address *peer);
 bool SasMesh_PickPeer(struct sas_mesh *mesh, struct sas_address *peer);
 
 #endif
--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -136,8 +136,8 @@
     pooled->idle = true;
     pooled->idle_since = (int64_t)uv_now(pool->loop);
     /* A fifth less than the server says: its clock began before ours. */
-    pooled->idle_ms = idle_ms > 0 ? MIN(idle_ms * 4 / 5, SasPool_IDLE_MS)
-                                  : SasPool_IDLE_MS;
+    pooled->idle_ms =
+        idle_ms > 0 ? MIN(idle_ms * 4 / 5, SasPool_IDLE_MS) : SasPool_IDLE_MS;
 }
 
 void
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -139,9 +139,9 @@
 static void
 count_outcome(struct sas_relay *relay, const char *outcome)
 {
-    int metric = SasMetrics_Register(
-        relay->options.metrics, "sas_requests_total", "outcome", outcome,
-        "Requests of callers by how they ended");
+    int metric = SasMetrics_Register(relay->options.metrics,
+                                     "sas_requests_total", "outcome", outcome,
+                                     "Requests of callers by how they ended");
     SasMetrics_Add(relay->options.metrics, metric, 1);
 }
 
@@ -245,8 +245,8 @@
         SasLog_WARN, tripped ? "server.tripped" : "server.well",
         server->facts.id, "{s:s, s:i, s:i, s:f, s:f}", "cause",
         tripped ? cause : "its trial", "for_ms",
-        tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight, "service_ms", traffic->service_ms,
-        "usual_ms",
+        tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight,
+        "service_ms", traffic->service_ms, "usual_ms",
         SasFleet_GetService(relay->options.fleet, server->service)
             ->typical_ms);
 }
@@ -441,8 +441,8 @@
         g_hash_table_lookup(call->relay->splits, call->route->name);
     if (state == NULL) {
         state = g_new0(struct split_state, 1);
-        g_hash_table_insert(call->relay->splits,
-                            g_strdup(call->route->name), state);
+        g_hash_table_insert(call->relay->splits, g_strdup(call->route->name),
+                            state);
     }
     double sum = 0;
     guint len = MIN(parts->len, G_N_ELEMENTS(state->sent));
@@ -502,8 +502,8 @@
     call->began_at = SasHttpExchange_GetBeganAt(exchange);
     call->answer_headers = g_ptr_array_new_with_free_func(g_free);
     call->answer_body = g_string_new(NULL);
-    const char *id = SasHttpExchange_FindHeader(
-        exchange, relay->options.wire->request_id);
+    const char *id =
+        SasHttpExchange_FindHeader(exchange, relay->options.wire->request_id);
     g_strlcpy(call->request_id, id != NULL ? id : "",
               sizeof(call->request_id));
     SasHttpExchange_SetUser(exchange, call);
@@ -516,8 +516,7 @@
 {
     struct sas_relay *relay = (struct sas_relay *)handler;
     struct relay_call *call = new_call(relay, exchange);
-    struct sas_fleet_config *config =
-        SasFleet_GetConfig(relay->options.fleet);
+    struct sas_fleet_config *config = SasFleet_GetConfig(relay->options.fleet);
     if (relay->stopping) {
         SasRelay_Refuse(call, "stopping", RETRY_AFTER_MS);
         return;
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -139,8 +139,9 @@
 read_keep_alive(const char *text)
 {
     const char *found = strstr(text, "timeout=");
-    return found == NULL ? 0 : strtoll(found + strlen("timeout="), NULL, 10) *
-                                   1000;
+    return found == NULL
+               ? 0
+               : strtoll(found + strlen("timeout="), NULL, 10) * 1000;
 }
 
 static void
@@ -308,11 +309,11 @@
         }
         if (call->status == 421) {
             /* Its address is another server's by now; its entry lags. */
-            SasRelay_TellChange(
-                relay, call->server.slot,
-                SasTraffic_NoteReplaced(relay->options.fleet,
-                                        call->server.slot, now_ms),
-                "address is another server's");
+            SasRelay_TellChange(relay, call->server.slot,
+                                SasTraffic_NoteReplaced(relay->options.fleet,
+                                                        call->server.slot,
+                                                        now_ms),
+                                "address is another server's");
         }
     }
     if (not_run) {
@@ -335,11 +336,10 @@
     if (SasFleet_GetServer(fleet, call->server) == NULL) {
         return;
     }
-    SasRelay_TellChange(
-        relay, call->server.slot,
-        SasTraffic_NoteFailure(fleet, call->server.slot, connected,
-                               SasRelay_Now(relay)),
-        connected ? "connection lost" : "no connection");
+    SasRelay_TellChange(relay, call->server.slot,
+                        SasTraffic_NoteFailure(fleet, call->server.slot,
+                                               connected, SasRelay_Now(relay)),
+                        connected ? "connection lost" : "no connection");
 }
 
 static void
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -75,7 +75,7 @@
     struct sas_traffic_report report;
     bool sealed;
     bool not_run;
-    bool spoiled; /* not what the server made */
+    bool spoiled;    /* not what the server made */
     bool shed_early; /* the last server refused it though it had free slots */
     int64_t idle_ms;
 };
--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -4,9 +4,15 @@
 #include <strings.h>
 
 static const char *const hop_headers[] = {
-    "connection",       "keep-alive", "proxy-connection",
-    "te",               "trailer",    "transfer-encoding",
-    "content-length",   "upgrade",    "proxy-authenticate",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+    "proxy-authenticate",
     "proxy-authorization",
 };
 
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -353,8 +353,8 @@
         free_first_exchange(c);
     }
     c->active_at = (int64_t)uv_now(c->server->loop);
-    uv_buf_t buffer = uv_buf_init(write->bytes->str,
-                                  (unsigned int)write->bytes->len);
+    uv_buf_t buffer =
+        uv_buf_init(write->bytes->str, (unsigned int)write->bytes->len);
     if (uv_write(&write->request, (uv_stream_t *)&c->tcp, &buffer, 1,
                  on_written) != 0) {
         g_string_free(write->bytes, TRUE);
@@ -450,8 +450,7 @@
     }
     int64_t limit_ms =
         server->draining ? server->drain_idle_ms : server->limits.idle_ms;
-    if (c->first == NULL && limit_ms > 0 &&
-        now_ms - c->active_at > limit_ms) {
+    if (c->first == NULL && limit_ms > 0 && now_ms - c->active_at > limit_ms) {
         close_connection(c);
     }
 }
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -109,11 +109,9 @@
         SasFleet_AddZone(fleet, live.settings.places[i].zone,
                          live.settings.places[i].region);
     }
-    struct sas_source *source =
-        SasPlatform_Open(&loop, fleet, &live.settings);
-    struct sas_gateway *gateway =
-        SasGateway_Open(&loop, fleet, &live.settings, SasPlatform_GetWire(),
-                        source, &error);
+    struct sas_source *source = SasPlatform_Open(&loop, fleet, &live.settings);
+    struct sas_gateway *gateway = SasGateway_Open(
+        &loop, fleet, &live.settings, SasPlatform_GetWire(), source, &error);
     if (gateway == NULL) {
         SasLog_WriteError(SasLog_ERROR, &error);
         return EXIT_FAILURE;
@@ -134,8 +132,7 @@
     const GOptionEntry entries[] = {
         {"settings", 's', 0, G_OPTION_ARG_FILENAME, &options.settings,
          "The deployment's settings (TOML)", "FILE"},
-        {"platform-settings", 'p', 0, G_OPTION_ARG_FILENAME,
-         &options.platform,
+        {"platform-settings", 'p', 0, G_OPTION_ARG_FILENAME, &options.platform,
          "Run on the users' platform, by its settings file", "FILE"},
         {"vm", 'v', 0, G_OPTION_ARG_STRING, &options.vm,
          "Which entry VM of the settings this process is", "NAME"},
--- a/packages/observe/include/sas/log.h
+++ b/packages/observe/include/sas/log.h
@@ -29,7 +29,8 @@
 };
 
 /* Opens the log for the process that runs as vm. A NULL path is standard
- * error, "-" standard output; a file is appended to. An open log is closed first. */
+ * error, "-" standard output; a file is appended to. An open log is closed
+ * first. */
 int SasLog_Open(const char *vm, const char *path, const char *level,
                 struct sas_error *error);
 void SasLog_Close(void);
--- a/packages/observe/src/log.c
+++ b/packages/observe/src/log.c
@@ -21,7 +21,7 @@
     const char *step;
     const char *peer;
     json_t *fields; /* NULL: only a text */
-    char *line; /* set by the layout, released by the log call */
+    char *line;     /* set by the layout, released by the log call */
 };
 
 static const char *const level_names[] = {"error", "warn", "info", "debug"};
@@ -136,17 +136,15 @@
 SasLog_SetRate(double lines_per_s)
 {
     if (log_category != NULL) {
-        SasLogOutput_SetRate(&log_output, lines_per_s,
-                             g_get_monotonic_time());
+        SasLogOutput_SetRate(&log_output, lines_per_s, g_get_monotonic_time());
     }
 }
 
 bool
 SasLog_IsEnabled(enum sas_log_level level)
 {
-    return log_category != NULL &&
-           log4c_category_is_priority_enabled(log_category,
-                                              level_priorities[level]);
+    return log_category != NULL && log4c_category_is_priority_enabled(
+                                       log_category, level_priorities[level]);
 }
 
 static void
@@ -251,9 +249,9 @@
     g_autofree char *step = g_utf8_make_valid(record->step, -1);
     g_autofree char *peer = g_utf8_make_valid(record->peer, -1);
     g_autofree char *text = g_utf8_make_valid(event->evt_msg, -1);
-    json_t *object = json_pack("{s:s, s:s, s:s, s:s, s:s}", "time", time,
-                               "level", record->level, "vm", log_vm, "step",
-                               step, "peer", peer);
+    json_t *object =
+        json_pack("{s:s, s:s, s:s, s:s, s:s}", "time", time, "level",
+                  record->level, "vm", log_vm, "step", step, "peer", peer);
     if (record->fields != NULL) {
         json_object_update(object, record->fields);
     }
--- a/packages/observe/src/log_output.c
+++ b/packages/observe/src/log_output.c
@@ -68,8 +68,7 @@
         (double)(now_us - output->filled_us) / 1e6 * output->lines_per_s;
     output->tokens = MIN(output->tokens + grown, output->lines_per_s);
     output->filled_us = now_us;
-    double reserve =
-        urgent ? 0 : output->lines_per_s * SasLogOutput_RESERVE;
+    double reserve = urgent ? 0 : output->lines_per_s * SasLogOutput_RESERVE;
     if (output->tokens < reserve + 1) {
         output->dropped++;
         return false;
--- /dev/null
+++ b/tests/e2e/entry_harness.py
@@ -0,0 +1,237 @@
+"""Entry VMs on the users' platform, as separate processes on loopback.
+
+The store and the backend servers are stand-ins on threads of the test; each
+entry VM is one sassafrassilld with a settings file as the platform writes it.
+Every entry VM has a loopback address of its own, and its own port of the
+store, so that the store can refuse one of them.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import uuid
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
+
+from harness import BUILD, exchange, wait_until  # noqa: E402
+from rows import RowStore  # noqa: E402
+from workers import ID, SEAL, Worker  # noqa: E402
+
+HOST = "forms.example"
+ZONES = {"a": "east", "b": "east", "c": "west"}
+BOUNDS = ["drain-ms=2000", "grace-s=6", "config-ms=2000", "ttl_max_s=5",
+          "budget-ratio=0.2", "budget-burst=58", "budget-window-s=10",
+          "cold-factor=1.5", "cold-slack=5", "max-shift=0.15"]
+
+SETTINGS = """node-name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "{region}"
+port-range = [{peer},{peer}]
+bounds = {bounds}
+[zones]
+{zones}
+[listen]
+front = "{ip}:{caller}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{lookup}"
+[limits]
+memory-mb = 260
+max-fds = 4100
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def find_port(ip):
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class EntryVm:
+    def __init__(self, fleet, name, zone, ip):
+        self.fleet = fleet
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.ports = {}
+        self.process = None
+        self.store_port = fleet.store.open_port()
+        self.log_path = os.path.join(fleet.folder, name + ".log")
+        self.settings_path = os.path.join(fleet.folder, name + ".toml")
+
+    def start(self):
+        for what in ("caller", "ready", "control", "lookup", "peer"):
+            self.ports.setdefault(what, find_port(self.ip))
+        zones = "\n".join('%s = "%s"' % pair for pair in ZONES.items())
+        with open(self.settings_path, "w") as file:
+            file.write(SETTINGS.format(
+                name=self.name, ip=self.ip, zone=self.zone,
+                region=ZONES[self.zone], bounds=json.dumps(BOUNDS),
+                zones=zones, store=self.store_port, **self.ports))
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [os.path.join(BUILD, "bin", "sassafrassilld"),
+                 "--platform-settings", self.settings_path],
+                stdout=log, stderr=log)
+        return self
+
+    def address(self, what="caller"):
+        return (self.ip, self.ports[what])
+
+    def is_ready(self):
+        try:
+            return exchange(self.address("ready"), "GET",
+                            "/ready").status == 200
+        except OSError:
+            return False
+
+    def request(self, method="GET", path="/forms/1", body=None, key="7",
+                deadline_ms=5000, headers=None, timeout=30):
+        fields = {"Host": HOST, ID: uuid.uuid4().hex,
+                  "X-Sassafrassill-Affinity-Key": key,
+                  "X-Sassafrassill-Deadline-Ms": str(deadline_ms)}
+        fields.update(headers or {})
+        answer = exchange(self.address(), method, path, body, fields,
+                          timeout=timeout)
+        answer.id = fields[ID]
+        return answer
+
+    def lookup(self, zone):
+        return exchange(self.address("lookup"), "GET",
+                        "/resolve?name=%s&region=%s&zone=%s" %
+                        (HOST, ZONES[zone], zone)).json()["addresses"]
+
+    def log(self):
+        lines = []
+        with open(self.log_path, "rb") as file:
+            for line in file:
+                try:
+                    lines.append(json.loads(line))
+                except ValueError:
+                    pass
+        return lines
+
+    def find_lines(self, step, **fields):
+        return [line for line in self.log() if line["step"] == step and
+                all(line.get(k) == v for k, v in fields.items())]
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+
+
+class Fleet:
+    """vms: zone of each entry VM. Servers are added by add_worker."""
+
+    def __init__(self, vms=("a", "b"), configured=True):
+        self.directory = tempfile.TemporaryDirectory()
+        self.folder = self.directory.name
+        self.store = RowStore()
+        self.workers = {}
+        self.version = 0
+        self.vms = [EntryVm(self, "vm-%d" % i, zone, "127.0.1.%d" % (i + 1))
+                    for i, zone in enumerate(vms)]
+        if configured:
+            self.configure()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *problem):
+        if problem[0] is not None:
+            for vm in self.vms:
+                if os.path.exists(vm.log_path):
+                    print("==", vm.name)
+                    with open(vm.log_path) as log:
+                        print("".join(log.readlines()[-40:]))
+        for vm in self.vms:
+            vm.stop()
+        for worker in self.workers.values():
+            worker.stop()
+        self.store.stop()
+        self.directory.cleanup()
+
+    def start(self):
+        for vm in self.vms:
+            vm.start()
+        wait_until(lambda: all(vm.is_ready() for vm in self.vms),
+                   "all entry VMs ready")
+        return self
+
+    # The operator.
+
+    def configure(self, routes=None, version=None):
+        self.version = version if version is not None else self.version + 3
+        names = set()
+        for route in routes or self.default_routes():
+            names.add(route.get("service"))
+            names.update(p["service"] for p in route.get("split", []))
+        services = [{"name": name, "health-path": "/health",
+                     "max-conns": 330, "cold-start-s": 3.0, "cold-per-s": 9.0}
+                    for name in sorted(n for n in names if n)]
+        return self.store.put("op", "config", {
+            "version": self.version,
+            "routes": routes or self.default_routes(),
+            "services": services,
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1 << 20,
+                       "header-timeout-ms": 3000, "idle-timeout-ms": 15000}})
+
+    @staticmethod
+    def route(name, prefix, kind, service="desk", **more):
+        row = {"name": name, "host": HOST, "prefix": prefix, "kind": kind,
+               "timeout-ms": 10000, "target-latency-ms": 250, "priority": 1,
+               "max-attempts": 2, "sticky": True, "home-regions": []}
+        if service:
+            row["service"] = service
+        row.update(more)
+        return row
+
+    def default_routes(self):
+        return [self.route("forms", "/forms/", "safe"),
+                self.route("filings", "/filings/", "unsafe"),
+                self.route("scans", "/scans/", "upload", "vault")]
+
+    # The servers.
+
+    def add_worker(self, name, service="desk", zone="a", slots=3, port=None,
+                   **more):
+        worker = self.workers.get(name)
+        if worker is None:
+            worker = self.workers[name] = Worker(
+                name, slots if isinstance(slots, int) else 1)
+        row = {"service": service, "zone": zone, "version": "v1",
+               "address": "127.0.0.1:%d" % (port or worker.port),
+               "slots": slots, "state": "ready", "cold-left-ms": 0,
+               "seq-no": 1, "born": 1}
+        row.update(more)
+        self.store.put("servers", name, row)
+        return worker
+
+
+    def add_worker_row(self, name, port):
+        """A server's row without a process behind it."""
+        self.store.put("servers", name, {
+            "service": "other", "zone": "a", "address": "127.0.0.1:%d" % port,
+            "slots": 3, "state": "ready", "cold-left-ms": 0, "born": 1})
+
+
+def wait_for(condition, what, limit_s=30):
+    return wait_until(condition, what, limit_s)
+
+
+__all__ = ["BUILD", "Fleet", "HOST", "ID", "SEAL", "exchange", "signal",
+           "socket", "time", "wait_for"]
--- /dev/null
+++ b/tests/e2e/test_entry_platform.py
@@ -0,0 +1,308 @@
+#!/usr/bin/python3
+"""Entry VMs and the platform's store: what is learned, lost and healed."""
+
+import os
+import subprocess
+import threading
+import unittest
+
+from entry_harness import BUILD, Fleet, exchange, signal, time, wait_for
+
+
+class EntryPlatform(unittest.TestCase):
+    def test_entry_vms_find_each_other_and_name_the_nearest(self):
+        with Fleet(vms=("a", "a", "c")) as fleet:
+            fleet.start()
+            a0, a1, c0 = fleet.vms
+            names = {"%s:%d" % vm.address(): vm for vm in fleet.vms}
+
+            def find(vm, zone):
+                return {names[x] for x in vm.lookup(zone)}
+            for vm in fleet.vms:
+                wait_for(lambda: find(vm, "a") == {a0, a1}, "both of a")
+                wait_for(lambda: find(vm, "c") == {c0}, "the one of c")
+                # No entry VM stands in b: those of its region are named.
+                self.assertEqual(find(vm, "b"), {a0, a1})
+
+    def test_a_killed_entry_vm_is_named_no_more(self):
+        with Fleet(vms=("a", "a", "c")) as fleet:
+            fleet.start()
+            a0, a1, c0 = fleet.vms
+            address = "%s:%d" % a1.address()
+            wait_for(lambda: address in c0.lookup("a"), "a1 to be named")
+            a1.stop()
+            wait_for(lambda: address not in c0.lookup("a"), "a1 to be dropped")
+            self.assertEqual(c0.lookup("a"), ["%s:%d" % a0.address()])
+
+    def test_a_draining_server_gets_nothing_new_and_ends_its_work(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            other = fleet.add_worker("d2", zone="c")
+            fleet.start()
+            vm = fleet.vms[0]
+            worker.held.clear()
+            answers = []
+            thread = threading.Thread(
+                target=lambda: answers.append(vm.request(deadline_ms=9000)))
+            thread.start()
+            wait_for(lambda: len(worker.ran) == 1, "a request in progress")
+            fleet.add_worker("d1", state="draining", **{"seq-no": 2})
+            wait_for(lambda: vm.find_lines("server.state", peer="d1"),
+                     "the news that it drains")
+            for i in range(5):
+                self.assertEqual(vm.request(key=str(i)).status, 200)
+            self.assertEqual(len(other.ran), 5)
+            worker.held.set()
+            thread.join()
+            self.assertEqual(answers[0].status, 200)
+            self.assertEqual(len(worker.ran), 1)
+
+    def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1", zone="a")
+            other = fleet.add_worker("d2", zone="b")
+            fleet.store.put("op", "evacuate/a", {})
+            fleet.start()
+            vm = fleet.vms[0]
+            for i in range(8):
+                self.assertEqual(vm.request(key=str(i)).status, 200)
+            self.assertEqual((len(worker.ran), len(other.ran)), (0, 8))
+            fleet.store.remove("op", "evacuate/a")
+            wait_for(lambda: vm.find_lines("zone.evacuate"), "the end")
+
+            def served():
+                for i in range(8):
+                    vm.request(key=str(i))
+                return len(worker.ran) > 0
+            wait_for(served, "work for the zone")
+
+    def test_a_configuration_never_goes_back(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.configure([fleet.route("new", "/new/", "safe")],
+                            version=90)
+            wait_for(lambda: vm.request(path="/new/1").status == 200,
+                     "version 90")
+            fleet.configure(version=40)
+            fleet.configure([fleet.route("new", "/new/", "safe"),
+                             fleet.route("last", "/last/", "safe")],
+                            version=91)
+            wait_for(lambda: vm.request(path="/last/1").status == 200,
+                     "version 91")
+            versions = [int(line["text"].split()[0].split("=")[1])
+                        for line in vm.find_lines("config.apply")]
+            self.assertEqual(versions, sorted(versions))
+            self.assertNotIn(40, versions)
+
+    def test_rows_that_cannot_be_read_name_no_server(self):
+        """Another writer's rows stand between ours: fields missing or of
+        another type, a state that does not exist, bytes that are no JSON.
+        Each is named once in the log and the others hold."""
+        with Fleet(vms=("a",)) as fleet:
+            good = fleet.add_worker("d1")
+            fleet.store.put("servers", "x1", b"\xff\x00 not json")
+            fleet.store.put("servers", "x2", b"[1, 2]")
+            fleet.add_worker("x3", slots="three")
+            fleet.add_worker("x4", state="dreaming")
+            fleet.add_worker("x5", zone=7)
+            fleet.add_worker("x6", address="nowhere")
+            fleet.add_worker("x7", born="yesterday")
+            fleet.store.put("op", "junk", b"{")
+            fleet.start()
+            vm = fleet.vms[0]
+            for i in range(6):
+                self.assertEqual(vm.request(key=str(i)).status, 200)
+            self.assertEqual(len(good.ran), 6)
+            named = [line["peer"] for line in vm.find_lines("store.decode")]
+            self.assertEqual(sorted(named),
+                             ["x1", "x2", "x3", "x4", "x5", "x6", "x7"])
+            self.assertTrue(any("slots" in line["text"] for line in
+                                vm.find_lines("store.decode", peer="x3")))
+
+    def test_a_bad_configuration_changes_nothing(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.configure([fleet.route("forms", "/forms/", "strange")])
+            wait_for(lambda: vm.find_lines("store.decode"), "a complaint")
+            fleet.store.put("op", "config", b'{"version": 999, "routes"')
+            wait_for(lambda: len(vm.find_lines("store.decode")) == 2,
+                     "both complaints")
+            self.assertEqual(vm.request().status, 200)
+
+    def test_one_that_the_store_refuses_hears_of_changes_from_others(self):
+        """A crew's look-ups fail at one machine: the store turns it away, so
+        it never learns that the servers have been replaced."""
+        with Fleet(vms=("a", "c")) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            refused = fleet.vms[0]
+            wait_for(lambda: len(refused.lookup("c")) == 1 and
+                     "%s:%d" % fleet.vms[1].address() in refused.lookup("c"),
+                     "the other entry VM")
+            fleet.store.refused.add(refused.store_port)
+            wait_for(lambda: refused.find_lines("store.lost"), "the refusal")
+            fleet.add_worker("d2")
+            fleet.store.remove("servers", "d1")
+            wait_for(lambda: refused.find_lines("server.gone", peer="d1"),
+                     "the news by way of the other one")
+            self.assertEqual(refused.request().body, b"d2 /forms/1 0")
+
+    def test_rows_that_lapse_in_an_outage_are_kept_for_two_seconds(self):
+        """All callers would be refused after a short outage of the store: the
+        servers could not renew their rows, these lapsed, and come back within
+        two seconds."""
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("d2")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.store.mode = "silent"
+            wait_for(lambda: vm.find_lines("store.lost", peer="servers"),
+                     "the outage to be noticed")
+            time.sleep(2)
+            fleet.store.remove("servers", "d1")
+            fleet.store.remove("servers", "d2")
+            fleet.store.mode = ""
+            wait_for(lambda: vm.find_lines("store.regained", peer="servers"),
+                     "the return")
+            self.assertEqual(vm.request().status, 200)
+            fleet.add_worker("d1", **{"seq-no": 9})
+            wait_for(lambda: vm.find_lines("server.gone", peer="d2"),
+                     "the one that stays away to be dropped")
+            self.assertEqual(vm.find_lines("server.gone", peer="d1"), [])
+
+    def test_a_store_that_forgets_its_history_is_listed_again(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.add_worker("d2")
+            fleet.store.remove("servers", "d1")
+            fleet.store.compact()
+            wait_for(lambda: vm.find_lines("server.gone", peer="d1"),
+                     "the removal")
+            fleet.add_worker("d3")
+            wait_for(lambda: vm.find_lines("server.state", peer="d3"),
+                     "a later change")
+
+    def test_a_lost_acknowledgement_of_the_own_row_is_made_good(self):
+        with Fleet(vms=("a", "c")) as fleet:
+            fleet.store.lose_acks = 2
+            fleet.start()
+            a, c = fleet.vms
+            wait_for(lambda: len(set(a.lookup("a") + a.lookup("c"))) == 2,
+                     "both to know each other")
+
+    def test_more_rows_than_a_page_are_all_listed(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            for i in range(700):
+                fleet.add_worker_row("s%04d" % i, worker.port)
+            fleet.start()
+            lines = fleet.vms[0].find_lines("store.listed", peer="servers")
+            self.assertEqual(lines[0]["rows"], 701)
+
+    def test_one_of_a_zone_asks_the_store_for_the_others(self):
+        """Calls to the store cost money: 70 machines that each watch it would
+        spend a fifth of the day's worth on them."""
+        with Fleet(vms=("a", "a", "a")) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+
+            def rate():
+                before = fleet.store.calls
+                time.sleep(4)
+                return fleet.store.calls - before
+            # One watches two tables, a call each 2.5 s; three would make ten.
+            wait_for(lambda: rate() <= 6, "two of three to follow")
+            fleet.add_worker("d2")
+            fleet.store.remove("servers", "d1")
+            for vm in fleet.vms:
+                wait_for(lambda: vm.find_lines("server.gone", peer="d1"),
+                         "the news at " + vm.name)
+                self.assertEqual(vm.request().status, 200)
+
+    def test_the_others_take_over_when_the_one_that_asks_dies(self):
+        with Fleet(vms=("a", "a", "a")) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            time.sleep(2)
+            for victim in fleet.vms[:2]:
+                victim.stop()
+            fleet.add_worker("d2")
+            fleet.store.remove("servers", "d1")
+            vm = fleet.vms[2]
+            wait_for(lambda: vm.find_lines("server.gone", peer="d1"),
+                     "the news")
+            self.assertEqual(vm.request().status, 200)
+
+    def test_a_stop_answers_every_request_in_progress(self):
+        """An upload would be cut off by a planned restart."""
+        with Fleet(vms=("a", "a")) as fleet:
+            worker = fleet.add_worker("d1", slots=16)
+            fleet.start()
+            vm, other = fleet.vms
+            worker.work_s = 1.0
+            answers = []
+            threads = [threading.Thread(target=lambda: answers.append(
+                vm.request("POST", "/filings/1", b"x"))) for _ in range(8)]
+            for thread in threads:
+                thread.start()
+            wait_for(lambda: len(worker.ran) == 8, "eight in progress")
+            vm.signal(signal.SIGTERM)
+            wait_for(lambda: not vm.is_ready(), "not ready")
+            wait_for(lambda: "%s:%d" % vm.address() not in other.lookup("a"),
+                     "out of the look-ups")
+            # A caller that holds an older look-up is still served.
+            self.assertEqual(vm.request().status, 200)
+            for thread in threads:
+                thread.join()
+            self.assertEqual([a.status for a in answers], [200] * 8)
+            self.assertEqual(vm.process.wait(30), 0)
+
+    def test_settings_that_are_wrong_name_the_place(self):
+        with Fleet(vms=("a",)) as fleet:
+            vm = fleet.vms[0].start()
+            vm.stop()
+            with open(vm.settings_path) as file:
+                text = file.read()
+
+            def check(changed):
+                path = os.path.join(fleet.folder, "bad.toml")
+                with open(path, "w") as file:
+                    file.write(changed)
+                run = subprocess.run(
+                    [os.path.join(BUILD, "bin", "sassafrassilld"),
+                     "--check-settings", "--platform-settings", path],
+                    capture_output=True, text=True, timeout=30)
+                return run.returncode, run.stdout + run.stderr
+            self.assertEqual(check(text)[0], 0)
+            code, said = check(text.replace("node-name", "nodename"))
+            self.assertEqual(code, 2)
+            self.assertIn("node-name", said)
+            code, said = check(text.replace("[platform]", "[platform"))
+            self.assertEqual(code, 2)
+            self.assertIn("bad.toml:", said)
+            code, said = check(text.replace("budget-ratio=0.2",
+                                            "budget-ratio=x"))
+            self.assertEqual(code, 2)
+            self.assertIn("budget-ratio", said)
+
+    def test_a_reload_keeps_serving(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            vm.signal(signal.SIGHUP)
+            wait_for(lambda: vm.find_lines("process.reload"), "the reload")
+            self.assertEqual(vm.request().status, 200)
+            metrics = exchange(vm.address("ready"), "GET", "/metrics").body
+            self.assertIn(b'sas_requests_total{outcome="answered"} 1', metrics)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/e2e/test_entry_requests.py
@@ -0,0 +1,271 @@
+#!/usr/bin/python3
+"""An entry VM on the platform: routes, whole answers, what may be repeated."""
+
+import threading
+import unittest
+
+from entry_harness import (Fleet, HOST, ID, SEAL, exchange, socket, time,
+                           wait_for)
+
+
+def read_answers(connection, count):
+    """Whole answers of a connection, in the order in which they come."""
+    reader = connection.makefile("rb")
+    answers = []
+    for _ in range(count):
+        status = int(reader.readline().split()[1])
+        size = 0
+        while True:
+            line = reader.readline().decode().strip()
+            if not line:
+                break
+            name, value = line.split(":", 1)
+            if name.lower() == "content-length":
+                size = int(value)
+        answers.append((status, reader.read(size).decode()))
+    return answers
+
+
+def format_request(path, request_id):
+    return ("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
+            "X-Sassafrassill-Deadline-Ms: 8000\r\n\r\n" %
+            (path, HOST, ID, request_id)).encode()
+
+
+class EntryRequests(unittest.TestCase):
+    def test_requests_go_by_route_and_keep_the_servers_answer(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("v1", service="vault")
+            fleet.start()
+            vm = fleet.vms[0]
+            answer = vm.request(path="/forms/3?x=1")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.body, b"d1 /forms/3?x=1 0")
+            self.assertEqual(answer.headers[SEAL], "s-d1")
+            answer = vm.request("POST", "/scans/2", b"x" * 70000)
+            self.assertEqual(answer.body, b"v1 /scans/2 70000")
+            self.assertEqual(vm.request(path="/nothing/").status, 404)
+            self.assertEqual(vm.request(headers={"Host": "else"}).status, 404)
+            sent = fleet.workers["d1"].ran[0].headers
+            self.assertEqual(sent["host"], HOST)
+            self.assertLessEqual(int(sent["x-sassafrassill-deadline-ms"]),
+                                 5000)
+            done = vm.find_lines("request", outcome="answered", route="forms")
+            self.assertEqual(done[0]["peer"], "d1")
+
+    def test_nothing_known_yet_is_503_and_not_ready(self):
+        """Callers would take a 404 for good: a machine that has only just
+        started knows no configuration yet and must not say that a route is
+        not there."""
+        with Fleet(vms=("a",), configured=False) as fleet:
+            vm = fleet.vms[0].start()
+            wait_for(lambda: vm.find_lines("store.listed"), "a listing")
+            answer = vm.request()
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", answer.headers)
+            self.assertFalse(vm.is_ready())
+            fleet.configure()
+            wait_for(vm.is_ready, "ready with a configuration")
+
+    def test_pipelined_requests_run_side_by_side_in_order(self):
+        """A crew's second look-up would wait behind its slow first one: the
+        requests of one connection run one after another. Here the first is
+        held until the others have begun, so it never ends unless they run
+        beside it; the answers still come in order."""
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1", slots=8)
+            fleet.start()
+            worker.held.clear()
+            with socket.create_connection(fleet.vms[0].address()) as client:
+                for i in range(3):
+                    client.sendall(format_request("/forms/%d" % i, "p%d" % i))
+                wait_for(lambda: len(worker.ran) == 3, "three requests")
+                worker.held.set()
+                self.assertEqual(read_answers(client, 3),
+                                 [(200, "d1 /forms/%d 0" % i)
+                                  for i in range(3)])
+
+    def test_a_late_second_answer_reaches_no_other_caller(self):
+        """One inspector would read another's certificate: a faulty server
+        sends one more answer after a whole one, just where the next request
+        on that connection waits for its own."""
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            worker.faults = ["late-extra"] * 4
+            for i in range(8):
+                answer = fleet.vms[0].request(path="/forms/%d" % i)
+                if answer.status == 200:
+                    self.assertEqual(answer.body,
+                                     b"d1 /forms/%d 0" % i)
+                else:
+                    self.assertEqual(answer.status, 502)
+                time.sleep(0.02)
+
+    def test_an_answer_without_a_length_is_whole_only_when_closed(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            worker.faults = ["unframed"]
+            answer = fleet.vms[0].request("POST", "/filings/1", b"x")
+            self.assertEqual((answer.status, answer.body),
+                             (200, b"d1 /filings/1 1"))
+            worker.faults = ["half"]
+            answer = fleet.vms[0].request("POST", "/filings/2", b"x")
+            self.assertEqual(answer.status, 502)
+            self.assertNotIn(SEAL, answer.headers)
+
+    def test_a_filing_runs_once_and_a_lookup_is_sent_again(self):
+        """A court would see two petitions: the server ran the filing and its
+        answer was lost, and the system sends it to the next server."""
+        with Fleet(vms=("a",)) as fleet:
+            workers = [fleet.add_worker("d1"), fleet.add_worker("d2")]
+            fleet.start()
+            for worker in workers:
+                worker.faults = ["cut"]
+            answer = fleet.vms[0].request("POST", "/filings/1", b"x")
+            self.assertEqual(answer.status, 502)
+            ran = [w.ids().count(answer.id) for w in workers]
+            self.assertEqual(sum(ran), 1)
+            for worker in workers:
+                worker.faults = []
+            owner = workers[0] if ran[0] else workers[1]
+            owner.faults = ["cut"]
+            answer = fleet.vms[0].request("GET", "/forms/1")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(sum(w.ids().count(answer.id) for w in workers),
+                             2)
+
+    def test_a_refusal_that_says_not_run_is_true(self):
+        """All servers refuse: the caller may send the filing again, since no
+        server has begun it and the answer says so."""
+        with Fleet(vms=("a",)) as fleet:
+            workers = [fleet.add_worker("d1"), fleet.add_worker("d2")]
+            fleet.start()
+            for worker in workers:
+                worker.faults = ["shed"] * 10
+            answer = fleet.vms[0].request("POST", "/filings/1", b"x")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", answer.headers)
+            self.assertEqual(workers[0].ids() + workers[1].ids(), [])
+
+    def test_a_success_without_a_seal_is_none(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            worker.faults = ["unsealed"]
+            answer = fleet.vms[0].request("POST", "/filings/1", b"x")
+            self.assertEqual(answer.status, 502)
+
+    def test_an_address_used_again_runs_nothing_of_the_old_service(self):
+        """A filing would run at the photo store: its server ended, and the
+        address went to another service while the entry still stands."""
+        with Fleet(vms=("a",)) as fleet:
+            other = fleet.add_worker("v1", service="vault")
+            fleet.add_worker("d1", port=other.port)
+            good = fleet.add_worker("d2")
+            fleet.start()
+            for i in range(6):
+                answer = fleet.vms[0].request("POST", "/filings/%d" % i, b"x",
+                                              key=str(i))
+                self.assertEqual(answer.status, 200)
+                self.assertIn(answer.id, good.ids())
+            self.assertEqual(other.ids(), [])
+
+    def test_a_caller_that_leaves_takes_its_work_along(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            worker.held.clear()
+            client = socket.create_connection(fleet.vms[0].address())
+            client.sendall(format_request("/forms/1", "gone"))
+            wait_for(lambda: worker.ids() == ["gone"], "the request to run")
+            client.close()
+            wait_for(lambda: worker.left == ["gone"],
+                     "the server to see that the caller left")
+
+    def test_the_final_answer_comes_at_the_routes_time_limit(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            routes = [fleet.route("forms", "/forms/", "safe",
+                                  **{"timeout-ms": 300})]
+            fleet.configure(routes)
+            fleet.start()
+            worker.held.clear()
+            answer = fleet.vms[0].request(deadline_ms=20000)
+            self.assertEqual(answer.status, 504)
+
+    def test_an_early_answer_leaves_no_bytes_for_the_next_request(self):
+        """A server refuses a long upload before it has read it. What is left
+        of the body must not become the next caller's request."""
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("v1", service="vault")
+            fleet.start()
+            worker.faults = ["early"]
+            vm = fleet.vms[0]
+            answer = vm.request("POST", "/scans/1", b"x" * 900000)
+            self.assertEqual(answer.status, 400)
+            for i in range(3):
+                answer = vm.request("POST", "/scans/%d" % i, b"yy")
+                self.assertEqual(answer.body, b"v1 /scans/%d 2" % i)
+
+    def test_bad_requests_get_an_answer_and_harm_nobody(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("v1", service="vault")
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            with socket.create_connection(vm.address()) as client:
+                client.sendall(b"NONSENSE\r\n\r\n")
+                self.assertEqual(read_answers(client, 1)[0][0], 400)
+            with socket.create_connection(vm.address()) as client:
+                client.sendall(b"GET / HTTP/1.1\r\nX: " + b"x" * 20000)
+                self.assertEqual(read_answers(client, 1)[0][0], 431)
+            with socket.create_connection(vm.address()) as client:
+                client.sendall(b"POST /scans/1 HTTP/1.1\r\nHost: x\r\n"
+                               b"Content-Length: 99999999\r\n\r\n")
+                self.assertEqual(read_answers(client, 1)[0][0], 413)
+            self.assertEqual(vm.request().status, 200)
+
+    def test_both_parts_of_a_split_get_their_weight(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1", slots=30)
+            fleet.add_worker("v1", service="vault", slots=30)
+            fleet.configure([fleet.route(
+                "forms", "/forms/", "safe", None,
+                split=[{"service": "desk", "weight": 70},
+                       {"service": "vault", "weight": 30}])])
+            fleet.start()
+            for i in range(200):
+                self.assertEqual(
+                    fleet.vms[0].request(key=str(i % 5)).status, 200)
+            share = len(fleet.workers["v1"].ran) / 200
+            self.assertAlmostEqual(share, 0.3, delta=0.08)
+
+    def test_many_callers_at_once_all_get_their_own_answer(self):
+        with Fleet(vms=("a", "b")) as fleet:
+            for i in range(4):
+                fleet.add_worker("d%d" % i, zone="ab"[i % 2], slots=16)
+            fleet.start()
+            wrong = []
+
+            def call(number):
+                vm = fleet.vms[number % 2]
+                for i in range(20):
+                    path = "/forms/%d-%d" % (number, i)
+                    answer = vm.request(path=path, key=str(number))
+                    if answer.status != 200 or \
+                            answer.body.split()[1].decode() != path:
+                        wrong.append((answer.status, answer.body))
+            threads = [threading.Thread(target=call, args=(n,))
+                       for n in range(8)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.assertEqual(wrong, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/standins/workers.py
@@ -0,0 +1,178 @@
+"""Stand-ins for backend servers as the users' platform describes them.
+
+A `Worker` listens on a loopback port, checks the named target, runs requests
+in its slots and marks its answers with a seal. It runs on threads of the
+test's own process and remembers what it ran. Behaviour is set by attributes:
+
+    work_s       how long a request takes
+    held         an Event: requests wait for it as long as it is not set
+    faults       list of faults, one taken by each request that runs:
+                 "shed"       503, not executed
+                 "cut"        runs, then closes without an answer
+                 "late-extra" answers, then sends one more answer later
+                 "half"       an answer without a length, reset halfway
+                 "unframed"   an answer without a length, closed in order
+                 "early"      a final answer before the body is read
+                 "unsealed"   a success without a seal
+"""
+
+import socket
+import struct
+import threading
+import time
+
+SEAL = "X-Sassafrassill-Server-Seal"
+ID = "X-Sassafrassill-Attempt-Id"
+
+
+def reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+    connection.close()
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.id = headers.get(ID.lower(), "")
+
+
+class Worker:
+    def __init__(self, name, slots=3):
+        self.name = name
+        self.slots = threading.Semaphore(slots)
+        self.slot_count = slots
+        self.work_s = 0.0
+        self.held = threading.Event()
+        self.held.set()
+        self.faults = []
+        self.lock = threading.Lock()
+        self.ran = []        # Request, in the order in which they began
+        self.refused = []    # ids that another server was meant to get
+        self.left = []       # ids whose caller closed while they ran
+        self.running = 0
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self.listener.getsockname()[1]
+        self.stopped = False
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def stop(self):
+        self.stopped = True
+        self.held.set()
+        self.listener.close()
+
+    def ids(self):
+        with self.lock:
+            return [r.id for r in self.ran]
+
+    def accept(self):
+        while not self.stopped:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,),
+                             daemon=True).start()
+
+    def read_head(self, reader):
+        line = reader.readline()
+        if not line:
+            return None
+        method, target, _ = line.decode().split()
+        headers = {}
+        while True:
+            line = reader.readline().decode().strip()
+            if not line:
+                return method, target, headers
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+
+    def serve(self, connection):
+        reader = connection.makefile("rb")
+        try:
+            while not self.stopped:
+                head = self.read_head(reader)
+                if head is None:
+                    return
+                if not self.handle(connection, reader, *head):
+                    return
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def handle(self, connection, reader, method, target, headers):
+        """False when the connection has ended."""
+        if headers.get("x-sassafrassill-target-instance") != self.name:
+            reader.read(int(headers.get("content-length", 0)))
+            self.refused.append(headers.get(ID.lower(), ""))
+            self.answer(connection, 421, b"", headers)
+            return True
+        fault = ""
+        with self.lock:
+            if self.faults:
+                fault = self.faults.pop(0)
+        if fault == "early":
+            self.answer(connection, 400, b"too much", headers, sealed=True)
+            reader.read(int(headers.get("content-length", 0)))
+            return True
+        body = reader.read(int(headers.get("content-length", 0)))
+        if fault == "shed":
+            self.answer(connection, 503, b"", headers, not_run=True)
+            return True
+        request = Request(method, target, headers, body)
+        with self.lock:
+            self.ran.append(request)
+        return self.run(connection, request, fault)
+
+    def run(self, connection, request, fault):
+        with self.slots:
+            self.running += 1
+            time.sleep(self.work_s)
+            while not self.held.wait(0.02):
+                connection.setblocking(False)
+                try:
+                    if connection.recv(1, socket.MSG_PEEK) == b"":
+                        self.left.append(request.id)
+                        return False
+                except BlockingIOError:
+                    pass
+                finally:
+                    connection.setblocking(True)
+            self.running -= 1
+        body = ("%s %s %d" % (self.name, request.target,
+                              len(request.body))).encode()
+        if fault == "cut":
+            return False
+        if fault in ("half", "unframed"):
+            head = ("HTTP/1.1 200 OK\r\n%s: s-%s\r\n%s: %s\r\n\r\n" %
+                    (SEAL, self.name, ID, request.id)).encode()
+            if fault == "half":
+                connection.sendall(head + body[:3])
+                reset(connection)
+            else:
+                connection.sendall(head + body)
+            return False
+        self.answer(connection, 200, body, request.headers,
+                    sealed=fault != "unsealed")
+        if fault == "late-extra":
+            time.sleep(0.1)
+            self.answer(connection, 200, b"of another caller",
+                        request.headers, sealed=True)
+        return True
+
+    def answer(self, connection, status, body, headers, sealed=False,
+               not_run=False):
+        lines = ["HTTP/1.1 %d Answer" % status,
+                 "Content-Length: %d" % len(body),
+                 "%s: %s" % (ID, headers.get(ID.lower(), "")),
+                 "X-Sassafrassill-Server-Load: %d,0,%d" %
+                 (self.running, self.slot_count)]
+        if sealed:
+            lines.append("%s: s-%s" % (SEAL, self.name))
+        if not_run:
+            lines.append("X-Sassafrassill-Not-Executed: 1")
+        connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
