Routes with bodies over 3 kB prefer the caller's zone within the region

Looked at and left: look-ups, 1 kB; a second owner of each object costs more cold work than the bytes saved.

--- a/packages/core/include/sas/owner.h
+++ b/packages/core/include/sas/owner.h
@@ -13,8 +13,9 @@
  * while others idle; moving single requests in place of objects would make
  * each of them cold work twice.
  *
- * Large bodies stay in the caller's failure domain while it has a server:
- * there they cost no link between domains.
+ * Bodies are kept off the links between failure domains: with near an object
+ * has an owner in each zone of its region, with stay its region is always the
+ * caller's. Each owner more makes every object new once more.
  */
 #ifndef SAS_OWNER_H
 #define SAS_OWNER_H
@@ -26,7 +27,8 @@
 struct sas_owner_query {
     int service;
     int zone;       /* of the caller */
-    bool near;      /* a large body */
+    bool near;      /* the caller's zone before others of the region */
+    bool stay;      /* the caller's region whatever it can bear */
     uint64_t key;   /* hash of the object */
     uint64_t homes; /* set of allowed regions; 0: any */
 };
--- a/packages/core/src/owner.c
+++ b/packages/core/src/owner.c
@@ -123,11 +123,8 @@
 {
     const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     int server_region = SasFleet_GetServerRegion(fleet, slot);
-    if (query->near && server->zone == query->zone) {
-        return 0;
-    }
     if (server_region == region) {
-        return 1;
+        return query->near && server->zone == query->zone ? 0 : 1;
     }
     return server_region == home ? 2 : 3;
 }
@@ -160,7 +157,7 @@
     int count = 0;
     max = MIN(max, SasOwner_MAX_CANDIDATES);
     int home = SasFleet_GetZone(fleet, query->zone)->region;
-    int region = query->near ? home : pick_region(fleet, query, home, now_ms);
+    int region = query->stay ? home : pick_region(fleet, query, home, now_ms);
     const GArray *servers =
         SasFleet_GetService(fleet, query->service)->servers;
     for (guint i = 0; i < servers->len; i++) {
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -14,11 +14,18 @@
 #define EARLY_SHED_RETRY_MS 30
 #define MAX_EARLY_SHEDS 3
 
+/* Routes whose requests and answers are larger on average keep to the caller's
+ * failure domain: an owner in each zone of a region makes every object new
+ * once more, and spares half of the bytes between zones. */
+#define NEAR_BYTES 3000.0
+#define BYTES_SMOOTHING 0.05
+
 /* What a caller is told where nothing is known of when it will be better. */
 #define RETRY_AFTER_MS 200
 
 static void on_request(struct sas_http_handler *handler,
                        struct sas_http_exchange *exchange);
+static void note_bytes(struct relay_call *call, size_t answer_size);
 static void on_reopened(struct sas_fleet_listener *listener, int zone);
 static void on_trip(struct sas_mesh_user *user,
                     const struct sas_mesh_trip_news *news);
@@ -38,7 +45,7 @@
     SasMesh_SetUser(options->mesh, &relay->peers);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
-    relay->splits =
+    relay->routes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return relay;
 }
@@ -48,7 +55,7 @@
 {
     g_ptr_array_free(relay->services, TRUE);
     g_ptr_array_free(relay->slots, TRUE);
-    g_hash_table_destroy(relay->splits);
+    g_hash_table_destroy(relay->routes);
     g_free(relay);
 }
 
@@ -122,14 +129,15 @@
     bool routed = call->route != NULL;
     SasLog_WriteFields(
         SasLog_INFO, SasLog_REQUEST, call->server_id,
-        "{s:s, s:s, s:i, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I}", "request",
-        call->request_id, "outcome", outcome, "status", status, "route",
-        routed ? call->route->name : "", "service",
+        "{s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I}",
+        "request", call->request_id, "outcome", outcome, "status", status,
+        "route", routed ? call->route->name : "", "service",
         routed ? SasFleet_GetService(relay->options.fleet, call->service)->name
                : "",
-        "tried", call->tried_count, "took_ms", (int)(now_ms - call->began_at),
-        "left_ms", routed ? (int)(call->deadline_at - now_ms) : 0,
-        "server_load", call->load_when_sent, "config",
+        "server_zone", call->server_zone, "tried", call->tried_count,
+        "took_ms", (int)(now_ms - call->began_at), "left_ms",
+        routed ? (int)(call->deadline_at - now_ms) : 0, "server_load",
+        call->load_when_sent, "config",
         (json_int_t)(call->config != NULL ? call->config->version : 0),
         "config_age_ms",
         (json_int_t)(call->config != NULL ? now_ms - call->config->applied_at
@@ -150,6 +158,9 @@
                 const struct sas_http_reply *reply)
 {
     log_end(call, outcome, reply->status);
+    if (reply->status == 200 && call->route != NULL) {
+        note_bytes(call, reply->body_size);
+    }
     count_outcome(call->relay, outcome);
     SasHttpExchange_Reply(call->exchange, reply);
     free_call(call);
@@ -270,6 +281,42 @@
     }
 }
 
+/* Routes. */
+
+static struct route_state *
+get_route_state(const struct relay_call *call)
+{
+    GHashTable *routes = call->relay->routes;
+    struct route_state *state =
+        g_hash_table_lookup(routes, call->route->name);
+    if (state == NULL) {
+        state = g_new0(struct route_state, 1);
+        g_hash_table_insert(routes, g_strdup(call->route->name), state);
+    }
+    return state;
+}
+
+/* What a request and its answer carry, to tell routes with large bodies. */
+static void
+note_bytes(struct relay_call *call, size_t answer_size)
+{
+    struct route_state *state = get_route_state(call);
+    size_t request_size = 0;
+    SasHttpExchange_GetBody(call->exchange, &request_size);
+    double bytes = (double)(request_size + answer_size);
+    if (state->bytes <= 0) {
+        state->bytes = bytes;
+    }
+    state->bytes += BYTES_SMOOTHING * (bytes - state->bytes);
+}
+
+static bool
+is_near(const struct relay_call *call)
+{
+    return call->route->kind == SAS_ROUTE_UPLOAD ||
+           get_route_state(call)->bytes >= NEAR_BYTES;
+}
+
 /* The server. */
 
 static bool
@@ -379,7 +426,8 @@
     struct sas_owner_query query = {
         .service = call->service,
         .zone = SasMesh_GetOwnZone(relay->options.mesh),
-        .near = call->route->kind == SAS_ROUTE_UPLOAD,
+        .near = is_near(call),
+        .stay = call->route->kind == SAS_ROUTE_UPLOAD,
         .key = call->key,
         .homes = call->route->homes,
     };
@@ -437,13 +485,7 @@
             break;
         }
     }
-    struct split_state *state =
-        g_hash_table_lookup(call->relay->splits, call->route->name);
-    if (state == NULL) {
-        state = g_new0(struct split_state, 1);
-        g_hash_table_insert(call->relay->splits, g_strdup(call->route->name),
-                            state);
-    }
+    struct route_state *state = get_route_state(call);
     double sum = 0;
     guint len = MIN(parts->len, G_N_ELEMENTS(state->sent));
     for (guint i = 0; i < len; i++) {
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -61,6 +61,8 @@
     SasRelay_ClearAnswer(call);
     call->server = SasFleet_GetRef(relay->options.fleet, slot);
     g_strlcpy(call->server_id, server->facts.id, sizeof(call->server_id));
+    g_strlcpy(call->server_zone, server->facts.zone,
+              sizeof(call->server_zone));
     call->sent_at = now_ms;
     call->load_when_sent = SasTraffic_EstimateLoad(server, now_ms);
     call->tried[call->tried_count++] = slot;
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -30,8 +30,9 @@
     int64_t cold_until_ms; /* suspected, beside what is announced */
 };
 
-struct split_state { /* of a route by name */
-    double sent[16];
+struct route_state { /* of a route by name, across configurations */
+    double sent[16]; /* lately, by part of its split */
+    double bytes;    /* smoothed, of a request and its answer */
 };
 
 struct sas_relay {
@@ -41,7 +42,7 @@
     struct sas_relay_options options;
     GPtrArray *services; /* struct service_state *, by handle */
     GPtrArray *slots;    /* struct slot_state *, by slot */
-    GHashTable *splits;  /* struct split_state by route name */
+    GHashTable *routes;  /* struct route_state by route name */
     bool stopping;
 };
 
@@ -65,6 +66,7 @@
     struct sas_pooled *pooled;
     struct sas_server_ref server;
     char server_id[SasFleet_ID_SIZE];
+    char server_zone[SasModel_NAME_SIZE];
     int64_t sent_at;
     double load_when_sent;
 
