--- a/packages/core/include/sas/owner.h
+++ b/packages/core/include/sas/owner.h
@@ -14,8 +14,8 @@
  * each of them cold work twice.
  *
  * Bodies are kept off the links between failure domains: with near an object
- * has an owner in each zone of its region, with stay its region is always the
- * caller's. Each owner more makes every object new once more.
+ * has an owner in each zone of its region, with keep the caller states how
+ * much stays (sas/keep.h). Each owner more makes every object new once more.
  */
 #ifndef SAS_OWNER_H
 #define SAS_OWNER_H
@@ -28,7 +28,8 @@
     int service;
     int zone;       /* of the caller */
     bool near;      /* the caller's zone before others of the region */
-    bool stay;      /* the caller's region whatever it can bear */
+    double keep;    /* part of the objects that stay in the caller's region;
+                       0: what its slots bear */
     uint64_t key;   /* hash of the object */
     uint64_t homes; /* set of allowed regions; 0: any */
 };
--- a/packages/core/src/owner.c
+++ b/packages/core/src/owner.c
@@ -106,6 +106,9 @@
     int count = SasFleet_CountRegions(fleet);
     double share = sum / count;
     double keep = share > 0 ? slots[home] / share : 1;
+    if (query->keep > 0 && slots[home] > 0) {
+        keep = query->keep;
+    }
     double unit = to_unit(mix(query->key, (uint64_t)home, REGION_SEED));
     if (unit < keep) {
         return home;
@@ -157,7 +160,7 @@
     int count = 0;
     max = MIN(max, SasOwner_MAX_CANDIDATES);
     int home = SasFleet_GetZone(fleet, query->zone)->region;
-    int region = query->stay ? home : pick_region(fleet, query, home, now_ms);
+    int region = pick_region(fleet, query, home, now_ms);
     const GArray *servers =
         SasFleet_GetService(fleet, query->service)->servers;
     for (guint i = 0; i < servers->len; i++) {
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -310,6 +310,19 @@
     state->bytes += BYTES_SMOOTHING * (bytes - state->bytes);
 }
 
+/* The part of a route's objects that stays at home; 0: by its slots. */
+static double
+get_keep(const struct relay_call *call, int64_t now_ms)
+{
+    struct sas_relay *relay = call->relay;
+    if (call->route->kind != SAS_ROUTE_UPLOAD) {
+        return 0;
+    }
+    return SasKeep_Update(&get_service(relay, call->service)->keep,
+                          relay->options.fleet, call->service,
+                          SasMesh_GetOwnZone(relay->options.mesh), now_ms);
+}
+
 static bool
 is_near(const struct relay_call *call)
 {
@@ -427,7 +440,7 @@
         .service = call->service,
         .zone = SasMesh_GetOwnZone(relay->options.mesh),
         .near = is_near(call),
-        .stay = call->route->kind == SAS_ROUTE_UPLOAD,
+        .keep = get_keep(call, now_ms),
         .key = call->key,
         .homes = call->route->homes,
     };
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -5,6 +5,7 @@
 #include "relay.h"
 #include "sas/allowance.h"
 #include "sas/http.h"
+#include "sas/keep.h"
 #include "sas/owner.h"
 #include "sas/traffic.h"
 
@@ -21,6 +22,7 @@
 
 struct service_state {
     struct sas_repeat_allowance repeats;
+    struct sas_keep keep;
 };
 
 /* What a server that has just started bears, by slot. */
