--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -129,7 +129,8 @@
     bool routed = call->route != NULL;
     SasLog_WriteFields(
         SasLog_INFO, SasLog_REQUEST, call->server_id,
-        "{s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I}",
+        "{s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I, "
+        "s:I}",
         "request", call->request_id, "outcome", outcome, "status", status,
         "route", routed ? call->route->name : "", "service",
         routed ? SasFleet_GetService(relay->options.fleet, call->service)->name
@@ -137,7 +138,8 @@
         "server_zone", call->server_zone, "tried", call->tried_count,
         "took_ms", (int)(now_ms - call->began_at), "left_ms",
         routed ? (int)(call->deadline_at - now_ms) : 0, "server_load",
-        call->load_when_sent, "config",
+        call->load_when_sent, "load_age_ms", (json_int_t)call->load_age_ms,
+        "config",
         (json_int_t)(call->config != NULL ? call->config->version : 0),
         "config_age_ms",
         (json_int_t)(call->config != NULL ? now_ms - call->config->applied_at
@@ -287,8 +289,7 @@
 get_route_state(const struct relay_call *call)
 {
     GHashTable *routes = call->relay->routes;
-    struct route_state *state =
-        g_hash_table_lookup(routes, call->route->name);
+    struct route_state *state = g_hash_table_lookup(routes, call->route->name);
     if (state == NULL) {
         state = g_new0(struct route_state, 1);
         g_hash_table_insert(routes, g_strdup(call->route->name), state);
@@ -423,6 +424,21 @@
     SasRelay_Refuse(call, outcome, retry_after_ms);
 }
 
+/* Which server a decision is about, and the load that it rests on. */
+void
+SasRelay_NoteServer(struct relay_call *call, int slot, int64_t now_ms)
+{
+    const struct sas_fleet_server *server =
+        SasFleet_At(call->relay->options.fleet, slot);
+    g_strlcpy(call->server_id, server->facts.id, sizeof(call->server_id));
+    g_strlcpy(call->server_zone, server->facts.zone,
+              sizeof(call->server_zone));
+    call->load_when_sent = SasTraffic_EstimateLoad(server, now_ms);
+    call->load_age_ms = server->traffic.reported_at > 0
+                            ? now_ms - server->traffic.reported_at
+                            : -1;
+}
+
 /* Sends the request to the best server that is left, or ends it. */
 void
 SasRelay_Choose(struct relay_call *call)
@@ -470,6 +486,7 @@
             SasRelay_Send(call, slots[i]);
             return;
         }
+        SasRelay_NoteServer(call, slots[i], now_ms);
         room_ms = SasTraffic_EstimateRoomMs(server, waiting, now_ms);
         reason = "owner full";
         break;
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -60,11 +60,8 @@
     int64_t left_ms = call->deadline_at - now_ms;
     SasRelay_ClearAnswer(call);
     call->server = SasFleet_GetRef(relay->options.fleet, slot);
-    g_strlcpy(call->server_id, server->facts.id, sizeof(call->server_id));
-    g_strlcpy(call->server_zone, server->facts.zone,
-              sizeof(call->server_zone));
+    SasRelay_NoteServer(call, slot, now_ms);
     call->sent_at = now_ms;
-    call->load_when_sent = SasTraffic_EstimateLoad(server, now_ms);
     call->tried[call->tried_count++] = slot;
     SasTraffic_NoteSent(server, now_ms);
     SasWindow_Add(&SasRelay_GetSlot(relay, slot)->cold_sends, 1, now_ms);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -71,6 +71,7 @@
     char server_zone[SasModel_NAME_SIZE];
     int64_t sent_at;
     double load_when_sent;
+    int64_t load_age_ms; /* of the report that the load rests on; -1: none */
 
     /* its answer */
     int status;
@@ -92,6 +93,7 @@
 void SasRelay_Fail(struct relay_call *call, const char *outcome, int status);
 void SasRelay_Finish(struct relay_call *call, const char *outcome,
                      const struct sas_http_reply *reply);
+void SasRelay_NoteServer(struct relay_call *call, int slot, int64_t now_ms);
 void SasRelay_TellChange(struct sas_relay *relay, int slot,
                          enum sas_traffic_change change, const char *cause);
 struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,514 @@
+#!/usr/bin/python3
+"""Fault soak: the real programs as processes, harmed from outside.
+
+    soak.py [--seed N] [--seeds N] [--seconds N] [--vms N] [--report FILE]
+
+Entry VMs are processes; the store and the backend servers are stand-ins on
+threads, behind proxies that delay, silence, cut and reset. The seed decides
+which faults come, when, and which overlap. Callers keep using open
+connections until the process behind them is gone. What is promised is checked
+from what callers got and servers ran; a violation is one whatever the timing.
+It ends only processes that it started, by their ids.
+
+Promises: a success is the server's whole answer to that very request; a
+request that may not repeat runs once; what is refused as not run never ran; a
+service runs only requests that a configuration sent there; a configuration
+never goes back in a process; a stop that nothing else disturbs cuts no
+request off; nothing ends by itself; and after the faults all is served again.
+
+One seed is `--seed N`; without it a fresh one is drawn and printed. `--seeds`
+plays as many, one after the other. Faults last, and pauses are drawn, in
+seconds; a run takes --seconds of faults and what recovery needs.
+"""
+
+import argparse
+import http.client
+import os
+import random
+import sys
+import threading
+import time
+import uuid
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "e2e"))
+
+from entry_harness import (Fleet, HOST, ID, SEAL, signal,  # noqa: E402
+                           wait_for)
+from proxy import Proxy  # noqa: E402
+
+SERVERS = 6
+CALLERS = 12
+CALL_TIMEOUT_S = 6
+DEADLINE_MS = 1500
+NOT_RUN = (408, 421, 429, 503)
+STOP_CLEAR_S = 4  # nothing else near a stop, before and after
+KINDS = {"/forms/": "GET", "/filings/": "POST", "/scans/": "POST"}
+
+
+class Sent:
+    """One attempt of a caller and what became of it."""
+
+    def __init__(self, vm, path, body):
+        self.id = uuid.uuid4().hex
+        self.vm = vm
+        self.path = path
+        self.body = body
+        self.at = time.monotonic()
+        self.status = None  # None: the connection ended
+        self.got = b""
+        self.sealed = False
+        self.connected = False
+        self.ended_at = 0
+
+
+class Caller(threading.Thread):
+    """Keeps one connection as long as it works."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.rng = random.Random("%s/%d" % (soak.seed, number))
+        self.connection = None
+        self.vm = None
+        self.start()
+
+    def connect(self):
+        self.vm = self.rng.choice(self.soak.fleet.vms)
+        self.connection = http.client.HTTPConnection(
+            *self.vm.address(), timeout=CALL_TIMEOUT_S)
+
+    def run(self):
+        while not self.soak.over:
+            if self.connection is None:
+                self.connect()
+            prefix = self.rng.choice(list(KINDS))
+            path = prefix + str(self.rng.randrange(40))
+            body = b"x" * self.rng.choice((0, 10, 5000)) \
+                if KINDS[prefix] == "POST" else None
+            self.send(Sent(self.vm, path, body))
+            time.sleep(self.rng.uniform(0.01, 0.08))
+        if self.connection is not None:
+            self.connection.close()
+
+    def send(self, sent):
+        self.soak.sent.append(sent)
+        headers = {"Host": HOST, ID: sent.id,
+                   "X-Sassafrassill-Affinity-Key": sent.path,
+                   "X-Sassafrassill-Deadline-Ms": str(DEADLINE_MS)}
+        method = "GET" if sent.body is None else "POST"
+        try:
+            if self.connection.sock is None:
+                self.connection.connect()
+            sent.connected = True
+            self.connection.request(method, sent.path, sent.body, headers)
+            answer = self.connection.getresponse()
+            sent.got = answer.read()
+            sent.sealed = SEAL in answer.headers
+            sent.status = answer.status
+            if answer.will_close:
+                self.connection.close()
+                self.connection = None
+        except (OSError, http.client.HTTPException):
+            self.connection.close()
+            self.connection = None
+        sent.ended_at = time.monotonic()
+
+
+class Soak:
+    def __init__(self, seed, seconds, vms):
+        self.seed = seed
+        self.seconds = seconds
+        self.rng = random.Random(seed)
+        zones = "abc"
+        self.fleet = Fleet(vms=[zones[i % 3] for i in range(vms)])
+        self.proxies = {}
+        self.sent = []
+        self.over = False
+        self.events = []
+        self.stops = []     # (vm, from, to)
+        self.troubles = []  # (from, to) of all that is unplanned
+        self.lock = threading.Lock()
+        self.exits = []
+        self.allowed = {"/forms/": {"desk"}, "/filings/": {"desk"},
+                        "/scans/": {"vault"}}
+        self.services = {}
+        self.generation = 0
+
+    # The deployment.
+
+    def add_server(self, name, service, zone, **more):
+        worker = self.fleet.workers.get(name)
+        if worker is None:
+            worker = self.fleet.add_worker(name, service, zone)
+            worker.work_s = 0.03
+            self.services[name] = service
+        if name not in self.proxies:
+            self.proxies[name] = Proxy(worker.port)
+        self.fleet.add_worker(name, service, zone,
+                              port=self.proxies[name].port, **more)
+
+    def start(self):
+        for i in range(SERVERS):
+            self.add_server("d%d" % i, "desk", "abc"[i % 3])
+        for i in range(3):
+            self.add_server("v%d" % i, "vault", "abc"[i])
+        for vm in self.fleet.vms:
+            proxy = self.proxies["store-" + vm.name] = Proxy(vm.store_port)
+            vm.store_port = proxy.port
+        self.fleet.start()
+
+    def log(self, text):
+        self.events.append((time.monotonic(), text))
+
+    # Faults. Each returns after it is over; some run beside each other.
+
+    def harm_link(self):
+        name = self.rng.choice(sorted(self.proxies))
+        mode = self.rng.choice(("delay", "silent", "deaf", "refuse", "reset"))
+        self.log("link %s %s" % (name, mode))
+        proxy = self.proxies[name]
+        if mode == "reset":
+            for _ in range(self.rng.randrange(1, 4)):
+                proxy.reset()
+                time.sleep(0.2)
+            return
+        proxy.mode = mode
+        time.sleep(self.rng.uniform(0.3, 4))
+        proxy.mode = ""
+        if mode in ("silent", "deaf"):
+            proxy.reset()
+
+    def harm_store(self):
+        store = self.fleet.store
+        what = self.rng.choice(("busy", "silent", "reset", "slow", "compact",
+                                "acks"))
+        self.log("store " + what)
+        if what == "compact":
+            store.compact()
+        elif what == "acks":
+            store.lose_acks = 2
+        elif what == "slow":
+            store.delay_s = 0.3
+            time.sleep(self.rng.uniform(1, 4))
+            store.delay_s = 0
+        else:
+            store.mode = what
+            time.sleep(self.rng.uniform(1, 5))
+            store.mode = ""
+
+    def pick_vm(self):
+        """One that runs; at least two others must."""
+        alive = [vm for vm in self.fleet.vms
+                 if vm.process.poll() is None and not getattr(
+                     vm, "handled", False)]
+        return self.rng.choice(alive) if len(alive) > 2 else None
+
+    def kill_vm(self):
+        vm = self.pick_vm()
+        if vm is None:
+            return
+        vm.handled = True
+        self.log("kill " + vm.name)
+        vm.stop()
+        time.sleep(self.rng.uniform(0.1, 2))
+        vm.start()
+        vm.handled = False
+
+    def pause_vm(self):
+        vm = self.pick_vm()
+        if vm is None:
+            return
+        vm.handled = True
+        self.log("pause " + vm.name)
+        vm.signal(signal.SIGSTOP)
+        time.sleep(self.rng.uniform(0.2, 3))
+        vm.signal(signal.SIGCONT)
+        vm.handled = False
+
+    def stop_vm(self):
+        vm = self.pick_vm()
+        if vm is None:
+            return
+        vm.handled = True
+        began = time.monotonic()
+        self.log("stop " + vm.name)
+        vm.signal(signal.SIGTERM)
+        if self.rng.random() < 0.3:
+            vm.signal(signal.SIGTERM)
+        code = vm.process.wait(30)
+        self.stops.append((vm, began, time.monotonic()))
+        if code != 0:
+            self.exits.append((vm.name, code))
+        vm.start()
+        vm.handled = False
+
+    def hup_vm(self):
+        vm = self.pick_vm()
+        if vm is not None:
+            self.log("reload " + vm.name)
+            vm.signal(signal.SIGHUP)
+
+    def replace_server(self):
+        """One drains or crashes; a new start comes under its id or another,
+        and its address may go to the other service."""
+        name = self.rng.choice(sorted(self.services))
+        service = self.services[name]
+        worker = self.fleet.workers[name]
+        self.log("replace " + name)
+        zone = "abc"[int(name[1]) % 3]
+        if self.rng.random() < 0.5:
+            self.add_server(name, service, zone, state="draining",
+                            **{"seq-no": 5})
+            time.sleep(self.rng.uniform(0.5, 3))
+        self.fleet.store.remove("servers", name)
+        self.generation += 1
+        if self.rng.random() < 0.3:
+            # Its address is used again, by a server of its service's other.
+            time.sleep(2)
+            other = "vault" if service == "desk" else "desk"
+            worker.name = "r%d" % self.generation
+            self.services[worker.name] = other
+            self.fleet.workers[worker.name] = worker
+            self.fleet.add_worker(worker.name, other, zone,
+                                  port=self.proxies[name].port)
+            time.sleep(2)
+            self.fleet.store.remove("servers", worker.name)
+            worker.name = name
+        self.add_server(name, service, zone, born=self.generation + 1)
+
+    def spoil_answers(self):
+        name = self.rng.choice(sorted(self.services))
+        what = self.rng.choice(("shed", "cut", "late-extra", "half",
+                                "unframed", "unsealed"))
+        self.log("%s answers %s" % (name, what))
+        worker = self.fleet.workers[name]
+        worker.faults.extend([what] * self.rng.randrange(1, 12))
+        time.sleep(1)
+
+    def slow_server(self):
+        worker = self.fleet.workers[self.rng.choice(sorted(self.services))]
+        self.log(worker.name + " slow")
+        worker.work_s = 1.0
+        time.sleep(self.rng.uniform(1, 4))
+        worker.work_s = 0.03
+
+    def change_config(self):
+        routes = self.fleet.default_routes()
+        for number in range(self.rng.randrange(0, 4)):
+            routes.append(self.fleet.route("x%d" % number, "/x%d/" % number,
+                                           "safe"))
+        if self.rng.random() < 0.3:
+            routes[0] = self.fleet.route(
+                "forms", "/forms/", "safe", None,
+                split=[{"service": "desk", "weight": 8},
+                       {"service": "vault", "weight": 2}])
+            self.allowed["/forms/"].add("vault")
+        for _ in range(self.rng.randrange(1, 4)):
+            self.fleet.configure(routes)
+            time.sleep(self.rng.uniform(0, 0.4))
+        self.log("config %d" % self.fleet.version)
+
+    def evacuate(self):
+        zone = self.rng.choice("abc")
+        self.log("evacuate " + zone)
+        self.fleet.store.put("op", "evacuate/" + zone, {})
+        time.sleep(self.rng.uniform(1, 5))
+        self.fleet.store.remove("op", "evacuate/" + zone)
+
+    PLANNED = ("change_config", "hup_vm", "evacuate")
+    FAULTS = ("harm_link", "harm_link", "harm_store", "kill_vm", "pause_vm",
+              "stop_vm", "replace_server", "spoil_answers", "slow_server",
+              "change_config", "hup_vm", "evacuate")
+
+    def run_fault(self, name):
+        began = time.monotonic()
+        try:
+            getattr(self, name)()
+        finally:
+            if name not in self.PLANNED and name != "stop_vm":
+                self.troubles.append((began, time.monotonic()))
+
+    def harm(self):
+        """Faults one after the other and over each other, then one stop that
+        nothing disturbs."""
+        end = time.monotonic() + self.seconds
+        threads = []
+        while time.monotonic() < end:
+            for _ in range(self.rng.choice((1, 1, 2, 3))):
+                name = self.rng.choice(self.FAULTS)
+                thread = threading.Thread(target=self.run_fault, args=(name,),
+                                          daemon=True)
+                thread.start()
+                threads.append(thread)
+            time.sleep(self.rng.uniform(0.1, 1.5))
+        for thread in threads:
+            thread.join()
+
+    # Checks.
+
+    def check_answers(self):
+        for sent in self.sent:
+            if sent.status is None or not 200 <= sent.status < 300:
+                continue
+            words = sent.got.split()
+            size = str(len(sent.body or b"")).encode()
+            if not sent.sealed or len(words) != 3 or \
+                    words[1].decode() != sent.path or words[2] != size:
+                yield "%s %s got %r, sealed %s" % (sent.path, sent.id,
+                                                   sent.got, sent.sealed)
+
+    def check_runs(self):
+        runs = {}
+        for worker in set(self.fleet.workers.values()):
+            for request in worker.ran:
+                runs.setdefault(request.id, []).append((worker, request))
+        for sent in self.sent:
+            ran = runs.get(sent.id, [])
+            if sent.body is not None and len(ran) > 1:
+                yield "%s %s ran %d times" % (sent.path, sent.id, len(ran))
+            if sent.body is not None and sent.status in NOT_RUN and ran:
+                yield "%s %s was refused with %d and ran" % (
+                    sent.path, sent.id, sent.status)
+            prefix = sent.path[:sent.path.index("/", 1) + 1]
+            for worker, request in ran:
+                if request.target != sent.path or \
+                        request.body != (sent.body or b""):
+                    yield "%s %s reached a server changed" % (sent.path,
+                                                              sent.id)
+                if request.service not in self.allowed[prefix]:
+                    yield "%s %s ran at %s" % (sent.path, sent.id,
+                                               request.service)
+
+    def check_versions(self):
+        for vm in self.fleet.vms:
+            last = 0
+            for line in vm.log():
+                if line["step"] == "process.start":
+                    last = 0
+                if line["step"] == "config.apply":
+                    version = int(line["text"].split()[0].split("=")[1])
+                    if version <= last:
+                        yield "%s went from version %d to %d" % (
+                            vm.name, last, version)
+                    last = version
+
+    def check_stops(self):
+        """Requests that were cut by a stop with no trouble near it."""
+        for vm, began, ended in self.stops:
+            if any(t0 < ended + STOP_CLEAR_S and t1 > began - STOP_CLEAR_S
+                   for t0, t1 in self.troubles):
+                continue
+            for sent in self.sent:
+                if sent.vm is vm and sent.connected and \
+                        sent.status is None and \
+                        began - 1 < sent.at < began + 3 and \
+                        sent.ended_at - sent.at > 0.05:
+                    yield "%s %s was cut by the stop of %s" % (
+                        sent.path, sent.id, vm.name)
+
+    def check_exits(self):
+        for name, code in self.exits:
+            yield "%s ended its stop with %d" % (name, code)
+        for vm in self.fleet.vms:
+            if vm.process.poll() is not None:
+                yield "%s ended by itself with %d" % (vm.name,
+                                                      vm.process.poll())
+
+    def check(self):
+        found = []
+        for check in (self.check_answers, self.check_runs,
+                      self.check_versions, self.check_stops,
+                      self.check_exits):
+            found.extend(check())
+        return found
+
+    def recover(self):
+        wait_for(lambda: all(vm.is_ready() for vm in self.fleet.vms),
+                 "all entry VMs ready after the faults")
+
+        def served(vm, path):
+            return vm.request(path=path, deadline_ms=2000).status == 200
+        for vm in self.fleet.vms:
+            for path in ("/forms/1", "/forms/2"):
+                wait_for(lambda: served(vm, path), "%s to serve" % vm.name)
+
+    def run(self):
+        """What was violated, as texts."""
+        with self.fleet:
+            try:
+                self.start()
+                callers = [Caller(self, n) for n in range(CALLERS)]
+                self.harm()
+                self.stop_alone()
+                self.over = True
+                for caller in callers:
+                    caller.join()
+                self.recover()
+                found = self.check()
+            finally:
+                self.over = True
+                for proxy in self.proxies.values():
+                    proxy.stop()
+            if found:
+                self.keep_logs()
+            return found
+
+    def stop_alone(self):
+        time.sleep(STOP_CLEAR_S + 0.5)
+        self.stop_vm()
+        time.sleep(STOP_CLEAR_S)
+
+    def keep_logs(self):
+        folder = os.path.join("out", "soak-%d" % self.seed)
+        os.makedirs(folder, exist_ok=True)
+        for vm in self.fleet.vms:
+            with open(vm.log_path) as source, \
+                    open(os.path.join(folder, vm.name + ".log"), "w") as file:
+                file.write(source.read())
+        with open(os.path.join(folder, "events"), "w") as file:
+            for at, text in self.events:
+                file.write("%.3f %s\n" % (at, text))
+
+
+def summarize(soak, found):
+    counts = {}
+    for sent in soak.sent:
+        what = sent.status if sent.status is not None else "cut"
+        counts[what] = counts.get(what, 0) + 1
+    stops = len(soak.stops)
+    return "seed %d: %d requests %s, %d faults, %d stops, %d violations" % (
+        soak.seed, len(soak.sent),
+        {str(k): counts[k] for k in sorted(counts, key=str)},
+        len(soak.events), stops, len(found))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--vms", type=int, default=4)
+    parser.add_argument("--report")
+    options = parser.parse_args()
+    first = options.seed if options.seed is not None else \
+        random.SystemRandom().randrange(1 << 31)
+    failed = 0
+    for seed in range(first, first + options.seeds):
+        soak = Soak(seed, options.seconds, options.vms)
+        found = soak.run()
+        line = summarize(soak, found)
+        print(line, flush=True)
+        for text in found[:10]:
+            print("  " + text, flush=True)
+        failed += 1 if found else 0
+        if options.report:
+            with open(options.report, "a") as file:
+                file.write("\n".join([line] + ["  " + t for t in found]) +
+                           "\n")
+    print("%d passed, %d failed" % (options.seeds - failed, failed))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -45,6 +45,7 @@
         self.name = name
         self.slots = threading.Semaphore(slots)
         self.slot_count = slots
+        self.service = ""    # by its entry; remembered with each request
         self.work_s = 0.0
         self.held = threading.Event()
         self.held.set()
@@ -124,6 +125,7 @@
             self.answer(connection, 503, b"", headers, not_run=True)
             return True
         request = Request(method, target, headers, body)
+        request.service = self.service
         with self.lock:
             self.ran.append(request)
         return self.run(connection, request, fault)
