--- a/packages/ctl/src/commands.c
+++ b/packages/ctl/src/commands.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "print.h"
+#include "views.h"
 
 #define POLL_INTERVAL_MS 200
 /* A poll gets this long, also the last one: with what is left of the wait it
@@ -40,8 +41,10 @@
 static enum sas_exit show_counters(const struct sas_command_options *options,
                                    const char *unused);
 
-static void complain(const char *format, ...)
-    __attribute__((format(printf, 1, 2)));
+static enum sas_exit show_views(const struct sas_command_options *options,
+                                const char *unused);
+static enum sas_exit show_owners(const struct sas_command_options *options,
+                                 const char *object);
 
 static const struct command commands[] = {
     {{"sheet", "check"}, true, false, check_sheet},
@@ -53,6 +56,8 @@
     {{"operation", NULL}, true, false, show_operation},
     {{"wait", NULL}, true, false, wait_for_version},
     {{"counters", NULL}, false, false, show_counters},
+    {{"views", NULL}, false, false, show_views},
+    {{"owners", NULL}, true, false, show_owners},
 };
 
 static void complain(const char *format, ...)
@@ -692,3 +697,70 @@
     fwrite(response.body, 1, response.body_size, stdout);
     return SasExit_DONE;
 }
+
+/* Entry VMs that learn everything at run time: each node is asked, since what
+ * matters is where they differ. */
+static json_t *
+fetch_view(const struct sas_command_options *options, guint node,
+           const char *target)
+{
+    struct sas_client one = {
+        .nodes = g_array_new(FALSE, FALSE, sizeof(struct sas_address)),
+    };
+    g_array_append_val(one.nodes, g_array_index(options->client.nodes,
+                                                struct sas_address, node));
+    struct sas_call call = {.method = "GET", .target = target};
+    AUTO_RESPONSE struct sas_http_response response = {0};
+    struct sas_error error = {0};
+    json_t *view = NULL;
+    if (SasClient_Call(&one, &call, &response, &error) != 0) {
+        complain("%s: %s", error.peer, error.text);
+    }
+    else if (response.status == 200) {
+        view = json_loads(response.body, 0, NULL);
+    }
+    g_array_free(one.nodes, TRUE);
+    return view;
+}
+
+static enum sas_exit
+compare_views(const struct sas_command_options *options, const char *target)
+{
+    AUTO_JSON json_t *views = json_array();
+    for (guint i = 0; i < options->client.nodes->len; i++) {
+        json_t *view = fetch_view(options, i, target);
+        if (view != NULL) {
+            json_array_append_new(views, view);
+        }
+    }
+    if (json_array_size(views) == 0) {
+        return SasExit_UNREACHABLE;
+    }
+    if (options->json) {
+        SasPrint_Json(views);
+        return SasExit_DONE;
+    }
+    return SasViews_Print(views) == 0 ? SasExit_DONE : SasExit_REFUSED;
+}
+
+static enum sas_exit
+show_views(const struct sas_command_options *options, const char *unused)
+{
+    (void)unused;
+    return compare_views(options, "/v1/view");
+}
+
+static enum sas_exit
+show_owners(const struct sas_command_options *options, const char *object)
+{
+    const char *slash = strchr(object, '/');
+    if (slash == NULL || slash == object || slash[1] == '\0') {
+        complain("owners takes SERVICE/OBJECT");
+        return SasExit_USAGE;
+    }
+    g_autofree char *service = g_strndup(object, (gsize)(slash - object));
+    g_autofree char *name = g_uri_escape_string(slash + 1, NULL, FALSE);
+    g_autofree char *target =
+        g_strdup_printf("/v1/view?service=%s&object=%s", service, name);
+    return compare_views(options, target);
+}
--- a/packages/ctl/src/main.c
+++ b/packages/ctl/src/main.c
@@ -22,12 +22,16 @@
     "  drain NAME         let a backend server or an entry VM leave\n"
     "  operation ID       say what became of an operation\n"
     "  wait VERSION       wait until every node has the version in force\n"
-    "  counters           print the counters of one node";
+    "  counters           print the counters of one node\n"
+    "  views              what the nodes believe, and where they differ\n"
+    "  owners SERVICE/OBJECT  the same, with the object's backend servers\n"
+    "\n"
+    "views and owners ask the ready address of entry VMs on the platform.";
 
 static const char description[] =
     "Exit statuses:\n"
     "  0  done\n"
-    "  1  refused: a bad sheet, a conflict, no such thing\n"
+    "  1  refused: a bad sheet, a conflict, no such thing; views differ\n"
     "  2  wrong options, files or token\n"
     "  3  no node answered; nothing was changed\n"
     "  4  the outcome is unknown; repeat it with the same --operation, or\n"
--- a/packages/gateway/src/directory.c
+++ b/packages/gateway/src/directory.c
@@ -4,7 +4,7 @@
 
 #include <jansson.h>
 
-#include "sas/log.h"
+#include "view.h"
 
 static void
 reply_text(struct sas_http_exchange *exchange, int status, const char *type,
@@ -86,24 +86,67 @@
 }
 
 static void
-on_request(struct sas_http_handler *handler,
-           struct sas_http_exchange *exchange)
+answer_ready(struct sas_directory *directory,
+             struct sas_http_exchange *exchange)
+{
+    bool ready = directory->ready && !directory->leaving;
+    reply_text(exchange, ready ? 200 : 503, "text/plain",
+               ready ? "ready\n" : "not ready\n");
+}
+
+static void
+answer_view(struct sas_directory *directory,
+            struct sas_http_exchange *exchange)
+{
+    const char *target = SasHttpExchange_GetTarget(exchange);
+    g_autofree char *service = get_parameter(target, "service");
+    g_autofree char *object = get_parameter(target, "object");
+    json_t *view = SasView_Make(directory->fleet, directory->mesh, service,
+                                object, (int64_t)uv_now(directory->loop));
+    char *text = json_dumps(view, JSON_COMPACT);
+    reply_text(exchange, 200, "application/json", text);
+    free(text);
+    json_decref(view);
+}
+
+static bool
+has_path(struct sas_http_exchange *exchange, const char *path)
 {
-    struct sas_directory *directory = (struct sas_directory *)handler;
     const char *target = SasHttpExchange_GetTarget(exchange);
     size_t size = strcspn(target, "?");
-    g_autofree char *path = g_strndup(target, size);
-    if (strcmp(path, directory->wire->lookup_path) == 0) {
+    return strlen(path) == size && strncmp(target, path, size) == 0;
+}
+
+static void
+on_caller_request(struct sas_http_handler *handler,
+                  struct sas_http_exchange *exchange)
+{
+    struct sas_directory *directory =
+        (struct sas_directory *)((char *)handler -
+                                 offsetof(struct sas_directory, callers));
+    if (has_path(exchange, directory->wire->lookup_path)) {
         answer_lookup(directory, exchange);
+        return;
     }
-    else if (strcmp(path, directory->wire->ready_path) == 0) {
-        bool ready = directory->ready && !directory->leaving;
-        reply_text(exchange, ready ? 200 : 503, "text/plain",
-                   ready ? "ready\n" : "not ready\n");
+    reply_text(exchange, 404, "text/plain", "no such page\n");
+}
+
+static void
+on_operator_request(struct sas_http_handler *handler,
+                    struct sas_http_exchange *exchange)
+{
+    struct sas_directory *directory =
+        (struct sas_directory *)((char *)handler -
+                                 offsetof(struct sas_directory, operators));
+    if (has_path(exchange, directory->wire->ready_path)) {
+        answer_ready(directory, exchange);
     }
-    else if (strcmp(path, "/metrics") == 0) {
+    else if (has_path(exchange, "/metrics")) {
         answer_metrics(directory, exchange);
     }
+    else if (has_path(exchange, "/v1/view")) {
+        answer_view(directory, exchange);
+    }
     else {
         reply_text(exchange, 404, "text/plain", "no such page\n");
     }
@@ -112,5 +155,6 @@
 void
 SasDirectory_Init(struct sas_directory *directory)
 {
-    directory->handler.on_request = on_request;
+    directory->callers.on_request = on_caller_request;
+    directory->operators.on_request = on_operator_request;
 }
--- a/packages/gateway/src/directory.h
+++ b/packages/gateway/src/directory.h
@@ -1,5 +1,8 @@
-/* directory - answers which entry VMs a caller should use, whether this one
- * is ready, and its metrics.
+/* directory - answers callers which entry VMs to use, and operators whether
+ * this one is ready, its metrics and its view.
+ *
+ * The two have handlers of their own: callers' port tells nothing of what is
+ * inside.
  */
 #ifndef SAS_DIRECTORY_H
 #define SAS_DIRECTORY_H
@@ -11,7 +14,9 @@
 #include "sas/metrics.h"
 
 struct sas_directory {
-    struct sas_http_handler handler;
+    struct sas_http_handler callers;
+    struct sas_http_handler operators;
+    uv_loop_t *loop;
     struct sas_fleet *fleet;
     struct sas_mesh *mesh;
     struct sas_metrics *metrics;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -119,8 +119,8 @@
     const struct sas_address *addresses[LISTEN_COUNT] = {&s->caller, &s->ready,
                                                          &s->lookup, &s->peer};
     struct sas_http_handler *handlers[LISTEN_COUNT] = {
-        SasRelay_GetHandler(gateway->relay), &gateway->directory.handler,
-        &gateway->directory.handler, gateway->source->peers};
+        SasRelay_GetHandler(gateway->relay), &gateway->directory.operators,
+        &gateway->directory.callers, gateway->source->peers};
     for (int i = 0; i < LISTEN_COUNT; i++) {
         gateway->servers[i] = SasHttpServer_Open(
             gateway->loop, addresses[i], i == LISTEN_CALLER ? &limits : &small,
@@ -147,6 +147,7 @@
         .random = gateway->random,
     };
     gateway->relay = SasRelay_New(&options);
+    gateway->directory.loop = gateway->loop;
     gateway->directory.fleet = gateway->fleet;
     gateway->directory.mesh = gateway->mesh;
     gateway->directory.metrics = gateway->metrics;
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -231,6 +231,21 @@
     }
 }
 
+bool
+SasMesh_GetView(const struct sas_mesh *mesh, int i, struct sas_mesh_view *view)
+{
+    if (i >= (int)mesh->vms->len) {
+        return false;
+    }
+    int64_t now_ms = get_now(mesh);
+    view->name = get_vm(mesh, i)->facts.name;
+    view->zone = get_vm(mesh, i)->facts.zone;
+    view->state = SasMembership_GetStateName(
+        SasMembership_GetState(&mesh->table, i, now_ms));
+    view->age_ms = SasMembership_GetAge(&mesh->table, i, now_ms);
+    return true;
+}
+
 /* Live ones. */
 
 static bool
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -63,6 +63,18 @@
 /* Another entry VM, from the store: it is greeted at once. */
 void SasMesh_AddVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts);
 
+/* What is believed of entry VM number i, from 0, the own one first; false:
+ * there is none. */
+struct sas_mesh_view {
+    const char *name;
+    const char *zone;
+    const char *state;
+    int64_t age_ms; /* of its last sign of life */
+};
+
+bool SasMesh_GetView(const struct sas_mesh *mesh, int i,
+                     struct sas_mesh_view *view);
+
 /* Live ones, this one included. */
 int SasMesh_Count(const struct sas_mesh *mesh);
 int SasMesh_CountInRegion(const struct sas_mesh *mesh, int region);
--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -292,6 +292,34 @@
             self.assertEqual(code, 2)
             self.assertIn("budget-ratio", said)
 
+    def test_ctl_shows_where_entry_vms_differ(self):
+        with Fleet(vms=("a", "c")) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            a, c = fleet.vms
+
+            def ctl(*words):
+                run = subprocess.run(
+                    [os.path.join(BUILD, "bin", "sassafrassillctl"),
+                     "--node", "%s:%d" % a.address("ready"),
+                     "--node", "%s:%d" % c.address("ready")] + list(words),
+                    capture_output=True, text=True, timeout=30)
+                return run.returncode, run.stdout + run.stderr
+            wait_for(lambda: ctl("views")[0] == 0, "the views to agree")
+            code, said = ctl("owners", "desk/7")
+            self.assertEqual(code, 0, said)
+            self.assertEqual(said.count("d1"), 2)
+            self.assertEqual(ctl("owners", "desk")[0], 2)
+            c.stop()
+            wait_for(lambda: a.find_lines("mesh.state", peer=c.name),
+                     "the death")
+            code, said = ctl("views", "--json")
+            self.assertEqual(code, 0)
+            self.assertIn('"vm":"vm-0"', said)
+            # Callers' port tells nothing of what is inside.
+            self.assertEqual(exchange(a.address("lookup"), "GET",
+                                      "/v1/view").status, 404)
+
     def test_a_reload_keeps_serving(self):
         with Fleet(vms=("a",)) as fleet:
             fleet.add_worker("d1")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -19,6 +19,16 @@
 CHUNK = 65536
 
 
+def reset_both(pair):
+    for end in pair:
+        try:
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                           struct.pack("ii", 1, 0))
+            end.close()
+        except OSError:
+            pass
+
+
 class Proxy:
     def __init__(self, port):
         self.target = port
@@ -40,13 +50,7 @@
         with self.lock:
             pairs, self.pairs = self.pairs, set()
         for pair in pairs:
-            for end in pair:
-                try:
-                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                   struct.pack("ii", 1, 0))
-                    end.close()
-                except OSError:
-                    pass
+            reset_both(pair)
 
     def accept(self):
         while not self.stopped:
@@ -72,7 +76,9 @@
         try:
             self.carry(client, server)
         except (OSError, ValueError):
-            pass
+            # A reset on one side must not look like an orderly end on the
+            # other: an answer without a length would seem whole.
+            reset_both(pair)
         finally:
             with self.lock:
                 self.pairs.discard(pair)
