--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -14,6 +14,7 @@
 #include "sas/error.h"
 #include "sas/fleet.h"
 #include "sas/http_server.h"
+#include "sas/metrics.h"
 
 struct sas_gateway;
 struct sas_mesh_facts;
@@ -52,8 +53,10 @@
 const struct sas_mesh_facts *
 SasGateway_GetOwn(const struct sas_gateway *gateway);
 
-/* The file is read again on SIGHUP. */
-void SasGateway_SetReload(struct sas_gateway *gateway,
+struct sas_metrics *SasGateway_GetMetrics(const struct sas_gateway *gateway);
+
+/* Calls reload on SIGHUP, and when the file at the path has changed. */
+void SasGateway_SetReload(struct sas_gateway *gateway, const char *path,
                           void (*reload)(void *data), void *data);
 
 #endif
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -19,6 +19,9 @@
 /* Descriptors kept for backend servers, the store and files. */
 #define OTHER_DESCRIPTORS 1200
 
+/* The settings file may change without a signal. */
+#define FILE_POLL_MS 3000
+
 /* Before SIGKILL comes: the last answers are out and the process is gone. */
 #define STOP_MARGIN_MS 900
 
@@ -63,6 +66,7 @@
     uv_timer_t sweep;
     uv_timer_t stop;
     uv_signal_t signals[3];
+    uv_fs_poll_t file; /* the settings */
     int64_t stop_began_at;
     void (*reload)(void *data);
     void *reload_data;
@@ -184,6 +188,8 @@
     uv_timer_init(loop, &gateway->stop);
     gateway->sweep.data = gateway;
     gateway->stop.data = gateway;
+    uv_fs_poll_init(loop, &gateway->file);
+    gateway->file.data = gateway;
     uv_timer_start(&gateway->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
     static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
     for (int i = 0; i < 3; i++) {
@@ -217,6 +223,7 @@
     SasMesh_Close(gateway->mesh);
     uv_close((uv_handle_t *)&gateway->sweep, NULL);
     uv_close((uv_handle_t *)&gateway->stop, NULL);
+    uv_close((uv_handle_t *)&gateway->file, NULL);
     for (int i = 0; i < 3; i++) {
         uv_close((uv_handle_t *)&gateway->signals[i], NULL);
     }
@@ -259,12 +266,36 @@
     return SasMesh_GetOwn(gateway->mesh);
 }
 
+struct sas_metrics *
+SasGateway_GetMetrics(const struct sas_gateway *gateway)
+{
+    return gateway->metrics;
+}
+
+static void
+on_file_changed(uv_fs_poll_t *poll, int status, const uv_stat_t *before,
+                const uv_stat_t *after)
+{
+    (void)before;
+    (void)after;
+    struct sas_gateway *gateway = poll->data;
+    if (status != 0) {
+        SasLog_Write(SasLog_WARN, "process.reload", "",
+                     "the settings file can't be read: %s",
+                     uv_strerror(status));
+        return;
+    }
+    SasLog_Write(SasLog_INFO, "process.reload", "", "the file has changed");
+    gateway->reload(gateway->reload_data);
+}
+
 void
-SasGateway_SetReload(struct sas_gateway *gateway, void (*reload)(void *data),
-                     void *data)
+SasGateway_SetReload(struct sas_gateway *gateway, const char *path,
+                     void (*reload)(void *data), void *data)
 {
     gateway->reload = reload;
     gateway->reload_data = data;
+    uv_fs_poll_start(&gateway->file, on_file_changed, path, FILE_POLL_MS);
 }
 
 static void
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -147,12 +147,23 @@
 }
 
 static void
-count_outcome(struct sas_relay *relay, const char *outcome)
+count_outcome(const struct relay_call *call, const char *outcome)
 {
-    int metric = SasMetrics_Register(relay->options.metrics,
-                                     "sas_requests_total", "outcome", outcome,
-                                     "Requests of callers by how they ended");
-    SasMetrics_Add(relay->options.metrics, metric, 1);
+    const struct sas_relay *relay = call->relay;
+    struct sas_metrics *metrics = relay->options.metrics;
+    int counter =
+        SasMetrics_Register(metrics, "sas_requests_total", "outcome", outcome,
+                            "Requests of callers by how they ended");
+    SasMetrics_Add(metrics, counter, 1);
+    if (call->route == NULL) {
+        return;
+    }
+    int histogram = SasMetrics_RegisterHistogram(
+        metrics, "sas_request_duration_ms", "service",
+        SasFleet_GetService(relay->options.fleet, call->service)->name,
+        "From a request's first byte to its answer, milliseconds");
+    SasMetrics_Observe(metrics, histogram,
+                       (double)(SasRelay_Now(relay) - call->began_at));
 }
 
 void
@@ -163,7 +174,7 @@
     if (reply->status == 200 && call->route != NULL) {
         note_bytes(call, reply->body_size);
     }
-    count_outcome(call->relay, outcome);
+    count_outcome(call, outcome);
     SasHttpExchange_Reply(call->exchange, reply);
     free_call(call);
 }
@@ -242,6 +253,11 @@
     struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
     const struct sas_server_traffic *traffic = &server->traffic;
     bool tripped = change == SAS_TRAFFIC_TRIPPED;
+    struct sas_metrics *metrics = relay->options.metrics;
+    int counter = SasMetrics_Register(metrics, "sas_servers_tripped_total",
+                                      "cause", tripped ? cause : "well again",
+                                      "Backend servers given up, by cause");
+    SasMetrics_Add(metrics, counter, 1);
     struct sas_mesh_trip_news news = {
         .server_hash = server->hash,
         .left_ms = tripped ? traffic->hold_ms : 0,
@@ -621,6 +637,6 @@
     struct relay_call *call = SasHttpExchange_GetUser(exchange);
     SasRelay_Cancel(call);
     log_end(call, "caller left", 0);
-    count_outcome(call->relay, "caller left");
+    count_outcome(call, "caller left");
     free_call(call);
 }
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -81,6 +81,9 @@
     }
     /* Addresses and places are fixed for a process. */
     live->settings.bounds = settings.bounds;
+    SasLog_Write(SasLog_INFO, "settings.apply", live->path,
+                 "drain_ms=%" G_GINT64_FORMAT " grace_ms=%" G_GINT64_FORMAT,
+                 settings.bounds.drain_ms, settings.bounds.grace_ms);
 }
 
 /* An entry VM on the users' platform: everything beyond its own addresses is
@@ -116,7 +119,7 @@
         SasLog_WriteError(SasLog_ERROR, &error);
         return EXIT_FAILURE;
     }
-    SasGateway_SetReload(gateway, reload, &live);
+    SasGateway_SetReload(gateway, live.path, reload, &live);
     int status = SasGateway_Run(gateway);
     SasGateway_Close(gateway);
     SasPlatform_Close(source);
--- a/packages/observe/include/sas/metrics.h
+++ b/packages/observe/include/sas/metrics.h
@@ -1,4 +1,4 @@
-/* metrics - counters and gauges, and their text exposition format.
+/* metrics - counters, gauges and histograms, and their text exposition format.
  *
  * A family has a name, a help text, a kind and at most one label; a metric is
  * one label value of a family and is named by a small handle. Register once,
@@ -19,6 +19,11 @@
  * metrics than this are refused with SasModel_NONE. */
 #define SasMetrics_MAX_METRICS 8192
 
+/* Upper bounds of a histogram's buckets; the goals of most routes, 200 to 400
+ * ms, and their limits lie between them. */
+#define SasMetrics_BUCKETS_MS                                                 \
+    1, 2, 5, 10, 20, 50, 100, 150, 200, 250, 300, 400, 600, 1000, 2000, 5000
+
 struct sas_metrics;
 
 struct sas_metrics *SasMetrics_New(void);
@@ -41,7 +46,16 @@
 /* Sets a gauge. */
 void SasMetrics_Set(struct sas_metrics *metrics, int metric, double number);
 
-/* The present number of a counter or gauge; 0 for SasModel_NONE. */
+/* The handle of a histogram of durations in milliseconds; its buckets are
+ * SasMetrics_BUCKETS_MS. */
+int SasMetrics_RegisterHistogram(struct sas_metrics *metrics, const char *name,
+                                 const char *label, const char *value,
+                                 const char *help);
+void SasMetrics_Observe(struct sas_metrics *metrics, int metric,
+                        double milliseconds);
+
+/* The present number of a counter or gauge, or how many durations a histogram
+ * has seen; 0 for SasModel_NONE. */
 double SasMetrics_Get(const struct sas_metrics *metrics, int metric);
 
 /* All of it in the text exposition format: families in the order of their
--- a/packages/observe/src/metrics.c
+++ b/packages/observe/src/metrics.c
@@ -1,6 +1,7 @@
 #include "sas/metrics.h"
 
 #include <glib.h>
+#include <gsl/gsl_histogram.h>
 #include <inttypes.h>
 #include <math.h>
 #include <stdbool.h>
@@ -10,9 +11,14 @@
 
 enum kind {
     COUNTER,
-    GAUGE
+    GAUGE,
+    HISTOGRAM
 };
 
+/* The bounds between buckets; the last bucket holds whatever is longer. */
+static const double bucket_bounds[] = {0, SasMetrics_BUCKETS_MS, 1e12};
+#define BUCKET_COUNT (G_N_ELEMENTS(bucket_bounds) - 1)
+
 struct family {
     char *name;
     char *label; /* NULL: no label */
@@ -25,7 +31,8 @@
     char *value; /* of the label, NULL without one */
     int family;
     uint64_t count; /* a counter's number */
-    double level;   /* a gauge's number */
+    double level;   /* a gauge's number; the sum of a histogram's */
+    gsl_histogram *histogram;
 };
 
 struct sas_metrics {
@@ -81,6 +88,34 @@
     return register_metric(metrics, GAUGE, name, label, value, help);
 }
 
+int
+SasMetrics_RegisterHistogram(struct sas_metrics *metrics, const char *name,
+                             const char *label, const char *value,
+                             const char *help)
+{
+    int metric = register_metric(metrics, HISTOGRAM, name, label, value, help);
+    struct metric *row = get_metric(metrics, metric, HISTOGRAM);
+    if (row != NULL && row->histogram == NULL) {
+        row->histogram = gsl_histogram_alloc(BUCKET_COUNT);
+        gsl_histogram_set_ranges(row->histogram, bucket_bounds,
+                                 G_N_ELEMENTS(bucket_bounds));
+    }
+    return metric;
+}
+
+void
+SasMetrics_Observe(struct sas_metrics *metrics, int metric,
+                   double milliseconds)
+{
+    struct metric *row = get_metric(metrics, metric, HISTOGRAM);
+    if (row == NULL) {
+        return;
+    }
+    gsl_histogram_increment(row->histogram, MAX(milliseconds, 0));
+    row->level += milliseconds;
+    row->count++;
+}
+
 void
 SasMetrics_Add(struct sas_metrics *metrics, int metric, uint64_t n)
 {
@@ -107,7 +142,7 @@
     }
     enum kind kind = get_kind(metrics, metric);
     const struct metric *row = get_metric(metrics, metric, kind);
-    return kind == COUNTER ? (double)row->count : row->level;
+    return kind == GAUGE ? row->level : (double)row->count;
 }
 
 static gint
@@ -162,6 +197,9 @@
 {
     struct metric *metric = data;
     g_free(metric->value);
+    if (metric->histogram != NULL) {
+        gsl_histogram_free(metric->histogram);
+    }
 }
 
 static bool
@@ -306,26 +344,72 @@
     g_string_append_printf(text, " %s\n", number);
 }
 
+/* The label of a row and, of a bucket, its upper bound. */
+static void
+append_labels(const struct family *family, const struct metric *row,
+              const char *bound, GString *text)
+{
+    if (family->label == NULL && bound == NULL) {
+        return;
+    }
+    g_string_append_c(text, '{');
+    if (family->label != NULL) {
+        g_string_append_printf(text, "%s=\"", family->label);
+        append_escaped(text, row->value, true);
+        g_string_append_c(text, '"');
+    }
+    if (bound != NULL) {
+        g_string_append_printf(text, "%sle=\"%s\"",
+                               family->label != NULL ? "," : "", bound);
+    }
+    g_string_append_c(text, '}');
+}
+
+static void
+format_histogram(const struct family *family, const struct metric *row,
+                 GString *text)
+{
+    double sum = 0;
+    for (size_t i = 0; i < BUCKET_COUNT; i++) {
+        char bound[G_ASCII_DTOSTR_BUF_SIZE] = "+Inf";
+        if (i + 1 < BUCKET_COUNT) {
+            g_ascii_formatd(bound, sizeof(bound), "%g", bucket_bounds[i + 1]);
+        }
+        sum += gsl_histogram_get(row->histogram, i);
+        g_string_append_printf(text, "%s_bucket", family->name);
+        append_labels(family, row, bound, text);
+        g_string_append_printf(text, " %.0f\n", sum);
+    }
+    char number[G_ASCII_DTOSTR_BUF_SIZE];
+    g_ascii_formatd(number, sizeof(number), "%.15g", row->level);
+    g_string_append_printf(text, "%s_sum", family->name);
+    append_labels(family, row, NULL, text);
+    g_string_append_printf(text, " %s\n%s_count", number, family->name);
+    append_labels(family, row, NULL, text);
+    g_string_append_printf(text, " %" PRIu64 "\n", row->count);
+}
+
 static void
 format_family(const struct sas_metrics *metrics, int family, GString *text)
 {
+    static const char *const types[] = {"counter", "gauge", "histogram"};
     const struct family *row =
         &g_array_index(metrics->families, struct family, family);
     g_string_append_printf(text, "# HELP %s ", row->name);
     append_escaped(text, row->help, false);
     g_string_append_printf(text, "\n# TYPE %s %s\n", row->name,
-                           row->kind == COUNTER ? "counter" : "gauge");
+                           types[row->kind]);
     g_array_sort_with_data(row->metrics, compare_metrics, (gpointer)metrics);
     for (guint i = 0; i < row->metrics->len; i++) {
         int metric = g_array_index(row->metrics, int, i);
-        g_string_append(text, row->name);
-        if (row->label != NULL) {
-            const struct metric *member =
-                &g_array_index(metrics->metrics, struct metric, metric);
-            g_string_append_printf(text, "{%s=\"", row->label);
-            append_escaped(text, member->value, true);
-            g_string_append(text, "\"}");
+        const struct metric *member =
+            &g_array_index(metrics->metrics, struct metric, metric);
+        if (row->kind == HISTOGRAM) {
+            format_histogram(row, member, text);
+            continue;
         }
+        g_string_append(text, row->name);
+        append_labels(row, member, NULL, text);
         format_number(metrics, metric, text);
     }
 }
--- a/packages/observe/tests/test_metrics.c
+++ b/packages/observe/tests/test_metrics.c
@@ -100,10 +100,45 @@
                      7);
 }
 
+static void
+test_a_histogram_counts_up_to_each_bound(void **state)
+{
+    (void)state;
+    struct sas_metrics *metrics = SasMetrics_New();
+    int metric = SasMetrics_RegisterHistogram(metrics, "sas_wait_ms",
+                                              "service", "desk", "Waits");
+    assert_int_equal(SasMetrics_RegisterHistogram(metrics, "sas_wait_ms",
+                                                  "service", "desk", "Waits"),
+                     metric);
+    assert_int_equal(SasMetrics_Register(metrics, "sas_wait_ms", "service",
+                                         "desk", "Waits"),
+                     SasModel_NONE);
+    SasMetrics_Observe(metrics, metric, 3);
+    SasMetrics_Observe(metrics, metric, 180.5);
+    SasMetrics_Observe(metrics, metric, 99999);
+    SasMetrics_Observe(metrics, SasModel_NONE, 1);
+    assert_true(SasMetrics_Get(metrics, metric) == 3);
+    g_autofree char *text = SasMetrics_Format(metrics);
+    static const char *const expected[] = {
+        "# TYPE sas_wait_ms histogram\n",
+        "sas_wait_ms_bucket{service=\"desk\",le=\"2\"} 0\n",
+        "sas_wait_ms_bucket{service=\"desk\",le=\"5\"} 1\n",
+        "sas_wait_ms_bucket{service=\"desk\",le=\"200\"} 2\n",
+        "sas_wait_ms_bucket{service=\"desk\",le=\"+Inf\"} 3\n",
+        "sas_wait_ms_sum{service=\"desk\"} 100182.5\n",
+        "sas_wait_ms_count{service=\"desk\"} 3\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        assert_non_null(strstr(text, expected[i]));
+    }
+    SasMetrics_Free(metrics);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_a_histogram_counts_up_to_each_bound),
         cmocka_unit_test_setup_teardown(
             test_same_name_and_value_share_a_handle, setup, teardown),
         cmocka_unit_test_setup_teardown(
--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -330,6 +330,26 @@
             self.assertEqual(vm.request().status, 200)
             metrics = exchange(vm.address("ready"), "GET", "/metrics").body
             self.assertIn(b'sas_requests_total{outcome="answered"} 1', metrics)
+            self.assertIn(b'sas_request_duration_ms_count{service="desk"} 1',
+                          metrics)
+            self.assertIn(b'sas_store_calls_total{status="ok"}', metrics)
+
+    def test_a_settings_file_that_changes_is_read_without_a_signal(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            with open(vm.settings_path) as file:
+                text = file.read()
+            with open(vm.settings_path, "w") as file:
+                file.write(text.replace("grace-s=6", "grace-s=9"))
+            wait_for(lambda: any("grace_ms=9000" in line["text"] for line in
+                                 vm.find_lines("settings.apply")),
+                     "the new bound")
+            with open(vm.settings_path, "w") as file:
+                file.write("broken")
+            wait_for(lambda: vm.find_lines("settings.load"), "a complaint")
+            self.assertEqual(vm.request().status, 200)
 
 
 if __name__ == "__main__":
