Look-ups name the strong entry VMs of a zone

Cause: on the grown sites ten of twelve entry VMs of a zone have links of 10 Mbit/s and a tenth of a core; callers pick evenly, and a photo of 60 kB spent 0.1 s on such a link. Equal entry VMs are all named, so the other sites are as before.

--- a/packages/gateway/include/sas/entry.h
+++ b/packages/gateway/include/sas/entry.h
@@ -45,6 +45,8 @@
     struct sas_address store;
     int64_t memory_bytes;
     int max_descriptors;
+    double cores; /* share of a core that it may use */
+    double link_mbps;
     bool first_start; /* the whole system starts for the first time */
     struct sas_entry_bounds bounds;
 };
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -10,6 +10,7 @@
 #include "sas/http.h"
 #include "sas/log.h"
 #include "sas/membership.h"
+#include "sas/strength.h"
 
 #define MAX_DATAGRAM 1400
 #define OWN_SEAT 0
@@ -98,6 +99,7 @@
         .caller = settings->caller,
         .peer = settings->peer,
         .incarnation = (uint64_t)(g_get_real_time() / 1000),
+        .strength = SasStrength_Estimate(settings->cores, settings->link_mbps),
     };
     g_strlcpy(own.name, settings->name, sizeof(own.name));
     g_strlcpy(own.zone, settings->zone, sizeof(own.zone));
@@ -281,14 +283,24 @@
 collect(const struct sas_mesh *mesh, int zone, int region,
         struct sas_address *addresses, int max)
 {
-    int count = 0;
-    for (int seat = 0; seat < (int)mesh->vms->len && count < max; seat++) {
+    g_autoptr(GArray) seats = g_array_new(FALSE, FALSE, sizeof(int));
+    g_autoptr(GArray) strengths = g_array_new(FALSE, FALSE, sizeof(double));
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
         if ((zone == SasModel_NONE || get_vm(mesh, seat)->zone == zone) &&
             (region == SasModel_NONE || get_region(mesh, seat) == region) &&
             is_live(mesh, seat)) {
-            addresses[count++] = get_vm(mesh, seat)->facts.caller;
+            g_array_append_val(seats, seat);
+            g_array_append_val(strengths, get_vm(mesh, seat)->facts.strength);
         }
     }
+    int picked[SasMesh_MAX_NAMED];
+    int count =
+        SasStrength_Pick((const double *)(void *)strengths->data,
+                         (int)seats->len, picked, MIN(max, SasMesh_MAX_NAMED));
+    for (int i = 0; i < count; i++) {
+        int seat = g_array_index(seats, int, picked[i]);
+        addresses[i] = get_vm(mesh, seat)->facts.caller;
+    }
     return count;
 }
 
@@ -456,6 +468,7 @@
     message->sender.caller_port = (u_int)own->caller.port;
     message->sender.peer_port = (u_int)own->peer.port;
     message->sender.incarnation = own->incarnation;
+    message->sender.strength = (u_int)own->strength;
     char bytes[MAX_DATAGRAM];
     XDR xdr;
     xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
@@ -496,6 +509,7 @@
         .caller.port = (int)message->sender.caller_port,
         .peer.port = (int)message->sender.peer_port,
         .incarnation = message->sender.incarnation,
+        .strength = message->sender.strength,
     };
     g_strlcpy(facts.name, message->sender.name, sizeof(facts.name));
     g_strlcpy(facts.zone, message->sender.zone, sizeof(facts.zone));
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -29,6 +29,7 @@
     struct sas_address caller;
     struct sas_address peer;
     uint64_t incarnation; /* wall-clock ms of its start */
+    double strength;      /* requests a second that it can carry */
 };
 
 /* Who hears of backend servers that others have stopped sending to; embed it
@@ -79,8 +80,8 @@
 int SasMesh_Count(const struct sas_mesh *mesh);
 int SasMesh_CountInRegion(const struct sas_mesh *mesh, int region);
 
-/* The callers' addresses of live entry VMs in the zone; where there is none,
- * of those in the region; where there is none, of all. */
+/* The callers' addresses of the strongest live entry VMs in the zone; where
+ * there is none, of those in the region; where there is none, of all. */
 int SasMesh_Find(const struct sas_mesh *mesh, int zone, int region,
                  struct sas_address *addresses, int max);
 
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -17,6 +17,7 @@
     unsigned int caller_port;
     unsigned int peer_port;
     unsigned hyper incarnation;
+    unsigned int strength; /* requests a second that it can carry */
 };
 
 /* What the sender knows of an entry VM, itself included. */
--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -45,6 +45,8 @@
 [limits]
 memory-mb = 260
 max-fds = 4100
+cpu-share = 0.2
+link-mbps = 1000.0
 [platform]
 address = "127.0.0.1:{store}"
 """
