--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -455,6 +455,33 @@
                             : -1;
 }
 
+/* Leaves out the servers that were tried, that have just fallen silent and
+ * that are too cold; reason says why the last of them was left out. */
+static int
+keep_usable(struct relay_call *call, int *slots, int count, int64_t now_ms,
+            const char **reason)
+{
+    struct sas_relay *relay = call->relay;
+    int kept = 0;
+    for (int i = 0; i < count; i++) {
+        if (was_tried(call, slots[i])) {
+            continue;
+        }
+        enum sas_traffic_change change =
+            SasTraffic_CheckSilence(relay->options.fleet, slots[i], now_ms);
+        if (change == SAS_TRAFFIC_TRIPPED) {
+            SasRelay_TellChange(relay, slots[i], change, "silent");
+            continue;
+        }
+        if (is_too_cold(call, slots[i], now_ms)) {
+            *reason = "server cold";
+            continue;
+        }
+        slots[kept++] = slots[i];
+    }
+    return kept;
+}
+
 /* Sends the request to the best server that is left, or ends it. */
 void
 SasRelay_Choose(struct relay_call *call)
@@ -479,35 +506,19 @@
     int slots[SasOwner_MAX_CANDIDATES];
     int count =
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
-    int64_t room_ms = RETRY_AFTER_MS;
     const char *reason = "no server";
-    for (int i = 0; i < count; i++) {
-        struct sas_fleet_server *server = SasFleet_At(fleet, slots[i]);
-        if (was_tried(call, slots[i])) {
-            continue;
-        }
-        enum sas_traffic_change change =
-            SasTraffic_CheckSilence(fleet, slots[i], now_ms);
-        if (change == SAS_TRAFFIC_TRIPPED) {
-            SasRelay_TellChange(relay, slots[i], change, "silent");
-            continue;
-        }
-        if (is_too_cold(call, slots[i], now_ms)) {
-            reason = "server cold";
-            continue;
-        }
-        int waiting =
-            SasTraffic_GetMaxWaiting(server, is_urgent(call), now_ms);
-        if (SasTraffic_HasRoom(server, waiting, now_ms)) {
-            SasRelay_Send(call, slots[i]);
-            return;
-        }
-        SasRelay_NoteServer(call, slots[i], now_ms);
-        room_ms = SasTraffic_EstimateRoomMs(server, waiting, now_ms);
+    count = keep_usable(call, slots, count, now_ms, &reason);
+    struct sas_admit_verdict verdict =
+        SasAdmit_Judge(fleet, slots, count, is_urgent(call), now_ms);
+    if (verdict.slot != SasModel_NONE) {
+        SasRelay_Send(call, verdict.slot);
+        return;
+    }
+    if (count > 0) {
+        SasRelay_NoteServer(call, slots[0], now_ms);
         reason = "owner full";
-        break;
     }
-    give_up(call, reason, room_ms);
+    give_up(call, reason, count > 0 ? verdict.retry_after_ms : RETRY_AFTER_MS);
 }
 
 /* The service. */
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -3,6 +3,7 @@
 #define SAS_RELAY_CALL_H
 
 #include "relay.h"
+#include "sas/admit.h"
 #include "sas/allowance.h"
 #include "sas/http.h"
 #include "sas/keep.h"
