--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -321,24 +321,6 @@
     return count;
 }
 
-void
-SasMesh_TellTrip(struct sas_mesh *mesh, const struct sas_mesh_trip_news *news)
-{
-    sas_mesh_trip trip = {
-        .server_hash = news->server_hash,
-        .left_ms = (u_int)news->left_ms,
-        .restarted = news->restarted,
-    };
-    sas_mesh_message message = {
-        .trips = {.trips_len = 1, .trips_val = &trip},
-    };
-    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
-        if (is_live(mesh, seat)) {
-            send_message(mesh, get_vm(mesh, seat), &message);
-        }
-    }
-}
-
 static uint64_t
 score_vm(const struct sas_mesh *mesh, uint64_t server_hash, int seat)
 {
@@ -361,6 +343,51 @@
     return rank;
 }
 
+/* The first in the server's order; SasModel_NONE where its region has no live
+ * entry VM. */
+static int
+find_tester(const struct sas_mesh *mesh, uint64_t server_hash, int region)
+{
+    int tester = SasModel_NONE;
+    for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
+        if (get_region(mesh, seat) != region || !is_live(mesh, seat)) {
+            continue;
+        }
+        if (tester == SasModel_NONE ||
+            score_vm(mesh, server_hash, seat) >
+                score_vm(mesh, server_hash, tester)) {
+            tester = seat;
+        }
+    }
+    return tester;
+}
+
+void
+SasMesh_TellTrip(struct sas_mesh *mesh, const struct sas_mesh_trip_news *news,
+                 int region)
+{
+    sas_mesh_trip trip = {
+        .server_hash = news->server_hash,
+        .left_ms = (u_int)news->left_ms,
+        .restarted = news->restarted,
+    };
+    sas_mesh_message message = {
+        .trips = {.trips_len = 1, .trips_val = &trip},
+    };
+    int tester = find_tester(mesh, news->server_hash, region);
+    if (tester != OWN_SEAT) {
+        if (tester != SasModel_NONE) {
+            send_message(mesh, get_vm(mesh, tester), &message);
+        }
+        return;
+    }
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (is_live(mesh, seat)) {
+            send_message(mesh, get_vm(mesh, seat), &message);
+        }
+    }
+}
+
 int64_t
 SasMesh_GetHighestVersion(const struct sas_mesh *mesh)
 {
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -85,9 +85,12 @@
 int SasMesh_Find(const struct sas_mesh *mesh, int zone, int region,
                  struct sas_address *addresses, int max);
 
-/* Tells all others of a backend server; see on_trip. */
+/* Tells of a backend server, see on_trip: the tester all others, anybody else
+ * the tester alone (nobody, where the server's region has no entry VM).
+ * Hundreds that meet a slow server at the same time and tell everybody would
+ * send a datagram for each pair of them. */
 void SasMesh_TellTrip(struct sas_mesh *mesh,
-                      const struct sas_mesh_trip_news *news);
+                      const struct sas_mesh_trip_news *news, int region);
 
 /* The place of this entry VM, from 0, among the live ones of the server's
  * region in an order of the server's own; the number of them when it isn't in
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -266,7 +266,8 @@
     if (news.restarted) {
         suspect_cold(relay, slot);
     }
-    SasMesh_TellTrip(relay->options.mesh, &news);
+    SasMesh_TellTrip(relay->options.mesh, &news,
+                     SasFleet_GetServerRegion(relay->options.fleet, slot));
     if (tripped && !is_tester(relay, slot)) {
         SasTraffic_AwaitWord(server);
     }
@@ -280,6 +281,24 @@
             ->typical_ms);
 }
 
+/* The tester passes on what it hears first; the others obey. */
+static void
+take_trip(struct sas_relay *relay, int slot,
+          const struct sas_mesh_trip_news *news)
+{
+    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
+    bool tester = is_tester(relay, slot);
+    bool was_tripped = server->traffic.tripped;
+    SasTraffic_TakeWord(server, news->left_ms, tester, SasRelay_Now(relay));
+    if (news->restarted) {
+        suspect_cold(relay, slot);
+    }
+    if (tester && was_tripped != server->traffic.tripped) {
+        SasMesh_TellTrip(relay->options.mesh, news,
+                         SasFleet_GetServerRegion(relay->options.fleet, slot));
+    }
+}
+
 static void
 on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
 {
@@ -287,13 +306,9 @@
         (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
     struct sas_fleet *fleet = relay->options.fleet;
     for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
-        struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
         if (server != NULL && server->hash == news->server_hash) {
-            SasTraffic_TakeWord(server, news->left_ms, is_tester(relay, slot),
-                                SasRelay_Now(relay));
-            if (news->restarted) {
-                suspect_cold(relay, slot);
-            }
+            take_trip(relay, slot, news);
             return;
         }
     }
