--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -85,6 +85,18 @@
     return (int)mesh->vms->len - 1;
 }
 
+/* The port that others are to use, also where the kernel chose it. */
+static void
+read_port(struct sas_mesh *mesh)
+{
+    struct vm *own = get_vm(mesh, OWN_SEAT);
+    struct sockaddr_storage storage;
+    int size = sizeof(storage);
+    uv_udp_getsockname(&mesh->socket, (struct sockaddr *)&storage, &size);
+    own->facts.peer.port =
+        ntohs(((const struct sockaddr_in *)&storage)->sin_port);
+}
+
 struct sas_mesh *
 SasMesh_Open(uv_loop_t *loop, struct sas_fleet *fleet,
              const struct sas_entry_settings *settings, GRand *random,
@@ -121,6 +133,7 @@
         SasMesh_Close(mesh);
         return NULL;
     }
+    read_port(mesh);
     uv_udp_recv_start(&mesh->socket, on_alloc, on_datagram);
     uint64_t interval_ms = (uint64_t)mesh->table.times.interval_ms;
     uv_timer_start(&mesh->rounds, on_round, interval_ms, interval_ms);
@@ -267,18 +280,6 @@
     return MAX(count, 1);
 }
 
-int
-SasMesh_CountInRegion(const struct sas_mesh *mesh, int region)
-{
-    int count = 0;
-    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
-        if (get_region(mesh, seat) == region && is_live(mesh, seat)) {
-            count++;
-        }
-    }
-    return MAX(count, 1);
-}
-
 static int
 collect(const struct sas_mesh *mesh, int zone, int region,
         struct sas_address *addresses, int max)
@@ -343,6 +344,31 @@
     return rank;
 }
 
+static bool
+may_send(const struct sas_mesh *mesh, int seat)
+{
+    enum sas_member_state state =
+        SasMembership_GetState(&mesh->table, seat, get_now(mesh));
+    return seat == OWN_SEAT || state == SAS_MEMBER_LIVE ||
+           state == SAS_MEMBER_LEAVING || state == SAS_MEMBER_SUSPECT;
+}
+
+struct sas_mesh_senders
+SasMesh_GetSenders(const struct sas_mesh *mesh, uint64_t server_hash,
+                   int region)
+{
+    struct sas_mesh_senders senders = {0};
+    uint64_t own = score_vm(mesh, server_hash, OWN_SEAT);
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
+        if (get_region(mesh, seat) != region || !may_send(mesh, seat)) {
+            continue;
+        }
+        senders.count++;
+        senders.rank += score_vm(mesh, server_hash, seat) > own ? 1 : 0;
+    }
+    return senders;
+}
+
 /* The first in the server's order; SasModel_NONE where its region has no live
  * entry VM. */
 static int
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -78,7 +78,6 @@
 
 /* Live ones, this one included. */
 int SasMesh_Count(const struct sas_mesh *mesh);
-int SasMesh_CountInRegion(const struct sas_mesh *mesh, int region);
 
 /* The callers' addresses of the strongest live entry VMs in the zone; where
  * there is none, of those in the region; where there is none, of all. */
@@ -100,6 +99,18 @@
 int SasMesh_GetRank(const struct sas_mesh *mesh, uint64_t server_hash,
                     int region);
 
+/* How many entry VMs of a region may be sending to a server of it, and the
+ * place of this one among them, for limits that they share. One that is
+ * leaving or suspect still sends; were it not counted, the others would take
+ * its part while it uses it. */
+struct sas_mesh_senders {
+    int count;
+    int rank;
+};
+
+struct sas_mesh_senders SasMesh_GetSenders(const struct sas_mesh *mesh,
+                                           uint64_t server_hash, int region);
+
 /* The highest configuration that any entry VM has told of, and the address
  * of one live entry VM to ask for what it knows; false when alone. */
 int64_t SasMesh_GetHighestVersion(const struct sas_mesh *mesh);
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -402,10 +402,11 @@
     if (!SasMesh_IsOwnRegion(relay->options.mesh, region)) {
         return true;
     }
-    int share = SasCold_GetShare(
-        service->cold_per_s, bounds->cold_factor, bounds->cold_slack,
-        SasMesh_CountInRegion(relay->options.mesh, region),
-        SasMesh_GetRank(relay->options.mesh, server->hash, region));
+    struct sas_mesh_senders senders =
+        SasMesh_GetSenders(relay->options.mesh, server->hash, region);
+    int share =
+        SasCold_GetShare(service->cold_per_s, bounds->cold_factor,
+                         bounds->cold_slack, senders.count, senders.rank);
     return SasWindow_Count(&state->cold_sends, now_ms) >= share;
 }
 
--- /dev/null
+++ b/packages/gateway/tests/test_gossip.c
@@ -0,0 +1,203 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "mesh.h"
+
+#define VMS 4
+#define SERVER_HASH 12345
+#define MAX_TURNS 2000
+
+/* Four entry VMs on one loop: two in zone a and one in b, both of the region
+ * east, and one in c of the region west. */
+struct fixture {
+    uv_loop_t loop;
+    struct sas_fleet *fleet;
+    GRand *random;
+    struct sas_mesh *meshes[VMS];
+    struct node {
+        struct sas_mesh_user user;
+        int trips;
+        struct sas_mesh_trip_news last;
+    } nodes[VMS];
+};
+
+static void
+on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
+{
+    struct node *node = (struct node *)user;
+    node->trips++;
+    node->last = *news;
+}
+
+static int
+get_region(const struct fixture *f, const char *name)
+{
+    return SasFleet_FindRegion(f->fleet, name);
+}
+
+/* Turns of the loop until the condition holds. */
+#define SPIN_UNTIL(f, condition)                                              \
+    do {                                                                      \
+        for (int turn = 0; turn < MAX_TURNS && !(condition); turn++) {        \
+            uv_run(&(f)->loop, UV_RUN_NOWAIT);                                \
+            g_usleep(5000);                                                   \
+        }                                                                     \
+        assert_true(condition);                                               \
+    } while (0)
+
+static bool
+all_know_all(const struct fixture *f)
+{
+    for (int i = 0; i < VMS; i++) {
+        if (SasMesh_Count(f->meshes[i]) != VMS) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static struct fixture *
+start(void)
+{
+    static const char *const zones[VMS] = {"a", "a", "b", "c"};
+    struct fixture *f = g_new0(struct fixture, 1);
+    uv_loop_init(&f->loop);
+    f->random = g_rand_new_with_seed(5);
+    f->fleet = SasFleet_New();
+    SasFleet_AddZone(f->fleet, "a", "east");
+    SasFleet_AddZone(f->fleet, "b", "east");
+    SasFleet_AddZone(f->fleet, "c", "west");
+    for (int i = 0; i < VMS; i++) {
+        struct sas_entry_settings settings = {
+            .caller = {"127.0.0.1", 8000 + i},
+            .peer = {"127.0.0.1", 0},
+            .cores = 1,
+            .link_mbps = 100,
+        };
+        g_snprintf(settings.name, sizeof(settings.name), "vm-%d", i);
+        g_strlcpy(settings.zone, zones[i], sizeof(settings.zone));
+        struct sas_error error = {0};
+        f->meshes[i] =
+            SasMesh_Open(&f->loop, f->fleet, &settings, f->random, &error);
+        assert_non_null(f->meshes[i]);
+        f->nodes[i].user.on_trip = on_trip;
+        SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
+    }
+    /* Only the last one is told of the others. */
+    for (int i = 0; i < VMS - 1; i++) {
+        SasMesh_AddVm(f->meshes[VMS - 1], SasMesh_GetOwn(f->meshes[i]));
+    }
+    for (int i = 1; i < VMS - 1; i++) {
+        SasMesh_AddVm(f->meshes[0], SasMesh_GetOwn(f->meshes[i]));
+    }
+    SasMesh_AddVm(f->meshes[1], SasMesh_GetOwn(f->meshes[2]));
+    SPIN_UNTIL(f, all_know_all(f));
+    return f;
+}
+
+static void
+stop(struct fixture *f)
+{
+    for (int i = 0; i < VMS; i++) {
+        SasMesh_Close(f->meshes[i]);
+    }
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&f->loop), 0);
+    SasFleet_Free(f->fleet);
+    g_rand_free(f->random);
+    g_free(f);
+}
+
+static void
+test_one_leads_a_zone_and_one_tests_a_server(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    int leaders = 0;
+    int testers = 0;
+    for (int i = 0; i < VMS; i++) {
+        struct sas_address peer;
+        leaders += SasMesh_FindLeader(f->meshes[i], &peer) ? 0 : 1;
+        bool east = SasMesh_IsOwnRegion(f->meshes[i], get_region(f, "east"));
+        int rank =
+            SasMesh_GetRank(f->meshes[i], SERVER_HASH, get_region(f, "east"));
+        testers += east && rank == 0 ? 1 : 0;
+    }
+    assert_int_equal(leaders, 3); /* of three zones */
+    assert_int_equal(testers, 1);
+    stop(f);
+}
+
+/* A cold server would be sent more than it bears and break down: one of three
+ * entry VMs is being stopped and still serves callers, and the other two take
+ * its part as soon as they know. Their parts must not overlap while it sends.
+ */
+static void
+test_one_that_leaves_still_counts_among_the_senders(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    SasMesh_Leave(f->meshes[1]);
+    SPIN_UNTIL(f, SasMesh_Count(f->meshes[0]) == VMS - 1 &&
+                      SasMesh_Count(f->meshes[2]) == VMS - 1);
+    int seen = 0;
+    for (int i = 0; i < VMS - 1; i++) {
+        struct sas_mesh_senders senders = SasMesh_GetSenders(
+            f->meshes[i], SERVER_HASH, get_region(f, "east"));
+        assert_int_equal(senders.count, 3);
+        seen |= 1 << senders.rank;
+    }
+    assert_int_equal(seen, 7); /* each rank once */
+    /* Callers are sent elsewhere. */
+    struct sas_address addresses[4];
+    assert_int_equal(SasMesh_Find(f->meshes[2], 0, 0, addresses, 4), 1);
+    assert_int_equal(addresses[0].port, 8000);
+    stop(f);
+}
+
+/* Hundreds of entry VMs meet a slow server at the same moment. Each tells its
+ * tester alone, and the tester tells all. */
+static void
+test_a_trip_goes_to_the_tester_and_from_there_to_all(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    int region = get_region(f, "east");
+    int tester = -1;
+    for (int i = 0; i < VMS - 1; i++) {
+        if (SasMesh_GetRank(f->meshes[i], SERVER_HASH, region) == 0) {
+            tester = i;
+        }
+    }
+    struct sas_mesh_trip_news news = {
+        .server_hash = SERVER_HASH,
+        .left_ms = 1500,
+    };
+    SasMesh_TellTrip(f->meshes[VMS - 1], &news, region);
+    SPIN_UNTIL(f, f->nodes[tester].trips == 1);
+    int others = 0;
+    for (int i = 0; i < VMS; i++) {
+        others += i != tester ? f->nodes[i].trips : 0;
+    }
+    assert_int_equal(others, 0);
+    SasMesh_TellTrip(f->meshes[tester], &news, region);
+    for (int i = 0; i < VMS; i++) {
+        SPIN_UNTIL(f, f->nodes[i].trips == 1);
+        assert_int_equal(f->nodes[i].last.left_ms, 1500);
+    }
+    stop(f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_one_leads_a_zone_and_one_tests_a_server),
+        cmocka_unit_test(test_one_that_leaves_still_counts_among_the_senders),
+        cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
