--- a/packages/core/tests/test_owner.c
+++ b/packages/core/tests/test_owner.c
@@ -147,7 +147,7 @@
     for (int i = 0; i < OBJECTS; i++) {
         struct sas_owner_query query = make_query(fleet, "a", i);
         query.near = true;
-            query.keep = 1;
+        query.keep = 1;
         int slots[2];
         assert_int_equal(SasOwner_Rank(fleet, &query, 0, slots, 2), 2);
         assert_int_equal(slots[0], SasFleet_FindServer(fleet, "forms-a-0"));
