--- a/packages/core/tests/test_keep.c
+++ b/packages/core/tests/test_keep.c
@@ -13,9 +13,9 @@
 {
     struct sas_fleet *fleet = new_fleet();
     add_servers(fleet, "photos", "a", 1);
-    for (char zone = 'b'; zone <= 'f'; zone++) {
-        char name[2] = {zone, 0};
-        add_servers(fleet, "photos", name, 3);
+    static const char *const others[] = {"b", "c", "d", "e", "f"};
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        add_servers(fleet, "photos", others[i], 3);
     }
     return fleet;
 }
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -41,6 +41,8 @@
                         const struct sockaddr *from, unsigned flags);
 static void send_news(struct sas_mesh *mesh, const struct vm *vm,
                       bool wants_reply);
+static void greet(struct sas_mesh *mesh, const struct vm *vm,
+                  bool wants_reply);
 static void send_message(struct sas_mesh *mesh, const struct vm *vm,
                          sas_mesh_message *message);
 
@@ -242,7 +244,7 @@
 {
     int seat = learn_vm(mesh, facts);
     if (seat > OWN_SEAT) {
-        send_news(mesh, get_vm(mesh, seat), true);
+        greet(mesh, get_vm(mesh, seat), true);
     }
 }
 
@@ -491,11 +493,11 @@
 /* Datagrams. */
 
 static void
-fill_news(struct sas_mesh *mesh, sas_mesh_news *news, u_int *count)
+fill_news(struct sas_mesh *mesh, sas_mesh_news *news, int max, u_int *count)
 {
     struct sas_member_news digest[SAS_MESH_MAX_NEWS];
-    int filled = SasMembership_FillDigest(
-        &mesh->table, mesh->random, get_now(mesh), digest, SAS_MESH_MAX_NEWS);
+    int filled = SasMembership_FillDigest(&mesh->table, mesh->random,
+                                          get_now(mesh), digest, max);
     for (int i = 0; i < filled; i++) {
         news[i].name_hash = get_vm(mesh, digest[i].seat)->name_hash;
         news[i].incarnation = digest[i].incarnation;
@@ -542,7 +544,21 @@
         .wants_reply = wants_reply,
         .news = {.news_val = news},
     };
-    fill_news(mesh, news, &message.news.news_len);
+    fill_news(mesh, news, SAS_MESH_MAX_NEWS, &message.news.news_len);
+    send_message(mesh, vm, &message);
+}
+
+/* News of this one alone. At a start everybody greets everybody; with all news
+ * in each greeting 300 entry VMs would send each other 0.2 GB. */
+static void
+greet(struct sas_mesh *mesh, const struct vm *vm, bool wants_reply)
+{
+    sas_mesh_news own;
+    sas_mesh_message message = {
+        .wants_reply = wants_reply,
+        .news = {.news_val = &own},
+    };
+    fill_news(mesh, &own, 1, &message.news.news_len);
     send_message(mesh, vm, &message);
 }
 
@@ -598,7 +614,10 @@
         };
         mesh->user->on_trip(mesh->user, &news);
     }
-    if (message->wants_reply) {
+    if (message->wants_reply && message->news.news_len <= 1) {
+        greet(mesh, get_vm(mesh, seat), false);
+    }
+    else if (message->wants_reply) {
         send_news(mesh, get_vm(mesh, seat), false);
     }
 }
