An emulator of backend servers for the core's decisions; the verdict on a trial gets 2.2 s

The other entry VMs went on after 0.9 s without the tester's word, and a trial takes a second to come and a second to fail.

--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -56,9 +56,12 @@
 #define SasTraffic_MAX_HOLD_MS 6000
 
 /* An answer so recent proves a server well against another's word; and so
- * long after a hold the tester's verdict should have come. */
+ * long after a hold the tester's verdict should have come: a second until a
+ * request of the server's objects comes its way, and a second that it takes.
+ * With less the others sent to a server that was just being found slow again,
+ * each of them some requests. */
 #define SasTraffic_WELL_MS 400
-#define SasTraffic_VERDICT_MS 900
+#define SasTraffic_VERDICT_MS 2200
 
 /* Where more than this part of a service's servers is in trouble, the cause
  * is not the servers, and shunning them would only leave fewer. */
--- /dev/null
+++ b/tools/emulate.c
@@ -0,0 +1,513 @@
+/* emulate - the decisions on a request against a model of backend servers,
+ * without a network.
+ *
+ * Entry VMs, each with its own view of the fleet, send requests by the core's
+ * own functions (owner, admit, traffic). The model of a server: slots, a queue
+ * that sheds, a memory of the last objects that it handled, a time for new and
+ * one for known objects, a phase in which some servers are slow. The network
+ * is a delay within and between regions.
+ *
+ * What it leaves out: crashes, connections, bodies, cold servers, stores,
+ * configuration, callers that come back. It tells which policy leads and
+ * where queues stand, not the worth of a day: docs/MEASURED.md has how far it
+ * was from measured days.
+ *
+ * Times are milliseconds. The same options give the same output.
+ */
+#include <glib.h>
+#include <math.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sas/admit.h"
+#include "sas/fleet.h"
+#include "sas/owner.h"
+#include "sas/traffic.h"
+
+#define REGIONS 3
+#define ZONES 6
+#define VMS 6
+#define MAX_SERVERS 400
+#define QUEUE 9
+#define LOCAL_MS 2.0
+#define REMOTE_MS 22.0
+#define LIMIT_MS 1000.0
+#define WINDOW_MS 2000.0
+#define MAX_WINDOWS 200
+#define KNOWN_FACTOR 0.3
+#define SPREAD 0.15
+
+struct options {
+    double rate; /* requests a second, all regions */
+    double seconds;
+    double work_ms;
+    double goal_ms;
+    int objects; /* a region */
+    int memory;  /* objects that a server remembers */
+    double slow_share;
+    double slow_factor;
+    double slow_from_s;
+    double slow_for_s;
+    int seed;
+    char *policy; /* owner: as the product does; any: least load of all */
+};
+
+static struct options options = {
+    .rate = 348,
+    .seconds = 20,
+    .work_ms = 240,
+    .goal_ms = 250,
+    .objects = 87,
+    .memory = 43,
+    .slow_factor = 12,
+    .slow_from_s = 8,
+    .slow_for_s = 8,
+    .seed = 1,
+};
+
+struct request {
+    double came_at;
+    int vm;
+    int region;
+    int object;
+    int server;
+    double sent_at;
+    double load_when_sent;
+    bool over; /* answered or given up */
+};
+
+struct server {
+    char id[32];
+    int region;
+    int zone;
+    int running;
+    GQueue waiting; /* struct request * */
+    GQueue known;   /* objects, the latest first */
+    bool slow;
+};
+
+enum event_kind {
+    ARRIVE, /* at an entry VM */
+    REACH,  /* a server */
+    FINISH, /* there */
+    ANSWER, /* back at the entry VM */
+    EXPIRE  /* its limit */
+};
+
+struct event {
+    double at;
+    guint64 number; /* ties keep their order */
+    enum event_kind kind;
+    struct request *request;
+};
+
+struct window {
+    int asked;
+    int in_time;
+    int late;
+    int refused;
+    int timed_out;
+};
+
+static GRand *randomness;
+static GSequence *events;
+static guint64 event_count;
+static double now_ms;
+static struct server servers[MAX_SERVERS];
+static int server_count;
+static struct sas_fleet *fleets[VMS];
+static struct window windows[MAX_WINDOWS];
+
+/* Hottes: two zones a region, the middle one short of servers. */
+static const int servers_per_zone[ZONES] = {6, 6, 1, 1, 5, 5};
+
+static int
+compare_events(gconstpointer a, gconstpointer b, gpointer unused)
+{
+    (void)unused;
+    const struct event *left = a;
+    const struct event *right = b;
+    if (left->at != right->at) {
+        return left->at < right->at ? -1 : 1;
+    }
+    return left->number < right->number ? -1 : 1;
+}
+
+static void
+schedule(double at, enum event_kind kind, struct request *request)
+{
+    struct event *event = g_new0(struct event, 1);
+    event->at = at;
+    event->number = event_count++;
+    event->kind = kind;
+    event->request = request;
+    g_sequence_insert_sorted(events, event, compare_events, NULL);
+}
+
+static struct window *
+get_window(const struct request *request)
+{
+    int index = (int)(request->came_at / WINDOW_MS);
+    return &windows[MIN(index, MAX_WINDOWS - 1)];
+}
+
+/* Servers. */
+
+static double
+draw_work(struct server *server, int object)
+{
+    GList *found = g_queue_find(&server->known, GINT_TO_POINTER(object));
+    double work = options.work_ms * (found != NULL ? KNOWN_FACTOR : 1);
+    if (found != NULL) {
+        g_queue_delete_link(&server->known, found);
+    }
+    g_queue_push_head(&server->known, GINT_TO_POINTER(object));
+    if ((int)g_queue_get_length(&server->known) > options.memory) {
+        g_queue_pop_tail(&server->known);
+    }
+    double spread = 1 + SPREAD * (g_rand_double_range(randomness, -1.7, 1.7));
+    return work * spread * (server->slow ? options.slow_factor : 1);
+}
+
+static void
+begin(struct server *server, struct request *request)
+{
+    server->running++;
+    schedule(now_ms + draw_work(server, request->object), FINISH, request);
+}
+
+static double
+get_delay(const struct request *request)
+{
+    return servers[request->server].region == request->region ? LOCAL_MS
+                                                              : REMOTE_MS;
+}
+
+static void
+reach(struct request *request)
+{
+    struct server *server = &servers[request->server];
+    if (server->running < 3) {
+        begin(server, request);
+        return;
+    }
+    if (g_queue_get_length(&server->waiting) >= QUEUE) {
+        request->over = true;
+        get_window(request)->refused++;
+        SasTraffic_NoteEnded(SasFleet_At(fleets[request->vm], request->server),
+                             (int64_t)now_ms);
+        return;
+    }
+    g_queue_push_tail(&server->waiting, request);
+}
+
+static void
+finish(struct request *request)
+{
+    struct server *server = &servers[request->server];
+    server->running--;
+    schedule(now_ms + get_delay(request), ANSWER, request);
+    while (!g_queue_is_empty(&server->waiting)) {
+        struct request *next = g_queue_pop_head(&server->waiting);
+        if (!next->over) { /* its caller has not given up */
+            begin(server, next);
+            return;
+        }
+    }
+}
+
+/* Entry VMs. */
+
+static void
+tell_all(int slot, enum sas_traffic_change change)
+{
+    if (change == SAS_TRAFFIC_SAME) {
+        return;
+    }
+    int tester = servers[slot].zone;
+    for (int vm = 0; vm < VMS; vm++) {
+        int64_t left_ms =
+            change == SAS_TRAFFIC_TRIPPED ? SasTraffic_HOLD_MS : 0;
+        SasTraffic_TakeWord(SasFleet_At(fleets[vm], slot), left_ms,
+                            vm == tester, (int64_t)now_ms);
+    }
+}
+
+static void
+note_run(struct request *request, bool timed_out)
+{
+    struct sas_fleet *fleet = fleets[request->vm];
+    struct sas_traffic_end end = {
+        .elapsed_ms = now_ms - request->sent_at,
+        .load_when_sent = request->load_when_sent,
+        .timed_out = timed_out,
+    };
+    SasTraffic_NoteEnded(SasFleet_At(fleet, request->server), (int64_t)now_ms);
+    tell_all(request->server, SasTraffic_NoteRun(fleet, request->server, &end,
+                                                 (int64_t)now_ms));
+}
+
+static void
+answer(struct request *request)
+{
+    if (request->over) {
+        return;
+    }
+    request->over = true;
+    struct server *server = &servers[request->server];
+    struct sas_traffic_report report = {
+        .running = server->running,
+        .waiting = (int)g_queue_get_length(&server->waiting),
+    };
+    note_run(request, false);
+    SasTraffic_NoteReport(SasFleet_At(fleets[request->vm], request->server),
+                          &report, (int64_t)now_ms);
+    if (now_ms - request->came_at <= options.goal_ms) {
+        get_window(request)->in_time++;
+    }
+    else {
+        get_window(request)->late++;
+    }
+}
+
+static void
+expire(struct request *request)
+{
+    if (request->over) {
+        return;
+    }
+    request->over = true;
+    get_window(request)->timed_out++;
+    note_run(request, true);
+}
+
+static int
+pick_any(const struct sas_fleet *fleet)
+{
+    int best = 0;
+    for (int slot = 1; slot < server_count; slot++) {
+        if (SasTraffic_EstimateLoad(SasFleet_At(fleet, slot),
+                                    (int64_t)now_ms) <
+            SasTraffic_EstimateLoad(SasFleet_At(fleet, best),
+                                    (int64_t)now_ms)) {
+            best = slot;
+        }
+    }
+    return best;
+}
+
+static int
+pick_server(const struct request *request)
+{
+    struct sas_fleet *fleet = fleets[request->vm];
+    if (options.policy != NULL && strcmp(options.policy, "any") == 0) {
+        return pick_any(fleet);
+    }
+    char key[32];
+    g_snprintf(key, sizeof(key), "%d/%d", request->region, request->object);
+    struct sas_owner_query query = {
+        .service = 0,
+        .zone = request->vm,
+        .key = SasOwner_HashKey(key),
+    };
+    int slots[SasOwner_MAX_CANDIDATES];
+    int count = SasOwner_Rank(fleet, &query, (int64_t)now_ms, slots,
+                              SasOwner_MAX_CANDIDATES);
+    if (count > 0) {
+        tell_all(slots[0],
+                 SasTraffic_CheckSilence(fleet, slots[0], (int64_t)now_ms));
+    }
+    return SasAdmit_Judge(fleet, slots, count, false, (int64_t)now_ms).slot;
+}
+
+static void
+arrive(struct request *request)
+{
+    get_window(request)->asked++;
+    request->server = pick_server(request);
+    if (request->server == SasModel_NONE) {
+        request->over = true;
+        get_window(request)->refused++;
+        return;
+    }
+    struct sas_fleet_server *server =
+        SasFleet_At(fleets[request->vm], request->server);
+    request->sent_at = now_ms;
+    request->load_when_sent = SasTraffic_EstimateLoad(server, (int64_t)now_ms);
+    SasTraffic_NoteSent(server, (int64_t)now_ms);
+    schedule(now_ms + get_delay(request), REACH, request);
+    schedule(now_ms + LIMIT_MS, EXPIRE, request);
+}
+
+/* The run. */
+
+static struct sas_fleet *
+make_fleet(void)
+{
+    static const char *const regions[REGIONS] = {"east", "north", "west"};
+    struct sas_fleet *fleet = SasFleet_New();
+    for (int zone = 0; zone < ZONES; zone++) {
+        char name[8];
+        g_snprintf(name, sizeof(name), "z%d", zone);
+        SasFleet_AddZone(fleet, name, regions[zone / 2]);
+    }
+    for (int i = 0; i < server_count; i++) {
+        struct sas_server_facts facts = {.slots = 3, .born_at = 1};
+        g_strlcpy(facts.id, servers[i].id, sizeof(facts.id));
+        g_strlcpy(facts.service, "desk", sizeof(facts.service));
+        g_snprintf(facts.zone, sizeof(facts.zone), "z%d", servers[i].zone);
+        SasFleet_PutServer(fleet, &facts);
+    }
+    return fleet;
+}
+
+static void
+set_up(void)
+{
+    for (int zone = 0; zone < ZONES; zone++) {
+        for (int i = 0; i < servers_per_zone[zone]; i++) {
+            struct server *server = &servers[server_count++];
+            g_snprintf(server->id, sizeof(server->id), "s-%d-%d", zone, i);
+            server->zone = zone;
+            server->region = zone / 2;
+            g_queue_init(&server->waiting);
+            g_queue_init(&server->known);
+        }
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+        fleets[vm] = make_fleet();
+    }
+}
+
+static void
+schedule_arrivals(void)
+{
+    double at = 0;
+    while (at < options.seconds * 1000) {
+        at += -log(g_rand_double_range(randomness, 1e-9, 1)) * 1000 /
+              options.rate;
+        struct request *request = g_new0(struct request, 1);
+        request->came_at = at;
+        request->vm = g_rand_int_range(randomness, 0, VMS);
+        request->region = request->vm / 2;
+        request->object = g_rand_int_range(randomness, 0, options.objects);
+        schedule(at, ARRIVE, request);
+    }
+}
+
+static void
+update_slow(void)
+{
+    double second = now_ms / 1000;
+    bool on = second >= options.slow_from_s &&
+              second < options.slow_from_s + options.slow_for_s;
+    for (int i = 0; i < server_count; i++) {
+        servers[i].slow =
+            on && (i * 7 % server_count) < options.slow_share * server_count;
+    }
+}
+
+static void
+run(void)
+{
+    while (!g_sequence_is_empty(events)) {
+        GSequenceIter *first = g_sequence_get_begin_iter(events);
+        struct event event = *(struct event *)g_sequence_get(first);
+        g_sequence_remove(first);
+        now_ms = event.at;
+        update_slow();
+        switch (event.kind) {
+        case ARRIVE:
+            arrive(event.request);
+            break;
+        case REACH:
+            reach(event.request);
+            break;
+        case FINISH:
+            finish(event.request);
+            break;
+        case ANSWER:
+            answer(event.request);
+            break;
+        case EXPIRE:
+            expire(event.request);
+            break;
+        }
+    }
+}
+
+static void
+print_windows(void)
+{
+    struct window all = {0};
+    printf("%8s %7s %8s %6s %8s %10s\n", "second", "asked", "in_time", "late",
+           "refused", "timed_out");
+    int count = (int)ceil(options.seconds * 1000 / WINDOW_MS);
+    for (int i = 0; i < MIN(count, MAX_WINDOWS); i++) {
+        const struct window *w = &windows[i];
+        printf("%8.0f %7d %8d %6d %8d %10d\n", i * WINDOW_MS / 1000, w->asked,
+               w->in_time, w->late, w->refused, w->timed_out);
+        all.asked += w->asked;
+        all.in_time += w->in_time;
+        all.late += w->late;
+        all.refused += w->refused;
+        all.timed_out += w->timed_out;
+    }
+    double asked = MAX(all.asked, 1);
+    printf("in time %.3f, late %.3f, refused %.3f, timed out %.3f\n",
+           all.in_time / asked, all.late / asked, all.refused / asked,
+           all.timed_out / asked);
+}
+
+int
+main(int argc, char **argv)
+{
+    const GOptionEntry entries[] = {
+        {"rate", 0, 0, G_OPTION_ARG_DOUBLE, &options.rate,
+         "Requests a second (348)", "N"},
+        {"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options.seconds,
+         "How long (20)", "N"},
+        {"work", 0, 0, G_OPTION_ARG_DOUBLE, &options.work_ms,
+         "Time of a request on a new object, ms (240)", "MS"},
+        {"goal", 0, 0, G_OPTION_ARG_DOUBLE, &options.goal_ms,
+         "Answers up to here are in time, ms (250)", "MS"},
+        {"objects", 0, 0, G_OPTION_ARG_INT, &options.objects,
+         "Objects a region (87)", "N"},
+        {"memory", 0, 0, G_OPTION_ARG_INT, &options.memory,
+         "Objects that a server remembers (43)", "N"},
+        {"slow-share", 0, 0, G_OPTION_ARG_DOUBLE, &options.slow_share,
+         "Part of the servers that turn slow (0)", "X"},
+        {"slow-factor", 0, 0, G_OPTION_ARG_DOUBLE, &options.slow_factor,
+         "By how much (12)", "X"},
+        {"slow-from", 0, 0, G_OPTION_ARG_DOUBLE, &options.slow_from_s,
+         "From this second on (8)", "S"},
+        {"slow-for", 0, 0, G_OPTION_ARG_DOUBLE, &options.slow_for_s,
+         "For so long (8)", "S"},
+        {"seed", 0, 0, G_OPTION_ARG_INT, &options.seed, "Seed (1)", "N"},
+        {"policy", 0, 0, G_OPTION_ARG_STRING, &options.policy,
+         "owner (the product's) or any (least load of all)", "NAME"},
+        {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+    };
+    g_autoptr(GOptionContext) context =
+        g_option_context_new("- replay a load against a model of servers");
+    g_option_context_add_main_entries(context, entries, NULL);
+    g_autoptr(GError) problem = NULL;
+    if (!g_option_context_parse(context, &argc, &argv, &problem)) {
+        fprintf(stderr, "emulate: %s\n", problem->message);
+        return 2;
+    }
+    if (options.rate <= 0 || options.seconds <= 0 || options.objects < 1) {
+        fprintf(stderr, "emulate: --rate, --seconds and --objects must be "
+                        "above 0\n");
+        return 2;
+    }
+    randomness = g_rand_new_with_seed((guint32)options.seed);
+    events = g_sequence_new(g_free);
+    set_up();
+    schedule_arrivals();
+    run();
+    print_windows();
+    return 0;
+}
--- /dev/null
+++ b/tools/tests/test_emulate.py
@@ -0,0 +1,53 @@
+#!/usr/bin/python3
+"""The heavy loads in the project's own emulator: no network, fixed seeds."""
+
+import os
+import re
+import subprocess
+import unittest
+
+EMULATE = os.environ["SAS_EMULATE"]
+
+
+def run(*arguments):
+    """The shares of the last line, and the rows by second."""
+    text = subprocess.run([EMULATE, *arguments], check=True, text=True,
+                          capture_output=True).stdout
+    shares = {name.strip(): float(number) for name, number in
+              re.findall(r"([a-z ]+) (\d\.\d+)", text.splitlines()[-1])}
+    rows = [[int(cell) for cell in line.split()]
+            for line in text.splitlines()[1:-1]]
+    return shares, rows
+
+
+class Emulate(unittest.TestCase):
+    def test_the_same_seed_gives_the_same_run(self):
+        self.assertEqual(run("--seconds", "4"), run("--seconds", "4"))
+
+    def test_owners_beat_the_least_load_on_a_heavy_day(self):
+        """A server that was idle a moment ago looks best, and does not know
+        the object: the servers drown in work that owners would not make."""
+        owner, _ = run("--rate", "475")
+        least, _ = run("--rate", "475", "--policy", "any")
+        self.assertGreater(owner["in time"], least["in time"] + 0.2)
+
+    def test_slow_servers_are_given_up_within_two_seconds(self):
+        """Two fifths of the servers take twelve times as long for eight
+        seconds. Their requests run into their limits until they are shunned;
+        then most requests are in time again, while they are still slow."""
+        _, rows = run("--slow-share", "0.4")
+        by_second = {row[0]: row for row in rows}
+        self.assertGreater(by_second[8][5], 30)  # timed out, at first
+        for second in (12, 14):
+            asked, in_time = by_second[second][1], by_second[second][2]
+            self.assertGreater(in_time, 0.5 * asked)
+            self.assertLess(by_second[second][5], 0.05 * asked)
+
+    def test_more_than_all_servers_bear_is_refused_and_the_rest_in_time(self):
+        shares, _ = run("--rate", "1400")
+        self.assertGreater(shares["refused"], 0.2)
+        self.assertLess(shares["timed out"], 0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
