--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -422,6 +422,15 @@
     return (int64_t)mesh->table.highest_version;
 }
 
+static bool
+leads_before(const struct vm *one, const struct vm *other)
+{
+    if (one->facts.strength != other->facts.strength) {
+        return one->facts.strength > other->facts.strength;
+    }
+    return one->name_hash < other->name_hash;
+}
+
 bool
 SasMesh_FindLeader(const struct sas_mesh *mesh, struct sas_address *peer)
 {
@@ -429,8 +438,7 @@
     for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
         const struct vm *vm = get_vm(mesh, seat);
         if (vm->zone == get_vm(mesh, OWN_SEAT)->zone &&
-            vm->name_hash < get_vm(mesh, leader)->name_hash &&
-            is_live(mesh, seat)) {
+            leads_before(vm, get_vm(mesh, leader)) && is_live(mesh, seat)) {
             leader = seat;
         }
     }
