--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -26,9 +26,6 @@
 static void on_request(struct sas_http_handler *handler,
                        struct sas_http_exchange *exchange);
 static void note_bytes(struct relay_call *call, size_t answer_size);
-static void on_reopened(struct sas_fleet_listener *listener, int zone);
-static void on_trip(struct sas_mesh_user *user,
-                    const struct sas_mesh_trip_news *news);
 static void on_abandoned(struct sas_http_handler *handler,
                          struct sas_http_exchange *exchange);
 
@@ -39,10 +36,7 @@
     relay->options = *options;
     relay->handler.on_request = on_request;
     relay->handler.on_abandoned = on_abandoned;
-    relay->peers.on_trip = on_trip;
-    relay->listener.on_reopened = on_reopened;
-    SasFleet_AddListener(options->fleet, &relay->listener);
-    SasMesh_SetUser(options->mesh, &relay->peers);
+    SasRelay_Listen(relay);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
     relay->routes =
@@ -203,117 +197,6 @@
     SasRelay_Finish(call, outcome, &reply);
 }
 
-static bool
-is_tester(const struct sas_relay *relay, int slot)
-{
-    const struct sas_fleet *fleet = relay->options.fleet;
-    int region = SasFleet_GetServerRegion(fleet, slot);
-    int rank = SasMesh_GetRank(relay->options.mesh,
-                               SasFleet_At(fleet, slot)->hash, region);
-    /* A region that has lost all its entry VMs has no tester; then each of
-     * the others tries by itself. */
-    return rank == 0;
-}
-
-/* A server that is back may have started anew, and its entry tells so only
- * with its next heartbeat. Sent to at once by everybody it breaks down again:
- * it is taken for cold until then. */
-static void
-suspect_cold(struct sas_relay *relay, int slot)
-{
-    const struct sas_fleet *fleet = relay->options.fleet;
-    const struct sas_fleet_service *service =
-        SasFleet_GetService(fleet, SasFleet_At(fleet, slot)->service);
-    SasRelay_GetSlot(relay, slot)->cold_until_ms =
-        SasRelay_Now(relay) + service->cold_ms;
-}
-
-static void
-on_reopened(struct sas_fleet_listener *listener, int zone)
-{
-    struct sas_relay *relay =
-        (struct sas_relay *)((char *)listener -
-                             offsetof(struct sas_relay, listener));
-    const struct sas_fleet *fleet = relay->options.fleet;
-    for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
-        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-        if (server != NULL && server->zone == zone) {
-            suspect_cold(relay, slot);
-        }
-    }
-}
-
-void
-SasRelay_TellChange(struct sas_relay *relay, int slot,
-                    enum sas_traffic_change change, const char *cause)
-{
-    if (change == SAS_TRAFFIC_SAME) {
-        return;
-    }
-    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
-    const struct sas_server_traffic *traffic = &server->traffic;
-    bool tripped = change == SAS_TRAFFIC_TRIPPED;
-    struct sas_metrics *metrics = relay->options.metrics;
-    int counter = SasMetrics_Register(metrics, "sas_servers_tripped_total",
-                                      "cause", tripped ? cause : "well again",
-                                      "Backend servers given up, by cause");
-    SasMetrics_Add(metrics, counter, 1);
-    struct sas_mesh_trip_news news = {
-        .server_hash = server->hash,
-        .left_ms = tripped ? traffic->hold_ms : 0,
-        .restarted = !tripped && traffic->was_down,
-    };
-    if (news.restarted) {
-        suspect_cold(relay, slot);
-    }
-    SasMesh_TellTrip(relay->options.mesh, &news,
-                     SasFleet_GetServerRegion(relay->options.fleet, slot));
-    if (tripped && !is_tester(relay, slot)) {
-        SasTraffic_AwaitWord(server);
-    }
-    SasLog_WriteFields(
-        SasLog_WARN, tripped ? "server.tripped" : "server.well",
-        server->facts.id, "{s:s, s:i, s:i, s:f, s:f}", "cause",
-        tripped ? cause : "its trial", "for_ms",
-        tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight,
-        "service_ms", traffic->service_ms, "usual_ms",
-        SasFleet_GetService(relay->options.fleet, server->service)
-            ->typical_ms);
-}
-
-/* The tester passes on what it hears first; the others obey. */
-static void
-take_trip(struct sas_relay *relay, int slot,
-          const struct sas_mesh_trip_news *news)
-{
-    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
-    bool tester = is_tester(relay, slot);
-    bool was_tripped = server->traffic.tripped;
-    SasTraffic_TakeWord(server, news->left_ms, tester, SasRelay_Now(relay));
-    if (news->restarted) {
-        suspect_cold(relay, slot);
-    }
-    if (tester && was_tripped != server->traffic.tripped) {
-        SasMesh_TellTrip(relay->options.mesh, news,
-                         SasFleet_GetServerRegion(relay->options.fleet, slot));
-    }
-}
-
-static void
-on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
-{
-    struct sas_relay *relay =
-        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
-    struct sas_fleet *fleet = relay->options.fleet;
-    for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
-        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-        if (server != NULL && server->hash == news->server_hash) {
-            take_trip(relay, slot, news);
-            return;
-        }
-    }
-}
-
 /* Routes. */
 
 static struct route_state *
@@ -539,46 +422,13 @@
 
 /* The service. */
 
-/* Each part of a split gets its share at every moment: the object's hash
- * chooses, so that an object stays with a service, and where a part has
- * fallen behind its weight it gets the request instead. */
 static int
-pick_part(struct relay_call *call)
+pick_service(struct relay_call *call)
 {
-    const GArray *parts = call->route->parts;
-    if (parts->len == 1) {
-        return g_array_index(parts, struct sas_route_part, 0).service;
-    }
-    double unit = (double)(call->key >> 11) / 9007199254740992.0;
-    guint picked = parts->len - 1;
-    for (guint i = 0; i < parts->len; i++) {
-        unit -= g_array_index(parts, struct sas_route_part, i).weight;
-        if (unit < 0) {
-            picked = i;
-            break;
-        }
-    }
-    struct route_state *state = get_route_state(call);
-    double sum = 0;
-    guint len = MIN(parts->len, G_N_ELEMENTS(state->sent));
-    for (guint i = 0; i < len; i++) {
-        sum += state->sent[i];
-    }
-    guint furthest = picked;
-    double most = 0.04 * sum + 2;
-    for (guint i = 0; i < len; i++) {
-        double weight = g_array_index(parts, struct sas_route_part, i).weight;
-        double behind = weight * sum - state->sent[i];
-        if (behind > most) {
-            most = behind;
-            furthest = i;
-        }
-    }
-    for (guint i = 0; i < len; i++) {
-        state->sent[i] *= 0.995;
-    }
-    state->sent[MIN(furthest, len - 1)] += 1;
-    return g_array_index(parts, struct sas_route_part, furthest).service;
+    int part =
+        SasSplit_Pick(&get_route_state(call)->split, call->route, call->key);
+    return g_array_index(call->route->parts, struct sas_route_part, part)
+        .service;
 }
 
 static int64_t
@@ -650,7 +500,7 @@
     }
     call->deadline_at = get_deadline(call);
     call->key = hash_object(call);
-    call->service = pick_part(call);
+    call->service = pick_service(call);
     SasRepeat_NoteRequest(&get_service(relay, call->service)->repeats,
                           SasRelay_Now(relay));
     SasRelay_Choose(call);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -1,4 +1,5 @@
-/* relay_call - the parts of relay.c and relay_attempt.c that both use. */
+/* relay_call - the parts that relay.c, relay_attempt.c and relay_peers.c
+ * share. */
 #ifndef SAS_RELAY_CALL_H
 #define SAS_RELAY_CALL_H
 
@@ -8,6 +9,7 @@
 #include "sas/http.h"
 #include "sas/keep.h"
 #include "sas/owner.h"
+#include "sas/split.h"
 #include "sas/traffic.h"
 
 #define SasRelay_MAX_TRIED 8
@@ -34,8 +36,8 @@
 };
 
 struct route_state { /* of a route by name, across configurations */
-    double sent[16]; /* lately, by part of its split */
-    double bytes;    /* smoothed, of a request and its answer */
+    struct sas_split split;
+    double bytes; /* smoothed, of a request and its answer */
 };
 
 struct sas_relay {
@@ -95,9 +97,12 @@
 void SasRelay_Finish(struct relay_call *call, const char *outcome,
                      const struct sas_http_reply *reply);
 void SasRelay_NoteServer(struct relay_call *call, int slot, int64_t now_ms);
+struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
+
+/* relay_peers.c */
+void SasRelay_Listen(struct sas_relay *relay);
 void SasRelay_TellChange(struct sas_relay *relay, int slot,
                          enum sas_traffic_change change, const char *cause);
-struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
 
 /* relay_attempt.c */
 void SasRelay_Send(struct relay_call *call, int slot);
--- /dev/null
+++ b/packages/gateway/src/relay_peers.c
@@ -0,0 +1,124 @@
+/* What entry VMs tell each other of backend servers. */
+#include "relay_call.h"
+
+#include "sas/log.h"
+
+static bool
+is_tester(const struct sas_relay *relay, int slot)
+{
+    const struct sas_fleet *fleet = relay->options.fleet;
+    int region = SasFleet_GetServerRegion(fleet, slot);
+    int rank = SasMesh_GetRank(relay->options.mesh,
+                               SasFleet_At(fleet, slot)->hash, region);
+    /* A region that has lost all its entry VMs has no tester; then each of
+     * the others tries by itself. */
+    return rank == 0;
+}
+
+/* A server that is back may have started anew, and its entry tells so only
+ * with its next heartbeat. Sent to at once by everybody it breaks down again:
+ * it is taken for cold until then. */
+static void
+suspect_cold(struct sas_relay *relay, int slot)
+{
+    const struct sas_fleet *fleet = relay->options.fleet;
+    const struct sas_fleet_service *service =
+        SasFleet_GetService(fleet, SasFleet_At(fleet, slot)->service);
+    SasRelay_GetSlot(relay, slot)->cold_until_ms =
+        SasRelay_Now(relay) + service->cold_ms;
+}
+
+static void
+on_reopened(struct sas_fleet_listener *listener, int zone)
+{
+    struct sas_relay *relay =
+        (struct sas_relay *)((char *)listener -
+                             offsetof(struct sas_relay, listener));
+    const struct sas_fleet *fleet = relay->options.fleet;
+    for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
+        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        if (server != NULL && server->zone == zone) {
+            suspect_cold(relay, slot);
+        }
+    }
+}
+
+void
+SasRelay_TellChange(struct sas_relay *relay, int slot,
+                    enum sas_traffic_change change, const char *cause)
+{
+    if (change == SAS_TRAFFIC_SAME) {
+        return;
+    }
+    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
+    const struct sas_server_traffic *traffic = &server->traffic;
+    bool tripped = change == SAS_TRAFFIC_TRIPPED;
+    struct sas_metrics *metrics = relay->options.metrics;
+    int counter = SasMetrics_Register(metrics, "sas_servers_tripped_total",
+                                      "cause", tripped ? cause : "well again",
+                                      "Backend servers given up, by cause");
+    SasMetrics_Add(metrics, counter, 1);
+    struct sas_mesh_trip_news news = {
+        .server_hash = server->hash,
+        .left_ms = tripped ? traffic->hold_ms : 0,
+        .restarted = !tripped && traffic->was_down,
+    };
+    if (news.restarted) {
+        suspect_cold(relay, slot);
+    }
+    SasMesh_TellTrip(relay->options.mesh, &news,
+                     SasFleet_GetServerRegion(relay->options.fleet, slot));
+    if (tripped && !is_tester(relay, slot)) {
+        SasTraffic_AwaitWord(server);
+    }
+    SasLog_WriteFields(
+        SasLog_WARN, tripped ? "server.tripped" : "server.well",
+        server->facts.id, "{s:s, s:i, s:i, s:f, s:f}", "cause",
+        tripped ? cause : "its trial", "for_ms",
+        tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight,
+        "service_ms", traffic->service_ms, "usual_ms",
+        SasFleet_GetService(relay->options.fleet, server->service)
+            ->typical_ms);
+}
+
+/* The tester passes on what it hears first; the others obey. */
+static void
+take_trip(struct sas_relay *relay, int slot,
+          const struct sas_mesh_trip_news *news)
+{
+    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
+    bool tester = is_tester(relay, slot);
+    bool was_tripped = server->traffic.tripped;
+    SasTraffic_TakeWord(server, news->left_ms, tester, SasRelay_Now(relay));
+    if (news->restarted) {
+        suspect_cold(relay, slot);
+    }
+    if (tester && was_tripped != server->traffic.tripped) {
+        SasMesh_TellTrip(relay->options.mesh, news,
+                         SasFleet_GetServerRegion(relay->options.fleet, slot));
+    }
+}
+
+static void
+on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
+{
+    struct sas_relay *relay =
+        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
+    struct sas_fleet *fleet = relay->options.fleet;
+    for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
+        const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        if (server != NULL && server->hash == news->server_hash) {
+            take_trip(relay, slot, news);
+            return;
+        }
+    }
+}
+
+void
+SasRelay_Listen(struct sas_relay *relay)
+{
+    relay->peers.on_trip = on_trip;
+    relay->listener.on_reopened = on_reopened;
+    SasFleet_AddListener(relay->options.fleet, &relay->listener);
+    SasMesh_SetUser(relay->options.mesh, &relay->peers);
+}
