What may not repeat avoids connections that servers have forgotten

Ruled out: crashes (the same servers answered at once on new connections). A reset of a rested connection no longer counts against its server; for 30 s after one, what may not repeat goes on fresh connections, and a look-up goes once more to the server that knows its object.

--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -10,6 +10,7 @@
     bool idle;
     int64_t idle_since;
     int64_t idle_ms;
+    int64_t rest_ms; /* when it was taken last */
 };
 
 struct sas_pool {
@@ -81,12 +82,14 @@
 }
 
 static struct sas_pooled *
-find_idle(GPtrArray *list, struct sas_server_ref server)
+find_idle(GPtrArray *list, struct sas_server_ref server, int64_t now_ms,
+          int64_t max_rest_ms)
 {
     /* The one used last: the others grow old and are closed. */
     for (guint i = list->len; i > 0; i--) {
         struct sas_pooled *pooled = list->pdata[i - 1];
         if (pooled->idle && pooled->server.generation == server.generation &&
+            now_ms - pooled->idle_since <= max_rest_ms &&
             SasHttp_IsIdle(pooled->conn)) {
             g_ptr_array_remove_index(list, i - 1);
             return pooled;
@@ -96,15 +99,19 @@
 }
 
 struct sas_pooled *
-SasPool_Take(struct sas_pool *pool, int slot)
+SasPool_Take(struct sas_pool *pool, int slot, int64_t max_rest_ms)
 {
     while ((int)pool->by_slot->len <= slot) {
         g_ptr_array_add(pool->by_slot, g_ptr_array_new());
     }
     GPtrArray *list = pool->by_slot->pdata[slot];
     struct sas_server_ref server = SasFleet_GetRef(pool->fleet, slot);
-    struct sas_pooled *pooled = find_idle(list, server);
-    if (pooled == NULL) {
+    int64_t now_ms = (int64_t)uv_now(pool->loop);
+    struct sas_pooled *pooled = find_idle(list, server, now_ms, max_rest_ms);
+    if (pooled != NULL) {
+        pooled->rest_ms = now_ms - pooled->idle_since;
+    }
+    else {
         pooled = g_new0(struct sas_pooled, 1);
         pooled->owner.on_closed = on_closed;
         pooled->pool = pool;
@@ -119,6 +126,12 @@
     return pooled;
 }
 
+int64_t
+SasPool_GetRest(const struct sas_pooled *pooled)
+{
+    return pooled->rest_ms;
+}
+
 struct sas_http_conn *
 SasPool_GetConn(const struct sas_pooled *pooled)
 {
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -27,8 +27,17 @@
 struct sas_pool *SasPool_New(uv_loop_t *loop, struct sas_fleet *fleet);
 void SasPool_Free(struct sas_pool *pool);
 
-/* A connection for one request to the server at the slot. */
-struct sas_pooled *SasPool_Take(struct sas_pool *pool, int slot);
+/* Rested for less than this a connection is taken for alive. The shortest
+ * after which servers were seen to forget one without a word is 300 ms. */
+#define SasPool_FRESH_MS 250
+
+/* A connection for one request to the server at the slot: one that has rested
+ * for max_rest_ms at most, or a new one. */
+struct sas_pooled *SasPool_Take(struct sas_pool *pool, int slot,
+                                int64_t max_rest_ms);
+
+/* For how long it had rested when it was taken; 0: it was new. */
+int64_t SasPool_GetRest(const struct sas_pooled *pooled);
 struct sas_http_conn *SasPool_GetConn(const struct sas_pooled *pooled);
 
 /* After a whole answer; idle_ms is what the server said of idle connections,
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -71,8 +71,8 @@
     return (int64_t)uv_now(relay->options.loop);
 }
 
-static struct service_state *
-get_service(struct sas_relay *relay, int service)
+struct service_state *
+SasRelay_GetService(struct sas_relay *relay, int service)
 {
     const struct sas_entry_bounds *bounds = &relay->options.settings->bounds;
     while ((int)relay->services->len <= service) {
@@ -233,7 +233,7 @@
     if (call->route->kind != SAS_ROUTE_UPLOAD) {
         return 0;
     }
-    return SasKeep_Update(&get_service(relay, call->service)->keep,
+    return SasKeep_Update(&SasRelay_GetService(relay, call->service)->keep,
                           relay->options.fleet, call->service,
                           SasMesh_GetOwnZone(relay->options.mesh), now_ms);
 }
@@ -251,8 +251,9 @@
 was_tried(const struct relay_call *call, int slot)
 {
     /* A server that refuses requests though it has free slots refuses some
-     * of them, not all; it knows the object and another one doesn't. */
-    if (call->shed_early && slot == call->server.slot &&
+     * of them, not all; one that had forgotten a connection takes a new one.
+     * It knows the object and another one doesn't. */
+    if (call->same_again && slot == call->server.slot &&
         call->tried_count < MAX_EARLY_SHEDS) {
         return false;
     }
@@ -307,7 +308,8 @@
         call->tried_count >= SasRelay_MAX_TRIED) {
         return "no attempts left";
     }
-    struct service_state *service = get_service(call->relay, call->service);
+    struct service_state *service =
+        SasRelay_GetService(call->relay, call->service);
     if (!SasRepeat_Take(&service->repeats,
                         SasMesh_Count(call->relay->options.mesh), now_ms)) {
         return "no repeats left";
@@ -390,7 +392,7 @@
     const char *obstacle = find_obstacle(call, now_ms);
     if (obstacle != NULL) {
         give_up(call, obstacle,
-                call->shed_early ? EARLY_SHED_RETRY_MS : RETRY_AFTER_MS);
+                call->same_again ? EARLY_SHED_RETRY_MS : RETRY_AFTER_MS);
         return;
     }
     struct sas_fleet *fleet = relay->options.fleet;
@@ -501,7 +503,7 @@
     call->deadline_at = get_deadline(call);
     call->key = hash_object(call);
     call->service = pick_service(call);
-    SasRepeat_NoteRequest(&get_service(relay, call->service)->repeats,
+    SasRepeat_NoteRequest(&SasRelay_GetService(relay, call->service)->repeats,
                           SasRelay_Now(relay));
     SasRelay_Choose(call);
 }
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -6,8 +6,16 @@
 #include <string.h>
 #include <strings.h>
 
+#include <jansson.h>
+
 #include "sas/log.h"
 
+/* The reset of a forgotten connection is back within a round trip. */
+#define FORGOTTEN_MS 100
+
+/* How long rested connections are not trusted after one was found dead. */
+#define WARY_MS 30000
+
 static void on_head(struct sas_http_user *user, int status,
                     const struct sas_http_header *headers, int header_count);
 static void on_body(struct sas_http_user *user, const char *data, size_t size);
@@ -51,6 +59,20 @@
     return count;
 }
 
+/* A server may forget a connection that rests, and resets whatever comes on it
+ * next; nobody can tell then whether it ran. What may not repeat goes on such
+ * a connection only while none has been found dead lately: a new one costs a
+ * round trip, 40 ms to another region. */
+static int64_t
+get_max_rest(const struct relay_call *call, int64_t now_ms)
+{
+    const struct service_state *service =
+        SasRelay_GetService(call->relay, call->service);
+    bool wary = now_ms < service->wary_until;
+    return wary && call->route->kind != SAS_ROUTE_SAFE ? SasPool_FRESH_MS
+                                                       : INT64_MAX;
+}
+
 void
 SasRelay_Send(struct relay_call *call, int slot)
 {
@@ -78,7 +100,9 @@
     };
     request.body = SasHttpExchange_GetBody(call->exchange, &request.body_size);
     call->user.vtable = &user_vtable;
-    call->pooled = SasPool_Take(relay->options.pool, slot);
+    call->pooled =
+        SasPool_Take(relay->options.pool, slot, get_max_rest(call, now_ms));
+    call->rest_ms = SasPool_GetRest(call->pooled);
     SasHttp_Send(SasPool_GetConn(call->pooled), &request, left_ms,
                  &call->user);
 }
@@ -298,7 +322,7 @@
         SasPool_Give(pooled, call->idle_ms);
     }
     bool not_run = call->not_run || call->status == 421;
-    call->shed_early = call->not_run && call->status != 421 &&
+    call->same_again = call->not_run && call->status != 421 &&
                        server != NULL &&
                        call->load_when_sent < server->facts.slots;
     if (server != NULL) {
@@ -341,6 +365,16 @@
                         connected ? "connection lost" : "no connection");
 }
 
+/* A rested connection was dead: that says nothing of the server. */
+static bool
+was_forgotten(const struct relay_call *call,
+              const struct sas_http_failure *failure)
+{
+    return failure->sent && !failure->begun &&
+           call->rest_ms >= SasPool_FRESH_MS &&
+           SasRelay_Now(call->relay) - call->sent_at < FORGOTTEN_MS;
+}
+
 static void
 on_fail(struct sas_http_user *user, const struct sas_http_failure *failure)
 {
@@ -352,11 +386,19 @@
         SasRelay_Fail(call, "timed out", 504);
         return;
     }
-    note_failure(call, failure->sent);
+    call->same_again = was_forgotten(call, failure);
+    if (call->same_again) {
+        SasRelay_GetService(call->relay, call->service)->wary_until =
+            SasRelay_Now(call->relay) + WARY_MS;
+    }
+    else {
+        note_failure(call, failure->sent);
+    }
     SasLog_WriteFields(SasLog_WARN, "attempt.failed", call->server_id,
-                       "{s:s, s:b, s:b, s:s, s:s}", "request",
+                       "{s:s, s:b, s:b, s:I, s:s, s:s}", "request",
                        call->request_id, "sent", failure->sent, "begun",
-                       failure->begun, "at", failure->error.step, "cause",
+                       failure->begun, "rest_ms", (json_int_t)call->rest_ms,
+                       "at", failure->error.step, "cause",
                        failure->error.text);
     if (!failure->sent) {
         SasRelay_Choose(call);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -26,6 +26,7 @@
 struct service_state {
     struct sas_repeat_allowance repeats;
     struct sas_keep keep;
+    int64_t wary_until; /* rested connections to its servers may be dead */
 };
 
 /* What a server that has just started bears, by slot. */
@@ -69,6 +70,7 @@
 
     /* the current attempt */
     struct sas_pooled *pooled;
+    int64_t rest_ms; /* of its connection before the attempt */
     struct sas_server_ref server;
     char server_id[SasFleet_ID_SIZE];
     char server_zone[SasModel_NAME_SIZE];
@@ -84,7 +86,7 @@
     bool sealed;
     bool not_run;
     bool spoiled;    /* not what the server made */
-    bool shed_early; /* the last server refused it though it had free slots */
+    bool same_again; /* the last server may be tried once more */
     int64_t idle_ms;
 };
 
@@ -97,6 +99,8 @@
 void SasRelay_Finish(struct relay_call *call, const char *outcome,
                      const struct sas_http_reply *reply);
 void SasRelay_NoteServer(struct relay_call *call, int slot, int64_t now_ms);
+struct service_state *SasRelay_GetService(struct sas_relay *relay,
+                                          int service);
 struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
 
 /* relay_peers.c */
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -150,6 +150,25 @@
             self.assertIn("Retry-After", answer.headers)
             self.assertEqual(workers[0].ids() + workers[1].ids(), [])
 
+    def test_filings_avoid_connections_that_servers_have_forgotten(self):
+        """A clerk's filing is lost: its server had dropped the idle connection
+        without a word, and the reset leaves open whether the filing ran. The
+        first one may be lost so; then filings come on new connections, and a
+        look-up is sent once more to the server that knows its object."""
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            worker.forget_s = 0.3
+            self.assertEqual(vm.request().status, 200)
+            time.sleep(0.5)
+            self.assertEqual(vm.request().status, 200)
+            for i in range(3):
+                time.sleep(0.5)
+                answer = vm.request("POST", "/filings/%d" % i, b"x")
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(vm.find_lines("server.tripped"), [])
+
     def test_a_success_without_a_seal_is_none(self):
         with Fleet(vms=("a",)) as fleet:
             worker = fleet.add_worker("d1")
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -5,6 +5,7 @@
 test's own process and remembers what it ran. Behaviour is set by attributes:
 
     work_s       how long a request takes
+    forget_s     a connection that rests longer is reset by its next request
     held         an Event: requests wait for it as long as it is not set
     faults       list of faults, one taken by each request that runs:
                  "shed"       503, not executed
@@ -47,6 +48,7 @@
         self.slot_count = slots
         self.service = ""    # by its entry; remembered with each request
         self.work_s = 0.0
+        self.forget_s = None
         self.held = threading.Event()
         self.held.set()
         self.faults = []
@@ -93,11 +95,18 @@
 
     def serve(self, connection):
         reader = connection.makefile("rb")
+        rested = False
         try:
             while not self.stopped:
+                began = time.monotonic()
                 head = self.read_head(reader)
                 if head is None:
                     return
+                if self.forget_s is not None and rested and \
+                        time.monotonic() - began > self.forget_s:
+                    reset(connection)
+                    return
+                rested = True
                 if not self.handle(connection, reader, *head):
                     return
         except OSError:
