--- a/packages/core/tests/test_split.c
+++ b/packages/core/tests/test_split.c
@@ -67,7 +67,7 @@
     const double weights[] = {0.5, 0.5};
     struct sas_fleet_config *config = make_config(weights, 2);
     struct sas_split split = {0};
-    int first[400];
+    int first[400] = {0};
     int moved = 0;
     for (int i = 0; i < REQUESTS; i++) {
         int object = i % 400;
--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -175,6 +175,28 @@
                      "the one that stays away to be dropped")
             self.assertEqual(vm.find_lines("server.gone", peer="d1"), [])
 
+    def test_a_change_after_an_outage_is_heard_soon(self):
+        """Callers get 404 on a new route at some machines for seconds: the
+        store was silent and is back, but these machines still wait for the
+        answer to a long question that they sent into the outage. While it is
+        away they ask short ones, which end soon."""
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.store.mode = "silent"
+            wait_for(lambda: vm.find_lines("store.lost", peer="op"),
+                     "the outage to be noticed")
+            asked = len(fleet.store.waits)
+            wait_for(lambda: len(fleet.store.waits) >= asked + 3,
+                     "more questions")
+            self.assertEqual(set(fleet.store.waits[asked + 1:]), {0})
+            fleet.store.mode = ""
+            fleet.configure(version=50)
+            wait_for(lambda: any("version=50" in line["text"] for line in
+                                 vm.find_lines("config.apply")),
+                     "the change")
+
     def test_a_store_that_forgets_its_history_is_listed_again(self):
         with Fleet(vms=("a",)) as fleet:
             fleet.add_worker("d1")
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -57,6 +57,7 @@
         self.version = 1
         self.forgotten = 0
         self.calls = 0
+        self.waits = []  # wait-ms of each feed
         self.mode = ""
         self.refused = set()
         self.delay_s = 0
@@ -198,11 +199,13 @@
 
         def do_GET(self):
             store.calls += 1
-            if self.is_faulty():
-                return
             url = urllib.parse.urlsplit(self.path)
             query = dict(urllib.parse.parse_qsl(url.query,
                                                 keep_blank_values=True))
+            if url.path == "/rows-feed":
+                store.waits.append(int(query.get("wait-ms", 0)))
+            if self.is_faulty():
+                return
             with store.lock:
                 if url.path == "/rows-get":
                     self.answer(200, store.get(query))
