--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -123,6 +123,7 @@
     int status = SasGateway_Run(gateway);
     SasGateway_Close(gateway);
     SasPlatform_Close(source);
+    uv_loop_close(&loop);
     SasFleet_Free(fleet);
     SasLog_Close();
     return status;
--- a/tools/emulate.c
+++ b/tools/emulate.c
@@ -113,6 +113,7 @@
 
 static GRand *randomness;
 static GSequence *events;
+static GPtrArray *requests; /* all of them, to be released at the end */
 static guint64 event_count;
 static double now_ms;
 static struct server servers[MAX_SERVERS];
@@ -381,6 +382,22 @@
     }
 }
 
+static void
+clean_up(void)
+{
+    for (int i = 0; i < server_count; i++) {
+        g_queue_clear(&servers[i].waiting);
+        g_queue_clear(&servers[i].known);
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+        SasFleet_Free(fleets[vm]);
+    }
+    g_sequence_free(events);
+    g_ptr_array_free(requests, TRUE);
+    g_rand_free(randomness);
+    g_free(options.policy);
+}
+
 static void
 schedule_arrivals(void)
 {
@@ -389,6 +406,7 @@
         at += -log(g_rand_double_range(randomness, 1e-9, 1)) * 1000 /
               options.rate;
         struct request *request = g_new0(struct request, 1);
+        g_ptr_array_add(requests, request);
         request->came_at = at;
         request->vm = g_rand_int_range(randomness, 0, VMS);
         request->region = request->vm / 2;
@@ -505,9 +523,11 @@
     }
     randomness = g_rand_new_with_seed((guint32)options.seed);
     events = g_sequence_new(g_free);
+    requests = g_ptr_array_new_with_free_func(g_free);
     set_up();
     schedule_arrivals();
     run();
     print_windows();
+    clean_up();
     return 0;
 }
