--- a/packages/core/tests/property_shim.c
+++ b/packages/core/tests/property_shim.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sas/fleet.h"
 #include "sas/config.h"
 #include "sas/lookup.h"
 #include "sas/plan.h"
@@ -154,3 +155,56 @@
     *in_force = shift != NULL ? shift->in_force : 0;
     return shift != NULL ? (int)shift->holding : -1;
 }
+
+/* The living model, with plain arguments. */
+
+int
+SasShim_PutServer(struct sas_fleet *fleet, const char *id, const char *service,
+                  const char *zone, int port, int64_t born_at, int draining)
+{
+    struct sas_server_facts facts = {
+        .slots = 3,
+        .born_at = born_at,
+        .draining = draining != 0,
+    };
+    g_strlcpy(facts.id, id, sizeof(facts.id));
+    g_strlcpy(facts.service, service, sizeof(facts.service));
+    g_strlcpy(facts.zone, zone, sizeof(facts.zone));
+    g_strlcpy(facts.address.ip, "127.0.0.1", sizeof(facts.address.ip));
+    facts.address.port = port;
+    return SasFleet_PutServer(fleet, &facts);
+}
+
+uint32_t
+SasShim_GetGeneration(const struct sas_fleet *fleet, int slot)
+{
+    return SasFleet_GetRef(fleet, slot).generation;
+}
+
+/* The id behind a reference, "" where it leads nowhere. */
+const char *
+SasShim_GetId(const struct sas_fleet *fleet, int slot, uint32_t generation)
+{
+    struct sas_server_ref ref = {.slot = slot, .generation = generation};
+    const struct sas_fleet_server *server = SasFleet_GetServer(fleet, ref);
+    return server != NULL ? server->facts.id : "";
+}
+
+/* How many servers a service lists, and whether each of them is of it. */
+int
+SasShim_CountListed(const struct sas_fleet *fleet, const char *service)
+{
+    int handle = SasFleet_FindService(fleet, service);
+    if (handle == SasModel_NONE) {
+        return 0;
+    }
+    const GArray *slots = SasFleet_GetService(fleet, handle)->servers;
+    for (guint i = 0; i < slots->len; i++) {
+        const struct sas_fleet_server *server =
+            SasFleet_At(fleet, g_array_index(slots, int, i));
+        if (server == NULL || server->service != handle) {
+            return -1;
+        }
+    }
+    return (int)slots->len;
+}
