Reading once more: four dead functions gone, one piece sends news

Cause: SasMesh_GetHighestVersion, SasPool_CountOpened, SasFleet_CountServices, SasFleet_GetRegionName and the relay's own random source had no caller left; send_news and greet in the mesh differed only in how many news they send. Ruled out: any change of behaviour; a greeting still holds one piece of news, the first that a digest gives.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -165,7 +165,6 @@
 int SasFleet_CountRegions(const struct sas_fleet *fleet);
 const struct sas_zone *SasFleet_GetZone(const struct sas_fleet *fleet,
                                         int zone);
-const char *SasFleet_GetRegionName(const struct sas_fleet *fleet, int region);
 
 /* Changes. PutServer: -1 where the zone is not known; a later born_at or
  * another address or service under the same id is a new server in a new
@@ -201,7 +200,6 @@
 /* Services. Add gives the handle, also of one that is known. */
 int SasFleet_AddService(struct sas_fleet *fleet, const char *name);
 int SasFleet_FindService(const struct sas_fleet *fleet, const char *name);
-int SasFleet_CountServices(const struct sas_fleet *fleet);
 struct sas_fleet_service *SasFleet_GetService(const struct sas_fleet *fleet,
                                               int service);
 
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -149,12 +149,6 @@
     return &fleet->zones[zone];
 }
 
-const char *
-SasFleet_GetRegionName(const struct sas_fleet *fleet, int region)
-{
-    return fleet->regions[region];
-}
-
 /* Changes. */
 
 static void
@@ -412,12 +406,6 @@
     return place == NULL ? SasModel_NONE : GPOINTER_TO_INT(place) - 1;
 }
 
-int
-SasFleet_CountServices(const struct sas_fleet *fleet)
-{
-    return (int)fleet->services->len;
-}
-
 struct sas_fleet_service *
 SasFleet_GetService(const struct sas_fleet *fleet, int service)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -148,7 +148,6 @@
         .metrics = gateway->metrics,
         .settings = gateway->settings,
         .wire = wire,
-        .random = gateway->random,
     };
     gateway->relay = SasRelay_New(&options);
     gateway->directory.loop = gateway->loop;
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -14,6 +14,10 @@
 
 #define MAX_DATAGRAM 1400
 #define OWN_SEAT 0
+/* News in a greeting: of this one alone, which a digest begins with. At a
+ * start everybody greets everybody; with all news in each greeting 300 entry
+ * VMs would send each other 0.2 GB. */
+#define OWN_NEWS 1
 
 struct vm {
     struct sas_mesh_facts facts;
@@ -39,10 +43,8 @@
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
                         const struct sockaddr *from, unsigned flags);
-static void send_news(struct sas_mesh *mesh, const struct vm *vm,
+static void send_news(struct sas_mesh *mesh, const struct vm *vm, int max,
                       bool wants_reply);
-static void greet(struct sas_mesh *mesh, const struct vm *vm,
-                  bool wants_reply);
 static void send_message(struct sas_mesh *mesh, const struct vm *vm,
                          sas_mesh_message *message);
 
@@ -194,7 +196,7 @@
 tell_all(struct sas_mesh *mesh)
 {
     for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
-        send_news(mesh, get_vm(mesh, seat), false);
+        send_news(mesh, get_vm(mesh, seat), SAS_MESH_MAX_NEWS, false);
     }
 }
 
@@ -244,7 +246,7 @@
 {
     int seat = learn_vm(mesh, facts);
     if (seat > OWN_SEAT) {
-        greet(mesh, get_vm(mesh, seat), true);
+        send_news(mesh, get_vm(mesh, seat), OWN_NEWS, true);
     }
 }
 
@@ -416,12 +418,6 @@
     }
 }
 
-int64_t
-SasMesh_GetHighestVersion(const struct sas_mesh *mesh)
-{
-    return (int64_t)mesh->table.highest_version;
-}
-
 static bool
 leads_before(const struct vm *one, const struct vm *other)
 {
@@ -492,7 +488,7 @@
     int seat = SasModel_NONE;
     if (SasMembership_PickPeers(&mesh->table, mesh->random, now_ms, &seat,
                                 1) == 1) {
-        send_news(mesh, get_vm(mesh, seat), true);
+        send_news(mesh, get_vm(mesh, seat), SAS_MESH_MAX_NEWS, true);
     }
     log_changes(mesh);
     uv_timer_set_repeat(timer, (uint64_t)mesh->table.times.interval_ms);
@@ -545,28 +541,15 @@
 }
 
 static void
-send_news(struct sas_mesh *mesh, const struct vm *vm, bool wants_reply)
+send_news(struct sas_mesh *mesh, const struct vm *vm, int max,
+          bool wants_reply)
 {
     sas_mesh_news news[SAS_MESH_MAX_NEWS];
     sas_mesh_message message = {
         .wants_reply = wants_reply,
         .news = {.news_val = news},
     };
-    fill_news(mesh, news, SAS_MESH_MAX_NEWS, &message.news.news_len);
-    send_message(mesh, vm, &message);
-}
-
-/* News of this one alone. At a start everybody greets everybody; with all news
- * in each greeting 300 entry VMs would send each other 0.2 GB. */
-static void
-greet(struct sas_mesh *mesh, const struct vm *vm, bool wants_reply)
-{
-    sas_mesh_news own;
-    sas_mesh_message message = {
-        .wants_reply = wants_reply,
-        .news = {.news_val = &own},
-    };
-    fill_news(mesh, &own, 1, &message.news.news_len);
+    fill_news(mesh, news, max, &message.news.news_len);
     send_message(mesh, vm, &message);
 }
 
@@ -623,10 +606,10 @@
         mesh->user->on_trip(mesh->user, &news);
     }
     if (message->wants_reply && message->news.news_len <= 1) {
-        greet(mesh, get_vm(mesh, seat), false);
+        send_news(mesh, get_vm(mesh, seat), OWN_NEWS, false);
     }
     else if (message->wants_reply) {
-        send_news(mesh, get_vm(mesh, seat), false);
+        send_news(mesh, get_vm(mesh, seat), SAS_MESH_MAX_NEWS, false);
     }
 }
 
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -111,9 +111,6 @@
 struct sas_mesh_senders SasMesh_GetSenders(const struct sas_mesh *mesh,
                                            uint64_t server_hash, int region);
 
-/* The highest configuration that any entry VM has told of, and the address
- * of one live entry VM to ask for what it knows; false when alone. */
-int64_t SasMesh_GetHighestVersion(const struct sas_mesh *mesh);
 /* Among the live ones of the own failure domain the strongest, of several the
  * first by the hash of its name: all of them agree on it without a message,
  * and where their views differ for a while two ask instead of one. False when
--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -18,7 +18,6 @@
     uv_loop_t *loop;
     struct sas_fleet *fleet;
     GPtrArray *by_slot; /* GPtrArray of struct sas_pooled, oldest first */
-    int opened;
 };
 
 static void
@@ -119,7 +118,6 @@
         pooled->conn = SasHttp_Connect(
             pool->loop, &SasFleet_At(pool->fleet, slot)->facts.address,
             SasPool_CONNECT_MS, &pooled->owner);
-        pool->opened++;
     }
     pooled->idle = false;
     g_ptr_array_add(list, pooled);
@@ -174,9 +172,3 @@
         }
     }
 }
-
-int
-SasPool_CountOpened(const struct sas_pool *pool)
-{
-    return pool->opened;
-}
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -50,6 +50,4 @@
 /* Closes what has been idle for too long; call it every second or so. */
 void SasPool_Sweep(struct sas_pool *pool);
 
-int SasPool_CountOpened(const struct sas_pool *pool);
-
 #endif
--- a/packages/gateway/src/relay.h
+++ b/packages/gateway/src/relay.h
@@ -31,7 +31,6 @@
     struct sas_metrics *metrics;
     const struct sas_entry_settings *settings;
     const struct sas_entry_wire *wire;
-    GRand *random;
 };
 
 struct sas_relay *SasRelay_New(const struct sas_relay_options *options);
