Requests that crash backend servers are quarantined on the platform too

Cause: core/quarantine.h was wired to the older mode only. On the platform a request that crashes each server that begins it, sent again by its caller to any entry VM, was bounded by max-attempts alone: it took a server down each time, with everybody's requests on it.

So: after a loss a new connection to the server tells whether it crashed (it stays in the pool); from the second crash on the request runs only where nothing else does; one crash more ends it. Crashes go to the request's keeper, and from there to all when there are two.

Before: the new e2e test fails after 31 s (never quarantined). After: passes, four crashes at most with three entry VMs, no suspects among lost answers.

--- a/packages/core/include/sas/quarantine.h
+++ b/packages/core/include/sas/quarantine.h
@@ -101,6 +101,11 @@
                     struct sas_fingerprint fingerprint, int64_t now_ms,
                     int *retry_after_s);
 
+/* Crashes that it is still suspected of; 0 for one that is not known. */
+int SasQuarantine_CountCrashes(struct sas_quarantine *q,
+                               struct sas_fingerprint fingerprint,
+                               int64_t now_ms);
+
 /* Before a run alone, which ends within lasts_ms. False: one is running. */
 bool SasQuarantine_BeginTrial(struct sas_quarantine *q,
                               struct sas_fingerprint fingerprint,
--- a/packages/core/src/quarantine.c
+++ b/packages/core/src/quarantine.c
@@ -115,6 +115,15 @@
     return SAS_QUARANTINE_ALONE;
 }
 
+int
+SasQuarantine_CountCrashes(struct sas_quarantine *q,
+                           struct sas_fingerprint fingerprint, int64_t now_ms)
+{
+    const struct sas_quarantine_entry *entry =
+        find_entry(q, fingerprint, now_ms);
+    return entry != NULL ? count_guilt(entry) : 0;
+}
+
 bool
 SasQuarantine_BeginTrial(struct sas_quarantine *q,
                          struct sas_fingerprint fingerprint, int64_t lasts_ms,
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -373,23 +373,42 @@
     return senders;
 }
 
-/* The first in the server's order; SasModel_NONE where its region has no live
- * entry VM. */
+/* The first of the live ones in the hash's order, of one region or (NONE) of
+ * all; SasModel_NONE where there is none. */
 static int
-find_tester(const struct sas_mesh *mesh, uint64_t server_hash, int region)
+find_first(const struct sas_mesh *mesh, uint64_t hash, int region)
 {
-    int tester = SasModel_NONE;
+    int first = SasModel_NONE;
     for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
-        if (get_region(mesh, seat) != region || !is_live(mesh, seat)) {
+        bool counts =
+            region == SasModel_NONE || get_region(mesh, seat) == region;
+        if (!counts || !is_live(mesh, seat)) {
             continue;
         }
-        if (tester == SasModel_NONE ||
-            score_vm(mesh, server_hash, seat) >
-                score_vm(mesh, server_hash, tester)) {
-            tester = seat;
+        if (first == SasModel_NONE ||
+            score_vm(mesh, hash, seat) > score_vm(mesh, hash, first)) {
+            first = seat;
+        }
+    }
+    return first;
+}
+
+/* To the first one alone; where that is this one, or with to_all, to all. */
+static void
+send_by_way_of(struct sas_mesh *mesh, sas_mesh_message *message, int first,
+               bool to_all)
+{
+    if (first != OWN_SEAT && !to_all) {
+        if (first != SasModel_NONE) {
+            send_message(mesh, get_vm(mesh, first), message);
+        }
+        return;
+    }
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (is_live(mesh, seat)) {
+            send_message(mesh, get_vm(mesh, seat), message);
         }
     }
-    return tester;
 }
 
 void
@@ -404,18 +423,38 @@
     sas_mesh_message message = {
         .trips = {.trips_len = 1, .trips_val = &trip},
     };
-    int tester = find_tester(mesh, news->server_hash, region);
-    if (tester != OWN_SEAT) {
-        if (tester != SasModel_NONE) {
-            send_message(mesh, get_vm(mesh, tester), &message);
-        }
-        return;
+    send_by_way_of(mesh, &message, find_first(mesh, news->server_hash, region),
+                   false);
+}
+
+bool
+SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash)
+{
+    return find_first(mesh, hash, SasModel_NONE) == OWN_SEAT;
+}
+
+void
+SasMesh_TellSuspect(struct sas_mesh *mesh,
+                    const struct sas_mesh_suspect_news *rows, int count,
+                    bool to_all)
+{
+    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
+    count = MIN(count, SAS_MESH_MAX_SUSPECTS);
+    for (int i = 0; i < count; i++) {
+        suspects[i].high = rows[i].fingerprint.high;
+        suspects[i].low = rows[i].fingerprint.low;
+        suspects[i].crash = rows[i].crash;
+        suspects[i].alone = rows[i].alone;
+        suspects[i].survived = rows[i].survived;
     }
-    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
-        if (is_live(mesh, seat)) {
-            send_message(mesh, get_vm(mesh, seat), &message);
-        }
+    if (count == 0) {
+        return;
     }
+    sas_mesh_message message = {
+        .suspects = {.suspects_len = (u_int)count, .suspects_val = suspects},
+    };
+    int first = find_first(mesh, rows[0].fingerprint.low, SasModel_NONE);
+    send_by_way_of(mesh, &message, first, to_all);
 }
 
 static bool
@@ -562,6 +601,30 @@
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
+static void
+tell_user(struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    for (u_int i = 0; i < message->trips.trips_len; i++) {
+        const sas_mesh_trip *trip = &message->trips.trips_val[i];
+        struct sas_mesh_trip_news news = {
+            .server_hash = trip->server_hash,
+            .left_ms = trip->left_ms,
+            .restarted = trip->restarted,
+        };
+        mesh->user->on_trip(mesh->user, &news);
+    }
+    for (u_int i = 0; i < message->suspects.suspects_len; i++) {
+        const sas_mesh_suspect *row = &message->suspects.suspects_val[i];
+        struct sas_mesh_suspect_news news = {
+            .fingerprint = {row->high, row->low},
+            .crash = row->crash,
+            .alone = row->alone,
+            .survived = row->survived,
+        };
+        mesh->user->on_suspect(mesh->user, &news);
+    }
+}
+
 static void
 take_message(struct sas_mesh *mesh, const sas_mesh_message *message)
 {
@@ -596,15 +659,7 @@
         }
     }
     SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation, now_ms);
-    for (u_int i = 0; i < message->trips.trips_len; i++) {
-        const sas_mesh_trip *trip = &message->trips.trips_val[i];
-        struct sas_mesh_trip_news news = {
-            .server_hash = trip->server_hash,
-            .left_ms = trip->left_ms,
-            .restarted = trip->restarted,
-        };
-        mesh->user->on_trip(mesh->user, &news);
-    }
+    tell_user(mesh, message);
     if (message->wants_reply && message->news.news_len <= 1) {
         send_news(mesh, get_vm(mesh, seat), OWN_NEWS, false);
     }
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -17,6 +17,7 @@
 
 #include "sas/entry.h"
 #include "sas/fleet.h"
+#include "sas/quarantine.h"
 
 #define SasMesh_MAX_VMS 2048
 #define SasMesh_MAX_NAMED 8 /* addresses in one answer to a look-up */
@@ -40,9 +41,20 @@
     bool restarted; /* well again, and had not taken connections */
 };
 
+/* A request that ran on a backend server when it crashed, or (survived) that
+ * has run to its end since. */
+struct sas_mesh_suspect_news {
+    struct sas_fingerprint fingerprint;
+    uint64_t crash;
+    bool alone;
+    bool survived;
+};
+
 struct sas_mesh_user {
     void (*on_trip)(struct sas_mesh_user *user,
                     const struct sas_mesh_trip_news *news);
+    void (*on_suspect)(struct sas_mesh_user *user,
+                       const struct sas_mesh_suspect_news *news);
 };
 
 /* Opening and closing. */
@@ -91,6 +103,14 @@
 void SasMesh_TellTrip(struct sas_mesh *mesh,
                       const struct sas_mesh_trip_news *news, int region);
 
+/* Whether this entry VM is the first of all live ones in the hash's order.
+ * TellSuspect goes to that one of the first row's fingerprint (low), or to
+ * all. */
+bool SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash);
+void SasMesh_TellSuspect(struct sas_mesh *mesh,
+                         const struct sas_mesh_suspect_news *rows, int count,
+                         bool to_all);
+
 /* The place of this entry VM, from 0, among the live ones of the server's
  * region in an order of the server's own; the number of them when it isn't in
  * that region. The first tries a tripped server again for all others: each of
--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -10,7 +10,8 @@
     bool idle;
     int64_t idle_since;
     int64_t idle_ms;
-    int64_t rest_ms; /* when it was taken last */
+    int64_t rest_ms;              /* when it was taken last */
+    struct sas_pool_check *check; /* waits for the connection; NULL: none */
 };
 
 struct sas_pool {
@@ -27,7 +28,25 @@
     struct sas_pooled *pooled = (struct sas_pooled *)owner;
     GPtrArray *list = pooled->pool->by_slot->pdata[pooled->server.slot];
     g_ptr_array_remove(list, pooled);
+    struct sas_pool_check *check = pooled->check;
     g_free(pooled);
+    if (check != NULL) {
+        check->on_checked(check, false);
+    }
+}
+
+static void
+on_opened(struct sas_http_owner *owner, struct sas_http_conn *conn)
+{
+    (void)conn;
+    struct sas_pooled *pooled = (struct sas_pooled *)owner;
+    struct sas_pool_check *check = pooled->check;
+    if (check == NULL) {
+        return;
+    }
+    pooled->check = NULL;
+    SasPool_Give(pooled, 0);
+    check->on_checked(check, true);
 }
 
 /* Connections with a request on them stay: a leaving server still answers
@@ -73,6 +92,7 @@
         GPtrArray *list = pool->by_slot->pdata[slot];
         while (list->len > 0) {
             struct sas_pooled *pooled = list->pdata[list->len - 1];
+            pooled->check = NULL;
             SasHttp_Close(pooled->conn);
         }
     }
@@ -97,13 +117,33 @@
     return NULL;
 }
 
-struct sas_pooled *
-SasPool_Take(struct sas_pool *pool, int slot, int64_t max_rest_ms)
+static GPtrArray *
+get_list(struct sas_pool *pool, int slot)
 {
     while ((int)pool->by_slot->len <= slot) {
         g_ptr_array_add(pool->by_slot, g_ptr_array_new());
     }
-    GPtrArray *list = pool->by_slot->pdata[slot];
+    return pool->by_slot->pdata[slot];
+}
+
+static struct sas_pooled *
+open_new(struct sas_pool *pool, int slot)
+{
+    struct sas_pooled *pooled = g_new0(struct sas_pooled, 1);
+    pooled->owner.on_opened = on_opened;
+    pooled->owner.on_closed = on_closed;
+    pooled->pool = pool;
+    pooled->server = SasFleet_GetRef(pool->fleet, slot);
+    pooled->conn = SasHttp_Connect(
+        pool->loop, &SasFleet_At(pool->fleet, slot)->facts.address,
+        SasPool_CONNECT_MS, &pooled->owner);
+    return pooled;
+}
+
+struct sas_pooled *
+SasPool_Take(struct sas_pool *pool, int slot, int64_t max_rest_ms)
+{
+    GPtrArray *list = get_list(pool, slot);
     struct sas_server_ref server = SasFleet_GetRef(pool->fleet, slot);
     int64_t now_ms = (int64_t)uv_now(pool->loop);
     struct sas_pooled *pooled = find_idle(list, server, now_ms, max_rest_ms);
@@ -111,19 +151,21 @@
         pooled->rest_ms = now_ms - pooled->idle_since;
     }
     else {
-        pooled = g_new0(struct sas_pooled, 1);
-        pooled->owner.on_closed = on_closed;
-        pooled->pool = pool;
-        pooled->server = server;
-        pooled->conn = SasHttp_Connect(
-            pool->loop, &SasFleet_At(pool->fleet, slot)->facts.address,
-            SasPool_CONNECT_MS, &pooled->owner);
+        pooled = open_new(pool, slot);
     }
     pooled->idle = false;
     g_ptr_array_add(list, pooled);
     return pooled;
 }
 
+void
+SasPool_Check(struct sas_pool *pool, int slot, struct sas_pool_check *check)
+{
+    struct sas_pooled *pooled = open_new(pool, slot);
+    pooled->check = check;
+    g_ptr_array_add(get_list(pool, slot), pooled);
+}
+
 int64_t
 SasPool_GetRest(const struct sas_pooled *pooled)
 {
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -47,6 +47,15 @@
 /* Ends it with whatever runs on it. */
 void SasPool_Drop(struct sas_pooled *pooled);
 
+/* Opens a connection to find out whether the server still takes one; it stays
+ * in the pool. on_checked is called once, unless the pool is freed first. */
+struct sas_pool_check {
+    void (*on_checked)(struct sas_pool_check *check, bool takes_connections);
+};
+
+void SasPool_Check(struct sas_pool *pool, int slot,
+                   struct sas_pool_check *check);
+
 /* Closes what has been idle for too long; call it every second or so. */
 void SasPool_Sweep(struct sas_pool *pool);
 
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -23,6 +23,9 @@
 /* What a caller is told where nothing is known of when it will be better. */
 #define RETRY_AFTER_MS 200
 
+/* Half a request: what is left of a report when it has faded. */
+#define IDLE_LOAD 0.5
+
 static void on_request(struct sas_http_handler *handler,
                        struct sas_http_exchange *exchange);
 static void note_bytes(struct relay_call *call, size_t answer_size);
@@ -36,6 +39,9 @@
     relay->options = *options;
     relay->handler.on_request = on_request;
     relay->handler.on_abandoned = on_abandoned;
+    relay->suspects =
+        SasSuspects_New(options->loop, options->fleet, options->pool,
+                        options->mesh, options->metrics);
     SasRelay_Listen(relay);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
@@ -47,6 +53,7 @@
 void
 SasRelay_Free(struct sas_relay *relay)
 {
+    SasSuspects_Free(relay->suspects);
     g_ptr_array_free(relay->services, TRUE);
     g_ptr_array_free(relay->slots, TRUE);
     g_hash_table_destroy(relay->routes);
@@ -356,6 +363,47 @@
                             : -1;
 }
 
+/* Requests that crash servers. */
+
+struct sas_fingerprint
+SasRelay_GetFingerprint(struct relay_call *call)
+{
+    if (!call->named) {
+        size_t size = 0;
+        const char *body = SasHttpExchange_GetBody(call->exchange, &size);
+        call->fingerprint = SasQuarantine_GetFingerprint(
+            SasHttpExchange_GetMethod(call->exchange),
+            SasHttpExchange_GetTarget(call->exchange), body, size);
+        call->named = true;
+    }
+    return call->fingerprint;
+}
+
+static enum sas_quarantine_verdict
+judge_suspect(struct relay_call *call)
+{
+    struct sas_suspects *suspects = call->relay->suspects;
+    if (!SasSuspects_Any(suspects)) {
+        return SAS_QUARANTINE_ALLOW;
+    }
+    return SasSuspects_Check(suspects, SasRelay_GetFingerprint(call));
+}
+
+/* Servers on which nothing else runs, as far as this entry VM knows. */
+static int
+keep_idle(struct relay_call *call, int *slots, int count, int64_t now_ms)
+{
+    int kept = 0;
+    for (int i = 0; i < count; i++) {
+        const struct sas_fleet_server *server =
+            SasFleet_At(call->relay->options.fleet, slots[i]);
+        if (SasTraffic_EstimateLoad(server, now_ms) < IDLE_LOAD) {
+            slots[kept++] = slots[i];
+        }
+    }
+    return kept;
+}
+
 /* Leaves out the servers that were tried, that have just fallen silent and
  * that are too cold; reason says why the last of them was left out. */
 static int
@@ -395,6 +443,11 @@
                 call->same_again ? EARLY_SHED_RETRY_MS : RETRY_AFTER_MS);
         return;
     }
+    enum sas_quarantine_verdict suspicion = judge_suspect(call);
+    if (suspicion == SAS_QUARANTINE_REFUSE) {
+        give_up(call, "quarantined", RETRY_AFTER_MS);
+        return;
+    }
     struct sas_fleet *fleet = relay->options.fleet;
     struct sas_owner_query query = {
         .service = call->service,
@@ -409,6 +462,11 @@
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
     const char *reason = "no server";
     count = keep_usable(call, slots, count, now_ms, &reason);
+    call->alone = suspicion == SAS_QUARANTINE_ALONE;
+    if (call->alone) {
+        count = keep_idle(call, slots, count, now_ms);
+        reason = "suspect";
+    }
     struct sas_admit_verdict verdict =
         SasAdmit_Judge(fleet, slots, count, is_urgent(call), now_ms);
     if (verdict.slot != SasModel_NONE) {
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -257,6 +257,10 @@
 static void
 deliver(struct relay_call *call)
 {
+    if (SasSuspects_Any(call->relay->suspects)) {
+        SasSuspects_NoteSurvived(call->relay->suspects,
+                                 SasRelay_GetFingerprint(call));
+    }
     int count = (int)call->answer_headers->len / 2;
     struct sas_http_header headers[SasHttp_MAX_HEADERS];
     count = MIN(count, SasHttp_MAX_HEADERS);
@@ -375,6 +379,18 @@
            SasRelay_Now(call->relay) - call->sent_at < FORGOTTEN_MS;
 }
 
+/* Also where the connection seems to have been forgotten: a crash at once
+ * after the first byte looks the same. */
+static void
+note_suspect(struct relay_call *call)
+{
+    struct sas_relay *relay = call->relay;
+    if (SasFleet_GetServer(relay->options.fleet, call->server) != NULL) {
+        SasSuspects_NoteLost(relay->suspects, SasRelay_GetFingerprint(call),
+                             call->server.slot, call->alone);
+    }
+}
+
 static void
 on_fail(struct sas_http_user *user, const struct sas_http_failure *failure)
 {
@@ -405,5 +421,6 @@
         return;
     }
     call->attempts++;
+    note_suspect(call);
     repeat_or_fail(call, "connection lost");
 }
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -11,6 +11,7 @@
 #include "sas/owner.h"
 #include "sas/split.h"
 #include "sas/traffic.h"
+#include "suspects.h"
 
 #define SasRelay_MAX_TRIED 8
 
@@ -49,6 +50,7 @@
     GPtrArray *services; /* struct service_state *, by handle */
     GPtrArray *slots;    /* struct slot_state *, by slot */
     GHashTable *routes;  /* struct route_state by route name */
+    struct sas_suspects *suspects;
     bool stopping;
 };
 
@@ -67,6 +69,8 @@
     int tried[SasRelay_MAX_TRIED];
     int tried_count;
     int attempts; /* that reached, or may have reached, a server */
+    bool named;   /* the fingerprint has been worked out */
+    struct sas_fingerprint fingerprint;
 
     /* the current attempt */
     struct sas_pooled *pooled;
@@ -76,6 +80,7 @@
     char server_zone[SasModel_NAME_SIZE];
     int64_t sent_at;
     double load_when_sent;
+    bool alone;          /* nothing else was known to run there */
     int64_t load_age_ms; /* of the report that the load rests on; -1: none */
 
     /* its answer */
@@ -103,6 +108,8 @@
                                           int service);
 struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
 
+struct sas_fingerprint SasRelay_GetFingerprint(struct relay_call *call);
+
 /* relay_peers.c */
 void SasRelay_Listen(struct sas_relay *relay);
 void SasRelay_TellChange(struct sas_relay *relay, int slot,
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -114,10 +114,20 @@
     }
 }
 
+static void
+on_suspect(struct sas_mesh_user *user,
+           const struct sas_mesh_suspect_news *news)
+{
+    struct sas_relay *relay =
+        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
+    SasSuspects_TakeNews(relay->suspects, news);
+}
+
 void
 SasRelay_Listen(struct sas_relay *relay)
 {
     relay->peers.on_trip = on_trip;
+    relay->peers.on_suspect = on_suspect;
     relay->listener.on_reopened = on_reopened;
     SasFleet_AddListener(relay->options.fleet, &relay->listener);
     SasMesh_SetUser(relay->options.mesh, &relay->peers);
--- /dev/null
+++ b/packages/gateway/src/suspects.c
@@ -0,0 +1,256 @@
+#include "suspects.h"
+
+#include <stdio.h>
+
+#include "sas/log.h"
+
+/* Crashes from which on a request only runs alone, and everybody knows of
+ * it. With one of them all requests of a crashed server would have to wait
+ * for an idle one. */
+#define ALONE_CRASHES 2
+
+struct sas_suspects {
+    uv_loop_t *loop;
+    struct sas_fleet *fleet;
+    struct sas_pool *pool;
+    struct sas_mesh *mesh;
+    struct sas_metrics *metrics;
+    struct sas_quarantine core;
+    GPtrArray *doubts; /* struct doubt * */
+};
+
+/* A request whose connection broke, until it is known whether its server
+ * crashed. */
+struct doubt {
+    struct sas_pool_check check;
+    struct sas_suspects *suspects;
+    struct sas_fingerprint fingerprint;
+    uint64_t crash;
+    bool alone;
+    char server_id[SasFleet_ID_SIZE];
+};
+
+struct sas_suspects *
+SasSuspects_New(uv_loop_t *loop, struct sas_fleet *fleet,
+                struct sas_pool *pool, struct sas_mesh *mesh,
+                struct sas_metrics *metrics)
+{
+    struct sas_suspects *suspects = g_new0(struct sas_suspects, 1);
+    suspects->loop = loop;
+    suspects->fleet = fleet;
+    suspects->pool = pool;
+    suspects->mesh = mesh;
+    suspects->metrics = metrics;
+    suspects->doubts = g_ptr_array_new_with_free_func(g_free);
+    SasQuarantine_Init(&suspects->core);
+    return suspects;
+}
+
+void
+SasSuspects_Free(struct sas_suspects *suspects)
+{
+    g_ptr_array_free(suspects->doubts, TRUE);
+    g_free(suspects);
+}
+
+static int64_t
+get_now(const struct sas_suspects *suspects)
+{
+    return (int64_t)uv_now(suspects->loop);
+}
+
+bool
+SasSuspects_Any(const struct sas_suspects *suspects)
+{
+    return suspects->core.count > 0;
+}
+
+static int
+count_crashes(struct sas_suspects *suspects,
+              struct sas_fingerprint fingerprint)
+{
+    return SasQuarantine_CountCrashes(&suspects->core, fingerprint,
+                                      get_now(suspects));
+}
+
+enum sas_quarantine_verdict
+SasSuspects_Check(struct sas_suspects *suspects,
+                  struct sas_fingerprint fingerprint)
+{
+    if (count_crashes(suspects, fingerprint) < ALONE_CRASHES) {
+        return SAS_QUARANTINE_ALLOW;
+    }
+    int retry_after_s = 0;
+    return SasQuarantine_Check(&suspects->core, fingerprint, get_now(suspects),
+                               &retry_after_s);
+}
+
+/* Telling. */
+
+static void
+note_event(struct sas_suspects *suspects, const char *event,
+           const char *server_id, const struct sas_mesh_suspect_news *news)
+{
+    int counter =
+        SasMetrics_Register(suspects->metrics, "sas_suspects_total", "event",
+                            event, "Requests suspected of crashing servers");
+    SasMetrics_Add(suspects->metrics, counter, 1);
+    char name[40];
+    snprintf(name, sizeof(name), "%016" G_GINT64_MODIFIER "x",
+             news->fingerprint.low);
+    SasLog_WriteFields(
+        SasLog_WARN, "suspect", server_id, "{s:s, s:s, s:b, s:i, s:b}",
+        "event", event, "fingerprint", name, "alone", news->alone, "crashes",
+        count_crashes(suspects, news->fingerprint), "quarantined",
+        SasSuspects_Check(suspects, news->fingerprint) ==
+            SAS_QUARANTINE_REFUSE);
+}
+
+/* All crashes of the request go to everybody, so that an entry VM that has
+ * heard of none knows as much as the keeper. */
+static void
+tell_all(struct sas_suspects *suspects, struct sas_fingerprint fingerprint)
+{
+    struct sas_quarantine_entry entry;
+    int64_t now_ms = get_now(suspects);
+    struct sas_mesh_suspect_news rows[SasQuarantine_MAX_CRASHES];
+    int count = 0;
+    for (int i = 0; SasQuarantine_Export(&suspects->core, i, now_ms, &entry);
+         i++) {
+        if (entry.fingerprint.high != fingerprint.high ||
+            entry.fingerprint.low != fingerprint.low) {
+            continue;
+        }
+        for (int j = 0; j < entry.crash_count; j++) {
+            if (!entry.crashes[j].cleared) {
+                rows[count].fingerprint = fingerprint;
+                rows[count].crash = entry.crashes[j].id;
+                rows[count].alone = entry.crashes[j].alone;
+                rows[count++].survived = false;
+            }
+        }
+    }
+    SasMesh_TellSuspect(suspects->mesh, rows, count, true);
+}
+
+static bool
+is_keeper(const struct sas_suspects *suspects,
+          const struct sas_mesh_suspect_news *news)
+{
+    return SasMesh_IsFirst(suspects->mesh, news->fingerprint.low);
+}
+
+/* Takes a row over; true where it says something new. */
+static bool
+merge(struct sas_suspects *suspects, const struct sas_mesh_suspect_news *news)
+{
+    int64_t now_ms = get_now(suspects);
+    int before = count_crashes(suspects, news->fingerprint);
+    enum sas_quarantine_verdict verdict =
+        SasSuspects_Check(suspects, news->fingerprint);
+    if (news->survived) {
+        SasQuarantine_Clear(&suspects->core, news->fingerprint, now_ms);
+    }
+    else {
+        SasQuarantine_Suspect(&suspects->core, news->fingerprint, news->crash,
+                              news->alone, now_ms);
+    }
+    return count_crashes(suspects, news->fingerprint) != before ||
+           SasSuspects_Check(suspects, news->fingerprint) != verdict;
+}
+
+/* A row of this entry VM's own, or one that came to it. known: crashes before
+ * it. */
+static void
+pass_on(struct sas_suspects *suspects,
+        const struct sas_mesh_suspect_news *news, int known)
+{
+    if (news->survived && known >= ALONE_CRASHES) {
+        SasMesh_TellSuspect(suspects->mesh, news, 1, true);
+    }
+    else if (!news->survived &&
+             count_crashes(suspects, news->fingerprint) >= ALONE_CRASHES) {
+        tell_all(suspects, news->fingerprint);
+    }
+}
+
+static void
+note_own(struct sas_suspects *suspects,
+         const struct sas_mesh_suspect_news *news, const char *event,
+         const char *server_id)
+{
+    int known = count_crashes(suspects, news->fingerprint);
+    if (!merge(suspects, news)) {
+        return;
+    }
+    note_event(suspects, event, server_id, news);
+    if (is_keeper(suspects, news)) {
+        pass_on(suspects, news, known);
+        return;
+    }
+    SasMesh_TellSuspect(suspects->mesh, news, 1, false);
+}
+
+void
+SasSuspects_TakeNews(struct sas_suspects *suspects,
+                     const struct sas_mesh_suspect_news *news)
+{
+    int known = count_crashes(suspects, news->fingerprint);
+    if (!merge(suspects, news)) {
+        return;
+    }
+    note_event(suspects, news->survived ? "heard well" : "heard", "", news);
+    if (is_keeper(suspects, news)) {
+        pass_on(suspects, news, known);
+    }
+}
+
+/* Reports. */
+
+static void
+on_checked(struct sas_pool_check *check, bool takes_connections)
+{
+    struct doubt *doubt = (struct doubt *)check;
+    struct sas_suspects *suspects = doubt->suspects;
+    if (!takes_connections) {
+        struct sas_mesh_suspect_news news = {
+            .fingerprint = doubt->fingerprint,
+            .crash = doubt->crash,
+            .alone = doubt->alone,
+        };
+        note_own(suspects, &news, "crash", doubt->server_id);
+    }
+    g_ptr_array_remove_fast(suspects->doubts, doubt);
+}
+
+void
+SasSuspects_NoteLost(struct sas_suspects *suspects,
+                     struct sas_fingerprint fingerprint, int slot, bool alone)
+{
+    const struct sas_server_facts *facts =
+        &SasFleet_At(suspects->fleet, slot)->facts;
+    char born[24];
+    snprintf(born, sizeof(born), "%" G_GINT64_FORMAT, facts->born_at);
+    struct doubt *doubt = g_new0(struct doubt, 1);
+    doubt->check.on_checked = on_checked;
+    doubt->suspects = suspects;
+    doubt->fingerprint = fingerprint;
+    doubt->crash = SasQuarantine_GetCrash(facts->id, born, 0);
+    doubt->alone = alone;
+    g_strlcpy(doubt->server_id, facts->id, sizeof(doubt->server_id));
+    g_ptr_array_add(suspects->doubts, doubt);
+    SasPool_Check(suspects->pool, slot, &doubt->check);
+}
+
+void
+SasSuspects_NoteSurvived(struct sas_suspects *suspects,
+                         struct sas_fingerprint fingerprint)
+{
+    struct sas_mesh_suspect_news news = {
+        .fingerprint = fingerprint,
+        .survived = true,
+    };
+    if (count_crashes(suspects, fingerprint) > 0) {
+        note_own(suspects, &news, "survived", "");
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/suspects.h
@@ -0,0 +1,60 @@
+/* suspects - requests that crash the backend servers that run them.
+ *
+ * A caller whose request crashed a server sends it again, and each time
+ * another server goes down with everybody's requests on it. A connection that
+ * breaks under a request may as well be a lost answer or a reset on the way;
+ * a new connection to the server tells: where none is taken it has crashed,
+ * and every request that ran there is a suspect. sas/quarantine.h counts.
+ *
+ * After one crash a request is sent on as ever: of the requests that were on
+ * a crashed server all but one are innocent, and one success clears them.
+ * After two it only goes to a server on which nothing else runs, and after
+ * one more crash there nowhere.
+ *
+ * The callers of such a request come to any entry VM. Each tells its crashes
+ * to the keeper of the request, the entry VM that the fingerprint's hash
+ * picks; the keeper tells all when there are two. If the keeper dies, the
+ * next one counts anew.
+ */
+#ifndef SAS_SUSPECTS_H
+#define SAS_SUSPECTS_H
+
+#include "mesh.h"
+#include "pool.h"
+#include "sas/fleet.h"
+#include "sas/metrics.h"
+#include "sas/quarantine.h"
+
+struct sas_suspects;
+
+struct sas_suspects *SasSuspects_New(uv_loop_t *loop, struct sas_fleet *fleet,
+                                     struct sas_pool *pool,
+                                     struct sas_mesh *mesh,
+                                     struct sas_metrics *metrics);
+void SasSuspects_Free(struct sas_suspects *suspects);
+
+/* False as long as no request is suspected, which is nearly always: then
+ * nobody needs a fingerprint. */
+bool SasSuspects_Any(const struct sas_suspects *suspects);
+
+/* How the request may be sent: SAS_QUARANTINE_ALLOW, _ALONE (to a server
+ * without other requests) or _REFUSE. */
+enum sas_quarantine_verdict
+SasSuspects_Check(struct sas_suspects *suspects,
+                  struct sas_fingerprint fingerprint);
+
+/* Its connection broke while it may have run on the server at the slot;
+ * alone: nothing else was known to run there. */
+void SasSuspects_NoteLost(struct sas_suspects *suspects,
+                          struct sas_fingerprint fingerprint, int slot,
+                          bool alone);
+
+/* It ran to a whole answer. */
+void SasSuspects_NoteSurvived(struct sas_suspects *suspects,
+                              struct sas_fingerprint fingerprint);
+
+/* What another entry VM says of a request. */
+void SasSuspects_TakeNews(struct sas_suspects *suspects,
+                          const struct sas_mesh_suspect_news *news);
+
+#endif
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -21,6 +21,8 @@
         struct sas_mesh_user user;
         int trips;
         struct sas_mesh_trip_news last;
+        int suspects;
+        struct sas_mesh_suspect_news last_suspect;
     } nodes[VMS];
 };
 
@@ -32,6 +34,15 @@
     node->last = *news;
 }
 
+static void
+on_suspect(struct sas_mesh_user *user,
+           const struct sas_mesh_suspect_news *news)
+{
+    struct node *node = (struct node *)user;
+    node->suspects++;
+    node->last_suspect = *news;
+}
+
 static int
 get_region(const struct fixture *f, const char *name)
 {
@@ -84,6 +95,7 @@
             SasMesh_Open(&f->loop, f->fleet, &settings, f->random, &error);
         assert_non_null(f->meshes[i]);
         f->nodes[i].user.on_trip = on_trip;
+        f->nodes[i].user.on_suspect = on_suspect;
         SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
     }
     /* Only the last one is told of the others. */
@@ -191,6 +203,43 @@
     stop(f);
 }
 
+/* A request crashes a server each time it is sent again, and its callers come
+ * to any entry VM. Each of them sees one crash; the keeper of the request
+ * hears of all and tells everybody. */
+static void
+test_a_suspect_goes_to_its_keeper_and_from_there_to_all(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    struct sas_mesh_suspect_news row = {
+        .fingerprint = {3, 4},
+        .crash = 5,
+        .alone = true,
+    };
+    int keeper = 0;
+    int keepers = 0;
+    for (int i = 0; i < VMS; i++) {
+        if (SasMesh_IsFirst(f->meshes[i], row.fingerprint.low)) {
+            keeper = i;
+            keepers++;
+        }
+    }
+    assert_int_equal(keepers, 1);
+    SasMesh_TellSuspect(f->meshes[(keeper + 1) % VMS], &row, 1, false);
+    SPIN_UNTIL(f, f->nodes[keeper].suspects == 1);
+    assert_int_equal(f->nodes[keeper].last_suspect.fingerprint.high, 3);
+    assert_int_equal(f->nodes[keeper].last_suspect.crash, 5);
+    assert_true(f->nodes[keeper].last_suspect.alone);
+    for (int i = 0; i < VMS; i++) {
+        assert_int_equal(f->nodes[i].suspects, i == keeper ? 1 : 0);
+    }
+    SasMesh_TellSuspect(f->meshes[keeper], &row, 1, true);
+    for (int i = 0; i < VMS; i++) {
+        SPIN_UNTIL(f, f->nodes[i].suspects == 1);
+    }
+    stop(f);
+}
+
 int
 main(void)
 {
@@ -198,6 +247,8 @@
         cmocka_unit_test(test_one_leads_a_zone_and_one_tests_a_server),
         cmocka_unit_test(test_one_that_leaves_still_counts_among_the_senders),
         cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
+        cmocka_unit_test(
+            test_a_suspect_goes_to_its_keeper_and_from_there_to_all),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -63,8 +63,11 @@
     const struct sas_http_user_vtable *vtable;
 };
 
-/* Who keeps the connection; told once when it begins to close. */
+/* Who keeps the connection; told once when it begins to close, and before
+ * that when it has been opened (on_opened may be NULL). */
 struct sas_http_owner {
+    void (*on_opened)(struct sas_http_owner *owner,
+                      struct sas_http_conn *conn);
     void (*on_closed)(struct sas_http_owner *owner,
                       struct sas_http_conn *conn);
 };
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -298,6 +298,9 @@
     conn->state = CONN_IDLE;
     conn->last_read_at = (int64_t)uv_now(conn->tcp.loop);
     uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+    if (conn->owner != NULL && conn->owner->on_opened != NULL) {
+        conn->owner->on_opened(conn->owner, conn);
+    }
     if (conn->user != NULL) {
         begin_write(conn);
     }
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -4,9 +4,10 @@
  * decoder never allocates more than that.
  */
 
-const SAS_MESH_FORMAT = 1;
+const SAS_MESH_FORMAT = 2;
 const SAS_MESH_MAX_NEWS = 24;
 const SAS_MESH_MAX_TRIPS = 8;
+const SAS_MESH_MAX_SUSPECTS = 8;
 const SAS_MESH_MAX_TEXT = 47;
 
 /* The sender: enough for a receiver that has never heard of it. */
@@ -39,10 +40,21 @@
     bool restarted; /* well again, and had not taken connections */
 };
 
+/* A request, by its fingerprint, was running when a backend server crashed;
+ * survived: it has since run to a whole answer, and crash says nothing. */
+struct sas_mesh_suspect {
+    unsigned hyper high;
+    unsigned hyper low;
+    unsigned hyper crash;
+    bool alone;
+    bool survived;
+};
+
 struct sas_mesh_message {
     unsigned int format;
     bool wants_reply;
     sas_mesh_vm sender;
     sas_mesh_news news<SAS_MESH_MAX_NEWS>;
     sas_mesh_trip trips<SAS_MESH_MAX_TRIPS>;
+    sas_mesh_suspect suspects<SAS_MESH_MAX_SUSPECTS>;
 };
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -169,6 +169,51 @@
                 self.assertEqual(answer.status, 200)
             self.assertEqual(vm.find_lines("server.tripped"), [])
 
+    def test_a_request_that_crashes_servers_is_sent_no_more(self):
+        """One look-up crashes each server that begins it, and its caller
+        sends it again, to any entry VM. Two servers go down before it is
+        suspected; then it runs alone on a third, and after that nowhere, also
+        where it has not been sent before. All others are served."""
+        with Fleet(vms=("a", "a", "b")) as fleet:
+            workers = [fleet.add_worker("d%d" % i) for i in range(6)]
+            fleet.start()
+            for worker in workers:
+                worker.poison.add("/forms/poison")
+            first, second, third = fleet.vms
+            wait_for(lambda: first.request("GET", "/forms/poison").status ==
+                     503 and first.find_lines("suspect", quarantined=True),
+                     "the request to be quarantined")
+            crashes = sum(w.crashes for w in workers)
+            self.assertLessEqual(crashes, 4)
+            wait_for(lambda: all(vm.find_lines("suspect", quarantined=True)
+                                 for vm in (second, third)),
+                     "the other entry VMs to know")
+            for vm in fleet.vms:
+                answer = vm.request("GET", "/forms/poison")
+                self.assertEqual(answer.status, 503)
+                self.assertIn("Retry-After", answer.headers)
+            self.assertEqual(sum(w.crashes for w in workers), crashes)
+            wait_for(lambda: all(
+                vm.request("GET", "/forms/%d" % i).status == 200
+                for vm in fleet.vms for i in range(8)), "all others served")
+
+    def test_lost_answers_make_no_suspects(self):
+        """A server loses answers and goes on taking connections: the look-ups
+        whose answers it lost are as innocent as any."""
+        with Fleet(vms=("a",)) as fleet:
+            workers = [fleet.add_worker("d1"), fleet.add_worker("d2")]
+            fleet.start()
+            vm = fleet.vms[0]
+            for _ in range(3):
+                for worker in workers:
+                    worker.faults = ["cut"] * 2
+                vm.request("GET", "/forms/1")
+                for worker in workers:
+                    worker.faults = []
+                wait_for(lambda: vm.request("GET", "/forms/1").status == 200,
+                         "the look-up to be served")
+            self.assertEqual(vm.find_lines("suspect"), [])
+
     def test_a_success_without_a_seal_is_none(self):
         with Fleet(vms=("a",)) as fleet:
             worker = fleet.add_worker("d1")
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -7,6 +7,8 @@
     work_s       how long a request takes
     forget_s     a connection that rests longer is reset by its next request
     held         an Event: requests wait for it as long as it is not set
+    poison       targets of requests that crash the server as they begin: it
+                 resets all connections and takes none for down_s
     faults       list of faults, one taken by each request that runs:
                  "shed"       503, not executed
                  "cut"        runs, then closes without an answer
@@ -51,6 +53,10 @@
         self.held = threading.Event()
         self.held.set()
         self.faults = []
+        self.poison = set()
+        self.down_s = 0.5
+        self.crashes = 0
+        self.connections = set()
         self.lock = threading.Lock()
         self.ran = []        # Request, in the order in which they began
         self.refused = []    # ids that another server was meant to get
@@ -92,9 +98,34 @@
             name, value = line.split(":", 1)
             headers[name.lower()] = value.strip()
 
+    def crash(self):
+        """No connection survives it, and none is taken until it is back."""
+        self.crashes += 1
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+                connection.close()
+            except OSError:
+                pass  # its own thread was quicker
+
+        def start_again():
+            time.sleep(self.down_s)
+            self.listener = socket.create_server(("127.0.0.1", self.port),
+                                                 backlog=64)
+            self.accept()
+        threading.Thread(target=start_again, daemon=True).start()
+
     def serve(self, connection):
         reader = connection.makefile("rb")
         rested = False
+        with self.lock:
+            self.connections.add(connection)
         try:
             while not self.stopped:
                 began = time.monotonic()
@@ -111,6 +142,8 @@
         except OSError:
             pass
         finally:
+            with self.lock:
+                self.connections.discard(connection)
             connection.close()
 
     def handle(self, connection, reader, method, target, headers):
@@ -135,6 +168,9 @@
         request = Request(method, target, headers, body)
         with self.lock:
             self.ran.append(request)
+        if target in self.poison:
+            self.crash()
+            return False
         return self.run(connection, request, fault)
 
     def run(self, connection, request, fault):
