An entry VM whose clock went back is known again after a restart

Cause: an incarnation is the wall-clock time of the start. A process that starts again while its VM's clock has gone back by more than the earlier one ran is older by it: everybody drops its news, and it passes for dead, gets no callers and no part of the limits for as long as it lives.

Whoever hears such a process tells it of the earlier incarnation, and it goes on under a higher one. Not by way of the random part of the gossip: at 1,500 entry VMs its own row would come once in 60 messages.

Before: test_one_whose_clock_went_back_is_known_again fails (10 s without being known); after: passes. test_gossip opens each entry VM by one function now, which takes the time of its start.

Also: an entry VM whose zone is not known, or for which there is no seat, is not logged as learned with each of its datagrams.

--- a/packages/core/include/sas/membership.h
+++ b/packages/core/include/sas/membership.h
@@ -109,6 +109,11 @@
 int SasMembership_SetVersion(struct sas_membership *table, uint64_t version);
 int SasMembership_SetLeaving(struct sas_membership *table);
 
+/* Goes on as a newer process than the one that replaced_by tells of, where
+ * no other can have the seat: the news is of an earlier run, and this one's
+ * clock has gone back. The new incarnation, or 0 where none is needed. */
+uint64_t SasMembership_Renew(struct sas_membership *table, int64_t now_ms);
+
 /* News from elsewhere, direct or relayed. */
 int SasMembership_Merge(struct sas_membership *table,
                         const struct sas_member_news *news, int64_t now_ms);
--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -138,6 +138,19 @@
     return SAS_CHANGE_MEMBER;
 }
 
+uint64_t
+SasMembership_Renew(struct sas_membership *table, int64_t now_ms)
+{
+    struct sas_member *self = &table->members[table->own];
+    if (table->replaced_by <= self->incarnation) {
+        return 0;
+    }
+    self->incarnation = table->replaced_by + 1;
+    self->sends_left = get_sends(table);
+    SasMembership_Beat(table, now_ms);
+    return self->incarnation;
+}
+
 /* News */
 
 int
--- a/packages/core/tests/test_membership.c
+++ b/packages/core/tests/test_membership.c
@@ -205,6 +205,18 @@
     assert_int_equal(table.members[0].incarnation, 50);
 }
 
+static void
+test_a_process_whose_clock_went_back_renews_itself(void **state)
+{
+    (void)state;
+    assert_int_equal(SasMembership_Renew(&table, START_MS), 0);
+    hear(0, 51, 1, 0, START_MS);
+    assert_int_equal(SasMembership_Renew(&table, START_MS), 52);
+    assert_int_equal(table.members[0].incarnation, 52);
+    hear(0, 51, 9, 0, START_MS);
+    assert_int_equal(SasMembership_Renew(&table, START_MS), 0);
+}
+
 static void
 test_picks_are_different_and_never_oneself(void **state)
 {
@@ -327,6 +339,8 @@
         TEST(test_own_hearing_beats_the_doubt_of_others),
         TEST(test_who_hears_nobody_is_cut_off),
         TEST(test_a_second_process_of_our_seat_is_seen),
+        TEST(test_a_process_whose_clock_went_back_renews_itself),
+        TEST(test_a_process_whose_clock_went_back_renews_itself),
         TEST(test_picks_are_different_and_never_oneself),
         TEST(test_digest_holds_changes_first),
         TEST(test_a_single_seat),
--- a/packages/gateway/include/sas/entry.h
+++ b/packages/gateway/include/sas/entry.h
@@ -47,7 +47,8 @@
     int max_descriptors;
     double cores; /* share of a core that it may use */
     double link_mbps;
-    bool first_start; /* the whole system starts for the first time */
+    int64_t started_at; /* of this process, wall-clock ms */
+    bool first_start;   /* the whole system starts for the first time */
     struct sas_entry_bounds bounds;
 };
 
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -114,7 +114,7 @@
     struct sas_mesh_facts own = {
         .caller = settings->caller,
         .peer = settings->peer,
-        .incarnation = (uint64_t)(g_get_real_time() / 1000),
+        .incarnation = (uint64_t)settings->started_at,
         .strength = SasStrength_Estimate(settings->cores, settings->link_mbps),
     };
     g_strlcpy(own.name, settings->name, sizeof(own.name));
@@ -227,6 +227,9 @@
     int seat = find_seat(mesh, hash);
     if (seat == SasModel_NONE) {
         seat = add_seat(mesh, facts);
+        if (seat == SasModel_NONE) {
+            return seat;
+        }
         SasMembership_Grow(&mesh->table, (int)mesh->vms->len);
         SasLog_Write(SasLog_INFO, "mesh.learn", facts->name,
                      "zone=%s address=%s known=%u", facts->zone,
@@ -601,6 +604,43 @@
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
+/* A process that started while its clock had gone back is older, by its
+ * incarnation, than the one before it: whatever it says is dropped, and it
+ * passes for dead. So it is told of the one before it, and renews itself. */
+static void
+correct_sender(struct sas_mesh *mesh, const struct sas_mesh_facts *sender,
+               const struct vm *known)
+{
+    struct vm vm = {.name_hash = known->name_hash};
+    if (SasHttp_GetSockaddr(&sender->peer, &vm.peer) != 0) {
+        return;
+    }
+    sas_mesh_news row = {
+        .name_hash = known->name_hash,
+        .incarnation = known->facts.incarnation,
+    };
+    sas_mesh_message message = {
+        .news = {.news_len = 1, .news_val = &row},
+    };
+    send_message(mesh, &vm, &message);
+}
+
+static void
+renew_own(struct sas_mesh *mesh)
+{
+    uint64_t incarnation = SasMembership_Renew(&mesh->table, get_now(mesh));
+    if (incarnation == 0) {
+        return;
+    }
+    struct vm *own = get_vm(mesh, OWN_SEAT);
+    SasLog_Write(SasLog_WARN, "mesh.renew", own->facts.name,
+                 "an earlier process of this entry VM looks newer: "
+                 "incarnation=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT,
+                 incarnation, own->facts.incarnation);
+    own->facts.incarnation = incarnation;
+    tell_all(mesh);
+}
+
 static void
 tell_user(struct sas_mesh *mesh, const sas_mesh_message *message)
 {
@@ -658,6 +698,10 @@
             SasMembership_Merge(&mesh->table, &news, now_ms);
         }
     }
+    if (facts.incarnation < get_vm(mesh, seat)->facts.incarnation) {
+        correct_sender(mesh, &facts, get_vm(mesh, seat));
+    }
+    renew_own(mesh);
     SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation, now_ms);
     tell_user(mesh, message);
     if (message->wants_reply && message->news.news_len <= 1) {
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -9,6 +9,7 @@
 #define VMS 4
 #define SERVER_HASH 12345
 #define MAX_TURNS 2000
+#define STARTED_AT 1000000000000 /* ms, any */
 
 /* Four entry VMs on one loop: two in zone a and one in b, both of the region
  * east, and one in c of the region west. */
@@ -70,10 +71,31 @@
     return true;
 }
 
+static void
+open_vm(struct fixture *f, int i, int64_t started_at)
+{
+    static const char *const zones[VMS] = {"a", "a", "b", "c"};
+    struct sas_entry_settings settings = {
+        .caller = {"127.0.0.1", 8000 + i},
+        .peer = {"127.0.0.1", 0},
+        .started_at = started_at,
+        .cores = 1,
+        .link_mbps = 100,
+    };
+    g_snprintf(settings.name, sizeof(settings.name), "vm-%d", i);
+    g_strlcpy(settings.zone, zones[i], sizeof(settings.zone));
+    struct sas_error error = {0};
+    f->meshes[i] =
+        SasMesh_Open(&f->loop, f->fleet, &settings, f->random, &error);
+    assert_non_null(f->meshes[i]);
+    f->nodes[i].user.on_trip = on_trip;
+    f->nodes[i].user.on_suspect = on_suspect;
+    SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
+}
+
 static struct fixture *
 start(void)
 {
-    static const char *const zones[VMS] = {"a", "a", "b", "c"};
     struct fixture *f = g_new0(struct fixture, 1);
     uv_loop_init(&f->loop);
     f->random = g_rand_new_with_seed(5);
@@ -82,21 +104,7 @@
     SasFleet_AddZone(f->fleet, "b", "east");
     SasFleet_AddZone(f->fleet, "c", "west");
     for (int i = 0; i < VMS; i++) {
-        struct sas_entry_settings settings = {
-            .caller = {"127.0.0.1", 8000 + i},
-            .peer = {"127.0.0.1", 0},
-            .cores = 1,
-            .link_mbps = 100,
-        };
-        g_snprintf(settings.name, sizeof(settings.name), "vm-%d", i);
-        g_strlcpy(settings.zone, zones[i], sizeof(settings.zone));
-        struct sas_error error = {0};
-        f->meshes[i] =
-            SasMesh_Open(&f->loop, f->fleet, &settings, f->random, &error);
-        assert_non_null(f->meshes[i]);
-        f->nodes[i].user.on_trip = on_trip;
-        f->nodes[i].user.on_suspect = on_suspect;
-        SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
+        open_vm(f, i, STARTED_AT + i);
     }
     /* Only the last one is told of the others. */
     for (int i = 0; i < VMS - 1; i++) {
@@ -240,6 +248,27 @@
     stop(f);
 }
 
+/* An entry VM is killed and starts again while its clock has gone back. All
+ * others hold news of the earlier process, which looks newer; taken for dead,
+ * the new one would get no callers for as long as it lives. */
+static void
+test_one_whose_clock_went_back_is_known_again(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    SasMesh_Close(f->meshes[1]);
+    SPIN_UNTIL(f, SasMesh_Count(f->meshes[0]) == VMS - 1);
+    open_vm(f, 1, STARTED_AT - 60000);
+    for (int i = 0; i < VMS; i++) {
+        if (i != 1) {
+            SasMesh_AddVm(f->meshes[1], SasMesh_GetOwn(f->meshes[i]));
+        }
+    }
+    SPIN_UNTIL(f, all_know_all(f));
+    assert_true(SasMesh_GetOwn(f->meshes[1])->incarnation > STARTED_AT);
+    stop(f);
+}
+
 int
 main(void)
 {
@@ -249,6 +278,7 @@
         cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
         cmocka_unit_test(
             test_a_suspect_goes_to_its_keeper_and_from_there_to_all),
+        cmocka_unit_test(test_one_whose_clock_went_back_is_known_again),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -100,6 +100,7 @@
         printf("%s: ok\n", live.path);
         return 0;
     }
+    live.settings.started_at = g_get_real_time() / 1000;
     if (SasLog_Open(live.settings.name, "-", "info", &error) != 0) {
         return fail(error.text);
     }
