--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -74,6 +74,7 @@
 struct sas_fleet_server {
     uint32_t generation;
     bool present;
+    bool withdrawn; /* by the operators' sheet */
     int service;
     int zone;
     uint64_t hash; /* of the id, for rendezvous hashing */
@@ -163,6 +164,7 @@
 int SasFleet_FindRegion(const struct sas_fleet *fleet, const char *name);
 int SasFleet_CountZones(const struct sas_fleet *fleet);
 int SasFleet_CountRegions(const struct sas_fleet *fleet);
+const char *SasFleet_GetRegionName(const struct sas_fleet *fleet, int region);
 const struct sas_zone *SasFleet_GetZone(const struct sas_fleet *fleet,
                                         int zone);
 
@@ -173,6 +175,8 @@
                        const struct sas_server_facts *facts);
 bool SasFleet_RemoveServer(struct sas_fleet *fleet, const char *id);
 bool SasFleet_SetEvacuated(struct sas_fleet *fleet, int zone, bool evacuated);
+/* An operator's order that the server at the slot gets nothing new. */
+void SasFleet_SetWithdrawn(struct sas_fleet *fleet, int slot, bool withdrawn);
 
 /* Takes over the configuration and its only reference. False, and freed,
  * where it isn't newer than the one in force. */
@@ -200,6 +204,7 @@
 /* Services. Add gives the handle, also of one that is known. */
 int SasFleet_AddService(struct sas_fleet *fleet, const char *name);
 int SasFleet_FindService(const struct sas_fleet *fleet, const char *name);
+int SasFleet_CountServices(const struct sas_fleet *fleet);
 struct sas_fleet_service *SasFleet_GetService(const struct sas_fleet *fleet,
                                               int service);
 
@@ -213,8 +218,8 @@
 int SasFleet_FindServer(const struct sas_fleet *fleet, const char *id);
 int SasFleet_GetServerRegion(const struct sas_fleet *fleet, int slot);
 
-/* True where new requests may go: present, not draining, its zone not
- * evacuated. */
+/* True where new requests may go: present, not draining or withdrawn, its
+ * zone not evacuated. */
 bool SasFleet_IsOpen(const struct sas_fleet *fleet, int slot);
 
 #endif
--- a/packages/core/include/sas/owner.h
+++ b/packages/core/include/sas/owner.h
@@ -32,6 +32,8 @@
                        0: what its slots bear */
     uint64_t key;   /* hash of the object */
     uint64_t homes; /* set of allowed regions; 0: any */
+    bool ordered;   /* an operator's order: to_region, if it has servers */
+    int to_region;
 };
 
 /* The object's servers, the owner first; at most max (no more than
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -143,6 +143,12 @@
     return fleet->region_count;
 }
 
+const char *
+SasFleet_GetRegionName(const struct sas_fleet *fleet, int region)
+{
+    return fleet->regions[region];
+}
+
 const struct sas_zone *
 SasFleet_GetZone(const struct sas_fleet *fleet, int zone)
 {
@@ -247,6 +253,13 @@
     return true;
 }
 
+void
+SasFleet_SetWithdrawn(struct sas_fleet *fleet, int slot, bool withdrawn)
+{
+    struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    server->withdrawn = withdrawn;
+}
+
 bool
 SasFleet_SetEvacuated(struct sas_fleet *fleet, int zone, bool evacuated)
 {
@@ -374,6 +387,12 @@
 
 /* Services. */
 
+int
+SasFleet_CountServices(const struct sas_fleet *fleet)
+{
+    return (int)fleet->services->len;
+}
+
 int
 SasFleet_AddService(struct sas_fleet *fleet, const char *name)
 {
@@ -467,6 +486,6 @@
 SasFleet_IsOpen(const struct sas_fleet *fleet, int slot)
 {
     const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-    return server != NULL && !server->facts.draining &&
+    return server != NULL && !server->facts.draining && !server->withdrawn &&
            !fleet->zones[server->zone].evacuated;
 }
--- a/packages/core/src/owner.c
+++ b/packages/core/src/owner.c
@@ -104,6 +104,9 @@
     double slots[SasModel_MAX_REGIONS];
     double sum = sum_slots(fleet, query, now_ms, slots);
     int count = SasFleet_CountRegions(fleet);
+    if (query->ordered && slots[query->to_region] > 0) {
+        return query->to_region;
+    }
     double share = sum / count;
     double keep = share > 0 ? slots[home] / share : 1;
     if (query->keep > 0 && slots[home] > 0) {
--- a/packages/core/src/sheet.c
+++ b/packages/core/src/sheet.c
@@ -603,8 +603,9 @@
     g_autofree bool *vms = g_new0(bool, model->vm_count + 1);
     g_autofree int *left = g_new0(int, model->service_count + 1);
     int vms_left = model->vm_count;
+    /* One without slots has gone; only its name is still in the tables. */
     for (int i = 0; i < model->backend_count; i++) {
-        left[model->backends[i].service]++;
+        left[model->backends[i].service] += model->backends[i].slots > 0;
     }
     for (int i = 0; i < sheet->row_count; i++) {
         const struct sas_intention *row = &sheet->rows[i];
@@ -612,7 +613,7 @@
         if (row->drain_kind == SAS_DRAIN_BACKEND && !backends[target]) {
             backends[target] = true;
             int service = model->backends[target].service;
-            if (--left[service] == 0) {
+            if (model->backends[target].slots > 0 && --left[service] == 0) {
                 return fail(error, row->row, "drain",
                             "leaves %s without any backend server",
                             model->services[service].name);
--- /dev/null
+++ b/packages/core/src/steering.c
@@ -0,0 +1,318 @@
+#include "sas/steering.h"
+
+#include <math.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "sas/snapshot.h"
+#include "sas/traffic.h"
+
+/* So that the objects of a share are no others' half: the choice of region
+ * and server hash the same keys. */
+#define SHARE_SEED 0x165667b19e3779f9ULL
+#define BITS_PER_MBIT 1e6
+
+/* What this entry VM has on its way by one shift. */
+struct usage {
+    int service;
+    int from;
+    int to;
+    int running;
+    struct sas_window requests;
+    struct sas_window bytes;
+};
+
+struct sas_steering {
+    struct sas_fleet *fleet;
+    struct sas_model model;
+    struct sas_config *config; /* that the plan was made from; NULL: none */
+    struct sas_plan plan;
+    int plan_services; /* that the plan has room for */
+    GArray *usages;    /* struct usage */
+};
+
+struct sas_steering *
+SasSteering_New(struct sas_fleet *fleet)
+{
+    struct sas_steering *steering = g_new0(struct sas_steering, 1);
+    steering->fleet = fleet;
+    SasSnapshot_Init(&steering->model, fleet);
+    steering->usages = g_array_new(FALSE, TRUE, sizeof(struct usage));
+    return steering;
+}
+
+void
+SasSteering_Free(struct sas_steering *steering)
+{
+    SasPlan_Free(&steering->plan);
+    SasConfig_Unref(steering->config);
+    SasModel_Free(&steering->model);
+    g_array_free(steering->usages, TRUE);
+    g_free(steering);
+}
+
+struct sas_model *
+SasSteering_GetModel(struct sas_steering *steering)
+{
+    return &steering->model;
+}
+
+/* Anew also when services have come: the plan's tables have their number. */
+static void
+build_plan(struct sas_steering *steering)
+{
+    SasPlan_Build(&steering->plan, &steering->model, steering->config);
+    steering->plan_services = steering->model.service_count;
+}
+
+void
+SasSteering_TakeConfig(struct sas_steering *steering,
+                       struct sas_config *config)
+{
+    SasConfig_Unref(steering->config);
+    steering->config = SasConfig_Ref(config);
+    build_plan(steering);
+}
+
+bool
+SasSteering_IsActive(const struct sas_steering *steering)
+{
+    return steering->plan.shift_count > 0;
+}
+
+const struct sas_plan *
+SasSteering_GetPlan(const struct sas_steering *steering)
+{
+    return &steering->plan;
+}
+
+/* What is known of the regions. */
+
+struct room {
+    double slots;
+    double load;
+    int64_t reported_at; /* the newest report; 0: none */
+};
+
+static struct room
+measure_room(const struct sas_steering *steering, int service, int region,
+             int64_t now_ms)
+{
+    struct room room = {0};
+    const GArray *slots =
+        SasFleet_GetService(steering->fleet, service)->servers;
+    for (guint i = 0; i < slots->len; i++) {
+        int slot = g_array_index(slots, int, i);
+        const struct sas_fleet_server *server =
+            SasFleet_At(steering->fleet, slot);
+        if (SasFleet_GetServerRegion(steering->fleet, slot) != region ||
+            !SasFleet_IsOpen(steering->fleet, slot)) {
+            continue;
+        }
+        room.slots += server->facts.slots;
+        room.load += MIN(SasTraffic_EstimateLoad(server, now_ms),
+                         (double)server->facts.slots);
+        room.reported_at = MAX(room.reported_at, server->traffic.reported_at);
+    }
+    return room;
+}
+
+double
+SasSteering_GetHeadroom(const struct sas_steering *steering, int service,
+                        int region, int64_t now_ms)
+{
+    struct room room = measure_room(steering, service, region, now_ms);
+    return room.slots > 0 ? (room.slots - room.load) / room.slots : 0;
+}
+
+/* A region that nothing has been sent to yet has no report; that its servers
+ * are announced as ready is then all there is, and it is as old as now. */
+static struct sas_plan_signal
+make_signal(const struct sas_steering *steering, int service, int region,
+            int64_t now_ms)
+{
+    struct room room = measure_room(steering, service, region, now_ms);
+    struct sas_plan_signal signal = {.headroom = NAN, .age_ms = INFINITY};
+    if (room.slots > 0) {
+        signal.headroom = (room.slots - room.load) / room.slots;
+        signal.age_ms = 0;
+    }
+    return signal;
+}
+
+static void
+withdraw_servers(struct sas_steering *steering)
+{
+    const struct sas_plan *plan = &steering->plan;
+    int slots = SasFleet_CountSlots(steering->fleet);
+    g_autofree bool *withdrawn = g_new0(bool, slots + 1);
+    for (int i = 0; i < plan->drain_count; i++) {
+        const struct sas_intention *row = &plan->drains[i];
+        if (row->drain_kind != SAS_DRAIN_BACKEND ||
+            !SasPlan_IsDraining(plan, row->drain_kind, row->drain_target)) {
+            continue;
+        }
+        int slot = SasFleet_FindServer(
+            steering->fleet, steering->model.backends[row->drain_target].name);
+        if (slot != SasModel_NONE) {
+            withdrawn[slot] = true;
+        }
+    }
+    for (int slot = 0; slot < slots; slot++) {
+        if (SasFleet_At(steering->fleet, slot) != NULL) {
+            SasFleet_SetWithdrawn(steering->fleet, slot, withdrawn[slot]);
+        }
+    }
+}
+
+bool
+SasSteering_Advance(struct sas_steering *steering, int64_t wall_ms,
+                    int64_t now_ms, const bool *gone)
+{
+    if (steering->config == NULL) {
+        return false;
+    }
+    if (steering->plan_services != steering->model.service_count) {
+        build_plan(steering);
+    }
+    int regions = steering->model.region_count;
+    int services = steering->model.service_count;
+    g_autofree struct sas_plan_signal *table =
+        g_new(struct sas_plan_signal, services * regions + 1);
+    for (int i = 0; i < services * regions; i++) {
+        table[i] = make_signal(steering, i / regions, i % regions, now_ms);
+    }
+    struct sas_plan_signals signals = {.table = table, .gone = gone};
+    bool changed = SasPlan_Advance(&steering->plan, wall_ms, now_ms, &signals);
+    withdraw_servers(steering);
+    return changed;
+}
+
+bool
+SasSteering_IsVmLeaving(const struct sas_steering *steering, const char *name)
+{
+    if (steering->plan.drain_count == 0) {
+        return false;
+    }
+    int vm = SasModel_FindVm(&steering->model, name);
+    return vm != SasModel_NONE &&
+           SasPlan_IsDraining(&steering->plan, SAS_DRAIN_VM, vm);
+}
+
+/* Requests. */
+
+static struct usage *
+get_usage(struct sas_steering *steering, int service, int from, int to)
+{
+    for (guint i = 0; i < steering->usages->len; i++) {
+        struct usage *usage =
+            &g_array_index(steering->usages, struct usage, i);
+        if (usage->service == service && usage->from == from &&
+            usage->to == to) {
+            return usage;
+        }
+    }
+    struct usage usage = {.service = service, .from = from, .to = to};
+    SasWindow_Init(&usage.requests, SasSteering_WINDOW_MS);
+    SasWindow_Init(&usage.bytes, SasSteering_WINDOW_MS);
+    g_array_append_val(steering->usages, usage);
+    return &g_array_index(steering->usages, struct usage,
+                          steering->usages->len - 1);
+}
+
+/* The part of a whole that this entry VM may use. */
+static int
+get_part(double whole, const struct sas_steering_query *query)
+{
+    int vms = MAX(query->vms, 1);
+    int units = (int)floor(whole);
+    return units / vms + (query->rank < units % vms ? 1 : 0);
+}
+
+static bool
+has_room(struct usage *usage, const struct sas_shift *shift,
+         const struct sas_steering_query *query, int64_t now_ms)
+{
+    switch (shift->cap_unit) {
+    case SAS_CAP_REQUESTS:
+        return SasWindow_Count(&usage->requests, now_ms) + 1 <=
+               get_part(shift->cap, query);
+    case SAS_CAP_CONCURRENT:
+        return usage->running + 1 <= get_part(shift->cap, query);
+    case SAS_CAP_MBIT:
+        return (SasWindow_Count(&usage->bytes, now_ms) + query->bytes) * 8 <=
+               shift->cap * BITS_PER_MBIT / MAX(query->vms, 1);
+    case SAS_CAP_NONE:
+        break;
+    }
+    return true;
+}
+
+int
+SasSteering_PickRegion(const struct sas_steering *steering, int service,
+                       int home, uint64_t key)
+{
+    if (!SasSteering_IsActive(steering) ||
+        service >= steering->plan_services) {
+        return home;
+    }
+    uint64_t words[2] = {key, (uint64_t)home};
+    uint64_t hash = XXH3_64bits_withSeed(words, sizeof(words), SHARE_SEED);
+    double unit = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
+    double weights[SasModel_MAX_REGIONS];
+    SasPlan_GetWeights(&steering->plan, service, home, weights);
+    /* Home comes last: what a rising share adds has been home's. */
+    for (int region = 0; region < steering->model.region_count; region++) {
+        if (region == home) {
+            continue;
+        }
+        if (unit < weights[region]) {
+            return region;
+        }
+        unit -= weights[region];
+    }
+    return home;
+}
+
+bool
+SasSteering_Take(struct sas_steering *steering,
+                 const struct sas_steering_query *query, int64_t now_ms,
+                 struct sas_steering_grant *grant)
+{
+    memset(grant, 0, sizeof(*grant));
+    int region = SasSteering_PickRegion(steering, query->service, query->home,
+                                        query->key);
+    const struct sas_shift *shift = SasPlan_FindShift(
+        &steering->plan, query->service, query->home, region);
+    if (region == query->home || shift == NULL) {
+        return false;
+    }
+    struct usage *usage =
+        get_usage(steering, query->service, query->home, region);
+    if (!has_room(usage, shift, query, now_ms)) {
+        return false;
+    }
+    usage->running++;
+    SasWindow_Add(&usage->requests, 1, now_ms);
+    SasWindow_Add(&usage->bytes, query->bytes, now_ms);
+    grant->steered = true;
+    grant->service = query->service;
+    grant->from = query->home;
+    grant->to = region;
+    return true;
+}
+
+void
+SasSteering_End(struct sas_steering *steering,
+                struct sas_steering_grant *grant, double bytes, int64_t now_ms)
+{
+    if (!grant->steered) {
+        return;
+    }
+    struct usage *usage =
+        get_usage(steering, grant->service, grant->from, grant->to);
+    usage->running--;
+    SasWindow_Add(&usage->bytes, bytes, now_ms);
+    grant->steered = false;
+}
--- a/packages/gateway/include/sas/entry.h
+++ b/packages/gateway/include/sas/entry.h
@@ -42,6 +42,7 @@
     struct sas_address ready;  /* health checks and metrics */
     struct sas_address lookup; /* which entry VMs to use */
     struct sas_address peer;   /* between entry VMs, UDP and TCP */
+    struct sas_address admin;  /* operators; port 0: none */
     struct sas_address store;
     int64_t memory_bytes;
     int max_descriptors;
--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -15,8 +15,10 @@
 #include "sas/fleet.h"
 #include "sas/http_server.h"
 #include "sas/metrics.h"
+#include "sas/steering.h"
 
 struct sas_gateway;
+struct sas_mesh;
 struct sas_mesh_facts;
 
 /* Where the model comes from; embed it as first member. */
@@ -30,12 +32,19 @@
     struct sas_http_handler *peers;
 };
 
+/* All of it stays the caller's and must outlive the gateway. */
+struct sas_gateway_options {
+    uv_loop_t *loop;
+    struct sas_fleet *fleet;
+    const struct sas_entry_settings *settings;
+    const struct sas_entry_wire *wire;
+    struct sas_source *source;
+    struct sas_steering *steering;
+};
+
 /* Opening and closing: Run ends after SIGTERM or SIGINT, when callers have
  * been served out. 0: a graceful stop; 1: it could not start. */
-struct sas_gateway *SasGateway_Open(uv_loop_t *loop, struct sas_fleet *fleet,
-                                    const struct sas_entry_settings *settings,
-                                    const struct sas_entry_wire *wire,
-                                    struct sas_source *source,
+struct sas_gateway *SasGateway_Open(const struct sas_gateway_options *options,
                                     struct sas_error *error);
 int SasGateway_Run(struct sas_gateway *gateway);
 void SasGateway_Close(struct sas_gateway *gateway);
@@ -53,6 +62,8 @@
 const struct sas_mesh_facts *
 SasGateway_GetOwn(const struct sas_gateway *gateway);
 
+bool SasGateway_IsReady(const struct sas_gateway *gateway);
+struct sas_mesh *SasGateway_GetMesh(const struct sas_gateway *gateway);
 struct sas_metrics *SasGateway_GetMetrics(const struct sas_gateway *gateway);
 
 /* Calls reload on SIGHUP, and when the file at the path has changed. */
--- a/packages/gateway/src/directory.c
+++ b/packages/gateway/src/directory.c
@@ -101,8 +101,13 @@
     const char *target = SasHttpExchange_GetTarget(exchange);
     g_autofree char *service = get_parameter(target, "service");
     g_autofree char *object = get_parameter(target, "object");
-    json_t *view = SasView_Make(directory->fleet, directory->mesh, service,
-                                object, (int64_t)uv_now(directory->loop));
+    struct sas_view_parts parts = {
+        .fleet = directory->fleet,
+        .mesh = directory->mesh,
+        .steering = directory->steering,
+    };
+    json_t *view = SasView_Make(&parts, service, object,
+                                (int64_t)uv_now(directory->loop));
     char *text = json_dumps(view, JSON_COMPACT);
     reply_text(exchange, 200, "application/json", text);
     free(text);
--- a/packages/gateway/src/directory.h
+++ b/packages/gateway/src/directory.h
@@ -12,6 +12,7 @@
 #include "sas/fleet.h"
 #include "sas/http_server.h"
 #include "sas/metrics.h"
+#include "sas/steering.h"
 
 struct sas_directory {
     struct sas_http_handler callers;
@@ -20,6 +21,7 @@
     struct sas_fleet *fleet;
     struct sas_mesh *mesh;
     struct sas_metrics *metrics;
+    const struct sas_steering *steering;
     const struct sas_entry_settings *settings;
     const struct sas_entry_wire *wire;
     bool ready;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -67,6 +67,7 @@
     uv_timer_t stop;
     uv_signal_t signals[3];
     uv_fs_poll_t file; /* the settings */
+    int open_handles;  /* of those above, while they are being closed */
     int64_t stop_began_at;
     void (*reload)(void *data);
     void *reload_data;
@@ -137,7 +138,8 @@
 }
 
 static void
-open_parts(struct sas_gateway *gateway, const struct sas_entry_wire *wire)
+open_parts(struct sas_gateway *gateway,
+           const struct sas_gateway_options *given)
 {
     gateway->pool = SasPool_New(gateway->loop, gateway->fleet);
     struct sas_relay_options options = {
@@ -147,7 +149,8 @@
         .mesh = gateway->mesh,
         .metrics = gateway->metrics,
         .settings = gateway->settings,
-        .wire = wire,
+        .wire = given->wire,
+        .steering = given->steering,
     };
     gateway->relay = SasRelay_New(&options);
     gateway->directory.loop = gateway->loop;
@@ -155,34 +158,34 @@
     gateway->directory.mesh = gateway->mesh;
     gateway->directory.metrics = gateway->metrics;
     gateway->directory.settings = gateway->settings;
-    gateway->directory.wire = wire;
+    gateway->directory.wire = given->wire;
+    gateway->directory.steering = given->steering;
     SasDirectory_Init(&gateway->directory);
 }
 
 struct sas_gateway *
-SasGateway_Open(uv_loop_t *loop, struct sas_fleet *fleet,
-                const struct sas_entry_settings *settings,
-                const struct sas_entry_wire *wire, struct sas_source *source,
+SasGateway_Open(const struct sas_gateway_options *options,
                 struct sas_error *error)
 {
     struct sas_gateway *gateway = g_new0(struct sas_gateway, 1);
+    uv_loop_t *loop = options->loop;
     gateway->listener.on_config = on_config;
     gateway->loop = loop;
-    gateway->fleet = fleet;
-    gateway->settings = settings;
-    gateway->source = source;
+    gateway->fleet = options->fleet;
+    gateway->settings = options->settings;
+    gateway->source = options->source;
     gateway->metrics = SasMetrics_New();
     gateway->random = g_rand_new();
-    gateway->mesh =
-        SasMesh_Open(loop, fleet, settings, gateway->random, error);
+    gateway->mesh = SasMesh_Open(loop, gateway->fleet, gateway->settings,
+                                 gateway->random, error);
     if (gateway->mesh == NULL) {
         return NULL;
     }
-    open_parts(gateway, wire);
+    open_parts(gateway, options);
     if (open_servers(gateway, error) != 0) {
         return NULL;
     }
-    SasFleet_AddListener(fleet, &gateway->listener);
+    SasFleet_AddListener(gateway->fleet, &gateway->listener);
     uv_timer_init(loop, &gateway->sweep);
     uv_timer_init(loop, &gateway->stop);
     gateway->sweep.data = gateway;
@@ -212,6 +215,20 @@
     return 0;
 }
 
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+    struct sas_gateway *gateway = handle->data;
+    gateway->open_handles--;
+}
+
+static void
+close_handle(struct sas_gateway *gateway, uv_handle_t *handle)
+{
+    gateway->open_handles++;
+    uv_close(handle, on_handle_closed);
+}
+
 void
 SasGateway_Close(struct sas_gateway *gateway)
 {
@@ -220,13 +237,17 @@
     }
     SasPool_Free(gateway->pool);
     SasMesh_Close(gateway->mesh);
-    uv_close((uv_handle_t *)&gateway->sweep, NULL);
-    uv_close((uv_handle_t *)&gateway->stop, NULL);
-    uv_close((uv_handle_t *)&gateway->file, NULL);
+    close_handle(gateway, (uv_handle_t *)&gateway->sweep);
+    close_handle(gateway, (uv_handle_t *)&gateway->stop);
+    close_handle(gateway, (uv_handle_t *)&gateway->file);
     for (int i = 0; i < 3; i++) {
-        uv_close((uv_handle_t *)&gateway->signals[i], NULL);
+        close_handle(gateway, (uv_handle_t *)&gateway->signals[i]);
+    }
+    /* Not until the loop is empty: others may have handles on it, and the
+     * admin port's HTTP library never gives up its timers. */
+    while (gateway->open_handles > 0) {
+        uv_run(gateway->loop, UV_RUN_ONCE);
     }
-    uv_run(gateway->loop, UV_RUN_DEFAULT);
     SasRelay_Free(gateway->relay);
     SasMetrics_Free(gateway->metrics);
     g_rand_free(gateway->random);
@@ -265,6 +286,18 @@
     return SasMesh_GetOwn(gateway->mesh);
 }
 
+bool
+SasGateway_IsReady(const struct sas_gateway *gateway)
+{
+    return gateway->directory.ready && !gateway->directory.leaving;
+}
+
+struct sas_mesh *
+SasGateway_GetMesh(const struct sas_gateway *gateway)
+{
+    return gateway->mesh;
+}
+
 struct sas_metrics *
 SasGateway_GetMetrics(const struct sas_gateway *gateway)
 {
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -23,6 +23,7 @@
     struct sas_mesh_facts facts;
     uint64_t name_hash;
     int zone;
+    bool withdrawn; /* by the operators' sheet */
     struct sockaddr_storage peer;
     enum sas_member_state told; /* state in the last log line */
 };
@@ -37,6 +38,7 @@
     GArray *vms; /* struct vm, by seat */
     struct sas_membership table;
     struct sas_mesh_user *user;
+    int64_t sheet_version; /* the highest heard of */
 };
 
 static void on_round(uv_timer_t *timer);
@@ -200,6 +202,32 @@
     }
 }
 
+void
+SasMesh_NoteSheet(struct sas_mesh *mesh, int64_t version)
+{
+    if (version > mesh->sheet_version) {
+        mesh->sheet_version = version;
+        tell_all(mesh);
+    }
+}
+
+int64_t
+SasMesh_GetSheet(const struct sas_mesh *mesh)
+{
+    return mesh->sheet_version;
+}
+
+void
+SasMesh_SetWithdrawn(struct sas_mesh *mesh, int i, bool withdrawn)
+{
+    struct vm *vm = get_vm(mesh, i);
+    if (vm->withdrawn != withdrawn) {
+        vm->withdrawn = withdrawn;
+        SasLog_Write(SasLog_INFO, "mesh.withdraw", vm->facts.name,
+                     "withdrawn=%d by the sheet", withdrawn);
+    }
+}
+
 void
 SasMesh_Leave(struct sas_mesh *mesh)
 {
@@ -287,6 +315,22 @@
     return MAX(count, 1);
 }
 
+void
+SasMesh_FindGone(const struct sas_mesh *mesh, bool *gone)
+{
+    int regions = SasFleet_CountRegions(mesh->fleet);
+    bool cut_off = SasMembership_IsCutOff(&mesh->table, get_now(mesh));
+    memset(gone, 0, (size_t)regions * sizeof(*gone));
+    for (int seat = 0; seat < (int)mesh->vms->len && !cut_off; seat++) {
+        gone[get_region(mesh, seat)] = true;
+    }
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
+        if (is_live(mesh, seat)) {
+            gone[get_region(mesh, seat)] = false;
+        }
+    }
+}
+
 static int
 collect(const struct sas_mesh *mesh, int zone, int region,
         struct sas_address *addresses, int max)
@@ -296,7 +340,7 @@
     for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
         if ((zone == SasModel_NONE || get_vm(mesh, seat)->zone == zone) &&
             (region == SasModel_NONE || get_region(mesh, seat) == region) &&
-            is_live(mesh, seat)) {
+            !get_vm(mesh, seat)->withdrawn && is_live(mesh, seat)) {
             g_array_append_val(seats, seat);
             g_array_append_val(strengths, get_vm(mesh, seat)->facts.strength);
         }
@@ -570,6 +614,7 @@
     message->sender.peer_port = (u_int)own->peer.port;
     message->sender.incarnation = own->incarnation;
     message->sender.strength = (u_int)own->strength;
+    message->sender.sheet_version = (u_quad_t)mesh->sheet_version;
     char bytes[MAX_DATAGRAM];
     XDR xdr;
     xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
@@ -682,6 +727,8 @@
     if (seat == SasModel_NONE || seat == OWN_SEAT) {
         return;
     }
+    mesh->sheet_version =
+        MAX(mesh->sheet_version, (int64_t)message->sender.sheet_version);
     int64_t now_ms = get_now(mesh);
     for (u_int i = 0; i < message->news.news_len; i++) {
         const sas_mesh_news *row = &message->news.news_val[i];
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -70,6 +70,11 @@
 bool SasMesh_IsOwnRegion(const struct sas_mesh *mesh, int region);
 void SasMesh_SetVersion(struct sas_mesh *mesh, int64_t config_version);
 
+/* The version of the operators' sheet: Note makes it known to all, Get is the
+ * highest that anybody has named. */
+void SasMesh_NoteSheet(struct sas_mesh *mesh, int64_t version);
+int64_t SasMesh_GetSheet(const struct sas_mesh *mesh);
+
 /* Tells everybody that this process ends soon. */
 void SasMesh_Leave(struct sas_mesh *mesh);
 
@@ -88,6 +93,13 @@
 bool SasMesh_GetView(const struct sas_mesh *mesh, int i,
                      struct sas_mesh_view *view);
 
+/* Operators have taken entry VM number i out: look-ups don't name it. */
+void SasMesh_SetWithdrawn(struct sas_mesh *mesh, int i, bool withdrawn);
+
+/* Fills in gone, by region: it had entry VMs and none is live. All false
+ * while this one hears nobody; it is the one that is cut off then. */
+void SasMesh_FindGone(const struct sas_mesh *mesh, bool *gone);
+
 /* Live ones, this one included. */
 int SasMesh_Count(const struct sas_mesh *mesh);
 
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -113,6 +113,8 @@
 static void
 free_call(struct relay_call *call)
 {
+    SasSteering_End(call->relay->options.steering, &call->grant,
+                    (double)call->answer_body->len, SasRelay_Now(call->relay));
     SasFleetConfig_Unref(call->config);
     g_ptr_array_free(call->answer_headers, TRUE);
     g_string_free(call->answer_body, TRUE);
@@ -431,6 +433,33 @@
     return kept;
 }
 
+/* Where the operators' sheet sends the request, once for all its attempts. */
+static void
+take_orders(struct relay_call *call, int64_t now_ms)
+{
+    const struct sas_relay_options *options = &call->relay->options;
+    if (call->steering_asked || !SasSteering_IsActive(options->steering)) {
+        return;
+    }
+    call->steering_asked = true;
+    int zone = SasMesh_GetOwnZone(options->mesh);
+    int home = SasFleet_GetZone(options->fleet, zone)->region;
+    /* Any number that all agree on: it only orders the sharers. */
+    struct sas_mesh_senders senders =
+        SasMesh_GetSenders(options->mesh, (uint64_t)call->service, home);
+    size_t size = 0;
+    SasHttpExchange_GetBody(call->exchange, &size);
+    struct sas_steering_query query = {
+        .service = call->service,
+        .home = home,
+        .key = call->key,
+        .bytes = (double)size,
+        .vms = senders.count,
+        .rank = senders.rank,
+    };
+    SasSteering_Take(options->steering, &query, now_ms, &call->grant);
+}
+
 /* Sends the request to the best server that is left, or ends it. */
 void
 SasRelay_Choose(struct relay_call *call)
@@ -448,6 +477,7 @@
         give_up(call, "quarantined", RETRY_AFTER_MS);
         return;
     }
+    take_orders(call, now_ms);
     struct sas_fleet *fleet = relay->options.fleet;
     struct sas_owner_query query = {
         .service = call->service,
@@ -456,6 +486,8 @@
         .keep = get_keep(call, now_ms),
         .key = call->key,
         .homes = call->route->homes,
+        .ordered = call->grant.steered,
+        .to_region = call->grant.to,
     };
     int slots[SasOwner_MAX_CANDIDATES];
     int count =
--- a/packages/gateway/src/relay.h
+++ b/packages/gateway/src/relay.h
@@ -20,6 +20,7 @@
 #include "sas/fleet.h"
 #include "sas/http_server.h"
 #include "sas/metrics.h"
+#include "sas/steering.h"
 
 struct sas_relay;
 
@@ -31,6 +32,7 @@
     struct sas_metrics *metrics;
     const struct sas_entry_settings *settings;
     const struct sas_entry_wire *wire;
+    struct sas_steering *steering; /* the operators' sheet */
 };
 
 struct sas_relay *SasRelay_New(const struct sas_relay_options *options);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -71,6 +71,8 @@
     int attempts; /* that reached, or may have reached, a server */
     bool named;   /* the fingerprint has been worked out */
     struct sas_fingerprint fingerprint;
+    bool steering_asked;
+    struct sas_steering_grant grant; /* by the operators' sheet */
 
     /* the current attempt */
     struct sas_pooled *pooled;
--- a/packages/gateway/src/view.h
+++ b/packages/gateway/src/view.h
@@ -13,10 +13,16 @@
 
 #include "mesh.h"
 #include "sas/fleet.h"
+#include "sas/steering.h"
 
 /* service and object may be NULL: no owners. */
-json_t *SasView_Make(const struct sas_fleet *fleet,
-                     const struct sas_mesh *mesh, const char *service,
+struct sas_view_parts {
+    const struct sas_fleet *fleet;
+    const struct sas_mesh *mesh;
+    const struct sas_steering *steering;
+};
+
+json_t *SasView_Make(const struct sas_view_parts *parts, const char *service,
                      const char *object, int64_t now_ms);
 
 #endif
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -7,7 +7,6 @@
 
 #include "sas/log.h"
 #include "sas/metrics.h"
-#include "sas/secret.h"
 
 #define MAX_CONNECTIONS 128
 #define JSON_TYPE "application/json"
@@ -15,7 +14,6 @@
 struct sas_admin {
     struct sas_admin_parts parts;
     struct sas_server *server;
-    char *token; /* NULL: none is asked for (loopback only) */
     int unauthorized;
     uint64_t next_operation;
 };
@@ -48,25 +46,16 @@
         "/v1/status", "/v1/health",  "/metrics"};
     struct sas_admin *admin = g_new0(struct sas_admin, 1);
     admin->parts = *parts;
-    const char *token_file = parts->settings->admin_token_file;
-    if (token_file != NULL) {
-        admin->token = SasSecret_Load(token_file, error);
-        if (admin->token == NULL) {
-            g_free(admin);
-            return NULL;
-        }
-    }
-    admin->unauthorized = SasMetrics_Register(
-        parts->counters->metrics, "sas_admin_unauthorized_total", NULL, NULL,
-        "Admin calls without the right token");
+    admin->unauthorized =
+        SasMetrics_Register(parts->metrics, "sas_admin_unauthorized_total",
+                            NULL, NULL, "Admin calls without the right token");
     struct sas_server_limits limits = {
         .body_limit = SasSheet_MAX_BYTES,
         .bodies_limit = 4 * (size_t)SasSheet_MAX_BYTES,
         .max_connections = MAX_CONNECTIONS,
     };
     admin->server = SasServer_Open(parts->loop, &limits);
-    SasServer_RegisterCounters(admin->server, parts->counters->metrics,
-                               "admin");
+    SasServer_RegisterCounters(admin->server, parts->metrics, "admin");
     for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
         SasServer_AddHandler(admin->server, paths[i], handle, admin);
     }
@@ -81,6 +70,7 @@
 SasAdmin_Close(struct sas_admin *admin)
 {
     SasServer_Close(admin->server);
+    g_free(admin);
 }
 
 /* Answering. */
@@ -110,7 +100,7 @@
 static bool
 is_authorized(struct sas_admin *admin, h2o_req_t *req)
 {
-    if (admin->token == NULL) {
+    if (admin->parts.token == NULL) {
         return true;
     }
     const char *value = SasServer_GetHeader(req, "authorization");
@@ -118,9 +108,9 @@
         return false;
     }
     value += strlen("Bearer ");
-    size_t size = strlen(admin->token);
+    size_t size = strlen(admin->parts.token);
     return strlen(value) == size &&
-           CRYPTO_memcmp(value, admin->token, size) == 0;
+           CRYPTO_memcmp(value, admin->parts.token, size) == 0;
 }
 
 /* Puts. */
@@ -223,8 +213,7 @@
 static int
 read_put_headers(struct sas_admin *admin, h2o_req_t *req, struct sas_put *put)
 {
-    const char *vm =
-        admin->parts.settings->model.vms[admin->parts.own_vm].name;
+    const char *vm = admin->parts.vm;
     put->operation = SasServer_GetHeader(req, "sas-operation");
     put->operator_name = SasServer_GetHeader(req, "sas-operator");
     if (put->operation == NULL) {
@@ -258,9 +247,20 @@
     return 0;
 }
 
+static int
+refuse_change(h2o_req_t *req)
+{
+    return answer_reason(req, 403, "read-only",
+                         "this entry VM was started without an operators' "
+                         "token; it takes no changes");
+}
+
 static int
 put_sheet(struct sas_admin *admin, h2o_req_t *req)
 {
+    if (admin->parts.read_only) {
+        return refuse_change(req);
+    }
     struct sas_put put = {0};
     if (read_put_headers(admin, req, &put) != 0) {
         return 0;
@@ -277,7 +277,10 @@
 static int
 put_drain(struct sas_admin *admin, h2o_req_t *req)
 {
-    const struct sas_model *model = &admin->parts.settings->model;
+    if (admin->parts.read_only) {
+        return refuse_change(req);
+    }
+    const struct sas_model *model = admin->parts.model;
     struct sas_put put = {0};
     const char *target = SasServer_GetParameter(req, "target");
     if (target == NULL || read_put_headers(admin, req, &put) != 0) {
@@ -285,6 +288,7 @@
                    ? answer_reason(req, 400, "bad-request", "target=NAME")
                    : 0;
     }
+    SasConfigure_Resolve(admin->parts.configure);
     put.drain_kind = SAS_DRAIN_BACKEND;
     put.drain_target = SasModel_FindBackend(model, target);
     if (put.drain_target == SasModel_NONE) {
@@ -381,16 +385,13 @@
 get_status(struct sas_admin *admin, h2o_req_t *req)
 {
     const struct sas_admin_parts *parts = &admin->parts;
-    json_t *status = SasSteer_Describe(parts->steer);
-    json_object_set_new(
-        status, "vm",
-        json_string(parts->settings->model.vms[parts->own_vm].name));
-    json_object_set_new(status, "ready",
-                        json_boolean(SasSteer_IsReady(parts->steer)));
+    struct sas_admin_view *view = parts->view;
+    json_t *status = view->describe(view);
+    json_object_set_new(status, "vm", json_string(parts->vm));
+    json_object_set_new(status, "ready", json_boolean(view->is_ready(view)));
     json_object_set_new(status, "version",
-                        json_integer(SasSteer_GetVersion(parts->steer)));
+                        json_integer(view->get_version(view)));
     json_object_set_new(status, "time_ms", json_integer(parts->get_wall_ms()));
-    json_object_set_new(status, "peers", SasPeers_Describe(parts->peers));
     answer_json(req, 200, status);
     return 0;
 }
@@ -398,7 +399,7 @@
 static int
 get_health(struct sas_admin *admin, h2o_req_t *req)
 {
-    bool ready = SasSteer_IsReady(admin->parts.steer);
+    bool ready = admin->parts.view->is_ready(admin->parts.view);
     answer_json(req, ready ? 200 : 503,
                 json_pack("{s:b}", "ready", (int)ready));
     return 0;
@@ -407,7 +408,7 @@
 static int
 get_metrics(struct sas_admin *admin, h2o_req_t *req)
 {
-    g_autofree char *text = SasMetrics_Format(admin->parts.counters->metrics);
+    g_autofree char *text = SasMetrics_Format(admin->parts.metrics);
     SasServer_Answer(req, 200, "text/plain; version=0.0.4", text,
                      strlen(text));
     return 0;
@@ -426,7 +427,7 @@
         return get_health(admin, req);
     }
     if (!is_authorized(admin, req)) {
-        SasMetrics_Add(admin->parts.counters->metrics, admin->unauthorized, 1);
+        SasMetrics_Add(admin->parts.metrics, admin->unauthorized, 1);
         SasServer_AddHeader(req, "www-authenticate", "Bearer");
         return answer_reason(req, 401, "unauthorized",
                              "a bearer token is needed");
--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -1,23 +1,34 @@
 /* admin - the task that owns the admin port: operators' calls.
+ *
+ * Both modes of the daemon use it: what a node can say of itself comes through
+ * struct sas_admin_view, everything that concerns the sheet through configure.
  */
 #ifndef SAS_ADMIN_H
 #define SAS_ADMIN_H
 
 #include "configure.h"
-#include "peers.h"
+#include "reasons.h"
 #include "server.h"
-#include "steer.h"
 
 struct sas_admin;
 
+/* Embed it as first member. */
+struct sas_admin_view {
+    bool (*is_ready)(struct sas_admin_view *view);
+    int64_t (*get_version)(struct sas_admin_view *view);
+    /* The members of the status that only this mode has. */
+    json_t *(*describe)(struct sas_admin_view *view);
+};
+
 struct sas_admin_parts {
     uv_loop_t *loop;
-    const struct sas_settings *settings;
-    int own_vm;
-    const struct sas_counters *counters;
-    struct sas_steer *steer;
+    const char *vm; /* the own name */
+    const struct sas_model *model;
+    struct sas_metrics *metrics;
     struct sas_configure *configure;
-    struct sas_peers *peers;
+    struct sas_admin_view *view;
+    const char *token; /* that operators show; NULL: none is asked for */
+    bool read_only;    /* nothing may be changed by this port */
     int64_t (*get_wall_ms)(void);
 };
 
--- a/packages/node/src/configure.c
+++ b/packages/node/src/configure.c
@@ -91,7 +91,9 @@
     configure->list_poll.configure = configure;
     uv_timer_init(parts->loop, &configure->timer);
     configure->timer.data = configure;
-    uv_timer_start(&configure->timer, on_timer, 0, 0);
+    if (!parts->looks_when_told) {
+        uv_timer_start(&configure->timer, on_timer, 0, 0);
+    }
     return configure;
 }
 
@@ -154,6 +156,15 @@
 
 /* Polling the store. */
 
+static void
+tell_resolve(struct sas_configure *configure, const char *config, size_t size)
+{
+    struct sas_configure_listener *listener = configure->parts.listener;
+    if (listener->on_resolve != NULL) {
+        listener->on_resolve(listener, config, size);
+    }
+}
+
 static void
 on_object(struct sas_store_call *call, const struct sas_store_result *result)
 {
@@ -165,6 +176,7 @@
         return;
     }
     struct sas_error error = {0};
+    tell_resolve(configure, result->value, result->size);
     struct sas_config *config = SasConfig_Decode(
         configure->parts.model, result->value, result->size, &error);
     if (config == NULL) {
@@ -225,6 +237,30 @@
     json_decref(list);
 }
 
+void
+SasConfigure_Look(struct sas_configure *configure)
+{
+    if (configure->poll.running) {
+        return;
+    }
+    configure->poll.running = true;
+    configure->poll.call.on_result = on_head;
+    SasStore_Read(configure->parts.store, SAS_STORE_TABLE, HEAD_KEY,
+                  &configure->poll.call);
+}
+
+void
+SasConfigure_Resolve(struct sas_configure *configure)
+{
+    tell_resolve(configure, NULL, 0);
+}
+
+bool
+SasConfigure_IsIdle(const struct sas_configure *configure)
+{
+    return configure->puts == NULL;
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -234,12 +270,7 @@
                                             1000 / POLLS_PER_SECOND);
     double jitter = g_rand_double_range(parts->random, 0.75, 1.25);
     uv_timer_start(timer, on_timer, (uint64_t)((double)interval * jitter), 0);
-    if (!configure->poll.running) {
-        configure->poll.running = true;
-        configure->poll.call.on_result = on_head;
-        SasStore_Read(parts->store, SAS_STORE_TABLE, HEAD_KEY,
-                      &configure->poll.call);
-    }
+    SasConfigure_Look(configure);
     if (!configure->list_poll.running && configure->ticks++ % 2 == 0) {
         configure->list_poll.running = true;
         configure->list_poll.call.on_result = on_vm_list;
@@ -405,6 +436,25 @@
                               put->operator_name, parts->get_wall_ms(), error);
 }
 
+static int
+check_size(const struct put *put, struct sas_sheet_error *place)
+{
+    const struct sas_configure_parts *parts = &put->configure->parts;
+    if (parts->max_object == 0) {
+        return 0;
+    }
+    char *text = SasConfig_Encode(put->config, parts->model);
+    size_t size = strlen(text);
+    free(text);
+    if (size <= parts->max_object) {
+        return 0;
+    }
+    snprintf(place->reason, sizeof(place->reason),
+             "the version has %zu bytes; the store takes %zu at a time", size,
+             parts->max_object);
+    return -1;
+}
+
 /* Makes the new version from the head that was just read. */
 static int
 build_config(struct put *put, int64_t base_version,
@@ -423,6 +473,9 @@
         }
         return -1;
     }
+    if (check_size(put, place) != 0) {
+        return -1;
+    }
     return SasPlan_CheckCapacity(model, put->config, NULL, place, &error);
 }
 
@@ -541,6 +594,7 @@
         read_head_later(put);
         return;
     }
+    SasConfigure_Resolve(configure);
     put->base =
         configure->current != NULL ? SasConfig_Ref(configure->current) : NULL;
     struct sas_sheet_error error = {0};
--- a/packages/node/src/configure.h
+++ b/packages/node/src/configure.h
@@ -29,6 +29,11 @@
     /* The platform's list came, as JSON. */
     void (*on_vms)(struct sas_configure_listener *listener,
                    const json_t *list);
+    /* Names are about to be resolved against the model: now it may change.
+     * config: the version in JSON that is going to be decoded, or NULL. May
+     * be NULL where the model never changes. */
+    void (*on_resolve)(struct sas_configure_listener *listener,
+                       const char *config, size_t size);
 };
 
 struct sas_configure_parts {
@@ -39,6 +44,8 @@
     GRand *random;
     int64_t utc_offset_s;
     int64_t (*get_wall_ms)(void);
+    bool looks_when_told; /* polls only by SasConfigure_Look */
+    size_t max_object;    /* bytes that the store takes; 0: any */
 };
 
 enum sas_put_result {
@@ -81,6 +88,16 @@
 /* The version in force here, or NULL. */
 struct sas_config *SasConfigure_GetCurrent(struct sas_configure *configure);
 
+/* Reads the head of the store now, and what it names if that is newer. */
+void SasConfigure_Look(struct sas_configure *configure);
+
+/* Lets the model come up to date before names are looked up in it. */
+void SasConfigure_Resolve(struct sas_configure *configure);
+
+/* No put is in progress, so that nothing but the version in force refers to
+ * the model by handle. */
+bool SasConfigure_IsIdle(const struct sas_configure *configure);
+
 /* Takes over a version if it is higher; true when it was. */
 bool SasConfigure_Offer(struct sas_configure *configure,
                         struct sas_config *config);
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -3,9 +3,12 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "live_sheet.h"
 #include "node.h"
 #include "sas/log.h"
+#include "sas/secret.h"
 #include "sas/platform.h"
 
 enum {
@@ -16,6 +19,8 @@
  * 15 us a line the log takes under 1% of its core share. */
 #define LOG_LINES_PER_S 200
 
+#define TOKEN_VARIABLE "SASSAFRASSILL_OPERATOR_TOKEN"
+
 struct options {
     char *settings;
     char *platform;
@@ -86,6 +91,19 @@
                  settings.bounds.drain_ms, settings.bounds.grace_ms);
 }
 
+/* The platform keeps no files for a process, so the token comes as a variable
+ * of its environment. 0, or -1 where it is too short to be one. */
+static int
+read_token(const char **token)
+{
+    *token = g_getenv(TOKEN_VARIABLE);
+    if (*token == NULL || (*token)[0] == '\0') {
+        *token = NULL;
+        return 0;
+    }
+    return strlen(*token) < SasSecret_MIN_SIZE ? -1 : 0;
+}
+
 /* An entry VM on the users' platform: everything beyond its own addresses is
  * learned at run time. */
 static int
@@ -96,6 +114,10 @@
     if (SasPlatform_LoadSettings(&live.settings, live.path, &error) != 0) {
         return fail(error.text);
     }
+    const char *token = NULL;
+    if (read_token(&token) != 0) {
+        return fail(TOKEN_VARIABLE ": at least 16 characters are needed");
+    }
     if (options->check) {
         printf("%s: ok\n", live.path);
         return 0;
@@ -114,17 +136,44 @@
                          live.settings.places[i].region);
     }
     struct sas_source *source = SasPlatform_Open(&loop, fleet, &live.settings);
-    struct sas_gateway *gateway = SasGateway_Open(
-        &loop, fleet, &live.settings, SasPlatform_GetWire(), source, &error);
+    struct sas_steering *steering = SasSteering_New(fleet);
+    struct sas_gateway_options gateway_options = {
+        .loop = &loop,
+        .fleet = fleet,
+        .settings = &live.settings,
+        .wire = SasPlatform_GetWire(),
+        .source = source,
+        .steering = steering,
+    };
+    struct sas_gateway *gateway = SasGateway_Open(&gateway_options, &error);
     if (gateway == NULL) {
         SasLog_WriteError(SasLog_ERROR, &error);
         return EXIT_FAILURE;
     }
     SasGateway_SetReload(gateway, live.path, reload, &live);
+    struct sas_live_sheet_parts parts = {
+        .loop = &loop,
+        .fleet = fleet,
+        .gateway = gateway,
+        .steering = steering,
+        .store = SasPlatform_OpenStore(&loop, &live.settings,
+                                       SasGateway_GetMetrics(gateway)),
+        .max_object = SasPlatform_MAX_OBJECT,
+        .settings = &live.settings,
+        .token = token,
+    };
+    struct sas_live_sheet *sheet = SasLiveSheet_Open(&parts, &error);
+    if (sheet == NULL) {
+        SasLog_WriteError(SasLog_ERROR, &error);
+        return EXIT_FAILURE;
+    }
     int status = SasGateway_Run(gateway);
+    SasLiveSheet_Close(sheet);
+    SasStore_Close(parts.store);
     SasGateway_Close(gateway);
     SasPlatform_Close(source);
     uv_loop_close(&loop);
+    SasSteering_Free(steering);
     SasFleet_Free(fleet);
     SasLog_Close();
     return status;
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -15,6 +15,7 @@
 #include "peers.h"
 #include "sas/log.h"
 #include "sas/metrics.h"
+#include "sas/secret.h"
 #include "sas/store.h"
 #include "steer.h"
 #include "upstream.h"
@@ -37,6 +38,7 @@
     struct sas_lending_listener lending_listener;
     struct sas_guard_listener guard_listener;
     struct sas_peers_listener peers_listener;
+    struct sas_admin_view view;
     uv_loop_t loop;
     const struct sas_settings *settings;
     int own_vm;
@@ -54,6 +56,7 @@
     struct sas_peers *peers;
     struct sas_caller *caller;
     struct sas_admin *admin;
+    char *admin_token; /* NULL: none */
     uv_timer_t probe_timer;
     int64_t *next_probe_at;
     uv_signal_t signals[2];
@@ -114,6 +117,29 @@
     SasSteer_TakeVms(node->steer, list);
 }
 
+/* What operators see of this node. */
+
+static bool
+is_ready(struct sas_admin_view *view)
+{
+    return SasSteer_IsReady(NODE_OF(view, view)->steer);
+}
+
+static int64_t
+get_version(struct sas_admin_view *view)
+{
+    return SasSteer_GetVersion(NODE_OF(view, view)->steer);
+}
+
+static json_t *
+describe(struct sas_admin_view *view)
+{
+    struct sas_node *node = NODE_OF(view, view);
+    json_t *status = SasSteer_Describe(node->steer);
+    json_object_set_new(status, "peers", SasPeers_Describe(node->peers));
+    return status;
+}
+
 static void
 wake_waiting(struct sas_node *node)
 {
@@ -363,14 +389,23 @@
     if (node->caller == NULL) {
         return -1;
     }
+    if (settings->admin_token_file != NULL) {
+        node->admin_token = SasSecret_Load(settings->admin_token_file, error);
+        if (node->admin_token == NULL) {
+            return -1;
+        }
+    }
+    node->view.is_ready = is_ready;
+    node->view.get_version = get_version;
+    node->view.describe = describe;
     struct sas_admin_parts admin = {
         .loop = &node->loop,
-        .settings = settings,
-        .own_vm = node->own_vm,
-        .counters = &node->counters,
-        .steer = node->steer,
+        .vm = vm->name,
+        .model = &settings->model,
+        .metrics = node->counters.metrics,
         .configure = node->configure,
-        .peers = node->peers,
+        .view = &node->view,
+        .token = node->admin_token,
         .get_wall_ms = get_wall_ms,
     };
     node->admin = SasAdmin_Open(&admin, &vm->admin, error);
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -111,7 +111,6 @@
     server->context_open = true;
     server->accept.ctx = &server->context;
     server->accept.hosts = server->config.hosts;
-    uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
     return 0;
 }
 
@@ -143,20 +142,38 @@
     }
 }
 
+/* Where there were connections the context stays: they may still refer to it,
+ * and the process is about to end. */
+static void
+release(struct sas_server *server, bool unused)
+{
+    if (!unused) {
+        return;
+    }
+    if (server->context_open) {
+        h2o_context_dispose(&server->context);
+    }
+    h2o_config_dispose(&server->config);
+    /* The timers of the context are closed in the loop's next turn. */
+    uv_run(server->loop, UV_RUN_NOWAIT);
+    g_hash_table_destroy(server->by_socket);
+    g_free(server);
+}
+
 void
 SasServer_Close(struct sas_server *server)
 {
+    bool unused = server->connections == 0;
     server->closing = true;
     SasServer_StopListening(server);
     uv_close((uv_handle_t *)&server->sweep, on_handle_closed);
-    if (server->context_open) {
+    if (server->context_open && !unused) {
         h2o_context_request_shutdown(&server->context);
     }
     while (server->open_handles > 0) {
         uv_run(server->loop, UV_RUN_ONCE);
     }
-    /* The context stays: callers' idle connections may still refer to it,
-     * and the process is about to end. */
+    release(server, unused);
 }
 
 static void
@@ -198,7 +215,11 @@
         uv_close((uv_handle_t *)&connection->tcp, on_refused_closed);
         return;
     }
-    server->connections++;
+    /* Only while there is somebody to look after: an idle port of a small VM
+     * would otherwise wake its process twenty times a second. */
+    if (server->connections++ == 0) {
+        uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+    }
     uv_tcp_nodelay(&connection->tcp, 1);
     connection->socket = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
                                               on_connection_closed);
@@ -307,6 +328,9 @@
         sum > server->limits.bodies_limit
             ? MIN(server->limits.body_limit, SMALL_BODY)
             : server->limits.body_limit;
+    if (server->connections == 0) {
+        uv_timer_stop(timer);
+    }
 }
 
 /* Requests. */
--- a/packages/node/src/steer.c
+++ b/packages/node/src/steer.c
@@ -1,5 +1,7 @@
 #include "steer.h"
 
+#include "describe.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -144,35 +146,11 @@
 static json_t *
 describe_region(struct sas_steer *steer, int service, int region)
 {
-    const struct sas_model *model = steer->model;
-    int slots = SasModel_CountSlots(model, service, region);
     double age_ms = 0;
     double headroom =
-        SasMeasure_GetHeadroom(&steer->measure, model, service, region,
+        SasMeasure_GetHeadroom(&steer->measure, steer->model, service, region,
                                SasSteerState_GetNow(steer), &age_ms);
-    int free_slots = (int)lround(headroom * slots);
-    return json_pack("{s:s, s:s, s:i, s:i, s:i}", "service",
-                     model->services[service].name, "region",
-                     model->regions[region].name, "slots", slots, "running",
-                     slots - free_slots, "headroom", free_slots);
-}
-
-static json_t *
-describe_shift(const struct sas_steer *steer, const struct sas_shift *shift)
-{
-    const struct sas_model *model = steer->model;
-    g_autofree char *cap =
-        shift->cap_unit == SAS_CAP_NONE
-            ? g_strdup("")
-            : g_strdup_printf("%g %s", shift->cap,
-                              SasSheet_GetUnitName(shift->cap_unit));
-    return json_pack("{s:s, s:s, s:s, s:f, s:f, s:s, s:s}", "service",
-                     model->services[shift->service].name, "from",
-                     model->regions[shift->from].name, "to",
-                     model->regions[shift->to].name, "ordered_percent",
-                     shift->ordered * 100, "in_force_percent",
-                     shift->in_force * 100, "cap", cap, "holding",
-                     SasPlan_GetHoldName(shift->holding));
+    return SasDescribe_Region(steer->model, service, region, headroom);
 }
 
 json_t *
@@ -186,8 +164,8 @@
         }
     }
     for (int i = 0; i < steer->plan.shift_count; i++) {
-        json_array_append_new(shifts,
-                              describe_shift(steer, &steer->plan.shifts[i]));
+        json_array_append_new(
+            shifts, SasDescribe_Shift(steer->model, &steer->plan.shifts[i]));
     }
     return json_pack("{s:o, s:o, s:o}", "regions", regions, "shifts", shifts,
                      "budgets", SasLending_Describe(steer->parts.lending));
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -19,6 +19,7 @@
     unsigned int peer_port;
     unsigned hyper incarnation;
     unsigned int strength; /* requests a second that it can carry */
+    unsigned hyper sheet_version; /* the highest that it knows of */
 };
 
 /* What the sender knows of an entry VM, itself included. */
--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -65,6 +65,7 @@
         self.zone = zone
         self.ip = ip
         self.ports = {}
+        self.environment = {}
         self.process = None
         self.store_port = fleet.store.open_port()
         self.log_path = os.path.join(fleet.folder, name + ".log")
@@ -83,7 +84,8 @@
             self.process = subprocess.Popen(
                 [os.path.join(BUILD, "bin", "sassafrassilld"),
                  "--platform-settings", self.settings_path],
-                stdout=log, stderr=log)
+                stdout=log, stderr=log,
+                env=dict(os.environ, **self.environment))
         return self
 
     def address(self, what="caller"):
