--- a/packages/gateway/include/sas/entry.h
+++ b/packages/gateway/include/sas/entry.h
@@ -13,6 +13,8 @@
 #include "sas/fleet.h"
 #include "sas/model.h"
 
+struct sas_proto_key;
+
 /* What the operators have promised to their callers; each is a bound that
  * the system must keep. */
 struct sas_entry_bounds {
@@ -48,8 +50,9 @@
     int max_descriptors;
     double cores; /* share of a core that it may use */
     double link_mbps;
-    int64_t started_at; /* of this process, wall-clock ms */
-    bool first_start;   /* the whole system starts for the first time */
+    struct sas_proto_key *peer_key; /* shared by all entry VMs; NULL: none */
+    int64_t started_at;             /* of this process, wall-clock ms */
+    bool first_start; /* the whole system starts for the first time */
     struct sas_entry_bounds bounds;
 };
 
--- a/packages/gateway/src/directory.c
+++ b/packages/gateway/src/directory.c
@@ -10,15 +10,7 @@
 reply_text(struct sas_http_exchange *exchange, int status, const char *type,
            const char *text)
 {
-    struct sas_http_header header = {"Content-Type", type};
-    struct sas_http_reply reply = {
-        .status = status,
-        .headers = &header,
-        .header_count = 1,
-        .body = text,
-        .body_size = strlen(text),
-    };
-    SasHttpExchange_Reply(exchange, &reply);
+    SasHttpExchange_ReplyText(exchange, status, type, text, NULL);
 }
 
 /* The value of a query parameter; names of places need no decoding beyond
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -4,16 +4,23 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include <openssl/crypto.h>
 #include <rpc/rpc.h>
 
 #include "sas/generated/mesh.h"
 #include "sas/http.h"
 #include "sas/log.h"
 #include "sas/membership.h"
+#include "sas/proto.h"
 #include "sas/strength.h"
 
 #define MAX_DATAGRAM 1400
 #define OWN_SEAT 0
+
+/* Clocks of VMs are close to the true time; the users know steps of two
+ * seconds. */
+#define MAX_SKEW_MS 30000
+
 /* News in a greeting: of this one alone, which a digest begins with. At a
  * start everybody greets everybody; with all news in each greeting 300 entry
  * VMs would send each other 0.2 GB. */
@@ -38,7 +45,8 @@
     GArray *vms; /* struct vm, by seat */
     struct sas_membership table;
     struct sas_mesh_user *user;
-    int64_t sheet_version; /* the highest heard of */
+    int64_t sheet_version;     /* the highest heard of */
+    struct sas_proto_key *key; /* NULL: none */
 };
 
 static void on_round(uv_timer_t *timer);
@@ -112,6 +120,7 @@
     mesh->loop = loop;
     mesh->fleet = fleet;
     mesh->random = random;
+    mesh->key = settings->peer_key;
     mesh->vms = g_array_new(FALSE, TRUE, sizeof(struct vm));
     struct sas_mesh_facts own = {
         .caller = settings->caller,
@@ -600,6 +609,50 @@
     *count = (u_int)filled;
 }
 
+/* Datagrams are proved by the key that all entry VMs share, where there is
+ * one: whoever reaches the port could otherwise name entry VMs and shun
+ * servers. */
+
+static const struct sas_proto_session no_session;
+
+static unsigned
+sign(const struct sas_mesh *mesh, char *bytes, unsigned size)
+{
+    if (mesh->key == NULL ||
+        !SasProto_Sign(mesh->key, &no_session, (const uint8_t *)bytes, size,
+                       (uint8_t *)bytes + size)) {
+        return size;
+    }
+    return size + SasProto_MAC_SIZE;
+}
+
+/* The size of the message; 0: it is not one of ours. */
+static unsigned
+verify(const struct sas_mesh *mesh, const char *bytes, unsigned size)
+{
+    uint8_t mac[SasProto_MAC_SIZE];
+    if (mesh->key == NULL) {
+        return size;
+    }
+    if (size <= sizeof(mac)) {
+        return 0;
+    }
+    size -= (unsigned)sizeof(mac);
+    bool known = SasProto_Sign(mesh->key, &no_session, (const uint8_t *)bytes,
+                               size, mac) &&
+                 CRYPTO_memcmp(mac, bytes + size, sizeof(mac)) == 0;
+    return known ? size : 0;
+}
+
+/* One that was recorded could be sent again: that a server has tripped, or
+ * that this entry VM leaves. */
+static bool
+is_fresh(const struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    int64_t age_ms = g_get_real_time() / 1000 - (int64_t)message->sent_ms;
+    return mesh->key == NULL || ABS(age_ms) <= MAX_SKEW_MS;
+}
+
 /* Fills in the sender and sends. */
 static void
 send_message(struct sas_mesh *mesh, const struct vm *vm,
@@ -615,11 +668,13 @@
     message->sender.incarnation = own->incarnation;
     message->sender.strength = (u_int)own->strength;
     message->sender.sheet_version = (u_quad_t)mesh->sheet_version;
+    message->sent_ms = (u_quad_t)(g_get_real_time() / 1000);
     char bytes[MAX_DATAGRAM];
     XDR xdr;
-    xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
+    xdrmem_create(&xdr, bytes, sizeof(bytes) - SasProto_MAC_SIZE, XDR_ENCODE);
     if (xdr_sas_mesh_message(&xdr, message)) {
-        uv_buf_t buffer = uv_buf_init(bytes, xdr_getpos(&xdr));
+        unsigned size = sign(mesh, bytes, xdr_getpos(&xdr));
+        uv_buf_t buffer = uv_buf_init(bytes, size);
         /* A full socket loses the datagram, as the network may. */
         uv_udp_try_send(&mesh->socket, &buffer, 1,
                         (const struct sockaddr *)&vm->peer);
@@ -769,10 +824,22 @@
         return;
     }
     sas_mesh_message message = {0};
+    unsigned size = verify(mesh, data->base, (unsigned)count);
+    if (size == 0) {
+        SasLog_Write(SasLog_WARN, "mesh.refuse", "",
+                     "a datagram of %zd bytes is not signed with our key",
+                     count);
+        return;
+    }
     XDR xdr;
-    xdrmem_create(&xdr, data->base, (u_int)count, XDR_DECODE);
+    xdrmem_create(&xdr, data->base, size, XDR_DECODE);
     bool decoded = xdr_sas_mesh_message(&xdr, &message);
-    if (decoded && message.format == SAS_MESH_FORMAT) {
+    if (decoded && message.format == SAS_MESH_FORMAT &&
+        !is_fresh(mesh, &message)) {
+        SasLog_Write(SasLog_WARN, "mesh.refuse", message.sender.name,
+                     "a datagram was sent too long ago, or a clock is wrong");
+    }
+    else if (decoded && message.format == SAS_MESH_FORMAT) {
         take_message(mesh, &message);
     }
     else {
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 
 #include "mesh.h"
+#include "sas/proto.h"
 
 #define VMS 4
 #define SERVER_HASH 12345
@@ -18,6 +19,7 @@
     struct sas_fleet *fleet;
     GRand *random;
     struct sas_mesh *meshes[VMS];
+    struct sas_proto_key *keys[VMS]; /* NULL: none */
     struct node {
         struct sas_mesh_user user;
         int trips;
@@ -79,6 +81,7 @@
         .caller = {"127.0.0.1", 8000 + i},
         .peer = {"127.0.0.1", 0},
         .started_at = started_at,
+        .peer_key = f->keys[i],
         .cores = 1,
         .link_mbps = 100,
     };
@@ -94,7 +97,7 @@
 }
 
 static struct fixture *
-start(void)
+prepare(void)
 {
     struct fixture *f = g_new0(struct fixture, 1);
     uv_loop_init(&f->loop);
@@ -103,6 +106,12 @@
     SasFleet_AddZone(f->fleet, "a", "east");
     SasFleet_AddZone(f->fleet, "b", "east");
     SasFleet_AddZone(f->fleet, "c", "west");
+    return f;
+}
+
+static void
+open_all(struct fixture *f)
+{
     for (int i = 0; i < VMS; i++) {
         open_vm(f, i, STARTED_AT + i);
     }
@@ -114,6 +123,13 @@
         SasMesh_AddVm(f->meshes[0], SasMesh_GetOwn(f->meshes[i]));
     }
     SasMesh_AddVm(f->meshes[1], SasMesh_GetOwn(f->meshes[2]));
+}
+
+static struct fixture *
+start(void)
+{
+    struct fixture *f = prepare();
+    open_all(f);
     SPIN_UNTIL(f, all_know_all(f));
     return f;
 }
@@ -269,6 +285,56 @@
     stop(f);
 }
 
+static struct sas_proto_key *
+make_key(const char *text)
+{
+    struct sas_error error = {0};
+    struct sas_proto_key *key =
+        SasProto_NewKey((const uint8_t *)text, strlen(text), &error);
+    assert_non_null(key);
+    return key;
+}
+
+/* Somebody who reaches the port but has not the key names itself an entry VM
+ * and says that servers have tripped. Callers would be sent to it, and the
+ * servers would get nothing. */
+static void
+test_only_who_has_the_key_is_heard(void **state)
+{
+    (void)state;
+    struct fixture *f = prepare();
+    for (int i = 0; i < VMS - 1; i++) {
+        f->keys[i] = make_key("the key of all entry VMs");
+    }
+    f->keys[VMS - 1] = make_key("the key of somebody else");
+    open_all(f);
+    for (int i = 0; i < VMS - 1; i++) {
+        SPIN_UNTIL(f, SasMesh_Count(f->meshes[i]) == VMS - 1);
+    }
+    struct sas_mesh_trip_news news = {
+        .server_hash = SERVER_HASH,
+        .left_ms = 1500,
+    };
+    int east = get_region(f, "east");
+    SasMesh_TellTrip(f->meshes[VMS - 1], &news, east);
+    SasMesh_NoteSheet(f->meshes[0], 5);
+    for (int i = 1; i < VMS - 1; i++) {
+        SPIN_UNTIL(f, SasMesh_GetSheet(f->meshes[i]) == 5);
+    }
+    for (int i = 0; i < VMS - 1; i++) {
+        assert_int_equal(f->nodes[i].trips, 0);
+        assert_int_equal(SasMesh_Count(f->meshes[i]), VMS - 1);
+    }
+    assert_int_equal(SasMesh_Count(f->meshes[VMS - 1]), 1);
+    assert_int_equal(SasMesh_GetSheet(f->meshes[VMS - 1]), 0);
+    struct sas_proto_key *keys[VMS];
+    memcpy(keys, f->keys, sizeof(keys));
+    stop(f);
+    for (int i = 0; i < VMS; i++) {
+        SasProto_FreeKey(keys[i]);
+    }
+}
+
 int
 main(void)
 {
@@ -279,6 +345,7 @@
         cmocka_unit_test(
             test_a_suspect_goes_to_its_keeper_and_from_there_to_all),
         cmocka_unit_test(test_one_whose_clock_went_back_is_known_again),
+        cmocka_unit_test(test_only_who_has_the_key_is_heard),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -104,4 +104,10 @@
 void SasHttpExchange_Reply(struct sas_http_exchange *e,
                            const struct sas_http_reply *reply);
 
+/* The same for a short text of a media type; more is one header besides, or
+ * NULL. */
+void SasHttpExchange_ReplyText(struct sas_http_exchange *e, int status,
+                               const char *type, const char *text,
+                               const struct sas_http_header *more);
+
 #endif
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -265,6 +265,25 @@
     flush_answers(c);
 }
 
+void
+SasHttpExchange_ReplyText(struct sas_http_exchange *e, int status,
+                          const char *type, const char *text,
+                          const struct sas_http_header *more)
+{
+    struct sas_http_header headers[2] = {{"Content-Type", type}};
+    struct sas_http_reply reply = {
+        .status = status,
+        .headers = headers,
+        .header_count = 1,
+        .body = text,
+        .body_size = strlen(text),
+    };
+    if (more != NULL) {
+        headers[reply.header_count++] = *more;
+    }
+    SasHttpExchange_Reply(e, &reply);
+}
+
 /* Exchanges. */
 
 static struct sas_http_exchange *
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -10,6 +10,7 @@
 #include "sas/log.h"
 #include "sas/secret.h"
 #include "sas/platform.h"
+#include "sas/proto.h"
 
 enum {
     EXIT_USAGE = 2
@@ -20,6 +21,7 @@
 #define LOG_LINES_PER_S 200
 
 #define TOKEN_VARIABLE "SASSAFRASSILL_OPERATOR_TOKEN"
+#define PEER_KEY_VARIABLE "SASSAFRASSILL_PEER_KEY"
 
 struct options {
     char *settings;
@@ -104,6 +106,18 @@
     return strlen(*token) < SasSecret_MIN_SIZE ? -1 : 0;
 }
 
+/* The same for the key that all entry VMs share. */
+static int
+read_peer_key(struct sas_proto_key **key, struct sas_error *error)
+{
+    const char *text = g_getenv(PEER_KEY_VARIABLE);
+    if (text == NULL || text[0] == '\0') {
+        return 0;
+    }
+    *key = SasProto_NewKey((const uint8_t *)text, strlen(text), error);
+    return *key != NULL ? 0 : -1;
+}
+
 /* An entry VM on the users' platform: everything beyond its own addresses is
  * learned at run time. */
 static int
@@ -114,6 +128,11 @@
     if (SasPlatform_LoadSettings(&live.settings, live.path, &error) != 0) {
         return fail(error.text);
     }
+    if (read_peer_key(&live.settings.peer_key, &error) != 0) {
+        g_autofree char *text =
+            g_strdup_printf("%s: %s", PEER_KEY_VARIABLE, error.text);
+        return fail(text);
+    }
     const char *token = NULL;
     if (read_token(&token) != 0) {
         return fail(TOKEN_VARIABLE ": at least 16 characters are needed");
@@ -175,6 +194,7 @@
     uv_loop_close(&loop);
     SasSteering_Free(steering);
     SasFleet_Free(fleet);
+    SasProto_FreeKey(live.settings.peer_key);
     SasLog_Close();
     return status;
 }
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -51,8 +51,10 @@
     bool survived;
 };
 
+/* With a shared key SAS_MESH_MAC_SIZE bytes of HMAC-SHA-256 follow. */
 struct sas_mesh_message {
     unsigned int format;
+    unsigned hyper sent_ms; /* wall clock; an old one is not taken again */
     bool wants_reply;
     sas_mesh_vm sender;
     sas_mesh_news news<SAS_MESH_MAX_NEWS>;
--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -374,5 +374,34 @@
             self.assertEqual(vm.request().status, 200)
 
 
+    def test_entry_vms_with_a_key_take_rows_only_from_those_that_have_it(
+            self):
+        """The store turns an entry VM away, and it hears of a new server from
+        the others. One that hasn't their key hears nothing and is named in no
+        look-up: it could be anybody's."""
+        with Fleet(vms=("a", "a", "c")) as fleet:
+            for vm, key in zip(fleet.vms, ("of all entry VMs",
+                                           "of all entry VMs",
+                                           "of somebody else")):
+                vm.environment = {"SASSAFRASSILL_PEER_KEY": key}
+            fleet.add_worker("d1")
+            fleet.start()
+            first, second, stranger = fleet.vms
+            wait_for(lambda: len(first.lookup("a")) == 2 and
+                     len(second.lookup("a")) == 2, "two that know each other")
+            self.assertNotIn("%s:%d" % stranger.address(),
+                             first.lookup("c") + second.lookup("c"))
+            fleet.store.refused = {second.store_port, stranger.store_port}
+            wait_for(lambda: len(stranger.find_lines("store.lost")) == 2,
+                     "the stranger to have no store")
+            fleet.add_worker("d2", service="vault")
+            wait_for(lambda: second.request("POST", "/scans/1",
+                                            b"x").status == 200,
+                     "the one with the key to hear of the server")
+            self.assertEqual(stranger.request("POST", "/scans/1",
+                                              b"x").status, 503)
+            self.assertTrue(first.find_lines("mesh.refuse"))
+
+
 if __name__ == "__main__":
     unittest.main()
