A request's route is looked up by its path's prefixes

Cause: FindRoute walked all routes for each request, and so did the question whether its route outranks another one. Configurations grow by hundreds of routes.

Ruled out: routes sorted by length (still a walk where one host has them all).

A path of nothing but slashes costs no more than the longest prefix has bytes.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -113,6 +113,7 @@
     int64_t timeout_ms; /* 0: the caller's deadline alone */
     int64_t target_latency_ms;
     int priority; /* 0 is the highest */
+    bool urgent;  /* another route is of lower rank; set by ApplyConfig */
     int max_attempts;
     bool sticky;
     GArray *parts;  /* struct sas_route_part, one at least */
@@ -132,7 +133,10 @@
     int references;
     int64_t version;
     int64_t applied_at;
-    GPtrArray *routes; /* struct sas_route * */
+    GPtrArray *routes;     /* struct sas_route * */
+    GHashTable *by_prefix; /* routes by "host prefix" */
+    size_t longest_prefix; /* bytes */
+    GPtrArray *odd_routes; /* whose prefix doesn't end with a slash */
     struct sas_caller_limits limits;
 };
 
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -1,7 +1,6 @@
 #include "sas/fleet.h"
 
 #include <string.h>
-#include <strings.h>
 #include <xxhash.h>
 
 struct sas_fleet {
@@ -275,6 +274,20 @@
     return changed;
 }
 
+static void
+mark_urgent(struct sas_fleet_config *config)
+{
+    int lowest = 0;
+    for (guint i = 0; i < config->routes->len; i++) {
+        const struct sas_route *route = config->routes->pdata[i];
+        lowest = MAX(lowest, route->priority);
+    }
+    for (guint i = 0; i < config->routes->len; i++) {
+        struct sas_route *route = config->routes->pdata[i];
+        route->urgent = route->priority < lowest;
+    }
+}
+
 bool
 SasFleet_ApplyConfig(struct sas_fleet *fleet, struct sas_fleet_config *config,
                      int64_t now_ms)
@@ -284,6 +297,7 @@
         return false;
     }
     config->applied_at = now_ms;
+    mark_urgent(config);
     SasFleetConfig_Unref(fleet->config);
     fleet->config = config;
     for (guint i = 0; i < fleet->listeners->len; i++) {
@@ -304,6 +318,9 @@
     config->references = 1;
     config->version = version;
     config->routes = g_ptr_array_new_with_free_func(free_route);
+    config->by_prefix =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    config->odd_routes = g_ptr_array_new();
     return config;
 }
 
@@ -318,6 +335,18 @@
     route->max_attempts = 1;
     route->parts = g_array_new(FALSE, FALSE, sizeof(struct sas_route_part));
     g_ptr_array_add(config->routes, route);
+    if (!g_str_has_suffix(prefix, "/")) {
+        g_ptr_array_add(config->odd_routes, route);
+        return route;
+    }
+    g_autofree char *lower = g_ascii_strdown(host, -1);
+    char *key = g_strconcat(lower, " ", prefix, NULL);
+    if (g_hash_table_contains(config->by_prefix, key)) {
+        g_free(key); /* the first of two alike holds */
+        return route;
+    }
+    g_hash_table_insert(config->by_prefix, key, route);
+    config->longest_prefix = MAX(config->longest_prefix, strlen(prefix));
     return route;
 }
 
@@ -352,31 +381,59 @@
     if (config == NULL || --config->references > 0) {
         return;
     }
+    g_hash_table_destroy(config->by_prefix);
+    g_ptr_array_free(config->odd_routes, TRUE);
     g_ptr_array_free(config->routes, TRUE);
     g_free(config);
 }
 
+static const struct sas_route *
+find_odd_route(const struct sas_fleet_config *config, const char *host,
+               const char *path, size_t path_size)
+{
+    const struct sas_route *best = NULL;
+    size_t best_size = 0;
+    for (guint i = 0; i < config->odd_routes->len; i++) {
+        const struct sas_route *route = config->odd_routes->pdata[i];
+        size_t size = strlen(route->prefix);
+        if (size > best_size && size <= path_size &&
+            g_ascii_strcasecmp(route->host, host) == 0 &&
+            strncmp(route->prefix, path, size) == 0) {
+            best = route;
+            best_size = size;
+        }
+    }
+    return best;
+}
+
+/* Prefixes end with a slash, so the path's own prefixes up to a slash are all
+ * that need to be looked up: with hundreds of routes a walk over them took
+ * most of the time of all decisions on a request (tools/bench_routes.c). */
 const struct sas_route *
 SasFleetConfig_FindRoute(const struct sas_fleet_config *config,
                          const char *host, const char *target)
 {
-    size_t host_size = strcspn(host, ":");
     size_t path_size = strcspn(target, "?");
-    const struct sas_route *best = NULL;
-    size_t best_size = 0;
-    for (guint i = 0; i < config->routes->len; i++) {
-        const struct sas_route *route = config->routes->pdata[i];
-        size_t size = strlen(route->prefix);
-        if (size <= best_size || size > path_size ||
-            strlen(route->host) != host_size ||
-            strncasecmp(route->host, host, host_size) != 0 ||
-            strncmp(route->prefix, target, size) != 0) {
+    g_autofree char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+    size_t host_size = strlen(name) + 1;
+    g_autofree char *key =
+        g_strdup_printf("%s %.*s", name, (int)path_size, target);
+    const struct sas_route *odd =
+        find_odd_route(config, name, target, path_size);
+    size_t odd_size = odd != NULL ? strlen(odd->prefix) : 0;
+    size_t longest = MIN(path_size, config->longest_prefix);
+    for (size_t size = longest; size > odd_size; size--) {
+        if (target[size - 1] != '/') {
             continue;
         }
-        best = route;
-        best_size = size;
+        key[host_size + size] = '\0';
+        const struct sas_route *route =
+            g_hash_table_lookup(config->by_prefix, key);
+        if (route != NULL) {
+            return route;
+        }
     }
-    return best;
+    return odd;
 }
 
 struct sas_fleet_config *
--- a/packages/core/tests/test_fleet.c
+++ b/packages/core/tests/test_fleet.c
@@ -195,9 +195,34 @@
     assert_string_equal(find_route(config, "x.example", "/?p=/forms/"), "all");
     assert_string_equal(find_route(config, "y.example", "/"), "");
     assert_string_equal(find_route(config, "z.example", "/forms/7"), "");
+    assert_string_equal(find_route(config, "x.example", "forms"), "");
+    assert_string_equal(find_route(config, "x.example", ""), "");
+    /* One that doesn't end with a slash counts by its length too. */
+    SasFleetConfig_AddRoute(config, "odd", "x.example", "/forms/ol");
+    assert_string_equal(find_route(config, "x.example", "/forms/olive"),
+                        "odd");
+    assert_string_equal(find_route(config, "X.example", "/forms/old/7"),
+                        "old");
     SasFleetConfig_Unref(config);
 }
 
+static void
+test_routes_above_the_lowest_rank_are_urgent(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = SasFleet_New();
+    struct sas_fleet_config *config = SasFleetConfig_New(1);
+    struct sas_route *high =
+        SasFleetConfig_AddRoute(config, "high", "x.example", "/a/");
+    struct sas_route *low =
+        SasFleetConfig_AddRoute(config, "low", "x.example", "/b/");
+    low->priority = 2;
+    assert_true(SasFleet_ApplyConfig(fleet, config, 100));
+    assert_true(high->urgent);
+    assert_false(low->urgent);
+    SasFleet_Free(fleet);
+}
+
 int
 main(void)
 {
@@ -211,6 +236,7 @@
             test_an_evacuated_zone_is_closed_until_it_is_taken_back),
         cmocka_unit_test(test_a_configuration_never_goes_back),
         cmocka_unit_test(test_the_longest_prefix_of_the_host_is_the_route),
+        cmocka_unit_test(test_routes_above_the_lowest_rank_are_urgent),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -326,20 +326,6 @@
     return NULL;
 }
 
-/* Some other route of the configuration is of lower rank. */
-static bool
-is_urgent(const struct relay_call *call)
-{
-    const GPtrArray *routes = call->config->routes;
-    for (guint i = 0; i < routes->len; i++) {
-        const struct sas_route *route = routes->pdata[i];
-        if (route->priority > call->route->priority) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
 give_up(struct relay_call *call, const char *outcome, int64_t retry_after_ms)
 {
@@ -500,7 +486,7 @@
         reason = "suspect";
     }
     struct sas_admit_verdict verdict =
-        SasAdmit_Judge(fleet, slots, count, is_urgent(call), now_ms);
+        SasAdmit_Judge(fleet, slots, count, call->route->urgent, now_ms);
     if (verdict.slot != SasModel_NONE) {
         SasRelay_Send(call, verdict.slot);
         return;
