Entry VMs that don't reply are doubted, and all are told at once

Cause: a death was known by the age of gossip alone. Each message holds news of 24 entry VMs, so the age that must be borne grows with their number: 2.5 s with 9 of them, 12 s with 70, a minute with 300. So long look-ups named a machine that had lost power.

Now: three datagrams 300 ms apart without a reply are a silence, two silences in a row a doubt (core/exchange.h); whoever raises it tells all, the one doubted included, and it refutes to all. Who has heard from it itself within 1.5 s does not believe the doubt, or a cut between two zones would make each doubt the other for everybody.

--- a/packages/core/include/sas/membership.h
+++ b/packages/core/include/sas/membership.h
@@ -152,6 +152,10 @@
                              int64_t now_ms, struct sas_member_news *news,
                              int max);
 
+/* What is known of one seat, for a message about it alone. */
+void SasMembership_GetNews(const struct sas_membership *table, int seat,
+                           int64_t now_ms, struct sas_member_news *news);
+
 /* Leaving backend servers. Three sources, any of which suffices. What a
  * source said sticks for that incarnation of the server, and a new
  * incarnation begins without it; the sheet and the platform's list speak of
--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -372,6 +372,13 @@
     return count;
 }
 
+void
+SasMembership_GetNews(const struct sas_membership *table, int seat,
+                      int64_t now_ms, struct sas_member_news *news)
+{
+    fill_news(table, seat, now_ms, news);
+}
+
 /* Leaving backend servers */
 
 void
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -7,6 +7,7 @@
 #include <openssl/crypto.h>
 #include <rpc/rpc.h>
 
+#include "sas/exchange.h"
 #include "sas/generated/mesh.h"
 #include "sas/http.h"
 #include "sas/log.h"
@@ -17,6 +18,12 @@
 #define MAX_DATAGRAM 1400
 #define OWN_SEAT 0
 
+/* Whoever has heard from an entry VM itself so lately doesn't believe
+ * another's doubt of it: a doubt is raised 1.8 s after a question that got no
+ * reply, so that one of a dead entry VM is never refused by this. Without it a
+ * cut between two zones would make each doubt the other for everybody. */
+#define HEARD_MS 1500
+
 /* Clocks of VMs are close to the true time; the users know steps of two
  * seconds. */
 #define MAX_SKEW_MS 30000
@@ -39,6 +46,8 @@
     uv_loop_t *loop;
     uv_udp_t socket;
     uv_timer_t rounds;
+    uv_timer_t replies; /* runs while questions wait for theirs */
+    struct sas_exchanges exchanges;
     int open_handles;
     struct sas_fleet *fleet;
     GRand *random;
@@ -50,6 +59,8 @@
 };
 
 static void on_round(uv_timer_t *timer);
+static void on_replies_due(uv_timer_t *timer);
+static void tell_of(struct sas_mesh *mesh, int about);
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
                         const struct sockaddr *from, unsigned flags);
@@ -135,9 +146,12 @@
                        get_now(mesh));
     uv_udp_init(loop, &mesh->socket);
     uv_timer_init(loop, &mesh->rounds);
+    uv_timer_init(loop, &mesh->replies);
+    SasExchange_Init(&mesh->exchanges);
     mesh->socket.data = mesh;
     mesh->rounds.data = mesh;
-    mesh->open_handles = 2;
+    mesh->replies.data = mesh;
+    mesh->open_handles = 3;
     int rc = seat == OWN_SEAT
                  ? uv_udp_bind(&mesh->socket,
                                (struct sockaddr *)&get_vm(mesh, seat)->peer, 0)
@@ -163,6 +177,7 @@
     }
     uv_close((uv_handle_t *)&mesh->socket, on_closed);
     uv_close((uv_handle_t *)&mesh->rounds, on_closed);
+    uv_close((uv_handle_t *)&mesh->replies, on_closed);
 }
 
 void
@@ -574,6 +589,54 @@
     }
 }
 
+/* A question, and what becomes of one that gets no reply. The age of news
+ * alone tells late of a death where each message holds news of a few of all:
+ * 12 s with 70 entry VMs and a minute with 300, in which callers are sent to a
+ * dead one. */
+
+static void
+ask(struct sas_mesh *mesh, int seat)
+{
+    SasExchange_Begin(&mesh->exchanges, seat, get_now(mesh));
+    send_news(mesh, get_vm(mesh, seat), SAS_MESH_MAX_NEWS, true);
+    if (!uv_is_active((uv_handle_t *)&mesh->replies)) {
+        uv_timer_start(&mesh->replies, on_replies_due, SasExchange_REPLY_MS,
+                       SasExchange_REPLY_MS);
+    }
+}
+
+static void
+note_silence(struct sas_mesh *mesh, int seat)
+{
+    if (SasMembership_NoteSilence(&mesh->table, seat, get_now(mesh)) != 0) {
+        SasLog_Write(SasLog_INFO, "mesh.doubt", get_vm(mesh, seat)->facts.name,
+                     "no reply to two questions, age_ms=%" G_GINT64_FORMAT,
+                     SasMembership_GetAge(&mesh->table, seat, get_now(mesh)));
+        tell_of(mesh, seat);
+    }
+    else if (SasMembership_MayRetry(&mesh->table, seat)) {
+        ask(mesh, seat);
+    }
+}
+
+static void
+on_replies_due(uv_timer_t *timer)
+{
+    struct sas_mesh *mesh = timer->data;
+    struct sas_exchange_due due;
+    while (SasExchange_Next(&mesh->exchanges, get_now(mesh), &due)) {
+        if (due.silent) {
+            note_silence(mesh, due.seat);
+        }
+        else {
+            send_news(mesh, get_vm(mesh, due.seat), SAS_MESH_MAX_NEWS, true);
+        }
+    }
+    if (mesh->exchanges.count == 0) {
+        uv_timer_stop(timer);
+    }
+}
+
 static void
 on_round(uv_timer_t *timer)
 {
@@ -583,7 +646,7 @@
     int seat = SasModel_NONE;
     if (SasMembership_PickPeers(&mesh->table, mesh->random, now_ms, &seat,
                                 1) == 1) {
-        send_news(mesh, get_vm(mesh, seat), SAS_MESH_MAX_NEWS, true);
+        ask(mesh, seat);
     }
     log_changes(mesh);
     uv_timer_set_repeat(timer, (uint64_t)mesh->table.times.interval_ms);
@@ -591,6 +654,21 @@
 
 /* Datagrams. */
 
+static sas_mesh_news
+encode_news(const struct sas_mesh *mesh, const struct sas_member_news *news)
+{
+    sas_mesh_news row = {
+        .name_hash = get_vm(mesh, news->seat)->name_hash,
+        .incarnation = news->incarnation,
+        .config_version = news->config_version,
+        .heartbeat = news->heartbeat,
+        .doubt = news->doubt,
+        .age_ms = (u_int)news->age_ms,
+        .leaving = news->leaving,
+    };
+    return row;
+}
+
 static void
 fill_news(struct sas_mesh *mesh, sas_mesh_news *news, int max, u_int *count)
 {
@@ -598,13 +676,7 @@
     int filled = SasMembership_FillDigest(&mesh->table, mesh->random,
                                           get_now(mesh), digest, max);
     for (int i = 0; i < filled; i++) {
-        news[i].name_hash = get_vm(mesh, digest[i].seat)->name_hash;
-        news[i].incarnation = digest[i].incarnation;
-        news[i].config_version = digest[i].config_version;
-        news[i].heartbeat = digest[i].heartbeat;
-        news[i].doubt = digest[i].doubt;
-        news[i].age_ms = (u_int)digest[i].age_ms;
-        news[i].leaving = digest[i].leaving;
+        news[i] = encode_news(mesh, &digest[i]);
     }
     *count = (u_int)filled;
 }
@@ -704,6 +776,23 @@
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
+/* Tells everybody of one entry VM, at once: the usual messages hold a part of
+ * what is known, and a change goes into some of them only. */
+static void
+tell_of(struct sas_mesh *mesh, int about)
+{
+    struct sas_member_news news;
+    SasMembership_GetNews(&mesh->table, about, get_now(mesh), &news);
+    sas_mesh_news row = encode_news(mesh, &news);
+    sas_mesh_message message = {
+        .news = {.news_len = 1, .news_val = &row},
+    };
+    /* To itself as well: it may live, and refutes what it hears. */
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        send_message(mesh, get_vm(mesh, seat), &message);
+    }
+}
+
 /* A process that started while its clock had gone back is older, by its
  * incarnation, than the one before it: whatever it says is dropped, and it
  * passes for dead. So it is told of the one before it, and renews itself. */
@@ -765,6 +854,43 @@
     }
 }
 
+static void
+take_row(struct sas_mesh *mesh, const sas_mesh_news *row)
+{
+    int64_t now_ms = get_now(mesh);
+    struct sas_member_news news = {
+        .seat = find_seat(mesh, row->name_hash),
+        .leaving = row->leaving,
+        .incarnation = row->incarnation,
+        .config_version = row->config_version,
+        .heartbeat = row->heartbeat,
+        .doubt = row->doubt,
+        .age_ms = row->age_ms,
+    };
+    if (news.seat == SasModel_NONE) {
+        return;
+    }
+    if (news.seat != OWN_SEAT &&
+        now_ms - mesh->table.members[news.seat].direct_ms < HEARD_MS) {
+        news.doubt = 0;
+    }
+    int changes = SasMembership_Merge(&mesh->table, &news, now_ms);
+    bool refuted = news.seat == OWN_SEAT && (changes & SAS_CHANGE_MEMBER) != 0;
+    if (refuted) {
+        SasLog_Write(SasLog_INFO, "mesh.refute", "",
+                     "another entry VM had no reply from this one");
+        tell_of(mesh, OWN_SEAT);
+    }
+}
+
+static void
+take_news(struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    for (u_int i = 0; i < message->news.news_len; i++) {
+        take_row(mesh, &message->news.news_val[i]);
+    }
+}
+
 static void
 take_message(struct sas_mesh *mesh, const sas_mesh_message *message)
 {
@@ -784,27 +910,14 @@
     }
     mesh->sheet_version =
         MAX(mesh->sheet_version, (int64_t)message->sender.sheet_version);
-    int64_t now_ms = get_now(mesh);
-    for (u_int i = 0; i < message->news.news_len; i++) {
-        const sas_mesh_news *row = &message->news.news_val[i];
-        struct sas_member_news news = {
-            .seat = find_seat(mesh, row->name_hash),
-            .leaving = row->leaving,
-            .incarnation = row->incarnation,
-            .config_version = row->config_version,
-            .heartbeat = row->heartbeat,
-            .doubt = row->doubt,
-            .age_ms = row->age_ms,
-        };
-        if (news.seat != SasModel_NONE) {
-            SasMembership_Merge(&mesh->table, &news, now_ms);
-        }
-    }
+    take_news(mesh, message);
     if (facts.incarnation < get_vm(mesh, seat)->facts.incarnation) {
         correct_sender(mesh, &facts, get_vm(mesh, seat));
     }
     renew_own(mesh);
-    SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation, now_ms);
+    SasExchange_End(&mesh->exchanges, seat);
+    SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation,
+                             get_now(mesh));
     tell_user(mesh, message);
     if (message->wants_reply && message->news.news_len <= 1) {
         send_news(mesh, get_vm(mesh, seat), OWN_NEWS, false);
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -264,6 +264,66 @@
     stop(f);
 }
 
+/* One of a hundred and thirty entry VMs loses power. Look-ups go on naming it,
+ * and callers wait for its silence, until the others know. They must know
+ * within seconds, also where nobody hears of everybody in each round; by the
+ * age of the news alone it took 37 s. */
+#define CROWD 130
+
+static int
+count_who_trust(struct sas_mesh **meshes, const char *name)
+{
+    int count = 0;
+    for (int i = 0; i < CROWD; i++) {
+        struct sas_mesh_view vm;
+        for (int j = 1;
+             meshes[i] != NULL && SasMesh_GetView(meshes[i], j, &vm); j++) {
+            count +=
+                strcmp(vm.name, name) == 0 && strcmp(vm.state, "live") == 0;
+        }
+    }
+    return count;
+}
+
+static void
+test_a_death_in_a_crowd_is_known_within_seconds(void **state)
+{
+    (void)state;
+    struct fixture *f = prepare();
+    static struct sas_mesh *meshes[CROWD];
+    struct sas_error error = {0};
+    for (int i = 0; i < CROWD; i++) {
+        struct sas_entry_settings settings = {
+            .caller = {"127.0.0.1", 8000},
+            .peer = {"127.0.0.1", 0},
+            .zone = "a",
+            .started_at = STARTED_AT,
+            .cores = 1,
+            .link_mbps = 100,
+        };
+        g_snprintf(settings.name, sizeof(settings.name), "vm-%d", i);
+        meshes[i] =
+            SasMesh_Open(&f->loop, f->fleet, &settings, f->random, &error);
+        assert_non_null(meshes[i]);
+        for (int j = 0; j < i; j++) {
+            SasMesh_AddVm(meshes[i], SasMesh_GetOwn(meshes[j]));
+        }
+    }
+    SPIN_UNTIL(f, count_who_trust(meshes, "vm-7") == CROWD - 1);
+    SasMesh_Close(meshes[7]);
+    meshes[7] = NULL;
+    SPIN_UNTIL(f, count_who_trust(meshes, "vm-7") == 0);
+    assert_int_equal(count_who_trust(meshes, "vm-8"), CROWD - 2);
+    for (int i = 0; i < CROWD; i++) {
+        SasMesh_Close(meshes[i]);
+    }
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&f->loop), 0);
+    SasFleet_Free(f->fleet);
+    g_rand_free(f->random);
+    g_free(f);
+}
+
 /* An entry VM is killed and starts again while its clock has gone back. All
  * others hold news of the earlier process, which looks newer; taken for dead,
  * the new one would get no callers for as long as it lives. */
@@ -344,6 +404,7 @@
         cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
         cmocka_unit_test(
             test_a_suspect_goes_to_its_keeper_and_from_there_to_all),
+        cmocka_unit_test(test_a_death_in_a_crowd_is_known_within_seconds),
         cmocka_unit_test(test_one_whose_clock_went_back_is_known_again),
         cmocka_unit_test(test_only_who_has_the_key_is_heard),
     };
