A restarted entry VM is told of quarantined requests; a check must hold

- A server behind something that takes connections in its place and closes them again seemed alive to the check after a loss, so that nothing was ever counted.
A connection now has to stay open for 200 ms.
- An entry VM that started again knew nothing of what the others had been told, and sent the request on until it had crashed servers once more.
Now the first of the others tells it.

Ruled out: waiting for the verdict before a look-up is tried again (it would hold innocent ones for 200 ms).

The time of day is read in one place (observe/wall.h), so that tests can give a process a wrong one.

--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -14,6 +14,7 @@
 #include "sas/membership.h"
 #include "sas/proto.h"
 #include "sas/strength.h"
+#include "sas/wall.h"
 
 #define MAX_DATAGRAM 1400
 #define OWN_SEAT 0
@@ -296,6 +297,15 @@
     return seat;
 }
 
+/* Not heard of before, or started again since. */
+static bool
+is_newcomer(const struct sas_mesh *mesh, const struct sas_mesh_facts *facts)
+{
+    int seat = find_seat(mesh, XXH3_64bits(facts->name, strlen(facts->name)));
+    return seat == SasModel_NONE ||
+           get_vm(mesh, seat)->facts.incarnation < facts->incarnation;
+}
+
 void
 SasMesh_AddVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts)
 {
@@ -445,15 +455,15 @@
 }
 
 /* The first of the live ones in the hash's order, of one region or (NONE) of
- * all; SasModel_NONE where there is none. */
+ * all, without one seat (or NONE); SasModel_NONE where there is none. */
 static int
-find_first(const struct sas_mesh *mesh, uint64_t hash, int region)
+find_first(const struct sas_mesh *mesh, uint64_t hash, int region, int without)
 {
     int first = SasModel_NONE;
     for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
         bool counts =
             region == SasModel_NONE || get_region(mesh, seat) == region;
-        if (!counts || !is_live(mesh, seat)) {
+        if (!counts || seat == without || !is_live(mesh, seat)) {
             continue;
         }
         if (first == SasModel_NONE ||
@@ -494,22 +504,28 @@
     sas_mesh_message message = {
         .trips = {.trips_len = 1, .trips_val = &trip},
     };
-    send_by_way_of(mesh, &message, find_first(mesh, news->server_hash, region),
+    send_by_way_of(mesh, &message,
+                   find_first(mesh, news->server_hash, region, SasModel_NONE),
                    false);
 }
 
 bool
 SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash)
 {
-    return find_first(mesh, hash, SasModel_NONE) == OWN_SEAT;
+    return SasMesh_IsFirstBut(mesh, hash, SasModel_NONE);
 }
 
-void
-SasMesh_TellSuspect(struct sas_mesh *mesh,
-                    const struct sas_mesh_suspect_news *rows, int count,
-                    bool to_all)
+bool
+SasMesh_IsFirstBut(const struct sas_mesh *mesh, uint64_t hash, int i)
+{
+    return find_first(mesh, hash, SasModel_NONE, i) == OWN_SEAT;
+}
+
+/* How many rows fit; they are the message's. */
+static void
+fill_suspects(sas_mesh_message *message, sas_mesh_suspect *suspects,
+              const struct sas_mesh_suspect_news *rows, int count)
 {
-    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
     count = MIN(count, SAS_MESH_MAX_SUSPECTS);
     for (int i = 0; i < count; i++) {
         suspects[i].high = rows[i].fingerprint.high;
@@ -518,16 +534,37 @@
         suspects[i].alone = rows[i].alone;
         suspects[i].survived = rows[i].survived;
     }
+    message->suspects.suspects_len = (u_int)count;
+    message->suspects.suspects_val = suspects;
+}
+
+void
+SasMesh_TellSuspect(struct sas_mesh *mesh,
+                    const struct sas_mesh_suspect_news *rows, int count,
+                    bool to_all)
+{
     if (count == 0) {
         return;
     }
-    sas_mesh_message message = {
-        .suspects = {.suspects_len = (u_int)count, .suspects_val = suspects},
-    };
-    int first = find_first(mesh, rows[0].fingerprint.low, SasModel_NONE);
+    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
+    sas_mesh_message message = {0};
+    fill_suspects(&message, suspects, rows, count);
+    int first = find_first(mesh, rows[0].fingerprint.low, SasModel_NONE,
+                           SasModel_NONE);
     send_by_way_of(mesh, &message, first, to_all);
 }
 
+void
+SasMesh_TellSuspectTo(struct sas_mesh *mesh,
+                      const struct sas_mesh_suspect_news *rows, int count,
+                      int i)
+{
+    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
+    sas_mesh_message message = {0};
+    fill_suspects(&message, suspects, rows, count);
+    send_message(mesh, get_vm(mesh, i), &message);
+}
+
 static bool
 leads_before(const struct vm *one, const struct vm *other)
 {
@@ -721,7 +758,7 @@
 static bool
 is_fresh(const struct sas_mesh *mesh, const sas_mesh_message *message)
 {
-    int64_t age_ms = g_get_real_time() / 1000 - (int64_t)message->sent_ms;
+    int64_t age_ms = SasWall_GetMs() - (int64_t)message->sent_ms;
     return mesh->key == NULL || ABS(age_ms) <= MAX_SKEW_MS;
 }
 
@@ -740,7 +777,7 @@
     message->sender.incarnation = own->incarnation;
     message->sender.strength = (u_int)own->strength;
     message->sender.sheet_version = (u_quad_t)mesh->sheet_version;
-    message->sent_ms = (u_quad_t)(g_get_real_time() / 1000);
+    message->sent_ms = (u_quad_t)SasWall_GetMs();
     char bytes[MAX_DATAGRAM];
     XDR xdr;
     xdrmem_create(&xdr, bytes, sizeof(bytes) - SasProto_MAC_SIZE, XDR_ENCODE);
@@ -904,6 +941,7 @@
     g_strlcpy(facts.zone, message->sender.zone, sizeof(facts.zone));
     g_strlcpy(facts.caller.ip, message->sender.ip, sizeof(facts.caller.ip));
     g_strlcpy(facts.peer.ip, message->sender.ip, sizeof(facts.peer.ip));
+    bool newcomer = is_newcomer(mesh, &facts);
     int seat = learn_vm(mesh, &facts);
     if (seat == SasModel_NONE || seat == OWN_SEAT) {
         return;
@@ -919,6 +957,9 @@
     SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation,
                              get_now(mesh));
     tell_user(mesh, message);
+    if (newcomer) {
+        mesh->user->on_newcomer(mesh->user, seat);
+    }
     if (message->wants_reply && message->news.news_len <= 1) {
         send_news(mesh, get_vm(mesh, seat), OWN_NEWS, false);
     }
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -55,6 +55,8 @@
                     const struct sas_mesh_trip_news *news);
     void (*on_suspect)(struct sas_mesh_user *user,
                        const struct sas_mesh_suspect_news *news);
+    /* Entry VM number i has started, and knows nothing of what was told. */
+    void (*on_newcomer)(struct sas_mesh_user *user, int i);
 };
 
 /* Opening and closing. */
@@ -115,13 +117,17 @@
 void SasMesh_TellTrip(struct sas_mesh *mesh,
                       const struct sas_mesh_trip_news *news, int region);
 
-/* Whether this entry VM is the first of all live ones in the hash's order.
- * TellSuspect goes to that one of the first row's fingerprint (low), or to
- * all. */
+/* Whether this entry VM is the first of all live ones in the hash's order;
+ * IsFirstBut leaves number i out. TellSuspect goes to that one of the first
+ * row's fingerprint (low), or to all, TellSuspectTo to number i. */
 bool SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash);
+bool SasMesh_IsFirstBut(const struct sas_mesh *mesh, uint64_t hash, int i);
 void SasMesh_TellSuspect(struct sas_mesh *mesh,
                          const struct sas_mesh_suspect_news *rows, int count,
                          bool to_all);
+void SasMesh_TellSuspectTo(struct sas_mesh *mesh,
+                           const struct sas_mesh_suspect_news *rows, int count,
+                           int i);
 
 /* The place of this entry VM, from 0, among the live ones of the server's
  * region in an order of the server's own; the number of them when it isn't in
--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -12,6 +12,7 @@
     int64_t idle_ms;
     int64_t rest_ms;              /* when it was taken last */
     struct sas_pool_check *check; /* waits for the connection; NULL: none */
+    int64_t checked_at;           /* when it was opened; 0: not yet */
 };
 
 struct sas_pool {
@@ -35,15 +36,20 @@
     }
 }
 
+/* Something between here and the server may take a connection in its place
+ * and close it at once; so the verdict waits, see SasPool_Sweep. */
 static void
 on_opened(struct sas_http_owner *owner, struct sas_http_conn *conn)
 {
     (void)conn;
     struct sas_pooled *pooled = (struct sas_pooled *)owner;
+    pooled->checked_at = (int64_t)uv_now(pooled->pool->loop);
+}
+
+static void
+end_check(struct sas_pooled *pooled)
+{
     struct sas_pool_check *check = pooled->check;
-    if (check == NULL) {
-        return;
-    }
     pooled->check = NULL;
     SasPool_Give(pooled, 0);
     check->on_checked(check, true);
@@ -199,6 +205,21 @@
     SasHttp_Close(pooled->conn);
 }
 
+static void
+sweep_one(struct sas_pooled *pooled, int64_t now_ms)
+{
+    if (pooled->check != NULL) {
+        if (pooled->checked_at > 0 &&
+            now_ms - pooled->checked_at >= SasPool_HOLDS_MS) {
+            end_check(pooled);
+        }
+        return;
+    }
+    if (pooled->idle && now_ms - pooled->idle_since >= pooled->idle_ms) {
+        SasHttp_Close(pooled->conn);
+    }
+}
+
 void
 SasPool_Sweep(struct sas_pool *pool)
 {
@@ -206,11 +227,7 @@
     for (guint slot = 0; slot < pool->by_slot->len; slot++) {
         GPtrArray *list = pool->by_slot->pdata[slot];
         for (guint i = list->len; i > 0; i--) {
-            struct sas_pooled *pooled = list->pdata[i - 1];
-            if (pooled->idle &&
-                now_ms - pooled->idle_since >= pooled->idle_ms) {
-                SasHttp_Close(pooled->conn);
-            }
+            sweep_one(list->pdata[i - 1], now_ms);
         }
     }
 }
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -47,6 +47,9 @@
 /* Ends it with whatever runs on it. */
 void SasPool_Drop(struct sas_pooled *pooled);
 
+/* A server takes connections if one is opened and stays open for so long. */
+#define SasPool_HOLDS_MS 200
+
 /* Opens a connection to find out whether the server still takes one; it stays
  * in the pool. on_checked is called once, unless the pool is freed first. */
 struct sas_pool_check {
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -123,11 +123,20 @@
     SasSuspects_TakeNews(relay->suspects, news);
 }
 
+static void
+on_newcomer(struct sas_mesh_user *user, int i)
+{
+    struct sas_relay *relay =
+        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
+    SasSuspects_TellNewcomer(relay->suspects, i);
+}
+
 void
 SasRelay_Listen(struct sas_relay *relay)
 {
     relay->peers.on_trip = on_trip;
     relay->peers.on_suspect = on_suspect;
+    relay->peers.on_newcomer = on_newcomer;
     relay->listener.on_reopened = on_reopened;
     SasFleet_AddListener(relay->options.fleet, &relay->listener);
     SasMesh_SetUser(relay->options.mesh, &relay->peers);
--- a/packages/gateway/src/suspects.c
+++ b/packages/gateway/src/suspects.c
@@ -106,31 +106,58 @@
             SAS_QUARANTINE_REFUSE);
 }
 
+/* All that it is still suspected of; how many rows. */
+static int
+list_crashes(const struct sas_quarantine_entry *entry,
+             struct sas_mesh_suspect_news *rows)
+{
+    int count = 0;
+    for (int i = 0; i < entry->crash_count; i++) {
+        if (entry->crashes[i].cleared) {
+            continue;
+        }
+        rows[count].fingerprint = entry->fingerprint;
+        rows[count].crash = entry->crashes[i].id;
+        rows[count].alone = entry->crashes[i].alone;
+        rows[count++].survived = false;
+    }
+    return count;
+}
+
 /* All crashes of the request go to everybody, so that an entry VM that has
  * heard of none knows as much as the keeper. */
 static void
 tell_all(struct sas_suspects *suspects, struct sas_fingerprint fingerprint)
 {
     struct sas_quarantine_entry entry;
-    int64_t now_ms = get_now(suspects);
     struct sas_mesh_suspect_news rows[SasQuarantine_MAX_CRASHES];
-    int count = 0;
-    for (int i = 0; SasQuarantine_Export(&suspects->core, i, now_ms, &entry);
+    for (int i = 0;
+         SasQuarantine_Export(&suspects->core, i, get_now(suspects), &entry);
          i++) {
-        if (entry.fingerprint.high != fingerprint.high ||
-            entry.fingerprint.low != fingerprint.low) {
-            continue;
+        if (entry.fingerprint.high == fingerprint.high &&
+            entry.fingerprint.low == fingerprint.low) {
+            SasMesh_TellSuspect(suspects->mesh, rows,
+                                list_crashes(&entry, rows), true);
         }
-        for (int j = 0; j < entry.crash_count; j++) {
-            if (!entry.crashes[j].cleared) {
-                rows[count].fingerprint = fingerprint;
-                rows[count].crash = entry.crashes[j].id;
-                rows[count].alone = entry.crashes[j].alone;
-                rows[count++].survived = false;
-            }
+    }
+}
+
+void
+SasSuspects_TellNewcomer(struct sas_suspects *suspects, int number)
+{
+    struct sas_quarantine_entry entry;
+    struct sas_mesh_suspect_news rows[SasQuarantine_MAX_CRASHES];
+    for (int i = 0;
+         SasQuarantine_Export(&suspects->core, i, get_now(suspects), &entry);
+         i++) {
+        int count = list_crashes(&entry, rows);
+        /* The newcomer itself may be the keeper. */
+        if (count >= ALONE_CRASHES &&
+            SasMesh_IsFirstBut(suspects->mesh, entry.fingerprint.low,
+                               number)) {
+            SasMesh_TellSuspectTo(suspects->mesh, rows, count, number);
         }
     }
-    SasMesh_TellSuspect(suspects->mesh, rows, count, true);
 }
 
 static bool
--- a/packages/gateway/src/suspects.h
+++ b/packages/gateway/src/suspects.h
@@ -53,6 +53,10 @@
 void SasSuspects_NoteSurvived(struct sas_suspects *suspects,
                               struct sas_fingerprint fingerprint);
 
+/* Entry VM number i has started: it is told of the requests that run alone or
+ * nowhere, or it would send them again as if nothing had been. */
+void SasSuspects_TellNewcomer(struct sas_suspects *suspects, int i);
+
 /* What another entry VM says of a request. */
 void SasSuspects_TakeNews(struct sas_suspects *suspects,
                           const struct sas_mesh_suspect_news *news);
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -25,6 +25,7 @@
         int trips;
         struct sas_mesh_trip_news last;
         int suspects;
+        int newcomers;
         struct sas_mesh_suspect_news last_suspect;
     } nodes[VMS];
 };
@@ -46,6 +47,13 @@
     node->last_suspect = *news;
 }
 
+static void
+on_newcomer(struct sas_mesh_user *user, int i)
+{
+    (void)i;
+    ((struct node *)user)->newcomers++;
+}
+
 static int
 get_region(const struct fixture *f, const char *name)
 {
@@ -93,6 +101,7 @@
     assert_non_null(f->meshes[i]);
     f->nodes[i].user.on_trip = on_trip;
     f->nodes[i].user.on_suspect = on_suspect;
+    f->nodes[i].user.on_newcomer = on_newcomer;
     SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
 }
 
@@ -291,6 +300,7 @@
     (void)state;
     struct fixture *f = prepare();
     static struct sas_mesh *meshes[CROWD];
+    f->nodes[0].user.on_newcomer = on_newcomer;
     struct sas_error error = {0};
     for (int i = 0; i < CROWD; i++) {
         struct sas_entry_settings settings = {
@@ -305,6 +315,7 @@
         meshes[i] =
             SasMesh_Open(&f->loop, f->fleet, &settings, f->random, &error);
         assert_non_null(meshes[i]);
+        SasMesh_SetUser(meshes[i], &f->nodes[0].user);
         for (int j = 0; j < i; j++) {
             SasMesh_AddVm(meshes[i], SasMesh_GetOwn(meshes[j]));
         }
@@ -334,6 +345,7 @@
     struct fixture *f = start();
     SasMesh_Close(f->meshes[1]);
     SPIN_UNTIL(f, SasMesh_Count(f->meshes[0]) == VMS - 1);
+    int newcomers = f->nodes[0].newcomers;
     open_vm(f, 1, STARTED_AT - 60000);
     for (int i = 0; i < VMS; i++) {
         if (i != 1) {
@@ -342,6 +354,7 @@
     }
     SPIN_UNTIL(f, all_know_all(f));
     assert_true(SasMesh_GetOwn(f->meshes[1])->incarnation > STARTED_AT);
+    assert_int_equal(f->nodes[0].newcomers, newcomers + 1);
     stop(f);
 }
 
--- a/packages/node/src/live_sheet.c
+++ b/packages/node/src/live_sheet.c
@@ -8,6 +8,7 @@
 #include "mesh.h"
 #include "sas/log.h"
 #include "sas/snapshot.h"
+#include "sas/wall.h"
 
 #define TICK_MS 1000
 
@@ -34,12 +35,6 @@
     ((struct sas_live_sheet *)((char *)(pointer)-offsetof(                    \
         struct sas_live_sheet, member)))
 
-static int64_t
-get_wall_ms(void)
-{
-    return g_get_real_time() / 1000;
-}
-
 static int64_t
 get_now(const struct sas_live_sheet *sheet)
 {
@@ -96,7 +91,7 @@
     struct sas_mesh *mesh = SasGateway_GetMesh(parts->gateway);
     bool gone[SasModel_MAX_REGIONS];
     SasMesh_FindGone(mesh, gone);
-    if (SasSteering_Advance(parts->steering, get_wall_ms(), get_now(sheet),
+    if (SasSteering_Advance(parts->steering, SasWall_GetMs(), get_now(sheet),
                             gone)) {
         const struct sas_plan *plan = SasSteering_GetPlan(parts->steering);
         for (int i = 0; i < plan->shift_count; i++) {
@@ -226,7 +221,7 @@
         .view = &sheet->view,
         .token = parts->token,
         .read_only = parts->token == NULL,
-        .get_wall_ms = get_wall_ms,
+        .get_wall_ms = SasWall_GetMs,
     };
     sheet->admin = SasAdmin_Open(&admin, &parts->settings->admin, error);
     return sheet->admin != NULL ? 0 : -1;
@@ -247,7 +242,7 @@
         .store = parts->store,
         .listener = &sheet->listener,
         .random = sheet->random,
-        .get_wall_ms = get_wall_ms,
+        .get_wall_ms = SasWall_GetMs,
         .looks_when_told = true,
         .max_object = parts->max_object,
     };
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -9,6 +9,7 @@
 #include "node.h"
 #include "sas/log.h"
 #include "sas/secret.h"
+#include "sas/wall.h"
 #include "sas/platform.h"
 #include "sas/proto.h"
 
@@ -23,6 +24,10 @@
 #define TOKEN_VARIABLE "SASSAFRASSILL_OPERATOR_TOKEN"
 #define PEER_KEY_VARIABLE "SASSAFRASSILL_PEER_KEY"
 
+/* For tests of clocks that are wrong: milliseconds that this process's time of
+ * day is ahead. */
+#define CLOCK_VARIABLE "SASSAFRASSILL_CLOCK_OFFSET_MS"
+
 struct options {
     char *settings;
     char *platform;
@@ -128,6 +133,10 @@
     if (SasPlatform_LoadSettings(&live.settings, live.path, &error) != 0) {
         return fail(error.text);
     }
+    const char *offset = g_getenv(CLOCK_VARIABLE);
+    if (offset != NULL) {
+        SasWall_SetOffset(g_ascii_strtoll(offset, NULL, 10));
+    }
     if (read_peer_key(&live.settings.peer_key, &error) != 0) {
         g_autofree char *text =
             g_strdup_printf("%s: %s", PEER_KEY_VARIABLE, error.text);
@@ -141,7 +150,7 @@
         printf("%s: ok\n", live.path);
         return 0;
     }
-    live.settings.started_at = g_get_real_time() / 1000;
+    live.settings.started_at = SasWall_GetMs();
     if (SasLog_Open(live.settings.name, "-", "info", &error) != 0) {
         return fail(error.text);
     }
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -3,7 +3,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "admin.h"
@@ -17,6 +16,7 @@
 #include "sas/metrics.h"
 #include "sas/secret.h"
 #include "sas/store.h"
+#include "sas/wall.h"
 #include "steer.h"
 #include "upstream.h"
 
@@ -65,14 +65,6 @@
     int exit_status;
 };
 
-static int64_t
-get_wall_ms(void)
-{
-    struct timespec now;
-    clock_gettime(CLOCK_REALTIME, &now);
-    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 /* Messages between tasks. */
 
 #define NODE_OF(pointer, member)                                              \
@@ -287,7 +279,7 @@
         .own_vm = node->own_vm,
         .server_queue = settings->server_queue,
         .random = node->random,
-        .incarnation = (uint32_t)get_wall_ms(),
+        .incarnation = (uint32_t)SasWall_GetMs(),
     };
     node->lending = SasLending_Open(&lending, error);
     if (node->lending == NULL) {
@@ -300,7 +292,7 @@
         .settings = settings,
         .own_vm = node->own_vm,
         .random = node->random,
-        .get_wall_ms = get_wall_ms,
+        .get_wall_ms = SasWall_GetMs,
         .lending = node->lending,
     };
     node->steer = SasSteer_Open(&steer, error);
@@ -320,7 +312,7 @@
                                 &node->guard_listener);
     snprintf(node->identity, sizeof(node->identity),
              "%s-%" G_GINT64_MODIFIER "x-%d",
-             settings->model.vms[node->own_vm].name, get_wall_ms(),
+             settings->model.vms[node->own_vm].name, SasWall_GetMs(),
              (int)getpid());
     node->claims = SasClaims_Open(&node->loop, node->store, &node->counters,
                                   node->identity);
@@ -347,7 +339,7 @@
         .listener = &node->configure_listener,
         .random = node->random,
         .utc_offset_s = settings->utc_offset_s,
-        .get_wall_ms = get_wall_ms,
+        .get_wall_ms = SasWall_GetMs,
     };
     node->configure = SasConfigure_Open(&configure);
     return 0;
@@ -362,7 +354,7 @@
         .loop = &node->loop,
         .settings = settings,
         .own_vm = node->own_vm,
-        .incarnation = (uint64_t)get_wall_ms(),
+        .incarnation = (uint64_t)SasWall_GetMs(),
         .random = node->random,
         .steer = node->steer,
         .configure = node->configure,
@@ -406,7 +398,7 @@
         .configure = node->configure,
         .view = &node->view,
         .token = node->admin_token,
-        .get_wall_ms = get_wall_ms,
+        .get_wall_ms = SasWall_GetMs,
     };
     node->admin = SasAdmin_Open(&admin, &vm->admin, error);
     return node->admin != NULL ? 0 : -1;
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -193,6 +193,15 @@
                 self.assertEqual(answer.status, 503)
                 self.assertIn("Retry-After", answer.headers)
             self.assertEqual(sum(w.crashes for w in workers), crashes)
+            # One that starts again is told, and need not find out by itself.
+            known = len(second.find_lines("suspect", quarantined=True))
+            second.stop()
+            second.start()
+            wait_for(lambda: second.is_ready() and len(second.find_lines(
+                "suspect", quarantined=True)) > known, "it to know again")
+            self.assertEqual(second.request("GET", "/forms/poison").status,
+                             503)
+            self.assertEqual(sum(w.crashes for w in workers), crashes)
             wait_for(lambda: all(
                 vm.request("GET", "/forms/%d" % i).status == 200
                 for vm in fleet.vms for i in range(8)), "all others served")
