soak: sheets, wrong clocks, a request that crashes servers, a key, a plot

New faults: operators put sheets at any entry VM, also two at once and with the store away (promises: no process goes back to an older one; an accepted one is in force everywhere at the end; no version twice); a restarted process has a clock that is off by up to five seconds; one request crashes each server that begins it.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,6 +2,7 @@
 """Fault soak: the real programs as processes, harmed from outside.
 
     soak.py [--seed N] [--seeds N] [--seconds N] [--vms N] [--report FILE]
+            [--plot FILE]
 
 Entry VMs are processes; the store and the backend servers are stand-ins on
 threads, behind proxies that delay, silence, cut and reset. The seed decides
@@ -13,8 +14,13 @@
 Promises: a success is the server's whole answer to that very request; a
 request that may not repeat runs once; what is refused as not run never ran; a
 service runs only requests that a configuration sent there; a configuration
-never goes back in a process; a stop that nothing else disturbs cuts no
-request off; nothing ends by itself; and after the faults all is served again.
+never goes back in a process, nor does the operators' sheet, and an accepted
+one is in force everywhere at the end; a request that crashes servers stops
+being sent; a stop that nothing else disturbs cuts no request off; nothing ends
+by itself; and after the faults all is served again.
+
+Every other seed gives the entry VMs a key of their own. Those that start again
+may have a clock that is wrong by up to five seconds.
 
 One seed is `--seed N`; without it a fresh one is drawn and printed. `--seeds`
 plays as many, one after the other. Faults last, and pauses are drawn, in
@@ -25,6 +31,8 @@
 import http.client
 import os
 import random
+import re
+import subprocess
 import sys
 import threading
 import time
@@ -33,8 +41,8 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "e2e"))
 
-from entry_harness import (Fleet, HOST, ID, SEAL, signal,  # noqa: E402
-                           wait_for)
+from entry_harness import (Fleet, HOST, ID, SEAL, exchange,  # noqa: E402
+                           signal, wait_for)
 from proxy import Proxy  # noqa: E402
 
 SERVERS = 6
@@ -44,6 +52,15 @@
 NOT_RUN = (408, 421, 429, 503)
 TARGET = "x-sassafrassill-target-instance"
 STOP_CLEAR_S = 4  # nothing else near a stop, before and after
+POISON = "/forms/poison"
+# Crashes that a request may still cause after its third: what was on its way
+# at other entry VMs, and a keeper that died with what it knew.
+POISON_SLACK = 6
+SHEETS = ["+0,desk,east,west,%d%%,,,", "+0,desk,west,east,%d%%,20 req/s,,",
+          "+0,desk,east,west,%d%%,5 concurrent,,"]
+SHEET_HEADER = "time,service,from,to,share,cap,drain,limits\n"
+TOKEN = "a-token-of-operators"
+CLOCKS_MS = (0, 0, -5000, 5000, -300)
 KINDS = {"/forms/": "GET", "/filings/": "POST", "/scans/": "POST"}
 
 
@@ -85,6 +102,8 @@
                 self.connect()
             prefix = self.rng.choice(list(KINDS))
             path = prefix + str(self.rng.randrange(40))
+            if self.soak.poisoned and self.rng.random() < 0.02:
+                prefix, path = "/forms/", POISON
             body = b"x" * self.rng.choice((0, 10, 5000)) \
                 if KINDS[prefix] == "POST" else None
             self.send(Sent(self.vm, path, body))
@@ -135,6 +154,9 @@
                         "/scans/": {"vault"}}
         self.services = {}
         self.generation = 0
+        self.poisoned = False
+        self.crashes = []   # moments at which the poison took a server down
+        self.accepted = []  # versions of sheets that were acknowledged
 
     # The deployment.
 
@@ -143,6 +165,8 @@
         if worker is None:
             worker = self.fleet.add_worker(name, service, zone)
             worker.work_s = 0.03
+            worker.poison.add(POISON)
+            worker.on_crash = lambda: self.crashes.append(time.monotonic())
             self.services[name] = service
         if name not in self.proxies:
             self.proxies[name] = Proxy(worker.port)
@@ -157,6 +181,10 @@
         for vm in self.fleet.vms:
             proxy = self.proxies["store-" + vm.name] = Proxy(vm.store_port)
             vm.store_port = proxy.port
+            vm.environment["SASSAFRASSILL_OPERATOR_TOKEN"] = TOKEN
+            if self.seed % 2:
+                vm.environment["SASSAFRASSILL_PEER_KEY"] = "key of the soak %d" \
+                    % self.seed
         self.fleet.start()
 
     def log(self, text):
@@ -205,6 +233,33 @@
                      vm, "handled", False)]
         return self.rng.choice(alive) if len(alive) > 2 else None
 
+    def start_again(self, vm):
+        offset = self.rng.choice(CLOCKS_MS)
+        vm.environment["SASSAFRASSILL_CLOCK_OFFSET_MS"] = str(offset)
+        if offset:
+            self.log("%s starts with a clock off by %d ms" % (vm.name,
+                                                              offset))
+        vm.start()
+
+    def put_sheet(self):
+        """Two operators may do so at the same moment."""
+        vm = self.rng.choice(self.fleet.vms)
+        row = self.rng.choice(SHEETS) % self.rng.randrange(0, 101, 10)
+        try:
+            answer = exchange(vm.address("control"), "PUT", "/v1/sheet",
+                              (SHEET_HEADER + row + "\n").encode(),
+                              {"Authorization": "Bearer " + TOKEN},
+                              timeout=8)
+        except (OSError, http.client.HTTPException):
+            return  # its outcome is unknown
+        if answer.status == 200:
+            self.accepted.append(answer.json()["version"])
+        self.log("sheet %s: %d" % (row, answer.status))
+
+    def poison(self):
+        self.log("a request that crashes servers")
+        self.poisoned = True
+
     def kill_vm(self):
         vm = self.pick_vm()
         if vm is None:
@@ -213,7 +268,7 @@
         self.log("kill " + vm.name)
         vm.stop()
         time.sleep(self.rng.uniform(0.1, 2))
-        vm.start()
+        self.start_again(vm)
         vm.handled = False
 
     def pause_vm(self):
@@ -241,7 +296,7 @@
         self.stops.append((vm, began, time.monotonic()))
         if code != 0:
             self.exits.append((vm.name, code))
-        vm.start()
+        self.start_again(vm)
         vm.handled = False
 
     def hup_vm(self):
@@ -317,10 +372,11 @@
         time.sleep(self.rng.uniform(1, 5))
         self.fleet.store.remove("op", "evacuate/" + zone)
 
-    PLANNED = ("change_config", "hup_vm", "evacuate")
+    PLANNED = ("change_config", "hup_vm", "evacuate", "put_sheet")
     FAULTS = ("harm_link", "harm_link", "harm_store", "kill_vm", "pause_vm",
               "stop_vm", "replace_server", "spoil_answers", "slow_server",
-              "change_config", "hup_vm", "evacuate")
+              "change_config", "hup_vm", "evacuate", "put_sheet", "put_sheet",
+              "poison")
 
     def run_fault(self, name):
         began = time.monotonic()
@@ -384,17 +440,38 @@
                     yield "%s %s ran at %s" % (sent.path, sent.id, service)
 
     def check_versions(self):
+        """Of configurations and of sheets, each in one run of a process."""
         for vm in self.fleet.vms:
-            last = 0
+            last = {}
             for line in vm.log():
                 if line["step"] == "process.start":
-                    last = 0
-                if line["step"] == "config.apply":
-                    version = int(line["text"].split()[0].split("=")[1])
-                    if version <= last:
-                        yield "%s went from version %d to %d" % (
-                            vm.name, last, version)
-                    last = version
+                    last = {}
+                if line["step"] not in ("config.apply", "config.adopt"):
+                    continue
+                version = int(re.search(r"version[ =](\d+)",
+                                        line["text"]).group(1))
+                if version <= last.get(line["step"], 0):
+                    yield "%s: %s went from %d to %d" % (
+                        vm.name, line["step"], last[line["step"]], version)
+                last[line["step"]] = version
+
+    def read_sheets(self):
+        def read(vm):
+            return exchange(vm.address("control"), "GET", "/v1/status", None,
+                            {"Authorization": "Bearer " + TOKEN}).json()
+        return {vm.name: read(vm)["version"] for vm in self.fleet.vms}
+
+    def check_sheets(self):
+        versions = self.read_sheets()
+        if len(set(versions.values())) > 1:
+            yield "sheets in force at the end: %s" % versions
+        lost = max(self.accepted, default=0) > max(versions.values())
+        if lost or len(set(self.accepted)) < len(self.accepted):
+            yield "accepted %s, in force %s" % (self.accepted, versions)
+
+    def check_poison(self):
+        if len(self.crashes) > 3 + POISON_SLACK:
+            yield "one request crashed servers %d times" % len(self.crashes)
 
     def check_stops(self):
         """Requests that were cut by a stop with no trouble near it."""
@@ -421,7 +498,8 @@
     def check(self):
         found = []
         for check in (self.check_answers, self.check_runs,
-                      self.check_versions, self.check_stops,
+                      self.check_versions, self.check_sheets,
+                      self.check_poison, self.check_stops,
                       self.check_exits):
             found.extend(check())
         return found
@@ -432,6 +510,9 @@
 
         def served(vm, path):
             return vm.request(path=path, deadline_ms=2000).status == 200
+        newest = max(self.accepted, default=0)
+        wait_for(lambda: min(self.read_sheets().values()) >= newest,
+                 "the sheet in force everywhere")
         for vm in self.fleet.vms:
             for path in ("/forms/1", "/forms/2"):
                 wait_for(lambda: served(vm, path), "%s to serve" % vm.name)
@@ -486,6 +567,37 @@
         len(soak.events), stops, len(found))
 
 
+def plot(soak, path):
+    """Requests a second by how they ended, and the faults, as a picture; by
+    gnuplot (Debian: gnuplot-nox), which only this option needs."""
+    if not soak.sent:
+        return
+    began = soak.sent[0].at
+    names = ("answered", "refused", "failed", "cut")
+    seconds = {}
+    for sent in soak.sent:
+        name = "cut" if sent.status is None else \
+            "answered" if sent.status < 300 else \
+            "refused" if sent.status in NOT_RUN else "failed"
+        row = seconds.setdefault(int(sent.at - began), dict.fromkeys(names, 0))
+        row[name] += 1
+    lines = ["set terminal png size 1400,700",
+             "set output '%s'" % path, "set key outside",
+             "set xlabel 'seconds'", "set ylabel 'requests a second'",
+             "set title 'seed %d'" % soak.seed, "$data << EOD"]
+    lines += ["%d %s" % (at, " ".join(str(row[n]) for n in names))
+              for at, row in sorted(seconds.items())]
+    lines.append("EOD")
+    for number, (at, text) in enumerate(soak.events):
+        lines.append("set label '%s' at %.1f,graph %.2f font ',7'" % (
+            text.replace("'", ""), at - began, 0.98 - number % 30 * 0.03))
+    lines.append("plot " + ", ".join(
+        "$data using 1:%d with lines lw 2 title '%s'" % (i + 2, name)
+        for i, name in enumerate(names)))
+    subprocess.run(["gnuplot"], input="\n".join(lines), text=True,
+                   check=True)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--seed", type=int)
@@ -493,6 +605,7 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--vms", type=int, default=4)
     parser.add_argument("--report")
+    parser.add_argument("--plot")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else \
         random.SystemRandom().randrange(1 << 31)
@@ -505,6 +618,8 @@
         for text in found[:10]:
             print("  " + text, flush=True)
         failed += 1 if found else 0
+        if options.plot:
+            plot(soak, options.plot)
         if options.report:
             with open(options.report, "a") as file:
                 file.write("\n".join([line] + ["  " + t for t in found]) +
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -56,6 +56,7 @@
         self.poison = set()
         self.down_s = 0.5
         self.crashes = 0
+        self.on_crash = lambda: None
         self.connections = set()
         self.lock = threading.Lock()
         self.ran = []        # Request, in the order in which they began
@@ -101,6 +102,7 @@
     def crash(self):
         """No connection survives it, and none is taken until it is back."""
         self.crashes += 1
+        self.on_crash()
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         with self.lock:
