--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -374,6 +374,33 @@
             self.assertEqual(vm.request().status, 200)
 
 
+    def test_an_entry_vm_takes_hundreds_of_servers_over_from_its_leader(self):
+        """Rows come in pages from the zone's leader; a server that is missing
+        in one would get none of this entry VM's requests."""
+        with Fleet(vms=("a", "a", "a")) as fleet:
+            for i in range(430):
+                fleet.add_worker_row("x%03d" % i, 9000 + i)
+            fleet.add_worker("d1")
+            first, second, third = fleet.vms
+            first.start()
+            wait_for(first.is_ready, "the leader to be ready")
+            wait_for(lambda: first.find_lines("store.listed",
+                                              peer="servers"), "its listing")
+            second.start()
+            third.start()
+
+            def count(vm):
+                view = exchange(vm.address("ready"), "GET",
+                                "/v1/view").json()
+                return len(view["servers"])
+            wait_for(lambda: all(vm.is_ready() and count(vm) == 431
+                                 for vm in fleet.vms), "all to know all")
+            fleet.store.remove("servers", "x007")
+            fleet.add_worker_row("y000", 9999)
+            fleet.add_worker_row("y001", 9998)
+            wait_for(lambda: all(count(vm) == 432 for vm in fleet.vms),
+                     "all to follow")
+
     def test_entry_vms_with_a_key_take_rows_only_from_those_that_have_it(
             self):
         """The store turns an entry VM away, and it hears of a new server from
