mesh: seats, orders and talk as modules of their own; five wrappers gone

Now mesh.c (the entry VMs by seat, who lives, look-ups), mesh_order.c (who stands for something that has a hash) and mesh_talk.c (datagrams, rounds, replies), with mesh_seats.h between them. The gateway repeated five calls of the mesh for the adapter, which includes mesh.h anyway; it asks for the mesh instead.

No change of behaviour; test_gossip and the entry tests pass.

--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -19,7 +19,6 @@
 
 struct sas_gateway;
 struct sas_mesh;
-struct sas_mesh_facts;
 
 /* Where the model comes from; embed it as first member. */
 struct sas_source {
@@ -49,19 +48,7 @@
 int SasGateway_Run(struct sas_gateway *gateway);
 void SasGateway_Close(struct sas_gateway *gateway);
 
-/* For the source: another entry VM, and what to announce of this one. */
-void SasGateway_AddVm(struct sas_gateway *gateway,
-                      const struct sas_mesh_facts *facts);
-bool SasGateway_PickPeer(struct sas_gateway *gateway,
-                         struct sas_address *peer); /* a live one */
-/* The one of the own failure domain that asks the source of the model for the
- * others there; false when it is this one. */
-bool SasGateway_FindLeader(const struct sas_gateway *gateway,
-                           struct sas_address *peer);
-int SasGateway_CountVms(const struct sas_gateway *gateway); /* live ones */
-const struct sas_mesh_facts *
-SasGateway_GetOwn(const struct sas_gateway *gateway);
-
+/* GetMesh: the other entry VMs, for the source of the model and the sheet. */
 bool SasGateway_IsReady(const struct sas_gateway *gateway);
 struct sas_mesh *SasGateway_GetMesh(const struct sas_gateway *gateway);
 struct sas_metrics *SasGateway_GetMetrics(const struct sas_gateway *gateway);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -254,38 +254,6 @@
     g_free(gateway);
 }
 
-void
-SasGateway_AddVm(struct sas_gateway *gateway,
-                 const struct sas_mesh_facts *facts)
-{
-    SasMesh_AddVm(gateway->mesh, facts);
-}
-
-bool
-SasGateway_PickPeer(struct sas_gateway *gateway, struct sas_address *peer)
-{
-    return SasMesh_PickPeer(gateway->mesh, peer);
-}
-
-bool
-SasGateway_FindLeader(const struct sas_gateway *gateway,
-                      struct sas_address *peer)
-{
-    return SasMesh_FindLeader(gateway->mesh, peer);
-}
-
-int
-SasGateway_CountVms(const struct sas_gateway *gateway)
-{
-    return SasMesh_Count(gateway->mesh);
-}
-
-const struct sas_mesh_facts *
-SasGateway_GetOwn(const struct sas_gateway *gateway)
-{
-    return SasMesh_GetOwn(gateway->mesh);
-}
-
 bool
 SasGateway_IsReady(const struct sas_gateway *gateway)
 {
--- /dev/null
+++ b/packages/gateway/src/mesh_order.c
@@ -0,0 +1,126 @@
+/* Orders in which entry VMs stand for something that has a hash. */
+#include "mesh_seats.h"
+
+#include <xxhash.h>
+
+static uint64_t
+score_vm(const struct sas_mesh *mesh, uint64_t server_hash, int seat)
+{
+    uint64_t words[2] = {server_hash, SasMesh_GetVm(mesh, seat)->name_hash};
+    return XXH3_64bits(words, sizeof(words));
+}
+
+int
+SasMesh_GetRank(const struct sas_mesh *mesh, uint64_t server_hash, int region)
+{
+    bool member = SasMesh_GetRegion(mesh, OWN_SEAT) == region;
+    uint64_t own = score_vm(mesh, server_hash, OWN_SEAT);
+    int rank = 0;
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (SasMesh_GetRegion(mesh, seat) == region &&
+            SasMesh_IsLive(mesh, seat) &&
+            (!member || score_vm(mesh, server_hash, seat) > own)) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+static bool
+may_send(const struct sas_mesh *mesh, int seat)
+{
+    enum sas_member_state state =
+        SasMembership_GetState(&mesh->table, seat, SasMesh_Now(mesh));
+    return seat == OWN_SEAT || state == SAS_MEMBER_LIVE ||
+           state == SAS_MEMBER_LEAVING || state == SAS_MEMBER_SUSPECT;
+}
+
+struct sas_mesh_senders
+SasMesh_GetSenders(const struct sas_mesh *mesh, uint64_t server_hash,
+                   int region)
+{
+    struct sas_mesh_senders senders = {0};
+    uint64_t own = score_vm(mesh, server_hash, OWN_SEAT);
+    for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
+        if (SasMesh_GetRegion(mesh, seat) != region || !may_send(mesh, seat)) {
+            continue;
+        }
+        senders.count++;
+        senders.rank += score_vm(mesh, server_hash, seat) > own ? 1 : 0;
+    }
+    return senders;
+}
+
+/* The first of the live ones in the hash's order, of one region or (NONE) of
+ * all, without one seat (or NONE); SasModel_NONE where there is none. */
+int
+SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region,
+                  int without)
+{
+    int first = SasModel_NONE;
+    for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
+        bool counts =
+            region == SasModel_NONE || SasMesh_GetRegion(mesh, seat) == region;
+        if (!counts || seat == without || !SasMesh_IsLive(mesh, seat)) {
+            continue;
+        }
+        if (first == SasModel_NONE ||
+            score_vm(mesh, hash, seat) > score_vm(mesh, hash, first)) {
+            first = seat;
+        }
+    }
+    return first;
+}
+
+bool
+SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash)
+{
+    return SasMesh_IsFirstBut(mesh, hash, SasModel_NONE);
+}
+
+bool
+SasMesh_IsFirstBut(const struct sas_mesh *mesh, uint64_t hash, int i)
+{
+    return SasMesh_FindFirst(mesh, hash, SasModel_NONE, i) == OWN_SEAT;
+}
+
+static bool
+leads_before(const struct vm *one, const struct vm *other)
+{
+    if (one->facts.strength != other->facts.strength) {
+        return one->facts.strength > other->facts.strength;
+    }
+    return one->name_hash < other->name_hash;
+}
+
+bool
+SasMesh_FindLeader(const struct sas_mesh *mesh, struct sas_address *peer)
+{
+    int leader = OWN_SEAT;
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        const struct vm *vm = SasMesh_GetVm(mesh, seat);
+        if (vm->zone == SasMesh_GetVm(mesh, OWN_SEAT)->zone &&
+            leads_before(vm, SasMesh_GetVm(mesh, leader)) &&
+            SasMesh_IsLive(mesh, seat)) {
+            leader = seat;
+        }
+    }
+    *peer = SasMesh_GetVm(mesh, leader)->facts.peer;
+    return leader != OWN_SEAT;
+}
+
+bool
+SasMesh_PickPeer(struct sas_mesh *mesh, struct sas_address *peer)
+{
+    int live = 0;
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (!SasMesh_IsLive(mesh, seat)) {
+            continue;
+        }
+        live++;
+        if (g_rand_int_range(mesh->random, 0, live) == 0) {
+            *peer = SasMesh_GetVm(mesh, seat)->facts.peer;
+        }
+    }
+    return live > 0;
+}
--- /dev/null
+++ b/packages/gateway/src/mesh_seats.h
@@ -0,0 +1,73 @@
+/* mesh_seats - what mesh.c, mesh_order.c and mesh_talk.c share: the table of
+ * entry VMs by seat, the own one first. */
+#ifndef SAS_MESH_SEATS_H
+#define SAS_MESH_SEATS_H
+
+#include "mesh.h"
+#include "sas/exchange.h"
+#include "sas/generated/mesh.h"
+#include "sas/membership.h"
+#include "sas/proto.h"
+
+#define OWN_SEAT 0
+
+/* News in a greeting: of this one alone, which a digest begins with. At a
+ * start everybody greets everybody; with all news in each greeting 300 entry
+ * VMs would send each other 0.2 GB. */
+#define OWN_NEWS 1
+
+struct vm { /* an entry VM */
+    struct sas_mesh_facts facts;
+    uint64_t name_hash;
+    int zone;
+    bool withdrawn; /* by the operators' sheet */
+    struct sockaddr_storage peer;
+    enum sas_member_state told; /* state in the last log line */
+};
+
+struct sas_mesh {
+    uv_loop_t *loop;
+    uv_udp_t socket;
+    uv_timer_t rounds;
+    uv_timer_t replies; /* runs while questions wait for theirs */
+    struct sas_exchanges exchanges;
+    int open_handles;
+    struct sas_fleet *fleet;
+    GRand *random;
+    GArray *vms; /* struct vm, by seat */
+    struct sas_membership table;
+    struct sas_mesh_user *user;
+    int64_t sheet_version;     /* the highest heard of */
+    struct sas_proto_key *key; /* NULL: none */
+};
+
+/* mesh.c */
+int64_t SasMesh_Now(const struct sas_mesh *mesh);
+struct vm *SasMesh_GetVm(const struct sas_mesh *mesh, int seat);
+int SasMesh_GetRegion(const struct sas_mesh *mesh, int seat);
+bool SasMesh_IsLive(const struct sas_mesh *mesh, int seat);
+int SasMesh_FindSeat(const struct sas_mesh *mesh, uint64_t name_hash);
+/* The seat of an entry VM, with its newest addresses; SasModel_NONE where
+ * there is no room or its zone is not known. */
+int SasMesh_LearnVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts);
+/* Not heard of before, or started again since. */
+bool SasMesh_IsNewcomer(const struct sas_mesh *mesh,
+                        const struct sas_mesh_facts *facts);
+
+/* mesh_order.c: the first of the live ones in the hash's order, of one region
+ * or (NONE) of all, without one seat (or NONE); SasModel_NONE where there is
+ * none. */
+int SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region,
+                      int without);
+
+/* mesh_talk.c */
+/* Opens the socket and begins the rounds; -1 with an error where the address
+ * is not to be had, or the own seat (seated) is not. */
+int SasMesh_OpenTalk(struct sas_mesh *mesh, bool seated,
+                     struct sas_error *error);
+void SasMesh_SendNews(struct sas_mesh *mesh, const struct vm *vm, int max,
+                      bool wants_reply);
+/* All that fits into a message, to everybody. */
+void SasMesh_TellAll(struct sas_mesh *mesh);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/mesh_talk.c
@@ -0,0 +1,567 @@
+/* What entry VMs tell each other: datagrams, rounds of gossip, replies. */
+#include "mesh_seats.h"
+
+#include <string.h>
+
+#include <openssl/crypto.h>
+#include <rpc/rpc.h>
+
+#include "sas/http.h"
+#include "sas/log.h"
+#include "sas/wall.h"
+
+#define MAX_DATAGRAM 1400
+
+/* Whoever has heard from an entry VM itself so lately doesn't believe
+ * another's doubt of it: a doubt is raised 1.8 s after a question that got no
+ * reply, so that one of a dead entry VM is never refused by this. Without it a
+ * cut between two zones would make each doubt the other for everybody. */
+#define HEARD_MS 1500
+
+/* Clocks of VMs are close to the true time; the users know steps of two
+ * seconds. */
+#define MAX_SKEW_MS 30000
+
+static void on_round(uv_timer_t *timer);
+static void on_replies_due(uv_timer_t *timer);
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
+                        const struct sockaddr *from, unsigned flags);
+static void tell_of(struct sas_mesh *mesh, int about);
+static void send_message(struct sas_mesh *mesh, const struct vm *vm,
+                         sas_mesh_message *message);
+
+/* Opening. */
+
+/* The port that others are to use, also where the kernel chose it. */
+static void
+read_port(struct sas_mesh *mesh)
+{
+    struct vm *own = SasMesh_GetVm(mesh, OWN_SEAT);
+    struct sockaddr_storage storage;
+    int size = sizeof(storage);
+    uv_udp_getsockname(&mesh->socket, (struct sockaddr *)&storage, &size);
+    own->facts.peer.port =
+        ntohs(((const struct sockaddr_in *)&storage)->sin_port);
+}
+
+int
+SasMesh_OpenTalk(struct sas_mesh *mesh, bool seated, struct sas_error *error)
+{
+    uv_udp_init(mesh->loop, &mesh->socket);
+    uv_timer_init(mesh->loop, &mesh->rounds);
+    uv_timer_init(mesh->loop, &mesh->replies);
+    SasExchange_Init(&mesh->exchanges);
+    mesh->socket.data = mesh;
+    mesh->rounds.data = mesh;
+    mesh->replies.data = mesh;
+    mesh->open_handles = 3;
+    struct vm *own = seated ? SasMesh_GetVm(mesh, OWN_SEAT) : NULL;
+    int rc = own != NULL
+                 ? uv_udp_bind(&mesh->socket, (struct sockaddr *)&own->peer, 0)
+                 : UV_EINVAL;
+    if (rc != 0) {
+        SasError_Set(error, SAS_EIO, "mesh.bind",
+                     own != NULL ? own->facts.peer.ip : "", "%s",
+                     uv_strerror(rc));
+        return -1;
+    }
+    read_port(mesh);
+    uv_udp_recv_start(&mesh->socket, on_alloc, on_datagram);
+    uint64_t interval_ms = (uint64_t)mesh->table.times.interval_ms;
+    uv_timer_start(&mesh->rounds, on_round, interval_ms, interval_ms);
+    return 0;
+}
+
+/* Rounds. */
+
+static void
+log_changes(struct sas_mesh *mesh)
+{
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        struct vm *vm = SasMesh_GetVm(mesh, seat);
+        int64_t now_ms = SasMesh_Now(mesh);
+        enum sas_member_state state =
+            SasMembership_GetState(&mesh->table, seat, now_ms);
+        if (state != vm->told) {
+            SasLog_Write(SasLog_INFO, "mesh.state", vm->facts.name,
+                         "from=%s to=%s age_ms=%" G_GINT64_FORMAT,
+                         SasMembership_GetStateName(vm->told),
+                         SasMembership_GetStateName(state),
+                         SasMembership_GetAge(&mesh->table, seat, now_ms));
+            vm->told = state;
+        }
+    }
+}
+
+/* A question, and what becomes of one that gets no reply. The age of news
+ * alone tells late of a death where each message holds news of a few of all:
+ * 12 s with 70 entry VMs and a minute with 300, in which callers are sent to a
+ * dead one. */
+
+static void
+ask(struct sas_mesh *mesh, int seat)
+{
+    SasExchange_Begin(&mesh->exchanges, seat, SasMesh_Now(mesh));
+    SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, seat), SAS_MESH_MAX_NEWS, true);
+    if (!uv_is_active((uv_handle_t *)&mesh->replies)) {
+        uv_timer_start(&mesh->replies, on_replies_due, SasExchange_REPLY_MS,
+                       SasExchange_REPLY_MS);
+    }
+}
+
+static void
+note_silence(struct sas_mesh *mesh, int seat)
+{
+    if (SasMembership_NoteSilence(&mesh->table, seat, SasMesh_Now(mesh)) !=
+        0) {
+        SasLog_Write(
+            SasLog_INFO, "mesh.doubt", SasMesh_GetVm(mesh, seat)->facts.name,
+            "no reply to two questions, age_ms=%" G_GINT64_FORMAT,
+            SasMembership_GetAge(&mesh->table, seat, SasMesh_Now(mesh)));
+        tell_of(mesh, seat);
+    }
+    else if (SasMembership_MayRetry(&mesh->table, seat)) {
+        ask(mesh, seat);
+    }
+}
+
+static void
+on_replies_due(uv_timer_t *timer)
+{
+    struct sas_mesh *mesh = timer->data;
+    struct sas_exchange_due due;
+    while (SasExchange_Next(&mesh->exchanges, SasMesh_Now(mesh), &due)) {
+        if (due.silent) {
+            note_silence(mesh, due.seat);
+        }
+        else {
+            SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, due.seat),
+                             SAS_MESH_MAX_NEWS, true);
+        }
+    }
+    if (mesh->exchanges.count == 0) {
+        uv_timer_stop(timer);
+    }
+}
+
+static void
+on_round(uv_timer_t *timer)
+{
+    struct sas_mesh *mesh = timer->data;
+    int64_t now_ms = SasMesh_Now(mesh);
+    SasMembership_Beat(&mesh->table, now_ms);
+    int seat = SasModel_NONE;
+    if (SasMembership_PickPeers(&mesh->table, mesh->random, now_ms, &seat,
+                                1) == 1) {
+        ask(mesh, seat);
+    }
+    log_changes(mesh);
+    uv_timer_set_repeat(timer, (uint64_t)mesh->table.times.interval_ms);
+}
+
+void
+SasMesh_TellAll(struct sas_mesh *mesh)
+{
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, seat), SAS_MESH_MAX_NEWS,
+                         false);
+    }
+}
+
+/* To the first one alone; where that is this one, or with to_all, to all. */
+static void
+send_by_way_of(struct sas_mesh *mesh, sas_mesh_message *message, int first,
+               bool to_all)
+{
+    if (first != OWN_SEAT && !to_all) {
+        if (first != SasModel_NONE) {
+            send_message(mesh, SasMesh_GetVm(mesh, first), message);
+        }
+        return;
+    }
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        if (SasMesh_IsLive(mesh, seat)) {
+            send_message(mesh, SasMesh_GetVm(mesh, seat), message);
+        }
+    }
+}
+
+void
+SasMesh_TellTrip(struct sas_mesh *mesh, const struct sas_mesh_trip_news *news,
+                 int region)
+{
+    sas_mesh_trip trip = {
+        .server_hash = news->server_hash,
+        .left_ms = (u_int)news->left_ms,
+        .restarted = news->restarted,
+    };
+    sas_mesh_message message = {
+        .trips = {.trips_len = 1, .trips_val = &trip},
+    };
+    send_by_way_of(
+        mesh, &message,
+        SasMesh_FindFirst(mesh, news->server_hash, region, SasModel_NONE),
+        false);
+}
+
+/* How many rows fit; they are the message's. */
+static void
+fill_suspects(sas_mesh_message *message, sas_mesh_suspect *suspects,
+              const struct sas_mesh_suspect_news *rows, int count)
+{
+    count = MIN(count, SAS_MESH_MAX_SUSPECTS);
+    for (int i = 0; i < count; i++) {
+        suspects[i].high = rows[i].fingerprint.high;
+        suspects[i].low = rows[i].fingerprint.low;
+        suspects[i].crash = rows[i].crash;
+        suspects[i].alone = rows[i].alone;
+        suspects[i].survived = rows[i].survived;
+    }
+    message->suspects.suspects_len = (u_int)count;
+    message->suspects.suspects_val = suspects;
+}
+
+void
+SasMesh_TellSuspect(struct sas_mesh *mesh,
+                    const struct sas_mesh_suspect_news *rows, int count,
+                    bool to_all)
+{
+    if (count == 0) {
+        return;
+    }
+    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
+    sas_mesh_message message = {0};
+    fill_suspects(&message, suspects, rows, count);
+    int first = SasMesh_FindFirst(mesh, rows[0].fingerprint.low, SasModel_NONE,
+                                  SasModel_NONE);
+    send_by_way_of(mesh, &message, first, to_all);
+}
+
+void
+SasMesh_TellSuspectTo(struct sas_mesh *mesh,
+                      const struct sas_mesh_suspect_news *rows, int count,
+                      int i)
+{
+    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
+    sas_mesh_message message = {0};
+    fill_suspects(&message, suspects, rows, count);
+    send_message(mesh, SasMesh_GetVm(mesh, i), &message);
+}
+
+/* Datagrams. */
+
+static sas_mesh_news
+encode_news(const struct sas_mesh *mesh, const struct sas_member_news *news)
+{
+    sas_mesh_news row = {
+        .name_hash = SasMesh_GetVm(mesh, news->seat)->name_hash,
+        .incarnation = news->incarnation,
+        .config_version = news->config_version,
+        .heartbeat = news->heartbeat,
+        .doubt = news->doubt,
+        .age_ms = (u_int)news->age_ms,
+        .leaving = news->leaving,
+    };
+    return row;
+}
+
+static void
+fill_news(struct sas_mesh *mesh, sas_mesh_news *news, int max, u_int *count)
+{
+    struct sas_member_news digest[SAS_MESH_MAX_NEWS];
+    int filled = SasMembership_FillDigest(&mesh->table, mesh->random,
+                                          SasMesh_Now(mesh), digest, max);
+    for (int i = 0; i < filled; i++) {
+        news[i] = encode_news(mesh, &digest[i]);
+    }
+    *count = (u_int)filled;
+}
+
+/* Datagrams are proved by the key that all entry VMs share, where there is
+ * one: whoever reaches the port could otherwise name entry VMs and shun
+ * servers. */
+
+static const struct sas_proto_session no_session;
+
+static unsigned
+sign(const struct sas_mesh *mesh, char *bytes, unsigned size)
+{
+    if (mesh->key == NULL ||
+        !SasProto_Sign(mesh->key, &no_session, (const uint8_t *)bytes, size,
+                       (uint8_t *)bytes + size)) {
+        return size;
+    }
+    return size + SasProto_MAC_SIZE;
+}
+
+/* The size of the message; 0: it is not one of ours. */
+static unsigned
+verify(const struct sas_mesh *mesh, const char *bytes, unsigned size)
+{
+    uint8_t mac[SasProto_MAC_SIZE];
+    if (mesh->key == NULL) {
+        return size;
+    }
+    if (size <= sizeof(mac)) {
+        return 0;
+    }
+    size -= (unsigned)sizeof(mac);
+    bool known = SasProto_Sign(mesh->key, &no_session, (const uint8_t *)bytes,
+                               size, mac) &&
+                 CRYPTO_memcmp(mac, bytes + size, sizeof(mac)) == 0;
+    return known ? size : 0;
+}
+
+/* One that was recorded could be sent again: that a server has tripped, or
+ * that this entry VM leaves. */
+static bool
+is_fresh(const struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    int64_t age_ms = SasWall_GetMs() - (int64_t)message->sent_ms;
+    return mesh->key == NULL || ABS(age_ms) <= MAX_SKEW_MS;
+}
+
+/* Fills in the sender and sends. */
+static void
+send_message(struct sas_mesh *mesh, const struct vm *vm,
+             sas_mesh_message *message)
+{
+    const struct sas_mesh_facts *own = SasMesh_GetOwn(mesh);
+    message->format = SAS_MESH_FORMAT;
+    message->sender.name = (char *)own->name;
+    message->sender.zone = (char *)own->zone;
+    message->sender.ip = (char *)own->peer.ip;
+    message->sender.caller_port = (u_int)own->caller.port;
+    message->sender.peer_port = (u_int)own->peer.port;
+    message->sender.incarnation = own->incarnation;
+    message->sender.strength = (u_int)own->strength;
+    message->sender.sheet_version = (u_quad_t)mesh->sheet_version;
+    message->sent_ms = (u_quad_t)SasWall_GetMs();
+    char bytes[MAX_DATAGRAM];
+    XDR xdr;
+    xdrmem_create(&xdr, bytes, sizeof(bytes) - SasProto_MAC_SIZE, XDR_ENCODE);
+    if (xdr_sas_mesh_message(&xdr, message)) {
+        unsigned size = sign(mesh, bytes, xdr_getpos(&xdr));
+        uv_buf_t buffer = uv_buf_init(bytes, size);
+        /* A full socket loses the datagram, as the network may. */
+        uv_udp_try_send(&mesh->socket, &buffer, 1,
+                        (const struct sockaddr *)&vm->peer);
+    }
+    xdr_destroy(&xdr);
+}
+
+void
+SasMesh_SendNews(struct sas_mesh *mesh, const struct vm *vm, int max,
+                 bool wants_reply)
+{
+    sas_mesh_news news[SAS_MESH_MAX_NEWS];
+    sas_mesh_message message = {
+        .wants_reply = wants_reply,
+        .news = {.news_val = news},
+    };
+    fill_news(mesh, news, max, &message.news.news_len);
+    send_message(mesh, vm, &message);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static _Thread_local char bytes[MAX_DATAGRAM + 1];
+    (void)handle;
+    (void)suggested;
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+/* Tells everybody of one entry VM, at once: the usual messages hold a part of
+ * what is known, and a change goes into some of them only. */
+static void
+tell_of(struct sas_mesh *mesh, int about)
+{
+    struct sas_member_news news;
+    SasMembership_GetNews(&mesh->table, about, SasMesh_Now(mesh), &news);
+    sas_mesh_news row = encode_news(mesh, &news);
+    sas_mesh_message message = {
+        .news = {.news_len = 1, .news_val = &row},
+    };
+    /* To itself as well: it may live, and refutes what it hears. */
+    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+        send_message(mesh, SasMesh_GetVm(mesh, seat), &message);
+    }
+}
+
+/* A process that started while its clock had gone back is older, by its
+ * incarnation, than the one before it: whatever it says is dropped, and it
+ * passes for dead. So it is told of the one before it, and renews itself. */
+static void
+correct_sender(struct sas_mesh *mesh, const struct sas_mesh_facts *sender,
+               const struct vm *known)
+{
+    struct vm vm = {.name_hash = known->name_hash};
+    if (SasHttp_GetSockaddr(&sender->peer, &vm.peer) != 0) {
+        return;
+    }
+    sas_mesh_news row = {
+        .name_hash = known->name_hash,
+        .incarnation = known->facts.incarnation,
+    };
+    sas_mesh_message message = {
+        .news = {.news_len = 1, .news_val = &row},
+    };
+    send_message(mesh, &vm, &message);
+}
+
+static void
+renew_own(struct sas_mesh *mesh)
+{
+    uint64_t incarnation =
+        SasMembership_Renew(&mesh->table, SasMesh_Now(mesh));
+    if (incarnation == 0) {
+        return;
+    }
+    struct vm *own = SasMesh_GetVm(mesh, OWN_SEAT);
+    SasLog_Write(SasLog_WARN, "mesh.renew", own->facts.name,
+                 "an earlier process of this entry VM looks newer: "
+                 "incarnation=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT,
+                 incarnation, own->facts.incarnation);
+    own->facts.incarnation = incarnation;
+    SasMesh_TellAll(mesh);
+}
+
+static void
+tell_user(struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    for (u_int i = 0; i < message->trips.trips_len; i++) {
+        const sas_mesh_trip *trip = &message->trips.trips_val[i];
+        struct sas_mesh_trip_news news = {
+            .server_hash = trip->server_hash,
+            .left_ms = trip->left_ms,
+            .restarted = trip->restarted,
+        };
+        mesh->user->on_trip(mesh->user, &news);
+    }
+    for (u_int i = 0; i < message->suspects.suspects_len; i++) {
+        const sas_mesh_suspect *row = &message->suspects.suspects_val[i];
+        struct sas_mesh_suspect_news news = {
+            .fingerprint = {row->high, row->low},
+            .crash = row->crash,
+            .alone = row->alone,
+            .survived = row->survived,
+        };
+        mesh->user->on_suspect(mesh->user, &news);
+    }
+}
+
+static void
+take_row(struct sas_mesh *mesh, const sas_mesh_news *row)
+{
+    int64_t now_ms = SasMesh_Now(mesh);
+    struct sas_member_news news = {
+        .seat = SasMesh_FindSeat(mesh, row->name_hash),
+        .leaving = row->leaving,
+        .incarnation = row->incarnation,
+        .config_version = row->config_version,
+        .heartbeat = row->heartbeat,
+        .doubt = row->doubt,
+        .age_ms = row->age_ms,
+    };
+    if (news.seat == SasModel_NONE) {
+        return;
+    }
+    if (news.seat != OWN_SEAT &&
+        now_ms - mesh->table.members[news.seat].direct_ms < HEARD_MS) {
+        news.doubt = 0;
+    }
+    int changes = SasMembership_Merge(&mesh->table, &news, now_ms);
+    bool refuted = news.seat == OWN_SEAT && (changes & SAS_CHANGE_MEMBER) != 0;
+    if (refuted) {
+        SasLog_Write(SasLog_INFO, "mesh.refute", "",
+                     "another entry VM had no reply from this one");
+        tell_of(mesh, OWN_SEAT);
+    }
+}
+
+static void
+take_news(struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    for (u_int i = 0; i < message->news.news_len; i++) {
+        take_row(mesh, &message->news.news_val[i]);
+    }
+}
+
+static void
+take_message(struct sas_mesh *mesh, const sas_mesh_message *message)
+{
+    struct sas_mesh_facts facts = {
+        .caller.port = (int)message->sender.caller_port,
+        .peer.port = (int)message->sender.peer_port,
+        .incarnation = message->sender.incarnation,
+        .strength = message->sender.strength,
+    };
+    g_strlcpy(facts.name, message->sender.name, sizeof(facts.name));
+    g_strlcpy(facts.zone, message->sender.zone, sizeof(facts.zone));
+    g_strlcpy(facts.caller.ip, message->sender.ip, sizeof(facts.caller.ip));
+    g_strlcpy(facts.peer.ip, message->sender.ip, sizeof(facts.peer.ip));
+    bool newcomer = SasMesh_IsNewcomer(mesh, &facts);
+    int seat = SasMesh_LearnVm(mesh, &facts);
+    if (seat == SasModel_NONE || seat == OWN_SEAT) {
+        return;
+    }
+    mesh->sheet_version =
+        MAX(mesh->sheet_version, (int64_t)message->sender.sheet_version);
+    take_news(mesh, message);
+    if (facts.incarnation < SasMesh_GetVm(mesh, seat)->facts.incarnation) {
+        correct_sender(mesh, &facts, SasMesh_GetVm(mesh, seat));
+    }
+    renew_own(mesh);
+    SasExchange_End(&mesh->exchanges, seat);
+    SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation,
+                             SasMesh_Now(mesh));
+    tell_user(mesh, message);
+    if (newcomer) {
+        mesh->user->on_newcomer(mesh->user, seat);
+    }
+    if (message->wants_reply && message->news.news_len <= 1) {
+        SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, seat), OWN_NEWS, false);
+    }
+    else if (message->wants_reply) {
+        SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, seat), SAS_MESH_MAX_NEWS,
+                         false);
+    }
+}
+
+static void
+on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
+            const struct sockaddr *from, unsigned flags)
+{
+    struct sas_mesh *mesh = socket->data;
+    if (count <= 0 || count > MAX_DATAGRAM || from == NULL ||
+        (flags & UV_UDP_PARTIAL) != 0) {
+        return;
+    }
+    sas_mesh_message message = {0};
+    unsigned size = verify(mesh, data->base, (unsigned)count);
+    if (size == 0) {
+        SasLog_Write(SasLog_WARN, "mesh.refuse", "",
+                     "a datagram of %zd bytes is not signed with our key",
+                     count);
+        return;
+    }
+    XDR xdr;
+    xdrmem_create(&xdr, data->base, size, XDR_DECODE);
+    bool decoded = xdr_sas_mesh_message(&xdr, &message);
+    if (decoded && message.format == SAS_MESH_FORMAT &&
+        !is_fresh(mesh, &message)) {
+        SasLog_Write(SasLog_WARN, "mesh.refuse", message.sender.name,
+                     "a datagram was sent too long ago, or a clock is wrong");
+    }
+    else if (decoded && message.format == SAS_MESH_FORMAT) {
+        take_message(mesh, &message);
+    }
+    else {
+        SasLog_Write(SasLog_WARN, "mesh.decode", "",
+                     "a datagram of %zd bytes is not a message", count);
+    }
+    xdr_destroy(&xdr);
+    xdr_free((xdrproc_t)xdr_sas_mesh_message, (char *)&message);
+}
