The request's log line names the object that picked its server

It is the input that decided the owner; without it one could not tell a hot object from a crowd of them, nor ask for its owners (sassafrassillctl owners).

--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -130,12 +130,15 @@
     }
     int64_t now_ms = SasRelay_Now(relay);
     bool routed = call->route != NULL;
+    const char *object = SasHttpExchange_FindHeader(
+        call->exchange, relay->options.wire->object_key);
+    object = object != NULL ? object : "";
     SasLog_WriteFields(
         SasLog_INFO, SasLog_REQUEST, call->server_id,
-        "{s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I, "
+        "{s:s, s:s, s:i, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I, "
         "s:I}",
         "request", call->request_id, "outcome", outcome, "status", status,
-        "route", routed ? call->route->name : "", "service",
+        "object", object, "route", routed ? call->route->name : "", "service",
         routed ? SasFleet_GetService(relay->options.fleet, call->service)->name
                : "",
         "server_zone", call->server_zone, "tried", call->tried_count,
