--- /dev/null
+++ b/packages/core/include/sas/grey.h
@@ -0,0 +1,40 @@
+/* grey - whether a backend server fails part of what it gets.
+ *
+ * Such a server takes connections, answers its health check and most of its
+ * requests, and resets or fails the others: no two failures in a row give it
+ * away. Each entry VM alone sees too few of its requests to tell (one a second
+ * of a service with 250 a second, 24 servers and 9 entry VMs), so all of them
+ * report to one, the server's tester: each failure, with the answers that came
+ * since the last. Those that meet no failure report nothing, so the share is
+ * rather too high; the least number of failures keeps chance out: with 3 in
+ * 100 of all answers lost a server that gets eleven requests a second is given
+ * up wrongly about once in a hundred windows.
+ *
+ * Times are monotonic milliseconds.
+ */
+#ifndef SAS_GREY_H
+#define SAS_GREY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "sas/window.h"
+
+#define SasGrey_WINDOW_MS 3000
+
+/* Given up from so many failures in the window, and from this part on. */
+#define SasGrey_MIN_FAILED 4
+#define SasGrey_SHARE 0.25
+
+struct sas_grey {
+    struct sas_window failed;
+    struct sas_window answered;
+};
+
+void SasGrey_Init(struct sas_grey *grey);
+
+/* True when the server is to be given up; the counts then begin anew. */
+bool SasGrey_Add(struct sas_grey *grey, int failed, int answered,
+                 int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/core/tests/test_grey.c
@@ -0,0 +1,84 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <glib.h>
+
+#include "sas/grey.h"
+
+#define RATE 11 /* requests a second to one server */
+#define VMS 9
+
+/* Plays the reports of nine entry VMs for so long; when the server was given
+ * up, in ms, or -1. */
+static int64_t
+play(double failing, int seconds, guint32 seed)
+{
+    GRand *random = g_rand_new_with_seed(seed);
+    struct sas_grey grey;
+    int unreported[VMS] = {0};
+    int64_t given_up = -1;
+    SasGrey_Init(&grey);
+    for (int i = 0; i < RATE * seconds && given_up < 0; i++) {
+        int64_t now_ms = 1000 + i * 1000 / RATE;
+        int vm = g_rand_int_range(random, 0, VMS);
+        if (g_rand_double(random) >= failing) {
+            unreported[vm]++;
+            continue;
+        }
+        if (SasGrey_Add(&grey, 1, unreported[vm], now_ms)) {
+            given_up = now_ms - 1000;
+        }
+        unreported[vm] = 0;
+    }
+    g_rand_free(random);
+    return given_up;
+}
+
+/* A clerk's filings are lost again and again: one server of 24 resets two of
+ * five requests, and answers the others in its usual time. It must be given
+ * up within a few seconds, whatever the order of its failures. */
+static void
+test_a_server_that_fails_two_of_five_is_given_up(void **state)
+{
+    (void)state;
+    for (guint32 seed = 0; seed < 100; seed++) {
+        assert_in_range(play(0.4, 10, seed), 0, 4000);
+    }
+}
+
+static void
+test_a_few_lost_answers_give_no_server_up(void **state)
+{
+    (void)state;
+    int given_up = 0;
+    for (guint32 seed = 0; seed < 100; seed++) {
+        given_up += play(0.03, 10, seed) >= 0;
+    }
+    assert_in_range(given_up, 0, 5);
+}
+
+static void
+test_old_failures_count_no_more(void **state)
+{
+    (void)state;
+    struct sas_grey grey;
+    SasGrey_Init(&grey);
+    assert_false(SasGrey_Add(&grey, SasGrey_MIN_FAILED - 1, 0, 1000));
+    assert_false(SasGrey_Add(&grey, 1, 0, 1000 + 2 * SasGrey_WINDOW_MS));
+    assert_false(SasGrey_Add(&grey, SasGrey_MIN_FAILED - 2, 0,
+                             1001 + 2 * SasGrey_WINDOW_MS));
+    assert_true(SasGrey_Add(&grey, 1, 0, 1002 + 2 * SasGrey_WINDOW_MS));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_a_server_that_fails_two_of_five_is_given_up),
+        cmocka_unit_test(test_a_few_lost_answers_give_no_server_up),
+        cmocka_unit_test(test_old_failures_count_no_more),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -39,6 +39,7 @@
     uint64_t server_hash;
     int64_t left_ms;
     bool restarted; /* well again, and had not taken connections */
+    bool counted;   /* rests on what many entry VMs met */
 };
 
 /* A request that ran on a backend server when it crashed, or (survived) that
@@ -50,11 +51,22 @@
     bool survived;
 };
 
+/* Requests that a backend server failed, and those that it answered since the
+ * last such news of the same entry VM. */
+struct sas_mesh_loss_news {
+    uint64_t server_hash;
+    int failed;
+    int answered;
+};
+
 struct sas_mesh_user {
     void (*on_trip)(struct sas_mesh_user *user,
                     const struct sas_mesh_trip_news *news);
     void (*on_suspect)(struct sas_mesh_user *user,
                        const struct sas_mesh_suspect_news *news);
+    /* Another one's news; this entry VM is the server's tester. */
+    void (*on_loss)(struct sas_mesh_user *user,
+                    const struct sas_mesh_loss_news *news);
     /* Entry VM number i has started, and knows nothing of what was told. */
     void (*on_newcomer)(struct sas_mesh_user *user, int i);
 };
@@ -117,6 +129,10 @@
 void SasMesh_TellTrip(struct sas_mesh *mesh,
                       const struct sas_mesh_trip_news *news, int region);
 
+/* Tells the server's tester; nobody where that is this one. */
+void SasMesh_TellLoss(struct sas_mesh *mesh,
+                      const struct sas_mesh_loss_news *news, int region);
+
 /* Whether this entry VM is the first of all live ones in the hash's order;
  * IsFirstBut leaves number i out. TellSuspect goes to that one of the first
  * row's fingerprint (low), or to all, TellSuspectTo to number i. */
--- a/packages/gateway/src/mesh_talk.c
+++ b/packages/gateway/src/mesh_talk.c
@@ -22,6 +22,9 @@
  * seconds. */
 #define MAX_SKEW_MS 30000
 
+/* More than one entry VM sends to one server in a window. */
+#define MAX_LOSSES 10000u
+
 static void on_round(uv_timer_t *timer);
 static void on_replies_due(uv_timer_t *timer);
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
@@ -195,6 +198,7 @@
         .server_hash = news->server_hash,
         .left_ms = (u_int)news->left_ms,
         .restarted = news->restarted,
+        .counted = news->counted,
     };
     sas_mesh_message message = {
         .trips = {.trips_len = 1, .trips_val = &trip},
@@ -205,6 +209,25 @@
         false);
 }
 
+void
+SasMesh_TellLoss(struct sas_mesh *mesh, const struct sas_mesh_loss_news *news,
+                 int region)
+{
+    sas_mesh_loss loss = {
+        .server_hash = news->server_hash,
+        .failed = (u_int)news->failed,
+        .answered = (u_int)news->answered,
+    };
+    sas_mesh_message message = {
+        .losses = {.losses_len = 1, .losses_val = &loss},
+    };
+    int tester =
+        SasMesh_FindFirst(mesh, news->server_hash, region, SasModel_NONE);
+    if (tester != SasModel_NONE && tester != OWN_SEAT) {
+        send_message(mesh, SasMesh_GetVm(mesh, tester), &message);
+    }
+}
+
 /* How many rows fit; they are the message's. */
 static void
 fill_suspects(sas_mesh_message *message, sas_mesh_suspect *suspects,
@@ -437,6 +460,7 @@
             .server_hash = trip->server_hash,
             .left_ms = trip->left_ms,
             .restarted = trip->restarted,
+            .counted = trip->counted,
         };
         mesh->user->on_trip(mesh->user, &news);
     }
@@ -450,6 +474,15 @@
         };
         mesh->user->on_suspect(mesh->user, &news);
     }
+    for (u_int i = 0; i < message->losses.losses_len; i++) {
+        const sas_mesh_loss *row = &message->losses.losses_val[i];
+        struct sas_mesh_loss_news news = {
+            .server_hash = row->server_hash,
+            .failed = (int)MIN(row->failed, MAX_LOSSES),
+            .answered = (int)MIN(row->answered, MAX_LOSSES),
+        };
+        mesh->user->on_loss(mesh->user, &news);
+    }
 }
 
 static void
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -309,6 +309,12 @@
         relay, call->server.slot,
         SasTraffic_NoteRun(fleet, call->server.slot, &end, now_ms),
         timed_out ? "timed out" : "slow");
+    if (!timed_out && call->status / 100 == 2) {
+        SasRelay_NoteAnswered(relay, call->server.slot);
+    }
+    else if (!timed_out && call->status >= 500) {
+        SasRelay_NoteFailed(relay, call->server.slot);
+    }
 }
 
 static void
@@ -367,6 +373,9 @@
                         SasTraffic_NoteFailure(fleet, call->server.slot,
                                                connected, SasRelay_Now(relay)),
                         connected ? "connection lost" : "no connection");
+    if (connected) {
+        SasRelay_NoteFailed(relay, call->server.slot);
+    }
 }
 
 /* A rested connection was dead: that says nothing of the server. */
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -6,6 +6,7 @@
 #include "relay.h"
 #include "sas/admit.h"
 #include "sas/allowance.h"
+#include "sas/grey.h"
 #include "sas/http.h"
 #include "sas/keep.h"
 #include "sas/owner.h"
@@ -35,6 +36,8 @@
     uint32_t generation;
     struct sas_window cold_sends;
     int64_t cold_until_ms; /* suspected, beside what is announced */
+    int answered;          /* since the last failure that was reported */
+    struct sas_grey grey;  /* of all entry VMs, at the server's tester */
 };
 
 struct route_state { /* of a route by name, across configurations */
@@ -117,6 +120,9 @@
 void SasRelay_TellChange(struct sas_relay *relay, int slot,
                          enum sas_traffic_change change, const char *cause);
 
+void SasRelay_NoteAnswered(struct sas_relay *relay, int slot);
+void SasRelay_NoteFailed(struct sas_relay *relay, int slot);
+
 /* relay_attempt.c */
 void SasRelay_Send(struct relay_call *call, int slot);
 void SasRelay_Cancel(struct relay_call *call);
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -3,6 +3,10 @@
 
 #include "sas/log.h"
 
+/* Until the next trial of a server that has to pass several: its tester gets
+ * about one request of its objects a second. */
+#define NEXT_TRIAL_MS 1000
+
 static bool
 is_tester(const struct sas_relay *relay, int slot)
 {
@@ -43,6 +47,21 @@
     }
 }
 
+/* The others wait for the verdict of the last trial. */
+static void
+keep_waiting(struct sas_relay *relay, int slot)
+{
+    const struct sas_fleet_server *server =
+        SasFleet_At(relay->options.fleet, slot);
+    struct sas_mesh_trip_news news = {
+        .server_hash = server->hash,
+        .left_ms = NEXT_TRIAL_MS,
+        .counted = true,
+    };
+    SasMesh_TellTrip(relay->options.mesh, &news,
+                     SasFleet_GetServerRegion(relay->options.fleet, slot));
+}
+
 void
 SasRelay_TellChange(struct sas_relay *relay, int slot,
                     enum sas_traffic_change change, const char *cause)
@@ -50,6 +69,10 @@
     if (change == SAS_TRAFFIC_SAME) {
         return;
     }
+    if (change == SAS_TRAFFIC_ON_TRIAL) {
+        keep_waiting(relay, slot);
+        return;
+    }
     struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
     const struct sas_server_traffic *traffic = &server->traffic;
     bool tripped = change == SAS_TRAFFIC_TRIPPED;
@@ -62,6 +85,7 @@
         .server_hash = server->hash,
         .left_ms = tripped ? traffic->hold_ms : 0,
         .restarted = !tripped && traffic->was_down,
+        .counted = tripped && traffic->grey,
     };
     if (news.restarted) {
         suspect_cold(relay, slot);
@@ -89,7 +113,12 @@
     struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
     bool tester = is_tester(relay, slot);
     bool was_tripped = server->traffic.tripped;
-    SasTraffic_TakeWord(server, news->left_ms, tester, SasRelay_Now(relay));
+    struct sas_traffic_word word = {
+        .left_ms = news->left_ms,
+        .tester = tester,
+        .counted = news->counted,
+    };
+    SasTraffic_TakeWord(server, &word, SasRelay_Now(relay));
     if (news->restarted) {
         suspect_cold(relay, slot);
     }
@@ -99,36 +128,96 @@
     }
 }
 
-static void
-on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
+/* SasModel_NONE where this entry VM doesn't know it. */
+static int
+find_by_hash(const struct sas_fleet *fleet, uint64_t hash)
 {
-    struct sas_relay *relay =
-        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
-    struct sas_fleet *fleet = relay->options.fleet;
     for (int slot = 0; slot < SasFleet_CountSlots(fleet); slot++) {
         const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-        if (server != NULL && server->hash == news->server_hash) {
-            take_trip(relay, slot, news);
-            return;
+        if (server != NULL && server->hash == hash) {
+            return slot;
         }
     }
+    return SasModel_NONE;
+}
+
+static struct sas_relay *
+get_relay(struct sas_mesh_user *user)
+{
+    return (struct sas_relay *)((char *)user -
+                                offsetof(struct sas_relay, peers));
+}
+
+static void
+on_trip(struct sas_mesh_user *user, const struct sas_mesh_trip_news *news)
+{
+    struct sas_relay *relay = get_relay(user);
+    int slot = find_by_hash(relay->options.fleet, news->server_hash);
+    if (slot != SasModel_NONE) {
+        take_trip(relay, slot, news);
+    }
+}
+
+/* Servers that fail part of their requests. */
+
+static void
+count_losses(struct sas_relay *relay, int slot, int failed, int answered)
+{
+    int64_t now_ms = SasRelay_Now(relay);
+    struct slot_state *state = SasRelay_GetSlot(relay, slot);
+    if (SasGrey_Add(&state->grey, failed, answered, now_ms)) {
+        SasRelay_TellChange(
+            relay, slot,
+            SasTraffic_NoteGrey(relay->options.fleet, slot, now_ms),
+            "fails part of its requests");
+    }
+}
+
+void
+SasRelay_NoteAnswered(struct sas_relay *relay, int slot)
+{
+    SasRelay_GetSlot(relay, slot)->answered++;
+}
+
+void
+SasRelay_NoteFailed(struct sas_relay *relay, int slot)
+{
+    struct slot_state *state = SasRelay_GetSlot(relay, slot);
+    struct sas_mesh_loss_news news = {
+        .server_hash = SasFleet_At(relay->options.fleet, slot)->hash,
+        .failed = 1,
+        .answered = state->answered,
+    };
+    state->answered = 0;
+    if (is_tester(relay, slot)) {
+        count_losses(relay, slot, news.failed, news.answered);
+        return;
+    }
+    SasMesh_TellLoss(relay->options.mesh, &news,
+                     SasFleet_GetServerRegion(relay->options.fleet, slot));
+}
+
+static void
+on_loss(struct sas_mesh_user *user, const struct sas_mesh_loss_news *news)
+{
+    struct sas_relay *relay = get_relay(user);
+    int slot = find_by_hash(relay->options.fleet, news->server_hash);
+    if (slot != SasModel_NONE) {
+        count_losses(relay, slot, news->failed, news->answered);
+    }
 }
 
 static void
 on_suspect(struct sas_mesh_user *user,
            const struct sas_mesh_suspect_news *news)
 {
-    struct sas_relay *relay =
-        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
-    SasSuspects_TakeNews(relay->suspects, news);
+    SasSuspects_TakeNews(get_relay(user)->suspects, news);
 }
 
 static void
 on_newcomer(struct sas_mesh_user *user, int i)
 {
-    struct sas_relay *relay =
-        (struct sas_relay *)((char *)user - offsetof(struct sas_relay, peers));
-    SasSuspects_TellNewcomer(relay->suspects, i);
+    SasSuspects_TellNewcomer(get_relay(user)->suspects, i);
 }
 
 void
@@ -137,6 +226,7 @@
     relay->peers.on_trip = on_trip;
     relay->peers.on_suspect = on_suspect;
     relay->peers.on_newcomer = on_newcomer;
+    relay->peers.on_loss = on_loss;
     relay->listener.on_reopened = on_reopened;
     SasFleet_AddListener(relay->options.fleet, &relay->listener);
     SasMesh_SetUser(relay->options.mesh, &relay->peers);
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -26,6 +26,8 @@
         struct sas_mesh_trip_news last;
         int suspects;
         int newcomers;
+        int failed;
+        int answered;
         struct sas_mesh_suspect_news last_suspect;
     } nodes[VMS];
 };
@@ -47,6 +49,14 @@
     node->last_suspect = *news;
 }
 
+static void
+on_loss(struct sas_mesh_user *user, const struct sas_mesh_loss_news *news)
+{
+    struct node *node = (struct node *)user;
+    node->failed += news->failed;
+    node->answered += news->answered;
+}
+
 static void
 on_newcomer(struct sas_mesh_user *user, int i)
 {
@@ -102,6 +112,7 @@
     f->nodes[i].user.on_trip = on_trip;
     f->nodes[i].user.on_suspect = on_suspect;
     f->nodes[i].user.on_newcomer = on_newcomer;
+    f->nodes[i].user.on_loss = on_loss;
     SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
 }
 
@@ -221,6 +232,10 @@
         .server_hash = SERVER_HASH,
         .left_ms = 1500,
     };
+    struct sas_mesh_loss_news loss = {SERVER_HASH, 1, 7};
+    SasMesh_TellLoss(f->meshes[VMS - 1], &loss, region);
+    SPIN_UNTIL(f, f->nodes[tester].answered == 7);
+    assert_int_equal(f->nodes[tester].failed, 1);
     SasMesh_TellTrip(f->meshes[VMS - 1], &news, region);
     SPIN_UNTIL(f, f->nodes[tester].trips == 1);
     int others = 0;
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -8,6 +8,7 @@
 const SAS_MESH_MAX_NEWS = 24;
 const SAS_MESH_MAX_TRIPS = 8;
 const SAS_MESH_MAX_SUSPECTS = 8;
+const SAS_MESH_MAX_LOSSES = 8;
 const SAS_MESH_MAX_TEXT = 47;
 
 /* The sender: enough for a receiver that has never heard of it. */
@@ -39,6 +40,7 @@
     unsigned hyper server_hash;
     unsigned int left_ms;
     bool restarted; /* well again, and had not taken connections */
+    bool counted;   /* by what many entry VMs met */
 };
 
 /* A request, by its fingerprint, was running when a backend server crashed;
@@ -51,6 +53,14 @@
     bool survived;
 };
 
+/* Requests that a backend server failed for the sender, and those that it
+ * answered since the sender's last such row. */
+struct sas_mesh_loss {
+    unsigned hyper server_hash;
+    unsigned int failed;
+    unsigned int answered;
+};
+
 /* With a shared key SAS_MESH_MAC_SIZE bytes of HMAC-SHA-256 follow. */
 struct sas_mesh_message {
     unsigned int format;
@@ -60,4 +70,5 @@
     sas_mesh_news news<SAS_MESH_MAX_NEWS>;
     sas_mesh_trip trips<SAS_MESH_MAX_TRIPS>;
     sas_mesh_suspect suspects<SAS_MESH_MAX_SUSPECTS>;
+    sas_mesh_loss losses<SAS_MESH_MAX_LOSSES>;
 };
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -206,6 +206,41 @@
                 vm.request("GET", "/forms/%d" % i).status == 200
                 for vm in fleet.vms for i in range(8)), "all others served")
 
+    def test_a_server_that_fails_part_of_its_requests_is_left(self):
+        """A clerk's filings are lost now and then: their server resets two of
+        five, answers the others in time, and its health check is good. No
+        entry VM meets two failures in a row."""
+        with Fleet(vms=("a", "a", "b")) as fleet:
+            grey = fleet.add_worker("d1", slots=30)
+            fleet.add_worker("d2", slots=30)
+            fleet.start()
+            grey.faults = ["", "cut", "", "", "cut"] * 200
+            lost = []
+
+            def file_all():
+                for i in range(12):
+                    vm = fleet.vms[i % 3]
+                    answer = vm.request("POST", "/filings/%d" % i, b"x",
+                                        key=str(i))
+                    lost.append(answer.status == 502)
+                return any(vm.find_lines("server.tripped", peer="d1",
+                                         cause="fails part of its requests")
+                           for vm in fleet.vms)
+            wait_for(file_all, "the server to be given up")
+            self.assertTrue(any(lost))
+            before = len(grey.ran)
+            for vm in fleet.vms:
+                self.assertEqual(vm.request("GET", "/forms/1").status, 200)
+            wait_for(lambda: all(
+                vm.request("POST", "/filings/%d" % i, b"x",
+                           key=str(i)).status == 200
+                for vm in fleet.vms for i in range(6)), "all to be served")
+            grey.faults = []
+            wait_for(lambda: file_all() and any(
+                vm.find_lines("server.well", peer="d1") for vm in fleet.vms),
+                "it to be taken back")
+            self.assertGreater(len(grey.ran), before)
+
     def test_lost_answers_make_no_suspects(self):
         """A server loses answers and goes on taking connections: the look-ups
         whose answers it lost are as innocent as any."""
