--- a/packages/core/include/sas/grey.h
+++ b/packages/core/include/sas/grey.h
@@ -23,16 +23,22 @@
 #define SasGrey_WINDOW_MS 3000
 
 /* Given up from so many failures in the window, and from this part on. */
-#define SasGrey_MIN_FAILED 4
+#define SasGrey_MIN_FAILED 5
 #define SasGrey_SHARE 0.25
 
 struct sas_grey {
-    struct sas_window failed;
-    struct sas_window answered;
+    struct sas_window failed;   /* of all entry VMs, at the tester */
+    struct sas_window answered; /* the same */
+    struct sas_window own;      /* answers here, not reported yet */
 };
 
 void SasGrey_Init(struct sas_grey *grey);
 
+/* An answer; and what to report of them with the next failure. Older ones than
+ * the window say nothing of a server that has just begun to fail. */
+void SasGrey_NoteAnswered(struct sas_grey *grey, int64_t now_ms);
+int SasGrey_TakeAnswered(struct sas_grey *grey, int64_t now_ms);
+
 /* True when the server is to be given up; the counts then begin anew. */
 bool SasGrey_Add(struct sas_grey *grey, int failed, int answered,
                  int64_t now_ms);
--- a/packages/core/src/grey.c
+++ b/packages/core/src/grey.c
@@ -5,6 +5,21 @@
 {
     SasWindow_Init(&grey->failed, SasGrey_WINDOW_MS);
     SasWindow_Init(&grey->answered, SasGrey_WINDOW_MS);
+    SasWindow_Init(&grey->own, SasGrey_WINDOW_MS);
+}
+
+void
+SasGrey_NoteAnswered(struct sas_grey *grey, int64_t now_ms)
+{
+    SasWindow_Add(&grey->own, 1, now_ms);
+}
+
+int
+SasGrey_TakeAnswered(struct sas_grey *grey, int64_t now_ms)
+{
+    int answered = (int)SasWindow_Count(&grey->own, now_ms);
+    SasWindow_Init(&grey->own, SasGrey_WINDOW_MS);
+    return answered;
 }
 
 bool
--- a/packages/core/tests/test_grey.c
+++ b/packages/core/tests/test_grey.c
@@ -10,27 +10,28 @@
 #define RATE 11 /* requests a second to one server */
 #define VMS 9
 
-/* Plays the reports of nine entry VMs for so long; when the server was given
- * up, in ms, or -1. */
+/* Plays requests of nine entry VMs to a server that is well for ten seconds
+ * and then fails a part; when it was given up, in ms since then, or -1. */
 static int64_t
 play(double failing, int seconds, guint32 seed)
 {
     GRand *random = g_rand_new_with_seed(seed);
-    struct sas_grey grey;
-    int unreported[VMS] = {0};
+    struct sas_grey vms[VMS];
     int64_t given_up = -1;
-    SasGrey_Init(&grey);
-    for (int i = 0; i < RATE * seconds && given_up < 0; i++) {
+    for (int i = 0; i < VMS; i++) {
+        SasGrey_Init(&vms[i]);
+    }
+    for (int i = 0; i < RATE * (10 + seconds) && given_up < 0; i++) {
         int64_t now_ms = 1000 + i * 1000 / RATE;
         int vm = g_rand_int_range(random, 0, VMS);
-        if (g_rand_double(random) >= failing) {
-            unreported[vm]++;
+        if (i < RATE * 10 || g_rand_double(random) >= failing) {
+            SasGrey_NoteAnswered(&vms[vm], now_ms);
             continue;
         }
-        if (SasGrey_Add(&grey, 1, unreported[vm], now_ms)) {
-            given_up = now_ms - 1000;
+        int answered = SasGrey_TakeAnswered(&vms[vm], now_ms);
+        if (SasGrey_Add(&vms[0], 1, answered, now_ms)) {
+            given_up = now_ms - 11000;
         }
-        unreported[vm] = 0;
     }
     g_rand_free(random);
     return given_up;
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -36,8 +36,7 @@
     uint32_t generation;
     struct sas_window cold_sends;
     int64_t cold_until_ms; /* suspected, beside what is announced */
-    int answered;          /* since the last failure that was reported */
-    struct sas_grey grey;  /* of all entry VMs, at the server's tester */
+    struct sas_grey grey;
 };
 
 struct route_state { /* of a route by name, across configurations */
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -176,7 +176,8 @@
 void
 SasRelay_NoteAnswered(struct sas_relay *relay, int slot)
 {
-    SasRelay_GetSlot(relay, slot)->answered++;
+    SasGrey_NoteAnswered(&SasRelay_GetSlot(relay, slot)->grey,
+                         SasRelay_Now(relay));
 }
 
 void
@@ -186,9 +187,8 @@
     struct sas_mesh_loss_news news = {
         .server_hash = SasFleet_At(relay->options.fleet, slot)->hash,
         .failed = 1,
-        .answered = state->answered,
+        .answered = SasGrey_TakeAnswered(&state->grey, SasRelay_Now(relay)),
     };
-    state->answered = 0;
     if (is_tester(relay, slot)) {
         count_losses(relay, slot, news.failed, news.answered);
         return;
