--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -396,30 +396,26 @@
     return kept;
 }
 
-/* For what may not repeat the servers that fail part of their requests come
- * last: each such request that they fail is lost to its caller, while a
- * look-up goes on to the next server. */
+/* What may not repeat is lost to its caller when its server fails it, while a
+ * look-up goes on to the next one. So it leaves an owner that fails part of
+ * its requests for the next server with a free slot; where none is free the
+ * owner is still better than a queue of cold requests elsewhere. */
 static void
-put_grey_last(const struct relay_call *call, int *slots, int count,
-              int64_t now_ms)
+avoid_grey(const struct relay_call *call, int *slots, int count,
+           int64_t now_ms)
 {
     const struct sas_fleet *fleet = call->relay->options.fleet;
-    int grey[SasOwner_MAX_CANDIDATES];
-    int grey_count = 0;
-    int kept = 0;
-    if (call->route->kind == SAS_ROUTE_SAFE) {
+    if (call->route->kind == SAS_ROUTE_SAFE || count == 0 ||
+        !SasTraffic_IsGrey(SasFleet_At(fleet, slots[0]), now_ms)) {
         return;
     }
-    for (int i = 0; i < count; i++) {
-        if (SasTraffic_IsGrey(SasFleet_At(fleet, slots[i]), now_ms)) {
-            grey[grey_count++] = slots[i];
+    for (int i = 1; i < count; i++) {
+        const struct sas_fleet_server *server = SasFleet_At(fleet, slots[i]);
+        if (!SasTraffic_IsGrey(server, now_ms) &&
+            SasTraffic_HasRoom(server, 0, now_ms)) {
+            slots[0] = slots[i];
+            return;
         }
-        else {
-            slots[kept++] = slots[i];
-        }
-    }
-    for (int i = 0; i < grey_count; i++) {
-        slots[kept + i] = grey[i];
     }
 }
 
@@ -511,7 +507,7 @@
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
     const char *reason = "no server";
     count = keep_usable(call, slots, count, now_ms, &reason);
-    put_grey_last(call, slots, count, now_ms);
+    avoid_grey(call, slots, count, now_ms);
     call->alone = suspicion == SAS_QUARANTINE_ALONE;
     if (call->alone) {
         count = keep_idle(call, slots, count, now_ms);
