--- a/packages/core/include/sas/grey.h
+++ b/packages/core/include/sas/grey.h
@@ -22,6 +22,10 @@
 
 #define SasGrey_WINDOW_MS 3000
 
+/* Answers of the last second are reported: with those of three seconds it took
+ * three seconds until those from before a server's trouble had gone. */
+#define SasGrey_OWN_MS 1000
+
 /* Grey from so many failures in the window, and from this part on. */
 #define SasGrey_MIN_FAILED 5
 #define SasGrey_SHARE 0.25
@@ -37,8 +41,8 @@
 
 void SasGrey_Init(struct sas_grey *grey);
 
-/* An answer; and what to report of them with the next failure. Older ones than
- * the window say nothing of a server that has just begun to fail. */
+/* An answer; and what to report of them with the next failure. Older ones
+ * say nothing of a server that has just begun to fail. */
 void SasGrey_NoteAnswered(struct sas_grey *grey, int64_t now_ms);
 int SasGrey_TakeAnswered(struct sas_grey *grey, int64_t now_ms);
 
--- a/packages/core/src/grey.c
+++ b/packages/core/src/grey.c
@@ -5,7 +5,7 @@
 {
     SasWindow_Init(&grey->failed, SasGrey_WINDOW_MS);
     SasWindow_Init(&grey->answered, SasGrey_WINDOW_MS);
-    SasWindow_Init(&grey->own, SasGrey_WINDOW_MS);
+    SasWindow_Init(&grey->own, SasGrey_OWN_MS);
 }
 
 void
@@ -18,7 +18,7 @@
 SasGrey_TakeAnswered(struct sas_grey *grey, int64_t now_ms)
 {
     int answered = (int)SasWindow_Count(&grey->own, now_ms);
-    SasWindow_Init(&grey->own, SasGrey_WINDOW_MS);
+    SasWindow_Init(&grey->own, SasGrey_OWN_MS);
     return answered;
 }
 
