--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -23,6 +23,10 @@
 /* What a caller is told where nothing is known of when it will be better. */
 #define RETRY_AFTER_MS 200
 
+/* Slots that stay free at a server that is given another one's objects: they
+ * are new to it and take three times as long. */
+#define SPARE_SLOTS 1
+
 /* Half a request: what is left of a report when it has faded. */
 #define IDLE_LOAD 0.5
 
@@ -415,7 +419,7 @@
         const struct sas_fleet_server *server = SasFleet_At(fleet, slots[i]);
         if (!SasTraffic_IsGrey(server, now_ms) &&
             now_ms >= server->traffic.brief_until &&
-            SasTraffic_HasRoom(server, 0, now_ms)) {
+            SasTraffic_HasRoom(server, -SPARE_SLOTS, now_ms)) {
             slots[0] = slots[i];
             return;
         }
