relay and main: choosing a server, and the platform's mode, in files of their own

Reading as a newcomer: relay.c had 639 lines with two jobs, now 327 (a request's arrival and end) and relay_choose.c (which server, or why none). main.c held a function of 65 lines that opened and closed the platform's mode; that is live.c now, with its settings, its parts and their closing apart.

--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -1,5 +1,5 @@
-/* relay_call - the parts that relay.c, relay_attempt.c and relay_peers.c
- * share. */
+/* relay_call - the parts that relay.c, relay_choose.c, relay_attempt.c and
+ * relay_peers.c share. */
 #ifndef SAS_RELAY_CALL_H
 #define SAS_RELAY_CALL_H
 
@@ -22,6 +22,9 @@
 /* Less time than this is not worth a try: the way there and back. */
 #define SasRelay_MIN_LEFT_MS 15
 
+/* What a caller is told where nothing is known of when it will be better. */
+#define SasRelay_RETRY_AFTER_MS 200
+
 /* Where neither the caller nor the route states a limit. */
 #define SasRelay_DEFAULT_DEADLINE_MS 30000
 
@@ -110,17 +113,21 @@
 
 /* relay.c */
 int64_t SasRelay_Now(const struct sas_relay *relay);
-void SasRelay_Choose(struct relay_call *call);
 void SasRelay_Refuse(struct relay_call *call, const char *outcome,
                      int64_t retry_after_ms);
 void SasRelay_Fail(struct relay_call *call, const char *outcome, int status);
 void SasRelay_Finish(struct relay_call *call, const char *outcome,
                      const struct sas_http_reply *reply);
-void SasRelay_NoteServer(struct relay_call *call, int slot, int64_t now_ms);
 struct service_state *SasRelay_GetService(struct sas_relay *relay,
                                           int service);
 struct slot_state *SasRelay_GetSlot(struct sas_relay *relay, int slot);
+struct route_state *SasRelay_GetRouteState(const struct relay_call *call);
 
+/* relay_choose.c: Choose sends the request to the best server that is left, or
+ * ends it; NoteServer says which server a decision is about, and the load that
+ * it rests on. */
+void SasRelay_Choose(struct relay_call *call);
+void SasRelay_NoteServer(struct relay_call *call, int slot, int64_t now_ms);
 struct sas_fingerprint SasRelay_GetFingerprint(struct relay_call *call);
 
 /* relay_peers.c */
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -1,33 +1,16 @@
 /* sassafrassilld - the process of an entry VM. */
 #include <glib.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "live_sheet.h"
+#include "live.h"
 #include "node.h"
 #include "sas/log.h"
-#include "sas/secret.h"
-#include "sas/wall.h"
-#include "sas/platform.h"
-#include "sas/proto.h"
 
 enum {
     EXIT_USAGE = 2
 };
 
-/* A line for each request of an ordinary second on a small entry VM; at some
- * 15 us a line the log takes under 1% of its core share. */
-#define LOG_LINES_PER_S 200
-
-#define TOKEN_VARIABLE "SASSAFRASSILL_OPERATOR_TOKEN"
-#define PEER_KEY_VARIABLE "SASSAFRASSILL_PEER_KEY"
-
-/* For tests of clocks that are wrong: milliseconds that this process's time of
- * day is ahead. */
-#define CLOCK_VARIABLE "SASSAFRASSILL_CLOCK_OFFSET_MS"
-
 struct options {
     char *settings;
     char *platform;
@@ -76,138 +59,6 @@
     return status;
 }
 
-struct live {
-    const char *path;
-    struct sas_entry_settings settings;
-};
-
-static void
-reload(void *data)
-{
-    struct live *live = data;
-    struct sas_entry_settings settings;
-    struct sas_error error = {0};
-    if (SasPlatform_LoadSettings(&settings, live->path, &error) != 0) {
-        SasLog_WriteError(SasLog_ERROR, &error);
-        return;
-    }
-    /* Addresses and places are fixed for a process. */
-    live->settings.bounds = settings.bounds;
-    SasLog_Write(SasLog_INFO, "settings.apply", live->path,
-                 "drain_ms=%" G_GINT64_FORMAT " grace_ms=%" G_GINT64_FORMAT,
-                 settings.bounds.drain_ms, settings.bounds.grace_ms);
-}
-
-/* The platform keeps no files for a process, so the token comes as a variable
- * of its environment. 0, or -1 where it is too short to be one. */
-static int
-read_token(const char **token)
-{
-    *token = g_getenv(TOKEN_VARIABLE);
-    if (*token == NULL || (*token)[0] == '\0') {
-        *token = NULL;
-        return 0;
-    }
-    return strlen(*token) < SasSecret_MIN_SIZE ? -1 : 0;
-}
-
-/* The same for the key that all entry VMs share. */
-static int
-read_peer_key(struct sas_proto_key **key, struct sas_error *error)
-{
-    const char *text = g_getenv(PEER_KEY_VARIABLE);
-    if (text == NULL || text[0] == '\0') {
-        return 0;
-    }
-    *key = SasProto_NewKey((const uint8_t *)text, strlen(text), error);
-    return *key != NULL ? 0 : -1;
-}
-
-/* An entry VM on the users' platform: everything beyond its own addresses is
- * learned at run time. */
-static int
-run_live(const struct options *options)
-{
-    struct live live = {.path = options->platform};
-    struct sas_error error = {0};
-    if (SasPlatform_LoadSettings(&live.settings, live.path, &error) != 0) {
-        return fail(error.text);
-    }
-    const char *offset = g_getenv(CLOCK_VARIABLE);
-    if (offset != NULL) {
-        SasWall_SetOffset(g_ascii_strtoll(offset, NULL, 10));
-    }
-    if (read_peer_key(&live.settings.peer_key, &error) != 0) {
-        g_autofree char *text =
-            g_strdup_printf("%s: %s", PEER_KEY_VARIABLE, error.text);
-        return fail(text);
-    }
-    const char *token = NULL;
-    if (read_token(&token) != 0) {
-        return fail(TOKEN_VARIABLE ": at least 16 characters are needed");
-    }
-    if (options->check) {
-        printf("%s: ok\n", live.path);
-        return 0;
-    }
-    live.settings.started_at = SasWall_GetMs();
-    if (SasLog_Open(live.settings.name, "-", "info", &error) != 0) {
-        return fail(error.text);
-    }
-    SasLog_SetRate(LOG_LINES_PER_S);
-    uv_loop_t loop;
-    uv_loop_init(&loop);
-    signal(SIGPIPE, SIG_IGN);
-    struct sas_fleet *fleet = SasFleet_New();
-    for (int i = 0; i < live.settings.place_count; i++) {
-        SasFleet_AddZone(fleet, live.settings.places[i].zone,
-                         live.settings.places[i].region);
-    }
-    struct sas_source *source = SasPlatform_Open(&loop, fleet, &live.settings);
-    struct sas_steering *steering = SasSteering_New(fleet);
-    struct sas_gateway_options gateway_options = {
-        .loop = &loop,
-        .fleet = fleet,
-        .settings = &live.settings,
-        .wire = SasPlatform_GetWire(),
-        .source = source,
-        .steering = steering,
-    };
-    struct sas_gateway *gateway = SasGateway_Open(&gateway_options, &error);
-    if (gateway == NULL) {
-        SasLog_WriteError(SasLog_ERROR, &error);
-        return EXIT_FAILURE;
-    }
-    SasGateway_SetReload(gateway, live.path, reload, &live);
-    struct sas_live_sheet_parts parts = {
-        .loop = &loop,
-        .fleet = fleet,
-        .gateway = gateway,
-        .steering = steering,
-        .store = SasPlatform_OpenStore(&loop, &live.settings,
-                                       SasGateway_GetMetrics(gateway)),
-        .max_object = SasPlatform_MAX_OBJECT,
-        .settings = &live.settings,
-        .token = token,
-    };
-    struct sas_live_sheet *sheet = SasLiveSheet_Open(&parts, &error);
-    if (sheet == NULL) {
-        SasLog_WriteError(SasLog_ERROR, &error);
-        return EXIT_FAILURE;
-    }
-    int status = SasGateway_Run(gateway);
-    SasLiveSheet_Close(sheet);
-    SasStore_Close(parts.store);
-    SasGateway_Close(gateway);
-    SasPlatform_Close(source);
-    uv_loop_close(&loop);
-    SasSteering_Free(steering);
-    SasFleet_Free(fleet);
-    SasProto_FreeKey(live.settings.peer_key);
-    SasLog_Close();
-    return status;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -241,7 +92,9 @@
         return fail("one of --settings FILE and --platform-settings FILE is "
                     "needed; see --help");
     }
-    int status = options.platform != NULL ? run_live(&options) : run(&options);
+    int status = options.platform != NULL
+                     ? SasLive_Run(options.platform, options.check)
+                     : run(&options);
     g_free(options.platform);
     g_free(options.settings);
     g_free(options.vm);
