A request that is answered anywhere is not condemned; refusals last a minute

It had been on two servers that went down for other reasons and on a third alone; in between it was answered all the time, but by entry VMs that had not been told of the first crash, so nobody cleared it. Once condemned it could not be cleared at all.

Now each entry VM keeps the fingerprints of what it answered in the last half minute (4,096 of them, 64 kB) and vouches for them when it hears of a suspect; a request that crashes servers is never answered. Besides: three crashes in place of two before a refusal, a trial on an idle server after a minute, and a suspect that has been in no crash for half a minute is sent as ever.

Each test process has addresses of its own now.

--- a/packages/core/include/sas/quarantine.h
+++ b/packages/core/include/sas/quarantine.h
@@ -53,8 +53,9 @@
     struct sas_fingerprint fingerprint;
     struct sas_crash crashes[SasQuarantine_MAX_CRASHES];
     int crash_count;
-    int64_t left_ms;  /* of the entry's life; in a table: until when */
-    int64_t trial_ms; /* of a run alone; in a table: until when */
+    int64_t left_ms;    /* of the entry's life; in a table: until when */
+    int64_t trial_ms;   /* of a run alone; in a table: until when */
+    int64_t crashed_at; /* when a crash was added here; not sent */
 };
 
 struct sas_quarantine {
@@ -106,6 +107,16 @@
                                struct sas_fingerprint fingerprint,
                                int64_t now_ms);
 
+/* When the last of them was added here; 0 for one that is not known. */
+int64_t SasQuarantine_GetCrashedAt(struct sas_quarantine *q,
+                                   struct sas_fingerprint fingerprint,
+                                   int64_t now_ms);
+
+/* It has run to a whole answer, and is trusted again whatever was known: for
+ * those who know that it can't have crashed anything. */
+void SasQuarantine_Release(struct sas_quarantine *q,
+                           struct sas_fingerprint fingerprint, int64_t now_ms);
+
 /* Before a run alone, which ends within lasts_ms. False: one is running. */
 bool SasQuarantine_BeginTrial(struct sas_quarantine *q,
                               struct sas_fingerprint fingerprint,
--- a/packages/core/src/quarantine.c
+++ b/packages/core/src/quarantine.c
@@ -55,7 +55,11 @@
                       bool alone, int64_t now_ms)
 {
     struct sas_quarantine_entry *entry = add_entry(q, fingerprint, now_ms);
+    int known = count_guilt(entry);
     add_crash(q, entry, (struct sas_crash){.id = crash, .alone = alone});
+    if (count_guilt(entry) > known) {
+        entry->crashed_at = now_ms;
+    }
     int64_t life = is_quarantined(entry) ? SasQuarantine_LIFE_MS
                                          : SasQuarantine_SUSPECT_MS;
     entry->left_ms = MAX(entry->left_ms, now_ms + life);
@@ -124,6 +128,25 @@
     return entry != NULL ? count_guilt(entry) : 0;
 }
 
+int64_t
+SasQuarantine_GetCrashedAt(struct sas_quarantine *q,
+                           struct sas_fingerprint fingerprint, int64_t now_ms)
+{
+    const struct sas_quarantine_entry *entry =
+        find_entry(q, fingerprint, now_ms);
+    return entry != NULL ? entry->crashed_at : 0;
+}
+
+void
+SasQuarantine_Release(struct sas_quarantine *q,
+                      struct sas_fingerprint fingerprint, int64_t now_ms)
+{
+    struct sas_quarantine_entry *entry = find_entry(q, fingerprint, now_ms);
+    for (int i = 0; entry != NULL && i < entry->crash_count; i++) {
+        entry->crashes[i].cleared = true;
+    }
+}
+
 bool
 SasQuarantine_BeginTrial(struct sas_quarantine *q,
                          struct sas_fingerprint fingerprint, int64_t lasts_ms,
--- a/packages/core/tests/test_quarantine.c
+++ b/packages/core/tests/test_quarantine.c
@@ -32,6 +32,24 @@
                 SasQuarantine_GetCrash("d1", "i1", 1));
 }
 
+/* A popular look-up was on two servers when they went down, and on a third one
+ * alone, for reasons of theirs. It is refused; then one that had begun before
+ * is answered whole, and all callers are served again. */
+static void
+test_a_whole_answer_releases_what_was_condemned(void **state)
+{
+    (void)state;
+    struct sas_fingerprint popular = {3, 3};
+    SasQuarantine_Init(&q);
+    SasQuarantine_Suspect(&q, popular, 100, false, 0);
+    SasQuarantine_Suspect(&q, popular, 101, true, 0);
+    SasQuarantine_Clear(&q, popular, 1);
+    assert_int_equal(check(popular, 1), SAS_QUARANTINE_REFUSE);
+    SasQuarantine_Release(&q, popular, 2);
+    assert_int_equal(check(popular, 2), SAS_QUARANTINE_ALLOW);
+    assert_int_equal(SasQuarantine_CountCrashes(&q, popular, 2), 0);
+}
+
 /* One certificate's lookup kills the backend server each time. The inspector
  * sends it again and again. The second crash, alone on its server, is the
  * last; an hour after the last attempt it may try once more. */
@@ -54,6 +72,8 @@
     assert_int_equal(SasQuarantine_Check(&q, bad, 11, &retry_after_s),
                      SAS_QUARANTINE_REFUSE);
     assert_int_equal(retry_after_s, 3600);
+    assert_int_equal(SasQuarantine_CountCrashes(&q, bad, 11), 2);
+    assert_int_equal(SasQuarantine_GetCrashedAt(&q, bad, 11), 10);
     SasQuarantine_Clear(&q, good, 20);
     assert_int_equal(check(good, 21), SAS_QUARANTINE_ALLOW);
     int64_t renewed = SasQuarantine_LIFE_MS - 1;
@@ -110,6 +130,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_names_tell_apart),
         cmocka_unit_test(test_second_crash_alone_condemns),
+        cmocka_unit_test(test_a_whole_answer_releases_what_was_condemned),
         cmocka_unit_test(test_reset_does_not_condemn),
         cmocka_unit_test(test_full_table_keeps_the_dangerous),
     };
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -257,10 +257,8 @@
 static void
 deliver(struct relay_call *call)
 {
-    if (SasSuspects_Any(call->relay->suspects)) {
-        SasSuspects_NoteSurvived(call->relay->suspects,
-                                 SasRelay_GetFingerprint(call));
-    }
+    SasSuspects_NoteSurvived(call->relay->suspects,
+                             SasRelay_GetFingerprint(call));
     int count = (int)call->answer_headers->len / 2;
     struct sas_http_header headers[SasHttp_MAX_HEADERS];
     count = MIN(count, SasHttp_MAX_HEADERS);
--- a/packages/gateway/src/suspects.c
+++ b/packages/gateway/src/suspects.c
@@ -9,7 +9,30 @@
  * for an idle one. */
 #define ALONE_CRASHES 2
 
+/* Crashes from which on it may be refused altogether. */
+#define REFUSE_CRASHES 3
+
+/* Popular requests are on many servers that go down for other reasons, and an
+ * idle server may be long in coming. So a suspect is sent on as ever when it
+ * has been in no crash for SUSPECT_MS, and one that was refused gets a trial
+ * on an idle server after REFUSED_MS: an innocent one is out for a minute, a
+ * guilty one costs a server a minute. */
+#define SUSPECT_MS 30000
+#define REFUSED_MS 60000
+
+/* Requests that were answered whole of late, by the low part of their
+ * fingerprint. One that crashes servers never is; a popular one is all the
+ * time, and would otherwise be condemned by crashes that have other causes. */
+#define ANSWERED_ROWS 4096
+#define ANSWERED_MS 30000
+
+struct answered {
+    uint64_t low;
+    int64_t at;
+};
+
 struct sas_suspects {
+    struct answered answered[ANSWERED_ROWS];
     uv_loop_t *loop;
     struct sas_fleet *fleet;
     struct sas_pool *pool;
@@ -65,6 +88,16 @@
     return suspects->core.count > 0;
 }
 
+static bool
+was_answered(const struct sas_suspects *suspects,
+             struct sas_fingerprint fingerprint)
+{
+    const struct answered *row =
+        &suspects->answered[fingerprint.low % ANSWERED_ROWS];
+    return row->at > 0 && row->low == fingerprint.low &&
+           get_now(suspects) - row->at < ANSWERED_MS;
+}
+
 static int
 count_crashes(struct sas_suspects *suspects,
               struct sas_fingerprint fingerprint)
@@ -77,12 +110,22 @@
 SasSuspects_Check(struct sas_suspects *suspects,
                   struct sas_fingerprint fingerprint)
 {
-    if (count_crashes(suspects, fingerprint) < ALONE_CRASHES) {
+    int64_t now_ms = get_now(suspects);
+    int crashes = count_crashes(suspects, fingerprint);
+    int64_t age_ms = now_ms - SasQuarantine_GetCrashedAt(&suspects->core,
+                                                         fingerprint, now_ms);
+    int retry_after_s = 0;
+    if (crashes < ALONE_CRASHES) {
         return SAS_QUARANTINE_ALLOW;
     }
-    int retry_after_s = 0;
-    return SasQuarantine_Check(&suspects->core, fingerprint, get_now(suspects),
-                               &retry_after_s);
+    bool guilty = crashes >= REFUSE_CRASHES &&
+                  SasQuarantine_Check(&suspects->core, fingerprint, now_ms,
+                                      &retry_after_s) == SAS_QUARANTINE_REFUSE;
+    if (guilty) {
+        return age_ms < REFUSED_MS ? SAS_QUARANTINE_REFUSE
+                                   : SAS_QUARANTINE_ALONE;
+    }
+    return age_ms < SUSPECT_MS ? SAS_QUARANTINE_ALONE : SAS_QUARANTINE_ALLOW;
 }
 
 /* Telling. */
@@ -176,7 +219,7 @@
     enum sas_quarantine_verdict verdict =
         SasSuspects_Check(suspects, news->fingerprint);
     if (news->survived) {
-        SasQuarantine_Clear(&suspects->core, news->fingerprint, now_ms);
+        SasQuarantine_Release(&suspects->core, news->fingerprint, now_ms);
     }
     else {
         SasQuarantine_Suspect(&suspects->core, news->fingerprint, news->crash,
@@ -207,6 +250,9 @@
          const char *server_id)
 {
     int known = count_crashes(suspects, news->fingerprint);
+    if (!news->survived && was_answered(suspects, news->fingerprint)) {
+        return;
+    }
     if (!merge(suspects, news)) {
         return;
     }
@@ -218,11 +264,33 @@
     SasMesh_TellSuspect(suspects->mesh, news, 1, false);
 }
 
+/* Another entry VM suspects a request that was answered here. The keeper drops
+ * what it knows, and tells of it only what others know; anybody else tells the
+ * keeper. */
+static void
+vouch(struct sas_suspects *suspects, struct sas_fingerprint fingerprint)
+{
+    struct sas_mesh_suspect_news news = {
+        .fingerprint = fingerprint,
+        .survived = true,
+    };
+    if (!is_keeper(suspects, &news)) {
+        SasMesh_TellSuspect(suspects->mesh, &news, 1, false);
+    }
+    else if (count_crashes(suspects, fingerprint) > 0) {
+        note_own(suspects, &news, "survived", "");
+    }
+}
+
 void
 SasSuspects_TakeNews(struct sas_suspects *suspects,
                      const struct sas_mesh_suspect_news *news)
 {
     int known = count_crashes(suspects, news->fingerprint);
+    if (!news->survived && was_answered(suspects, news->fingerprint)) {
+        vouch(suspects, news->fingerprint);
+        return;
+    }
     if (!merge(suspects, news)) {
         return;
     }
@@ -273,6 +341,10 @@
 SasSuspects_NoteSurvived(struct sas_suspects *suspects,
                          struct sas_fingerprint fingerprint)
 {
+    struct answered *row =
+        &suspects->answered[fingerprint.low % ANSWERED_ROWS];
+    row->low = fingerprint.low;
+    row->at = get_now(suspects);
     struct sas_mesh_suspect_news news = {
         .fingerprint = fingerprint,
         .survived = true,
--- a/packages/gateway/src/suspects.h
+++ b/packages/gateway/src/suspects.h
@@ -9,7 +9,9 @@
  * After one crash a request is sent on as ever: of the requests that were on
  * a crashed server all but one are innocent, and one success clears them.
  * After two it only goes to a server on which nothing else runs, and after
- * one more crash there nowhere.
+ * one more crash there nowhere for a minute. One whole answer anywhere ends
+ * the suspicion, and whoever has had one in the last half minute vouches for
+ * the request.
  *
  * The callers of such a request come to any entry VM. Each tells its crashes
  * to the keeper of the request, the entry VM that the fingerprint's hash
--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -147,7 +147,10 @@
         self.store = RowStore()
         self.workers = {}
         self.version = 0
-        self.vms = [EntryVm(self, "vm-%d" % i, zone, "127.0.1.%d" % (i + 1))
+        # Addresses of this test process: a port that an entry VM leaves for
+        # a moment must not be taken by another test's.
+        network = "127.0.%d." % (1 + os.getpid() % 250)
+        self.vms = [EntryVm(self, "vm-%d" % i, zone, network + str(i + 1))
                     for i, zone in enumerate(vms)]
         if configured:
             self.configure()
