--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -318,12 +318,14 @@
                             **{"seq-no": 5})
             time.sleep(self.rng.uniform(0.5, 3))
         self.fleet.store.remove("servers", name)
-        self.generation += 1
+        with self.lock:
+            self.generation += 1
+            generation = self.generation
         if self.rng.random() < 0.3:
             # Its address is used again, by a server of its service's other.
             time.sleep(2)
             other = "vault" if service == "desk" else "desk"
-            worker.name = "r%d" % self.generation
+            worker.name = "r%d" % generation
             self.services[worker.name] = other
             self.fleet.workers[worker.name] = worker
             self.fleet.add_worker(worker.name, other, zone,
@@ -331,7 +333,7 @@
             time.sleep(2)
             self.fleet.store.remove("servers", worker.name)
             worker.name = name
-        self.add_server(name, service, zone, born=self.generation + 1)
+        self.add_server(name, service, zone, born=generation + 1)
 
     def spoil_answers(self):
         name = self.rng.choice(sorted(self.services))
