--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -427,7 +427,10 @@
                      "the one with the key to hear of the server")
             self.assertEqual(stranger.request("POST", "/scans/1",
                                               b"x").status, 503)
-            self.assertTrue(first.find_lines("mesh.refuse"))
+            # Where it started first it greets the others only when it lists
+            # them again, seconds later.
+            wait_for(lambda: first.find_lines("mesh.refuse"),
+                     "the stranger's greeting to be refused")
 
 
 if __name__ == "__main__":
