The test of the key waits for the refusal while the store still answers

Traced: where the stranger starts first it knows nobody, and greets the others when it lists them again, up to five seconds later. The refusal is waited for before the store turns anybody away now; the demands are the same.

--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -418,6 +418,10 @@
                      len(second.lookup("a")) == 2, "two that know each other")
             self.assertNotIn("%s:%d" % stranger.address(),
                              first.lookup("c") + second.lookup("c"))
+            # Where it started first it greets the others only when it lists
+            # them again, seconds later; the store must still answer it then.
+            wait_for(lambda: first.find_lines("mesh.refuse"),
+                     "the stranger's greeting to be refused")
             fleet.store.refused = {second.store_port, stranger.store_port}
             wait_for(lambda: len(stranger.find_lines("store.lost")) == 2,
                      "the stranger to have no store")
@@ -427,10 +431,6 @@
                      "the one with the key to hear of the server")
             self.assertEqual(stranger.request("POST", "/scans/1",
                                               b"x").status, 503)
-            # Where it started first it greets the others only when it lists
-            # them again, seconds later.
-            wait_for(lambda: first.find_lines("mesh.refuse"),
-                     "the stranger's greeting to be refused")
 
 
 if __name__ == "__main__":
