Reading the change once more: one order, one headroom, one way to stop

- SasMesh_GetRank counted a rank of which only "is it 0" was ever asked, in the order that SasMesh_FindFirst walks too: SasMesh_IsTester by FindFirst.
- The headroom of a region was worked out at two places of steering.c, and the newest report's time was kept there for nobody.
- test_gossip's crowd closed its meshes by a copy of stop().

No change of behaviour; the tests keep their assertions.

--- a/packages/core/src/steering.c
+++ b/packages/core/src/steering.c
@@ -92,7 +92,6 @@
 struct room {
     double slots;
     double load;
-    int64_t reported_at; /* the newest report; 0: none */
 };
 
 static struct room
@@ -113,17 +112,23 @@
         room.slots += server->facts.slots;
         room.load += MIN(SasTraffic_EstimateLoad(server, now_ms),
                          (double)server->facts.slots);
-        room.reported_at = MAX(room.reported_at, server->traffic.reported_at);
     }
     return room;
 }
 
+/* The part of the slots that is free; 0 where there are none. */
+static double
+get_headroom(const struct room *room)
+{
+    return room->slots > 0 ? (room->slots - room->load) / room->slots : 0;
+}
+
 double
 SasSteering_GetHeadroom(const struct sas_steering *steering, int service,
                         int region, int64_t now_ms)
 {
     struct room room = measure_room(steering, service, region, now_ms);
-    return room.slots > 0 ? (room.slots - room.load) / room.slots : 0;
+    return get_headroom(&room);
 }
 
 /* A region that nothing has been sent to yet has no report; that its servers
@@ -135,7 +140,7 @@
     struct room room = measure_room(steering, service, region, now_ms);
     struct sas_plan_signal signal = {.headroom = NAN, .age_ms = INFINITY};
     if (room.slots > 0) {
-        signal.headroom = (room.slots - room.load) / room.slots;
+        signal.headroom = get_headroom(&room);
         signal.age_ms = 0;
     }
     return signal;
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -145,13 +145,13 @@
                            const struct sas_mesh_suspect_news *rows, int count,
                            int i);
 
-/* The place of this entry VM, from 0, among the live ones of the server's
- * region in an order of the server's own; the number of them when it isn't in
- * that region. The first tries a tripped server again for all others: each of
- * them trying by itself would cost a request each, and with nine entry VMs and
- * ten slow servers that was a tenth of all requests. */
-int SasMesh_GetRank(const struct sas_mesh *mesh, uint64_t server_hash,
-                    int region);
+/* Whether this entry VM tries a tripped server again for all others: the first
+ * of the live ones of the server's region, in an order of the server's own.
+ * Each of them trying by itself would cost a request each, and with nine entry
+ * VMs and ten slow servers that was a tenth of all requests. Where the region
+ * has lost all its entry VMs, each of the others does. */
+bool SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash,
+                      int region);
 
 /* How many entry VMs of a region may be sending to a server of it, and the
  * place of this one among them, for limits that they share. One that is
--- a/packages/gateway/src/mesh_order.c
+++ b/packages/gateway/src/mesh_order.c
@@ -10,22 +10,6 @@
     return XXH3_64bits(words, sizeof(words));
 }
 
-int
-SasMesh_GetRank(const struct sas_mesh *mesh, uint64_t server_hash, int region)
-{
-    bool member = SasMesh_GetRegion(mesh, OWN_SEAT) == region;
-    uint64_t own = score_vm(mesh, server_hash, OWN_SEAT);
-    int rank = 0;
-    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
-        if (SasMesh_GetRegion(mesh, seat) == region &&
-            SasMesh_IsLive(mesh, seat) &&
-            (!member || score_vm(mesh, server_hash, seat) > own)) {
-            rank++;
-        }
-    }
-    return rank;
-}
-
 static bool
 may_send(const struct sas_mesh *mesh, int seat)
 {
@@ -84,6 +68,13 @@
     return SasMesh_FindFirst(mesh, hash, SasModel_NONE, i) == OWN_SEAT;
 }
 
+bool
+SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash, int region)
+{
+    int first = SasMesh_FindFirst(mesh, server_hash, region, SasModel_NONE);
+    return first == OWN_SEAT || first == SasModel_NONE;
+}
+
 static bool
 leads_before(const struct vm *one, const struct vm *other)
 {
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -7,12 +7,9 @@
 is_tester(const struct sas_relay *relay, int slot)
 {
     const struct sas_fleet *fleet = relay->options.fleet;
-    int region = SasFleet_GetServerRegion(fleet, slot);
-    int rank = SasMesh_GetRank(relay->options.mesh,
-                               SasFleet_At(fleet, slot)->hash, region);
-    /* A region that has lost all its entry VMs has no tester; then each of
-     * the others tries by itself. */
-    return rank == 0;
+    return SasMesh_IsTester(relay->options.mesh,
+                            SasFleet_At(fleet, slot)->hash,
+                            SasFleet_GetServerRegion(fleet, slot));
 }
 
 /* A server that is back may have started anew, and its entry tells so only
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -155,10 +155,10 @@
 }
 
 static void
-stop(struct fixture *f)
+stop_meshes(struct fixture *f, struct sas_mesh **meshes, int count)
 {
-    for (int i = 0; i < VMS; i++) {
-        SasMesh_Close(f->meshes[i]);
+    for (int i = 0; i < count; i++) {
+        SasMesh_Close(meshes[i]);
     }
     uv_run(&f->loop, UV_RUN_DEFAULT);
     assert_int_equal(uv_loop_close(&f->loop), 0);
@@ -167,6 +167,12 @@
     g_free(f);
 }
 
+static void
+stop(struct fixture *f)
+{
+    stop_meshes(f, f->meshes, VMS);
+}
+
 static void
 test_one_leads_a_zone_and_one_tests_a_server(void **state)
 {
@@ -178,9 +184,9 @@
         struct sas_address peer;
         leaders += SasMesh_FindLeader(f->meshes[i], &peer) ? 0 : 1;
         bool east = SasMesh_IsOwnRegion(f->meshes[i], get_region(f, "east"));
-        int rank =
-            SasMesh_GetRank(f->meshes[i], SERVER_HASH, get_region(f, "east"));
-        testers += east && rank == 0 ? 1 : 0;
+        bool tester =
+            SasMesh_IsTester(f->meshes[i], SERVER_HASH, get_region(f, "east"));
+        testers += east && tester ? 1 : 0;
     }
     assert_int_equal(leaders, 3); /* of three zones */
     assert_int_equal(testers, 1);
@@ -224,7 +230,7 @@
     int region = get_region(f, "east");
     int tester = 0;
     for (int i = 0; i < VMS - 1; i++) {
-        if (SasMesh_GetRank(f->meshes[i], SERVER_HASH, region) == 0) {
+        if (SasMesh_IsTester(f->meshes[i], SERVER_HASH, region)) {
             tester = i;
         }
     }
@@ -340,14 +346,7 @@
     meshes[7] = NULL;
     SPIN_UNTIL(f, count_who_trust(meshes, "vm-7") == 0);
     assert_int_equal(count_who_trust(meshes, "vm-8"), CROWD - 2);
-    for (int i = 0; i < CROWD; i++) {
-        SasMesh_Close(meshes[i]);
-    }
-    uv_run(&f->loop, UV_RUN_DEFAULT);
-    assert_int_equal(uv_loop_close(&f->loop), 0);
-    SasFleet_Free(f->fleet);
-    g_rand_free(f->random);
-    g_free(f);
+    stop_meshes(f, meshes, CROWD);
 }
 
 /* An entry VM is killed and starts again while its clock has gone back. All
