--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -216,8 +216,12 @@
         return;
     }
     /* Only while there is somebody to look after: an idle port of a small VM
-     * would otherwise wake its process twenty times a second. */
-    if (server->connections++ == 0) {
+     * would otherwise wake its process twenty times a second. One that runs is
+     * left alone: callers with a short connection each would start it anew
+     * before it is due, errors would not be counted and the limit of bodies
+     * would stay where it is. */
+    server->connections++;
+    if (!uv_is_active((uv_handle_t *)&server->sweep)) {
         uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
     }
     uv_tcp_nodelay(&connection->tcp, 1);
