Decisions in a service's own pace; a second server for an object in demand

Cause: the policy's times were absolute, chosen where work takes 240 ms. Change: work on known and new objects is learned for each route and service (core/pace), which servers know an object is remembered (core/objects), and a request is admitted by its expected end (core/admit): the owner, or another server that knows the object and ends it sooner; where neither ends it in time, a next server with slots to spare; else refused with the backlog's time. An owner that is new gets to know its objects one request at a time. Property: all times of a load times 0.1 to 10 in the emulator, shares within 0.03. The tests of admission and of waiting are replaced: bounds of six waiting and of 650 ms are now multiples of the pace, with the same loads and stories.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -22,6 +22,7 @@
 
 #include "sas/limits.h"
 #include "sas/model.h"
+#include "sas/pace.h"
 
 #define SasFleet_MAX_ZONES 64
 #define SasFleet_ID_SIZE 201 /* a key of the store, and its end */
@@ -57,7 +58,8 @@
     int reported_waiting;
     int in_flight_at_report;
     int64_t reported_at;   /* 0: never */
-    double service_ms;     /* smoothed time from sending to the answer */
+    double slowness;       /* its work against the usual; 0: unknown */
+    int64_t slow_at;       /* when slowness was seen last */
     int timeouts;          /* in a row */
     int64_t queued_since;  /* it has not been seen with a short queue since */
     int64_t brief_until;   /* only a short queue is allowed there until then */
@@ -86,12 +88,12 @@
 struct sas_fleet_service {
     char name[SasFleet_ID_SIZE];
     char health_path[SasModel_NAME_SIZE * 2];
-    int max_connections; /* that a server accepts, from all entry VMs */
-    double cold_per_s;   /* requests a cold server bears; 0: no limit */
-    int64_t cold_ms;     /* how long a server is cold after its start */
-    double typical_ms;   /* of its quicker servers; 0: unknown */
-    int64_t typical_at;
-    GArray *servers; /* int, slots of its present servers */
+    int max_connections;  /* that a server accepts, from all entry VMs */
+    double cold_per_s;    /* requests a cold server bears; 0: no limit */
+    int64_t cold_ms;      /* how long a server is cold after its start */
+    double goal_ms;       /* the longest objective of its routes; 0: none */
+    struct sas_pace pace; /* of all its routes */
+    GArray *servers;      /* int, slots of its present servers */
 };
 
 /* What may be repeated. */
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -288,6 +288,25 @@
     }
 }
 
+/* The pace of a service that has not answered yet starts from the longest
+ * objective of its routes. */
+static void
+note_goals(struct sas_fleet *fleet, const struct sas_fleet_config *config)
+{
+    for (guint i = 0; i < config->routes->len; i++) {
+        const struct sas_route *route = config->routes->pdata[i];
+        for (guint part = 0; part < route->parts->len; part++) {
+            struct sas_fleet_service *service = SasFleet_GetService(
+                fleet, g_array_index(route->parts, struct sas_route_part, part)
+                           .service);
+            if ((double)route->target_latency_ms > service->goal_ms) {
+                service->goal_ms = (double)route->target_latency_ms;
+                SasPace_SetGoal(&service->pace, service->goal_ms);
+            }
+        }
+    }
+}
+
 bool
 SasFleet_ApplyConfig(struct sas_fleet *fleet, struct sas_fleet_config *config,
                      int64_t now_ms)
@@ -298,6 +317,7 @@
     }
     config->applied_at = now_ms;
     mark_urgent(config);
+    note_goals(fleet, config);
     SasFleetConfig_Unref(fleet->config);
     fleet->config = config;
     for (guint i = 0; i < fleet->listeners->len; i++) {
@@ -460,6 +480,7 @@
     struct sas_fleet_service *row = g_new0(struct sas_fleet_service, 1);
     g_strlcpy(row->name, name, sizeof(row->name));
     row->servers = g_array_new(FALSE, FALSE, sizeof(int));
+    SasPace_Init(&row->pace, 0);
     g_ptr_array_add(fleet->services, row);
     service = (int)fleet->services->len - 1;
     g_hash_table_insert(fleet->service_by_name, row->name,
--- a/packages/core/src/keep.c
+++ b/packages/core/src/keep.c
@@ -26,7 +26,7 @@
         sums.all_slots += server->facts.slots;
         if (server->zone == zone) {
             sums.zone_slots += server->facts.slots;
-            sums.zone_load += SasTraffic_EstimateLoad(server, now_ms);
+            sums.zone_load += SasTraffic_EstimateLoad(fleet, slot, now_ms);
         }
     }
     return sums;
--- /dev/null
+++ b/packages/core/src/objects.c
@@ -0,0 +1,149 @@
+#include "sas/objects.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define WAYS 4
+#define SETS (SasObjects_CAPACITY / WAYS)
+
+struct holder {
+    int32_t slot_plus_one; /* 0: none */
+    uint32_t generation;
+};
+
+struct object {
+    uint64_t key; /* 0: the place is free */
+    uint32_t used_at;
+    uint8_t next; /* holder to be replaced */
+    struct holder holders[SasObjects_HOLDERS];
+    struct holder learner; /* is getting to know it */
+    int64_t sent_at;       /* to the learner */
+};
+
+struct sas_objects {
+    uint32_t uses;
+    struct object sets[SETS][WAYS];
+};
+
+struct sas_objects *
+SasObjects_New(void)
+{
+    return g_new0(struct sas_objects, 1);
+}
+
+void
+SasObjects_Free(struct sas_objects *objects)
+{
+    g_free(objects);
+}
+
+static uint64_t
+get_full_key(int service, uint64_t key)
+{
+    uint64_t full = key ^ ((uint64_t)(service + 1) * 0x9e3779b97f4a7c15ULL);
+    return full != 0 ? full : 1;
+}
+
+static int
+find(const struct object *set, uint64_t full)
+{
+    for (int i = 0; i < WAYS; i++) {
+        if (set[i].key == full) {
+            return i;
+        }
+    }
+    return SasModel_NONE;
+}
+
+static struct object *
+take_place(struct sas_objects *objects, uint64_t full)
+{
+    struct object *set = objects->sets[full % SETS];
+    int place = find(set, full);
+    if (place != SasModel_NONE) {
+        return &set[place];
+    }
+    place = 0;
+    for (int i = 1; i < WAYS; i++) {
+        if (set[i].used_at < set[place].used_at) {
+            place = i;
+        }
+    }
+    memset(&set[place], 0, sizeof(set[place]));
+    set[place].key = full;
+    return &set[place];
+}
+
+static struct holder
+make_holder(struct sas_server_ref server)
+{
+    return (struct holder){server.slot + 1, server.generation};
+}
+
+static bool
+is_holder(const struct holder *holder, struct sas_server_ref server)
+{
+    return holder->slot_plus_one == server.slot + 1 &&
+           holder->generation == server.generation;
+}
+
+static bool
+has_holder(const struct object *object, struct sas_server_ref server)
+{
+    for (int i = 0; i < SasObjects_HOLDERS; i++) {
+        if (is_holder(&object->holders[i], server)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+SasObjects_NoteSent(struct sas_objects *objects, int service, uint64_t key,
+                    struct sas_server_ref server, int64_t now_ms)
+{
+    struct object *object = take_place(objects, get_full_key(service, key));
+    object->used_at = ++objects->uses;
+    object->learner = make_holder(server);
+    object->sent_at = now_ms;
+}
+
+void
+SasObjects_Note(struct sas_objects *objects, int service, uint64_t key,
+                struct sas_server_ref server)
+{
+    struct object *object = take_place(objects, get_full_key(service, key));
+    object->used_at = ++objects->uses;
+    if (is_holder(&object->learner, server)) {
+        object->learner = (struct holder){0};
+    }
+    if (has_holder(object, server)) {
+        return;
+    }
+    object->holders[object->next] = make_holder(server);
+    object->next = (uint8_t)((object->next + 1) % SasObjects_HOLDERS);
+}
+
+bool
+SasObjects_IsKnown(const struct sas_objects *objects, int service,
+                   uint64_t key, struct sas_server_ref server)
+{
+    uint64_t full = get_full_key(service, key);
+    const struct object *set = objects->sets[full % SETS];
+    int place = find(set, full);
+    return place != SasModel_NONE && has_holder(&set[place], server);
+}
+
+int64_t
+SasObjects_GetSentAt(const struct sas_objects *objects, int service,
+                     uint64_t key, struct sas_server_ref server)
+{
+    uint64_t full = get_full_key(service, key);
+    const struct object *set = objects->sets[full % SETS];
+    int place = find(set, full);
+    if (place == SasModel_NONE || !is_holder(&set[place].learner, server)) {
+        return 0;
+    }
+    return set[place].sent_at;
+}
--- a/packages/core/src/steering.c
+++ b/packages/core/src/steering.c
@@ -110,8 +110,9 @@
             continue;
         }
         room.slots += server->facts.slots;
-        room.load += MIN(SasTraffic_EstimateLoad(server, now_ms),
-                         (double)server->facts.slots);
+        room.load +=
+            MIN(SasTraffic_EstimateLoad(steering->fleet, slot, now_ms),
+                (double)server->facts.slots);
     }
     return room;
 }
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -2,14 +2,23 @@
 
 #include <math.h>
 
-#define SMOOTHING 0.15
-#define DEFAULT_SERVICE_MS 150.0
-#define MIN_ROOM_MS 50
-#define MAX_ROOM_MS 1000
+/* How fast a server's slowness follows its answers, and how far it may go. */
+#define SLOW_SMOOTHING 0.2
+#define MAX_SLOWNESS 16.0
 
-/* It moves slowly; sorting for each request would cost more than all
- * other decisions on it. */
-#define TYPICAL_EVERY_MS 250
+double
+SasTraffic_GetPaceMs(const struct sas_fleet *fleet, int service)
+{
+    return SasPace_Get(&SasFleet_GetService(fleet, service)->pace, false);
+}
+
+/* So many paces at the server, in milliseconds. */
+static int64_t
+in_paces(const struct sas_fleet *fleet, int slot, double paces)
+{
+    int service = SasFleet_At(fleet, slot)->service;
+    return (int64_t)(paces * SasTraffic_GetPaceMs(fleet, service));
+}
 
 void
 SasTraffic_NoteSent(struct sas_fleet_server *server, int64_t now_ms)
@@ -28,74 +37,36 @@
 }
 
 static void
-note_queue(struct sas_server_traffic *traffic, int waiting, int64_t now_ms)
+note_queue(struct sas_fleet *fleet, int slot, int waiting, int64_t now_ms)
 {
-    if (waiting < SasTraffic_BRIEF_WAITING) {
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
+    if (waiting < SasTraffic_QUEUE) {
         traffic->queued_since = 0;
         return;
     }
     if (traffic->queued_since == 0) {
         traffic->queued_since = now_ms;
     }
-    if (now_ms - traffic->queued_since >= SasTraffic_STANDING_MS) {
-        traffic->brief_until = now_ms + SasTraffic_BRIEF_MS;
+    if (now_ms - traffic->queued_since >=
+        in_paces(fleet, slot, SasTraffic_STANDING)) {
+        traffic->brief_until =
+            now_ms + in_paces(fleet, slot, SasTraffic_BRIEF);
     }
 }
 
 void
-SasTraffic_NoteReport(struct sas_fleet_server *server,
+SasTraffic_NoteReport(struct sas_fleet *fleet, int slot,
                       const struct sas_traffic_report *report, int64_t now_ms)
 {
     if (report->running < 0) {
         return;
     }
-    struct sas_server_traffic *traffic = &server->traffic;
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
     traffic->reported_running = report->running;
     traffic->reported_waiting = report->waiting;
     traffic->in_flight_at_report = traffic->in_flight;
     traffic->reported_at = now_ms;
-    note_queue(traffic, report->waiting, now_ms);
-}
-
-/* The usual time of a service. */
-
-static int
-compare_times(gconstpointer a, gconstpointer b)
-{
-    double left = *(const double *)a;
-    double right = *(const double *)b;
-    return (left > right) - (left < right);
-}
-
-/* The lower quartile: with the slower half of the servers in trouble it is
- * still the time of healthy ones. */
-static double
-get_lower_quartile(const struct sas_fleet *fleet, const GArray *slots)
-{
-    g_autoptr(GArray) times = g_array_new(FALSE, FALSE, sizeof(double));
-    for (guint i = 0; i < slots->len; i++) {
-        int slot = g_array_index(slots, int, i);
-        double service_ms = SasFleet_At(fleet, slot)->traffic.service_ms;
-        if (service_ms > 0) {
-            g_array_append_val(times, service_ms);
-        }
-    }
-    if (times->len == 0) {
-        return 0;
-    }
-    g_array_sort(times, compare_times);
-    return g_array_index(times, double, times->len / 4);
-}
-
-double
-SasTraffic_GetTypicalMs(struct sas_fleet *fleet, int service, int64_t now_ms)
-{
-    struct sas_fleet_service *row = SasFleet_GetService(fleet, service);
-    if (row->typical_ms <= 0 || now_ms - row->typical_at > TYPICAL_EVERY_MS) {
-        row->typical_ms = get_lower_quartile(fleet, row->servers);
-        row->typical_at = now_ms;
-    }
-    return row->typical_ms;
+    note_queue(fleet, slot, report->waiting, now_ms);
 }
 
 /* Tripping. */
@@ -159,33 +130,56 @@
     return SAS_TRAFFIC_WELL;
 }
 
+static void
+note_slowness(const struct sas_fleet *fleet, int slot,
+              const struct sas_traffic_end *end, int64_t now_ms)
+{
+    struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    struct sas_server_traffic *traffic = &server->traffic;
+    double ratio = end->elapsed_ms / end->work_ms /
+                   count_rounds(server, end->load_when_sent);
+    double old = SasTraffic_GetSlowness(fleet, slot, now_ms);
+    double slowness = old + SLOW_SMOOTHING * (ratio - old);
+    traffic->slowness = CLAMP(slowness, 1, MAX_SLOWNESS);
+    traffic->slow_at = now_ms;
+}
+
+/* A sample of the service's pace, if it found a free slot. */
+static void
+note_pace(struct sas_fleet *fleet, const struct sas_fleet_server *server,
+          const struct sas_traffic_end *end)
+{
+    if (!end->timed_out && end->load_when_sent < server->facts.slots) {
+        SasPace_Note(&SasFleet_GetService(fleet, server->service)->pace,
+                     end->known, end->elapsed_ms);
+    }
+}
+
 enum sas_traffic_change
 SasTraffic_NoteRun(struct sas_fleet *fleet, int slot,
                    const struct sas_traffic_end *end, int64_t now_ms)
 {
     struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     struct sas_server_traffic *traffic = &server->traffic;
-    double service_ms =
-        end->elapsed_ms / count_rounds(server, end->load_when_sent);
-    double typical_ms =
-        SasTraffic_GetTypicalMs(fleet, server->service, now_ms);
-    double times = typical_ms > 0 ? service_ms / typical_ms : 1;
     traffic->failures = 0;
     if (end->failed) {
         return SAS_TRAFFIC_SAME;
     }
+    double paces = end->elapsed_ms /
+                   count_rounds(server, end->load_when_sent) /
+                   SasTraffic_GetPaceMs(fleet, server->service);
+    bool well = !end->timed_out && paces <= SasTraffic_TRIAL;
     traffic->timeouts = end->timed_out ? traffic->timeouts + 1 : 0;
-    if (!end->timed_out && times <= SasTraffic_TRIAL) {
+    if (well) {
         traffic->well_at = now_ms;
     }
     if (traffic->tripped && now_ms >= traffic->shunned_until) {
-        return end_trial(fleet, slot,
-                         !end->timed_out && times <= SasTraffic_TRIAL, now_ms);
+        return end_trial(fleet, slot, well, now_ms);
     }
-    if (traffic->service_ms <= 0) {
-        traffic->service_ms = service_ms;
+    if (end->work_ms > 0) {
+        note_slowness(fleet, slot, end, now_ms);
     }
-    traffic->service_ms += SMOOTHING * (service_ms - traffic->service_ms);
+    note_pace(fleet, server, end);
     return traffic->timeouts >= SasTraffic_TIMEOUTS ? trip(fleet, slot, now_ms)
                                                     : SAS_TRAFFIC_SAME;
 }
@@ -221,28 +215,36 @@
     struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     const struct sas_server_traffic *traffic = &server->traffic;
     if (traffic->in_flight < 2 || traffic->tripped ||
-        now_ms - traffic->busy_since <= SasTraffic_SILENT_MS) {
+        now_ms - traffic->busy_since <=
+            in_paces(fleet, slot, SasTraffic_SILENT)) {
         return SAS_TRAFFIC_SAME;
     }
     return trip(fleet, slot, now_ms);
 }
 
+static int64_t
+get_verdict_ms(const struct sas_fleet *fleet, int slot)
+{
+    return SasTraffic_VERDICT_MS + in_paces(fleet, slot, SasTraffic_VERDICT);
+}
+
 void
-SasTraffic_TakeWord(struct sas_fleet_server *server, int64_t left_ms,
+SasTraffic_TakeWord(struct sas_fleet *fleet, int slot, int64_t left_ms,
                     bool tester, int64_t now_ms)
 {
-    struct sas_server_traffic *traffic = &server->traffic;
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
     if (left_ms == 0) {
         recover(traffic);
         return;
     }
     if (traffic->well_at > 0 &&
-        now_ms - traffic->well_at < SasTraffic_WELL_MS) {
+        now_ms - traffic->well_at < in_paces(fleet, slot, SasTraffic_WELL)) {
         return;
     }
     if (!tester) {
-        traffic->warned_until = MAX(traffic->warned_until,
-                                    now_ms + left_ms + SasTraffic_VERDICT_MS);
+        traffic->warned_until =
+            MAX(traffic->warned_until,
+                now_ms + left_ms + get_verdict_ms(fleet, slot));
         return;
     }
     if (!traffic->tripped) {
@@ -253,11 +255,12 @@
 }
 
 void
-SasTraffic_AwaitWord(struct sas_fleet_server *server)
+SasTraffic_AwaitWord(struct sas_fleet *fleet, int slot)
 {
-    struct sas_server_traffic *traffic = &server->traffic;
-    traffic->warned_until = MAX(
-        traffic->warned_until, traffic->shunned_until + SasTraffic_VERDICT_MS);
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
+    traffic->warned_until =
+        MAX(traffic->warned_until,
+            traffic->shunned_until + get_verdict_ms(fleet, slot));
 }
 
 void
@@ -288,46 +291,53 @@
 }
 
 double
-SasTraffic_EstimateLoad(const struct sas_fleet_server *server, int64_t now_ms)
+SasTraffic_EstimateLoad(const struct sas_fleet *fleet, int slot,
+                        int64_t now_ms)
 {
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     const struct sas_server_traffic *traffic = &server->traffic;
     if (traffic->reported_at == 0) {
         return traffic->in_flight;
     }
     double others = traffic->reported_running + traffic->reported_waiting -
                     traffic->in_flight_at_report;
+    double half_life_ms =
+        SasTraffic_HALF_LIFE * SasTraffic_GetPaceMs(fleet, server->service);
     double age_ms = (double)(now_ms - traffic->reported_at);
-    double left = exp2(-age_ms / SasTraffic_HALF_LIFE_MS);
-    return traffic->in_flight + MAX(others, 0) * left;
+    return traffic->in_flight + MAX(others, 0) * exp2(-age_ms / half_life_ms);
 }
 
-int
-SasTraffic_GetMaxWaiting(const struct sas_fleet_server *server, bool urgent,
-                         int64_t now_ms)
+double
+SasTraffic_EstimateWaitMs(const struct sas_fleet *fleet, int slot,
+                          int64_t now_ms)
 {
-    if (now_ms >= server->traffic.brief_until) {
-        return SasTraffic_MAX_WAITING;
-    }
-    return urgent ? SasTraffic_BRIEF_URGENT : SasTraffic_BRIEF_WAITING;
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    double slots = MAX(server->facts.slots, 1);
+    double ahead = SasTraffic_EstimateLoad(fleet, slot, now_ms) - slots + 1;
+    double work_ms =
+        SasFleet_GetService(fleet, server->service)->pace.mixed.ms;
+    return MAX(ahead, 0) * work_ms / slots *
+           SasTraffic_GetSlowness(fleet, slot, now_ms);
 }
 
-bool
-SasTraffic_HasRoom(const struct sas_fleet_server *server, int max_waiting,
-                   int64_t now_ms)
+double
+SasTraffic_GetSlowness(const struct sas_fleet *fleet, int slot, int64_t now_ms)
 {
-    return SasTraffic_EstimateLoad(server, now_ms) <
-           server->facts.slots + max_waiting;
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    const struct sas_server_traffic *traffic = &server->traffic;
+    if (traffic->slowness <= 1) {
+        return 1;
+    }
+    double half_life_ms = SasTraffic_SLOW_HALF_LIFE *
+                          SasTraffic_GetPaceMs(fleet, server->service);
+    double age_ms = (double)(now_ms - traffic->slow_at);
+    return 1 + (traffic->slowness - 1) * exp2(-age_ms / half_life_ms);
 }
 
-int64_t
-SasTraffic_EstimateRoomMs(const struct sas_fleet_server *server,
-                          int max_waiting, int64_t now_ms)
+bool
+SasTraffic_HasRoom(const struct sas_fleet *fleet, int slot, int spare,
+                   int64_t now_ms)
 {
-    double service_ms = server->traffic.service_ms > 0
-                            ? server->traffic.service_ms
-                            : DEFAULT_SERVICE_MS;
-    double over = SasTraffic_EstimateLoad(server, now_ms) -
-                  server->facts.slots - max_waiting + 1;
-    double room_ms = MAX(over, 1) * service_ms / MAX(server->facts.slots, 1);
-    return (int64_t)CLAMP(room_ms, MIN_ROOM_MS, MAX_ROOM_MS);
+    return SasTraffic_EstimateLoad(fleet, slot, now_ms) <
+           SasFleet_At(fleet, slot)->facts.slots - spare;
 }
--- a/packages/core/tests/test_traffic.c
+++ b/packages/core/tests/test_traffic.c
@@ -7,15 +7,25 @@
 #include "sas/traffic.h"
 
 #define SERVERS 8
+#define PACE_MS 400
+#define KNOWN_MS 100
+#define VERDICT_MS (SasTraffic_VERDICT_MS + in_paces(SasTraffic_VERDICT))
+
+/* A multiple of the pace, in milliseconds. */
+static int64_t
+in_paces(double paces)
+{
+    return (int64_t)(paces * PACE_MS);
+}
 
 static struct sas_fleet *
 start(void)
 {
     struct sas_fleet *fleet = new_fleet();
     add_servers(fleet, "forms", "a", SERVERS);
-    for (int slot = 0; slot < SERVERS; slot++) {
-        SasFleet_At(fleet, slot)->traffic.service_ms = 100;
-    }
+    struct sas_pace *pace = &SasFleet_GetService(fleet, 0)->pace;
+    pace->fresh = (struct sas_pace_estimate){.ms = PACE_MS, .samples = 9};
+    pace->known = (struct sas_pace_estimate){.ms = KNOWN_MS, .samples = 9};
     return fleet;
 }
 
@@ -25,6 +35,8 @@
 {
     struct sas_traffic_end end = {
         .elapsed_ms = elapsed_ms,
+        .work_ms = KNOWN_MS,
+        .known = true,
         .timed_out = timed_out,
     };
     return SasTraffic_NoteRun(fleet, slot, &end, now_ms);
@@ -38,14 +50,14 @@
     struct sas_fleet_server *server = SasFleet_At(fleet, 0);
     SasTraffic_NoteSent(server, 0);
     SasTraffic_NoteSent(server, 0);
-    assert_true(SasTraffic_EstimateLoad(server, 0) == 2);
+    assert_true(SasTraffic_EstimateLoad(fleet, 0, 0) == 2);
     struct sas_traffic_report report = {.running = 3, .waiting = 3};
-    SasTraffic_NoteReport(server, &report, 1000);
-    assert_true(SasTraffic_EstimateLoad(server, 1000) == 6);
+    SasTraffic_NoteReport(fleet, 0, &report, 1000);
+    assert_true(SasTraffic_EstimateLoad(fleet, 0, 1000) == 6);
     SasTraffic_NoteSent(server, 1000);
-    assert_true(SasTraffic_EstimateLoad(server, 1000) == 7);
-    double later =
-        SasTraffic_EstimateLoad(server, 1000 + SasTraffic_HALF_LIFE_MS);
+    assert_true(SasTraffic_EstimateLoad(fleet, 0, 1000) == 7);
+    double later = SasTraffic_EstimateLoad(
+        fleet, 0, 1000 + in_paces(SasTraffic_HALF_LIFE));
     assert_true(later > 4.9 && later < 5.1);
     SasFleet_Free(fleet);
 }
@@ -58,24 +70,19 @@
 {
     (void)state;
     struct sas_fleet *fleet = start();
-    struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, 0)->traffic;
     struct sas_traffic_report full = {.running = 3, .waiting = 5};
     struct sas_traffic_report free = {.running = 3, .waiting = 0};
-    SasTraffic_NoteReport(server, &full, 1000);
-    SasTraffic_NoteReport(server, &full, 1400);
-    SasTraffic_NoteReport(server, &free, 1450);
-    SasTraffic_NoteReport(server, &full, 1500);
-    SasTraffic_NoteReport(server, &full, 1900);
-    assert_int_equal(SasTraffic_GetMaxWaiting(server, false, 1900),
-                     SasTraffic_MAX_WAITING);
-    SasTraffic_NoteReport(server, &full, 2000);
-    assert_int_equal(SasTraffic_GetMaxWaiting(server, false, 2000),
-                     SasTraffic_BRIEF_WAITING);
-    assert_int_equal(SasTraffic_GetMaxWaiting(server, true, 2000),
-                     SasTraffic_BRIEF_URGENT);
-    assert_int_equal(
-        SasTraffic_GetMaxWaiting(server, false, 2000 + SasTraffic_BRIEF_MS),
-        SasTraffic_MAX_WAITING);
+    int64_t standing = in_paces(SasTraffic_STANDING);
+    SasTraffic_NoteReport(fleet, 0, &full, 1000);
+    SasTraffic_NoteReport(fleet, 0, &full, 1000 + standing - 100);
+    SasTraffic_NoteReport(fleet, 0, &free, 1000 + standing - 50);
+    SasTraffic_NoteReport(fleet, 0, &full, 1000 + standing);
+    int64_t last = 1000 + 2 * standing;
+    SasTraffic_NoteReport(fleet, 0, &full, last - 100);
+    assert_true(traffic->brief_until <= last - 100);
+    SasTraffic_NoteReport(fleet, 0, &full, last);
+    assert_int_equal(traffic->brief_until, last + in_paces(SasTraffic_BRIEF));
     SasFleet_Free(fleet);
 }
 
@@ -133,12 +140,12 @@
                      SAS_TRAFFIC_SAME);
     SasTraffic_NoteSent(server, 100000);
     SasTraffic_NoteSent(server, 100001);
-    assert_int_equal(
-        SasTraffic_CheckSilence(fleet, 0, 100000 + SasTraffic_SILENT_MS),
-        SAS_TRAFFIC_SAME);
-    assert_int_equal(
-        SasTraffic_CheckSilence(fleet, 0, 100001 + SasTraffic_SILENT_MS),
-        SAS_TRAFFIC_TRIPPED);
+    assert_int_equal(SasTraffic_CheckSilence(
+                         fleet, 0, 100000 + in_paces(SasTraffic_SILENT)),
+                     SAS_TRAFFIC_SAME);
+    assert_int_equal(SasTraffic_CheckSilence(
+                         fleet, 0, 100001 + in_paces(SasTraffic_SILENT)),
+                     SAS_TRAFFIC_TRIPPED);
     SasFleet_Free(fleet);
 }
 
@@ -190,9 +197,9 @@
     (void)state;
     struct sas_fleet *fleet = start();
     end_run(fleet, 0, 100, false, 1000);
-    SasTraffic_TakeWord(SasFleet_At(fleet, 0), 1500, false, 1100);
+    SasTraffic_TakeWord(fleet, 0, 1500, false, 1100);
     assert_false(SasTraffic_IsShunned(SasFleet_At(fleet, 0), 1100));
-    SasTraffic_TakeWord(SasFleet_At(fleet, 1), 1500, false, 1100);
+    SasTraffic_TakeWord(fleet, 1, 1500, false, 1100);
     assert_true(SasTraffic_IsShunned(SasFleet_At(fleet, 1), 1100));
     SasFleet_Free(fleet);
 }
@@ -207,16 +214,52 @@
     struct sas_fleet *fleet = start();
     struct sas_fleet_server *tester = SasFleet_At(fleet, 0);
     struct sas_fleet_server *other = SasFleet_At(fleet, 1);
-    SasTraffic_TakeWord(tester, 1500, true, 1000);
-    SasTraffic_TakeWord(other, 1500, false, 1000);
+    SasTraffic_TakeWord(fleet, 0, 1500, true, 1000);
+    SasTraffic_TakeWord(fleet, 1, 1500, false, 1000);
     assert_true(SasTraffic_IsShunned(tester, 2499));
     assert_false(SasTraffic_IsShunned(tester, 2500));
     assert_true(SasTraffic_IsShunned(other, 2500));
-    SasTraffic_TakeWord(other, 0, false, 2600);
+    SasTraffic_TakeWord(fleet, 1, 0, false, 2600);
     assert_false(SasTraffic_IsShunned(other, 2600));
-    SasTraffic_TakeWord(other, 1500, false, 3000);
-    assert_false(
-        SasTraffic_IsShunned(other, 3000 + 1500 + SasTraffic_VERDICT_MS));
+    SasTraffic_TakeWord(fleet, 1, 1500, false, 3000);
+    assert_false(SasTraffic_IsShunned(other, 3000 + 1500 + VERDICT_MS));
+    SasFleet_Free(fleet);
+}
+
+/* Load: some servers turn twelve times slower for some seconds, and requests
+ * still end there, late. Their work is expected to be slow until they show
+ * otherwise, or were left alone for a while. */
+static void
+test_a_slow_server_is_expected_to_be_slow_for_a_while(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    for (int i = 0; i < 20; i++) {
+        end_run(fleet, 0, 12 * KNOWN_MS, false, 1000);
+        end_run(fleet, 1, KNOWN_MS, false, 1000);
+    }
+    assert_true(SasTraffic_GetSlowness(fleet, 0, 1000) > 8);
+    assert_true(SasTraffic_GetSlowness(fleet, 1, 1000) < 1.2);
+    int64_t later = 1000 + 5 * in_paces(SasTraffic_SLOW_HALF_LIFE);
+    assert_true(SasTraffic_GetSlowness(fleet, 0, later) < 1.5);
+    SasFleet_Free(fleet);
+}
+
+/* Load: more callers than slots. Who comes next waits for those ahead. */
+static void
+test_the_wait_grows_with_those_ahead(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    struct sas_pace *pace = &SasFleet_GetService(fleet, 0)->pace;
+    pace->mixed = (struct sas_pace_estimate){.ms = 120, .samples = 9};
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, 0)->traffic;
+    traffic->in_flight = 2; /* of 3 slots */
+    assert_true(SasTraffic_EstimateWaitMs(fleet, 0, 1000) == 0);
+    traffic->in_flight = 3;
+    assert_true(SasTraffic_EstimateWaitMs(fleet, 0, 1000) == 40);
+    traffic->in_flight = 6;
+    assert_true(SasTraffic_EstimateWaitMs(fleet, 0, 1000) == 160);
     SasFleet_Free(fleet);
 }
 
@@ -235,6 +278,9 @@
         cmocka_unit_test(test_cuts_weigh_less_than_refused_connections),
         cmocka_unit_test(test_an_own_fresh_answer_outweighs_anothers_word),
         cmocka_unit_test(test_only_the_tester_tries_again),
+        cmocka_unit_test(
+            test_a_slow_server_is_expected_to_be_slow_for_a_while),
+        cmocka_unit_test(test_the_wait_grows_with_those_ahead),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -29,6 +29,7 @@
         SasSuspects_New(options->loop, options->fleet, options->pool,
                         options->mesh, options->metrics);
     SasRelay_Listen(relay);
+    relay->objects = SasObjects_New();
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
     relay->routes =
@@ -40,6 +41,7 @@
 SasRelay_Free(struct sas_relay *relay)
 {
     SasSuspects_Free(relay->suspects);
+    SasObjects_Free(relay->objects);
     g_ptr_array_free(relay->services, TRUE);
     g_ptr_array_free(relay->slots, TRUE);
     g_hash_table_destroy(relay->routes);
@@ -126,8 +128,8 @@
     object = object != NULL ? object : "";
     SasLog_WriteFields(
         SasLog_INFO, SasLog_REQUEST, call->server_id,
-        "{s:s, s:s, s:i, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:I, "
-        "s:I}",
+        "{s:s, s:s, s:i, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:b, "
+        "s:i, s:i, s:I, s:I}",
         "request", call->request_id, "outcome", outcome, "status", status,
         "object", object, "route", routed ? call->route->name : "", "service",
         routed ? SasFleet_GetService(relay->options.fleet, call->service)->name
@@ -136,7 +138,8 @@
         "took_ms", (int)(now_ms - call->began_at), "left_ms",
         routed ? (int)(call->deadline_at - now_ms) : 0, "server_load",
         call->load_when_sent, "load_age_ms", (json_int_t)call->load_age_ms,
-        "config",
+        "known", call->known, "wait_ms", (int)call->wait_ms, "work_ms",
+        (int)call->work_ms, "config",
         (json_int_t)(call->config != NULL ? call->config->version : 0),
         "config_age_ms",
         (json_int_t)(call->config != NULL ? now_ms - call->config->applied_at
@@ -209,6 +212,7 @@
     struct route_state *state = g_hash_table_lookup(routes, call->route->name);
     if (state == NULL) {
         state = g_new0(struct route_state, 1);
+        SasPace_Init(&state->pace, (double)call->route->target_latency_ms);
         g_hash_table_insert(routes, g_strdup(call->route->name), state);
     }
     return state;
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -323,6 +323,20 @@
     SasRelay_Fail(call, outcome, 502);
 }
 
+/* What the answer shows of the route's work, and of who knows the object. */
+static void
+note_work(struct relay_call *call, double elapsed_ms)
+{
+    struct sas_relay *relay = call->relay;
+    const struct sas_fleet_server *server =
+        SasFleet_At(relay->options.fleet, call->server.slot);
+    if (call->load_when_sent < server->facts.slots) {
+        SasPace_Note(&SasRelay_GetRouteState(call)->pace, call->known,
+                     elapsed_ms);
+    }
+    SasObjects_Note(relay->objects, server->service, call->key, call->server);
+}
+
 static void
 note_run(struct relay_call *call, bool timed_out)
 {
@@ -335,6 +349,8 @@
     struct sas_traffic_end end = {
         .elapsed_ms = (double)(now_ms - call->sent_at),
         .load_when_sent = call->load_when_sent,
+        .work_ms = call->work_ms,
+        .known = call->known,
         .timed_out = timed_out,
         .failed = !timed_out && call->status / 100 != 2,
     };
@@ -343,6 +359,7 @@
         SasTraffic_NoteRun(fleet, call->server.slot, &end, now_ms),
         timed_out ? "timed out" : "slow");
     if (!timed_out && call->status / 100 == 2) {
+        note_work(call, end.elapsed_ms);
         SasRelay_NoteAnswered(relay, call->server.slot);
     }
     else if (!timed_out && call->status >= 500) {
@@ -369,7 +386,8 @@
                        server != NULL &&
                        call->load_when_sent < server->facts.slots;
     if (server != NULL) {
-        SasTraffic_NoteReport(server, &call->report, now_ms);
+        SasTraffic_NoteReport(relay->options.fleet, call->server.slot,
+                              &call->report, now_ms);
         if (!not_run) {
             note_run(call, false);
         }
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -45,6 +45,7 @@
 struct route_state { /* of a route by name, across configurations */
     struct sas_split split;
     double bytes; /* smoothed, of a request and its answer */
+    struct sas_pace pace;
 };
 
 struct sas_relay {
@@ -56,6 +57,7 @@
     GPtrArray *slots;    /* struct slot_state *, by slot */
     GHashTable *routes;  /* struct route_state by route name */
     struct sas_suspects *suspects;
+    struct sas_objects *objects;
     bool stopping;
 };
 
@@ -94,6 +96,9 @@
     char server_zone[SasModel_NAME_SIZE];
     int64_t sent_at;
     double load_when_sent;
+    bool known;          /* the server knew the object */
+    double work_ms;      /* usual, of such a request */
+    double wait_ms;      /* expected, for a slot */
     bool alone;          /* nothing else was known to run there */
     int64_t load_age_ms; /* of the report that the load rests on; -1: none */
 
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -11,10 +11,6 @@
  * once more, and spares half of the bytes between zones. */
 #define NEAR_BYTES 3000.0
 
-/* Slots that stay free at a server that is given another one's objects: they
- * are new to it and take three times as long. */
-#define SPARE_SLOTS 1
-
 /* Half a request: what is left of a report when it has faded. */
 #define IDLE_LOAD 0.5
 
@@ -132,7 +128,8 @@
     g_strlcpy(call->server_id, server->facts.id, sizeof(call->server_id));
     g_strlcpy(call->server_zone, server->facts.zone,
               sizeof(call->server_zone));
-    call->load_when_sent = SasTraffic_EstimateLoad(server, now_ms);
+    call->load_when_sent =
+        SasTraffic_EstimateLoad(call->relay->options.fleet, slot, now_ms);
     call->load_age_ms = server->traffic.reported_at > 0
                             ? now_ms - server->traffic.reported_at
                             : -1;
@@ -170,9 +167,8 @@
 {
     int kept = 0;
     for (int i = 0; i < count; i++) {
-        const struct sas_fleet_server *server =
-            SasFleet_At(call->relay->options.fleet, slots[i]);
-        if (SasTraffic_EstimateLoad(server, now_ms) < IDLE_LOAD) {
+        if (SasTraffic_EstimateLoad(call->relay->options.fleet, slots[i],
+                                    now_ms) < IDLE_LOAD) {
             slots[kept++] = slots[i];
         }
     }
@@ -198,13 +194,24 @@
         const struct sas_fleet_server *server = SasFleet_At(fleet, slots[i]);
         if (!SasTraffic_IsGrey(server, now_ms) &&
             now_ms >= server->traffic.brief_until &&
-            SasTraffic_HasRoom(server, -SPARE_SLOTS, now_ms)) {
+            SasTraffic_HasRoom(fleet, slots[i], SasAdmit_SPARE_SLOTS,
+                               now_ms)) {
             slots[0] = slots[i];
             return;
         }
     }
 }
 
+/* Where a route states no objective, its requests are in time within their
+ * limit. */
+static int64_t
+get_goal(const struct relay_call *call)
+{
+    return call->route->target_latency_ms > 0
+               ? call->route->target_latency_ms
+               : call->deadline_at - call->began_at;
+}
+
 /* Leaves out the servers that were tried, that have just fallen silent and
  * that are too cold; reason says why the last of them was left out. */
 static int
@@ -259,6 +266,22 @@
     SasSteering_Take(options->steering, &query, now_ms, &call->grant);
 }
 
+static struct sas_admit_verdict
+judge(struct relay_call *call, const int *slots, int count, int64_t now_ms)
+{
+    struct sas_admit_query query = {
+        .slots = slots,
+        .count = count,
+        .objects = call->relay->objects,
+        .pace = &SasRelay_GetRouteState(call)->pace,
+        .key = call->key,
+        .goal_ms = (double)(call->began_at + get_goal(call) - now_ms),
+        .left_ms = (double)(call->deadline_at - now_ms),
+        .urgent = call->route->urgent,
+    };
+    return SasAdmit_Judge(call->relay->options.fleet, &query, now_ms);
+}
+
 /* Sends the request to the best server that is left, or ends it. */
 void
 SasRelay_Choose(struct relay_call *call)
@@ -300,9 +323,16 @@
         count = keep_idle(call, slots, count, now_ms);
         reason = "suspect";
     }
-    struct sas_admit_verdict verdict =
-        SasAdmit_Judge(fleet, slots, count, call->route->urgent, now_ms);
+    struct sas_admit_verdict verdict = judge(call, slots, count, now_ms);
+    call->wait_ms = verdict.wait_ms;
     if (verdict.slot != SasModel_NONE) {
+        call->known = verdict.known;
+        call->work_ms =
+            SasPace_Get(&SasRelay_GetRouteState(call)->pace, verdict.known);
+        if (!call->known) {
+            SasObjects_NoteSent(relay->objects, call->service, call->key,
+                                SasFleet_GetRef(fleet, verdict.slot), now_ms);
+        }
         SasRelay_Send(call, verdict.slot);
         return;
     }
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -66,16 +66,15 @@
     SasMesh_TellTrip(relay->options.mesh, &news,
                      SasFleet_GetServerRegion(relay->options.fleet, slot));
     if (tripped && !is_tester(relay, slot)) {
-        SasTraffic_AwaitWord(server);
+        SasTraffic_AwaitWord(relay->options.fleet, slot);
     }
     SasLog_WriteFields(
         SasLog_WARN, tripped ? "server.tripped" : "server.well",
         server->facts.id, "{s:s, s:i, s:i, s:f, s:f}", "cause",
         tripped ? cause : "its trial", "for_ms",
         tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight,
-        "service_ms", traffic->service_ms, "usual_ms",
-        SasFleet_GetService(relay->options.fleet, server->service)
-            ->typical_ms);
+        "slowness", traffic->slowness, "pace_ms",
+        SasTraffic_GetPaceMs(relay->options.fleet, server->service));
 }
 
 /* The tester passes on what it hears first; the others obey. */
@@ -90,7 +89,8 @@
         SasTraffic_NoteGrey(server, news->left_ms, SasRelay_Now(relay));
         return;
     }
-    SasTraffic_TakeWord(server, news->left_ms, tester, SasRelay_Now(relay));
+    SasTraffic_TakeWord(relay->options.fleet, slot, news->left_ms, tester,
+                        SasRelay_Now(relay));
     if (news->restarted) {
         suspect_cold(relay, slot);
     }
--- a/packages/gateway/src/view.c
+++ b/packages/gateway/src/view.c
@@ -46,14 +46,14 @@
         int64_t shunned_ms =
             MAX(traffic->shunned_until, traffic->warned_until) - now_ms;
         json_array_append_new(
-            rows,
-            json_pack("{s:s, s:s, s:s, s:s, s:f, s:I, s:i, s:I}", "id",
-                      server->facts.id, "service", server->facts.service,
-                      "zone", server->facts.zone, "state",
-                      get_state(fleet, slot, now_ms), "load",
-                      SasTraffic_EstimateLoad(server, now_ms), "load_age_ms",
-                      (json_int_t)load_age_ms, "in_flight", traffic->in_flight,
-                      "shunned_ms", (json_int_t)MAX(shunned_ms, 0)));
+            rows, json_pack("{s:s, s:s, s:s, s:s, s:f, s:I, s:i, s:I}", "id",
+                            server->facts.id, "service", server->facts.service,
+                            "zone", server->facts.zone, "state",
+                            get_state(fleet, slot, now_ms), "load",
+                            SasTraffic_EstimateLoad(fleet, slot, now_ms),
+                            "load_age_ms", (json_int_t)load_age_ms,
+                            "in_flight", traffic->in_flight, "shunned_ms",
+                            (json_int_t)MAX(shunned_ms, 0)));
     }
     return rows;
 }
--- a/tools/emulate.c
+++ b/tools/emulate.c
@@ -33,8 +33,7 @@
 #define QUEUE 9
 #define LOCAL_MS 2.0
 #define REMOTE_MS 22.0
-#define LIMIT_MS 1000.0
-#define WINDOW_MS 2000.0
+#define WINDOW_MS (2000.0 * options.scale)
 #define MAX_WINDOWS 200
 #define KNOWN_FACTOR 0.3
 #define SPREAD 0.15
@@ -44,8 +43,11 @@
     double seconds;
     double work_ms;
     double goal_ms;
-    int objects; /* a region */
-    int memory;  /* objects that a server remembers */
+    double limit_ms;
+    int slots;    /* of a server */
+    double scale; /* of all times of the load */
+    int objects;  /* a region */
+    int memory;   /* objects that a server remembers */
     double slow_share;
     double slow_factor;
     double slow_from_s;
@@ -59,6 +61,9 @@
     .seconds = 20,
     .work_ms = 240,
     .goal_ms = 250,
+    .limit_ms = 1000,
+    .slots = 3,
+    .scale = 1,
     .objects = 87,
     .memory = 43,
     .slow_factor = 12,
@@ -75,6 +80,8 @@
     int server;
     double sent_at;
     double load_when_sent;
+    double work_ms; /* expected when it was sent */
+    bool known;
     bool over; /* answered or given up */
 };
 
@@ -119,6 +126,8 @@
 static struct server servers[MAX_SERVERS];
 static int server_count;
 static struct sas_fleet *fleets[VMS];
+static struct sas_objects *objects[VMS];
+static struct sas_pace paces[VMS]; /* of the only route */
 static struct window windows[MAX_WINDOWS];
 
 /* Hottes: two zones a region, the middle one short of servers. */
@@ -182,15 +191,15 @@
 static double
 get_delay(const struct request *request)
 {
-    return servers[request->server].region == request->region ? LOCAL_MS
-                                                              : REMOTE_MS;
+    bool local = servers[request->server].region == request->region;
+    return (local ? LOCAL_MS : REMOTE_MS) * options.scale;
 }
 
 static void
 reach(struct request *request)
 {
     struct server *server = &servers[request->server];
-    if (server->running < 3) {
+    if (server->running < options.slots) {
         begin(server, request);
         return;
     }
@@ -231,8 +240,8 @@
     for (int vm = 0; vm < VMS; vm++) {
         int64_t left_ms =
             change == SAS_TRAFFIC_TRIPPED ? SasTraffic_HOLD_MS : 0;
-        SasTraffic_TakeWord(SasFleet_At(fleets[vm], slot), left_ms,
-                            vm == tester, (int64_t)now_ms);
+        SasTraffic_TakeWord(fleets[vm], slot, left_ms, vm == tester,
+                            (int64_t)now_ms);
     }
 }
 
@@ -243,6 +252,8 @@
     struct sas_traffic_end end = {
         .elapsed_ms = now_ms - request->sent_at,
         .load_when_sent = request->load_when_sent,
+        .work_ms = request->work_ms,
+        .known = request->known,
         .timed_out = timed_out,
     };
     SasTraffic_NoteEnded(SasFleet_At(fleet, request->server), (int64_t)now_ms);
@@ -250,6 +261,27 @@
                                                  (int64_t)now_ms));
 }
 
+static uint64_t
+get_key(const struct request *request)
+{
+    char key[32];
+    g_snprintf(key, sizeof(key), "%d/%d", request->region, request->object);
+    return SasOwner_HashKey(key);
+}
+
+static void
+note_work(const struct request *request)
+{
+    struct sas_fleet *fleet = fleets[request->vm];
+    if (request->load_when_sent <
+        SasFleet_At(fleet, request->server)->facts.slots) {
+        SasPace_Note(&paces[request->vm], request->known,
+                     now_ms - request->sent_at);
+    }
+    SasObjects_Note(objects[request->vm], 0, get_key(request),
+                    SasFleet_GetRef(fleet, request->server));
+}
+
 static void
 answer(struct request *request)
 {
@@ -263,8 +295,9 @@
         .waiting = (int)g_queue_get_length(&server->waiting),
     };
     note_run(request, false);
-    SasTraffic_NoteReport(SasFleet_At(fleets[request->vm], request->server),
-                          &report, (int64_t)now_ms);
+    note_work(request);
+    SasTraffic_NoteReport(fleets[request->vm], request->server, &report,
+                          (int64_t)now_ms);
     if (now_ms - request->came_at <= options.goal_ms) {
         get_window(request)->in_time++;
     }
@@ -289,10 +322,8 @@
 {
     int best = 0;
     for (int slot = 1; slot < server_count; slot++) {
-        if (SasTraffic_EstimateLoad(SasFleet_At(fleet, slot),
-                                    (int64_t)now_ms) <
-            SasTraffic_EstimateLoad(SasFleet_At(fleet, best),
-                                    (int64_t)now_ms)) {
+        if (SasTraffic_EstimateLoad(fleet, slot, (int64_t)now_ms) <
+            SasTraffic_EstimateLoad(fleet, best, (int64_t)now_ms)) {
             best = slot;
         }
     }
@@ -300,18 +331,40 @@
 }
 
 static int
-pick_server(const struct request *request)
+judge(struct request *request, const int *slots, int count)
+{
+    struct sas_admit_query query = {
+        .slots = slots,
+        .count = count,
+        .objects = objects[request->vm],
+        .pace = &paces[request->vm],
+        .key = get_key(request),
+        .goal_ms = options.goal_ms,
+        .left_ms = options.limit_ms,
+    };
+    struct sas_admit_verdict verdict =
+        SasAdmit_Judge(fleets[request->vm], &query, (int64_t)now_ms);
+    request->known = verdict.known;
+    if (verdict.slot != SasModel_NONE && !verdict.known) {
+        SasObjects_NoteSent(objects[request->vm], 0, get_key(request),
+                            SasFleet_GetRef(fleets[request->vm], verdict.slot),
+                            (int64_t)now_ms);
+    }
+    request->work_ms = SasPace_Get(&paces[request->vm], verdict.known);
+    return verdict.slot;
+}
+
+static int
+pick_server(struct request *request)
 {
     struct sas_fleet *fleet = fleets[request->vm];
     if (options.policy != NULL && strcmp(options.policy, "any") == 0) {
         return pick_any(fleet);
     }
-    char key[32];
-    g_snprintf(key, sizeof(key), "%d/%d", request->region, request->object);
     struct sas_owner_query query = {
         .service = 0,
         .zone = request->vm,
-        .key = SasOwner_HashKey(key),
+        .key = get_key(request),
     };
     int slots[SasOwner_MAX_CANDIDATES];
     int count = SasOwner_Rank(fleet, &query, (int64_t)now_ms, slots,
@@ -320,7 +373,7 @@
         tell_all(slots[0],
                  SasTraffic_CheckSilence(fleet, slots[0], (int64_t)now_ms));
     }
-    return SasAdmit_Judge(fleet, slots, count, false, (int64_t)now_ms).slot;
+    return judge(request, slots, count);
 }
 
 static void
@@ -336,10 +389,11 @@
     struct sas_fleet_server *server =
         SasFleet_At(fleets[request->vm], request->server);
     request->sent_at = now_ms;
-    request->load_when_sent = SasTraffic_EstimateLoad(server, (int64_t)now_ms);
+    request->load_when_sent = SasTraffic_EstimateLoad(
+        fleets[request->vm], request->server, (int64_t)now_ms);
     SasTraffic_NoteSent(server, (int64_t)now_ms);
     schedule(now_ms + get_delay(request), REACH, request);
-    schedule(now_ms + LIMIT_MS, EXPIRE, request);
+    schedule(now_ms + options.limit_ms, EXPIRE, request);
 }
 
 /* The run. */
@@ -355,7 +409,7 @@
         SasFleet_AddZone(fleet, name, regions[zone / 2]);
     }
     for (int i = 0; i < server_count; i++) {
-        struct sas_server_facts facts = {.slots = 3, .born_at = 1};
+        struct sas_server_facts facts = {.slots = options.slots, .born_at = 1};
         g_strlcpy(facts.id, servers[i].id, sizeof(facts.id));
         g_strlcpy(facts.service, "desk", sizeof(facts.service));
         g_snprintf(facts.zone, sizeof(facts.zone), "z%d", servers[i].zone);
@@ -379,6 +433,10 @@
     }
     for (int vm = 0; vm < VMS; vm++) {
         fleets[vm] = make_fleet();
+        objects[vm] = SasObjects_New();
+        SasPace_Init(&paces[vm], options.goal_ms);
+        SasPace_SetGoal(&SasFleet_GetService(fleets[vm], 0)->pace,
+                        options.goal_ms);
     }
 }
 
@@ -391,6 +449,7 @@
     }
     for (int vm = 0; vm < VMS; vm++) {
         SasFleet_Free(fleets[vm]);
+        SasObjects_Free(objects[vm]);
     }
     g_sequence_free(events);
     g_ptr_array_free(requests, TRUE);
@@ -479,6 +538,19 @@
            all.timed_out / asked);
 }
 
+/* The same load in slow motion, or in fast. */
+static void
+scale_times(void)
+{
+    options.rate /= options.scale;
+    options.seconds *= options.scale;
+    options.work_ms *= options.scale;
+    options.goal_ms *= options.scale;
+    options.limit_ms *= options.scale;
+    options.slow_from_s *= options.scale;
+    options.slow_for_s *= options.scale;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -491,6 +563,12 @@
          "Time of a request on a new object, ms (240)", "MS"},
         {"goal", 0, 0, G_OPTION_ARG_DOUBLE, &options.goal_ms,
          "Answers up to here are in time, ms (250)", "MS"},
+        {"limit", 0, 0, G_OPTION_ARG_DOUBLE, &options.limit_ms,
+         "Time limit, ms (1000)", "MS"},
+        {"slots", 0, 0, G_OPTION_ARG_INT, &options.slots,
+         "Slots of a server (3)", "N"},
+        {"scale", 0, 0, G_OPTION_ARG_DOUBLE, &options.scale,
+         "All times of the load times so much (1)", "K"},
         {"objects", 0, 0, G_OPTION_ARG_INT, &options.objects,
          "Objects a region (87)", "N"},
         {"memory", 0, 0, G_OPTION_ARG_INT, &options.memory,
@@ -516,11 +594,13 @@
         fprintf(stderr, "emulate: %s\n", problem->message);
         return 2;
     }
-    if (options.rate <= 0 || options.seconds <= 0 || options.objects < 1) {
-        fprintf(stderr, "emulate: --rate, --seconds and --objects must be "
-                        "above 0\n");
+    if (options.rate <= 0 || options.seconds <= 0 || options.objects < 1 ||
+        options.slots < 1 || options.scale <= 0) {
+        fprintf(stderr, "emulate: --rate, --seconds, --objects, --slots and "
+                        "--scale must be above 0\n");
         return 2;
     }
+    scale_times();
     randomness = g_rand_new_with_seed((guint32)options.seed);
     events = g_sequence_new(g_free);
     requests = g_ptr_array_new_with_free_func(g_free);
--- a/tools/tests/test_emulate.py
+++ b/tools/tests/test_emulate.py
@@ -43,6 +43,21 @@
             self.assertGreater(in_time, 0.5 * asked)
             self.assertLess(by_second[second][5], 0.05 * asked)
 
+    def test_times_multiplied_are_decided_alike(self):
+        """Work of 24 ms and of 2.4 s: a policy whose times are absolute gives
+        up servers that only work where theirs is long, and lets requests
+        hang where it is short."""
+        loads = (("--rate", "348"), ("--rate", "475"), ("--rate", "1400"),
+                 ("--slow-share", "0.4"))
+        for load in loads:
+            usual, _ = run(*load)
+            for factor in ("0.1", "0.3", "3", "10"):
+                shares, _ = run(*load, "--scale", factor)
+                for name, share in usual.items():
+                    with self.subTest(load=load, factor=factor, share=name):
+                        self.assertAlmostEqual(shares[name], share,
+                                               delta=0.03)
+
     def test_more_than_all_servers_bear_is_refused_and_the_rest_in_time(self):
         shares, _ = run("--rate", "1400")
         self.assertGreater(shares["refused"], 0.2)
