--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -197,6 +197,33 @@
                                  vm.find_lines("config.apply")),
                      "the change")
 
+    def test_one_that_starts_in_an_outage_asks_short_questions(self):
+        """A machine that was restarted while the store was silent serves an
+        old route for seconds after all others know the new one: it took its
+        rows from its leader, left it since that one was cut off too, and sent
+        a long question into the outage."""
+        with Fleet(vms=("a", "a")) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            follower = wait_for(lambda: next(
+                (vm for vm in fleet.vms if vm.find_lines(
+                    "store.listed", peer="op", **{"from": "entry VM"})),
+                None), "one to follow the other")
+            fleet.store.mode = "silent"
+            for vm in fleet.vms:
+                wait_for(lambda: vm.find_lines("store.lost", peer="op"),
+                         "the outage to be noticed at " + vm.name)
+            asked = len(fleet.store.waits)
+            follower.stop()
+            follower.start()
+            wait_for(follower.is_ready, "rows from the leader")
+            wait_for(lambda: follower.find_lines(
+                "store.unfollow", peer="op", status="busy"),
+                "the leader to be left")
+            wait_for(lambda: len(fleet.store.waits) >= asked + 8,
+                     "more questions")
+            self.assertEqual(set(fleet.store.waits[asked:]), {0})
+
     def test_a_store_that_forgets_its_history_is_listed_again(self):
         with Fleet(vms=("a",)) as fleet:
             fleet.add_worker("d1")
