Servers aren't given up for silence; restarted entry VMs believe their answers

Hypothesis: with the pace learned, trips by silence and after two time-outs take healthy servers away; slowness does their work.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -63,7 +63,6 @@
     int timeouts;          /* in a row */
     int64_t queued_since;  /* it has not been seen with a short queue since */
     int64_t brief_until;   /* only a short queue is allowed there until then */
-    int64_t busy_since;    /* last answer, or the first request since idle */
     int failures;          /* in a row */
     bool tripped;          /* shunned, then tried by one request */
     bool was_down;         /* it tripped since it took no connections */
--- a/packages/core/include/sas/pace.h
+++ b/packages/core/include/sas/pace.h
@@ -34,6 +34,7 @@
     struct sas_pace_estimate known;
     struct sas_pace_estimate fresh; /* objects new to the server */
     struct sas_pace_estimate mixed; /* as they come */
+    double luck; /* part of the objects that seemed new and were known */
 };
 
 /* goal_ms: the latency objective, 0 where there is none. */
@@ -48,4 +49,9 @@
 /* Expected work. */
 double SasPace_Get(const struct sas_pace *pace, bool known);
 
+/* Expected work on an object of which it is not known whether its owner knows
+ * it. Other entry VMs' requests make objects known, and a process that has
+ * started again remembers none: what its first answers show is believed. */
+double SasPace_GetUnseen(const struct sas_pace *pace);
+
 #endif
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -30,19 +30,16 @@
  * paces, so that it is asked again after it was avoided. */
 #define SasTraffic_SLOW_HALF_LIFE 8.0
 
-/* A server trips when it fails, falls silent or lets requests run into their
- * limits. Then it gets nothing for a while, and after that one request at a
- * time until one of them shows that it is well. Its objects go to their next
- * servers meanwhile. */
+/* A server trips when it fails or lets requests run into their limits. Then it
+ * gets nothing for a while, and after that one request at a time until one of
+ * them shows that it is well. Its objects go to their next servers meanwhile.
+ */
 #define SasTraffic_FAILURES 2 /* without a connection, in a row */
 #define SasTraffic_CUTS 3     /* or with one that broke under a request */
 
-/* No answer for so many paces to two requests or more: nothing takes that
- * long at a healthy server, new objects in a queue included. */
-#define SasTraffic_SILENT 2.6
-
-/* Requests in a row that ran into their limit. */
-#define SasTraffic_TIMEOUTS 2
+/* Requests in a row that ran into their limit. Fewer happen to a server that
+ * only works, where work on a new object takes most of the limit. */
+#define SasTraffic_TIMEOUTS 4
 
 /* A trial must end within so many paces; its object is mostly new to the
  * server. */
@@ -85,8 +82,8 @@
 };
 
 /* A request was sent there, and it ended, however that was. */
-void SasTraffic_NoteSent(struct sas_fleet_server *server, int64_t now_ms);
-void SasTraffic_NoteEnded(struct sas_fleet_server *server, int64_t now_ms);
+void SasTraffic_NoteSent(struct sas_fleet_server *server);
+void SasTraffic_NoteEnded(struct sas_fleet_server *server);
 
 /* What an answer says of the load. */
 void SasTraffic_NoteReport(struct sas_fleet *fleet, int slot,
@@ -114,10 +111,6 @@
 enum sas_traffic_change SasTraffic_NoteReplaced(struct sas_fleet *fleet,
                                                 int slot, int64_t now_ms);
 
-/* Looks whether it has fallen silent. */
-enum sas_traffic_change SasTraffic_CheckSilence(struct sas_fleet *fleet,
-                                                int slot, int64_t now_ms);
-
 /* Another entry VM says that it has tripped for left_ms more, or is well (0).
  * tester: this entry VM tries it again for all. Believed unless the server
  * has answered here in its usual time just now: one entry VM with a bad link
--- a/packages/core/src/admit.c
+++ b/packages/core/src/admit.c
@@ -44,6 +44,13 @@
     return sent_at > 0 && (double)(now_ms - sent_at) < limit_ms;
 }
 
+static double
+get_work(const struct sas_admit_query *query, int slot, bool known)
+{
+    return !known && slot == query->slots[0] ? SasPace_GetUnseen(query->pace)
+                                             : SasPace_Get(query->pace, known);
+}
+
 static struct option
 weigh(const struct sas_fleet *fleet, const struct sas_admit_query *query,
       int slot, int64_t now_ms)
@@ -56,7 +63,7 @@
                            SasFleet_GetRef(fleet, slot));
     option.learning = is_learning(fleet, query, slot, now_ms);
     option.wait_ms = SasTraffic_EstimateWaitMs(fleet, slot, now_ms);
-    option.work_ms = SasPace_Get(query->pace, option.known) *
+    option.work_ms = get_work(query, slot, option.known) *
                      SasTraffic_GetSlowness(fleet, slot, now_ms);
     option.allowed_ms =
         get_allowed_wait(query, server, option.work_ms, now_ms);
--- a/packages/core/src/pace.c
+++ b/packages/core/src/pace.c
@@ -49,6 +49,8 @@
     estimate->samples = MIN(estimate->samples, MAX_SAMPLES);
 }
 
+#define LUCK_SMOOTHING 0.15
+
 static double
 get_distance(const struct sas_pace_estimate *estimate, double work_ms)
 {
@@ -63,8 +65,11 @@
 {
     struct sas_pace_estimate *own = known ? &pace->known : &pace->fresh;
     struct sas_pace_estimate *other = known ? &pace->fresh : &pace->known;
-    if (own->samples < 1 ||
-        get_distance(own, work_ms) <= get_distance(other, work_ms)) {
+    bool apart = get_distance(own, work_ms) > get_distance(other, work_ms);
+    if (!known) {
+        pace->luck += LUCK_SMOOTHING * ((apart ? 1 : 0) - pace->luck);
+    }
+    if (own->samples < 1 || !apart) {
         add_sample(own, work_ms);
     }
     add_sample(&pace->mixed, work_ms);
@@ -76,3 +81,10 @@
 {
     return known ? pace->known.ms : MAX(pace->fresh.ms, pace->known.ms);
 }
+
+double
+SasPace_GetUnseen(const struct sas_pace *pace)
+{
+    return pace->luck * SasPace_Get(pace, true) +
+           (1 - pace->luck) * SasPace_Get(pace, false);
+}
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -21,19 +21,15 @@
 }
 
 void
-SasTraffic_NoteSent(struct sas_fleet_server *server, int64_t now_ms)
+SasTraffic_NoteSent(struct sas_fleet_server *server)
 {
-    if (server->traffic.in_flight == 0) {
-        server->traffic.busy_since = now_ms;
-    }
     server->traffic.in_flight++;
 }
 
 void
-SasTraffic_NoteEnded(struct sas_fleet_server *server, int64_t now_ms)
+SasTraffic_NoteEnded(struct sas_fleet_server *server)
 {
     server->traffic.in_flight--;
-    server->traffic.busy_since = now_ms;
 }
 
 static void
@@ -209,19 +205,6 @@
     return SAS_TRAFFIC_TRIPPED;
 }
 
-enum sas_traffic_change
-SasTraffic_CheckSilence(struct sas_fleet *fleet, int slot, int64_t now_ms)
-{
-    struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-    const struct sas_server_traffic *traffic = &server->traffic;
-    if (traffic->in_flight < 2 || traffic->tripped ||
-        now_ms - traffic->busy_since <=
-            in_paces(fleet, slot, SasTraffic_SILENT)) {
-        return SAS_TRAFFIC_SAME;
-    }
-    return trip(fleet, slot, now_ms);
-}
-
 static int64_t
 get_verdict_ms(const struct sas_fleet *fleet, int slot)
 {
--- a/packages/core/tests/test_pace.c
+++ b/packages/core/tests/test_pace.c
@@ -96,6 +96,23 @@
     check_near(SasPace_Get(&pace, true), 90);
 }
 
+/* An entry VM starts again among servers that have worked for hours. All
+ * objects seem new to it; were that believed, it would refuse what its servers
+ * end at once. */
+static void
+test_after_a_restart_objects_soon_count_as_known(void **state)
+{
+    (void)state;
+    struct sas_pace pace;
+    SasPace_Init(&pace, 300);
+    assert_true(SasPace_GetUnseen(&pace) == 300 * SasPace_START_NEW);
+    note_times(&pace, 1, true, 90);
+    note_times(&pace, 10, false, 90);
+    assert_true(SasPace_GetUnseen(&pace) < 150);
+    note_times(&pace, 10, false, 400); /* the servers start again */
+    assert_true(SasPace_GetUnseen(&pace) > 300);
+}
+
 int
 main(void)
 {
@@ -106,6 +123,7 @@
         cmocka_unit_test(test_a_few_slow_servers_do_not_move_it_far),
         cmocka_unit_test(
             test_objects_that_others_made_known_do_not_count_as_new),
+        cmocka_unit_test(test_after_a_restart_objects_soon_count_as_known),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -85,7 +85,7 @@
     SasRelay_NoteServer(call, slot, now_ms);
     call->sent_at = now_ms;
     call->tried[call->tried_count++] = slot;
-    SasTraffic_NoteSent(server, now_ms);
+    SasTraffic_NoteSent(server);
     SasWindow_Add(&SasRelay_GetSlot(relay, slot)->cold_sends, 1, now_ms);
 
     struct sas_http_header headers[SasHttp_MAX_HEADERS + 4];
@@ -113,7 +113,7 @@
     struct sas_fleet_server *server =
         SasFleet_GetServer(call->relay->options.fleet, call->server);
     if (server != NULL) {
-        SasTraffic_NoteEnded(server, SasRelay_Now(call->relay));
+        SasTraffic_NoteEnded(server);
     }
     call->pooled = NULL;
 }
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -212,24 +212,17 @@
                : call->deadline_at - call->began_at;
 }
 
-/* Leaves out the servers that were tried, that have just fallen silent and
- * that are too cold; reason says why the last of them was left out. */
+/* Leaves out the servers that were tried and that are too cold; reason says
+ * why the last of them was left out. */
 static int
 keep_usable(struct relay_call *call, int *slots, int count, int64_t now_ms,
             const char **reason)
 {
-    struct sas_relay *relay = call->relay;
     int kept = 0;
     for (int i = 0; i < count; i++) {
         if (was_tried(call, slots[i])) {
             continue;
         }
-        enum sas_traffic_change change =
-            SasTraffic_CheckSilence(relay->options.fleet, slots[i], now_ms);
-        if (change == SAS_TRAFFIC_TRIPPED) {
-            SasRelay_TellChange(relay, slots[i], change, "silent");
-            continue;
-        }
         if (is_too_cold(call, slots[i], now_ms)) {
             *reason = "server cold";
             continue;
--- a/tools/emulate.c
+++ b/tools/emulate.c
@@ -206,8 +206,8 @@
     if (g_queue_get_length(&server->waiting) >= QUEUE) {
         request->over = true;
         get_window(request)->refused++;
-        SasTraffic_NoteEnded(SasFleet_At(fleets[request->vm], request->server),
-                             (int64_t)now_ms);
+        SasTraffic_NoteEnded(
+            SasFleet_At(fleets[request->vm], request->server));
         return;
     }
     g_queue_push_tail(&server->waiting, request);
@@ -256,7 +256,7 @@
         .known = request->known,
         .timed_out = timed_out,
     };
-    SasTraffic_NoteEnded(SasFleet_At(fleet, request->server), (int64_t)now_ms);
+    SasTraffic_NoteEnded(SasFleet_At(fleet, request->server));
     tell_all(request->server, SasTraffic_NoteRun(fleet, request->server, &end,
                                                  (int64_t)now_ms));
 }
@@ -369,10 +369,6 @@
     int slots[SasOwner_MAX_CANDIDATES];
     int count = SasOwner_Rank(fleet, &query, (int64_t)now_ms, slots,
                               SasOwner_MAX_CANDIDATES);
-    if (count > 0) {
-        tell_all(slots[0],
-                 SasTraffic_CheckSilence(fleet, slots[0], (int64_t)now_ms));
-    }
     return judge(request, slots, count);
 }
 
@@ -391,7 +387,7 @@
     request->sent_at = now_ms;
     request->load_when_sent = SasTraffic_EstimateLoad(
         fleets[request->vm], request->server, (int64_t)now_ms);
-    SasTraffic_NoteSent(server, (int64_t)now_ms);
+    SasTraffic_NoteSent(server);
     schedule(now_ms + get_delay(request), REACH, request);
     schedule(now_ms + options.limit_ms, EXPIRE, request);
 }
