--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -58,8 +58,6 @@
     int reported_waiting;
     int in_flight_at_report;
     int64_t reported_at;   /* 0: never */
-    double slowness;       /* its work against the usual; 0: unknown */
-    int64_t slow_at;       /* when slowness was seen last */
     int timeouts;          /* in a row */
     int64_t queued_since;  /* it has not been seen with a short queue since */
     int64_t brief_until;   /* only a short queue is allowed there until then */
--- a/packages/core/include/sas/grey.h
+++ b/packages/core/include/sas/grey.h
@@ -2,13 +2,10 @@
  *
  * Such a server takes connections, answers its health check and most of its
  * requests, and resets or fails the others: no two failures in a row give it
- * away. Each entry VM alone sees too few of its requests to tell (one a second
- * of a service with 250 a second, 24 servers and 9 entry VMs), so all of them
- * report to one, the server's tester: each failure, with the answers that came
- * since the last. Those that meet no failure report nothing, so the share is
- * rather too high; the least number of failures keeps chance out: with 3 in
- * 100 of all answers lost a server that gets eleven requests a second is given
- * up wrongly about once in a hundred windows.
+ * away. Each entry VM alone sees too few of its requests to tell, so all of
+ * them report to one, the server's tester: each failure, with the answers that
+ * came since the last. Those that meet no failure report nothing, so the share
+ * is rather too high; the least number of failures keeps chance out.
  *
  * Times are monotonic milliseconds.
  */
--- a/packages/core/include/sas/keep.h
+++ b/packages/core/include/sas/keep.h
@@ -2,8 +2,8 @@
  * backend servers.
  *
  * A body that stays in its zone costs no link between zones, and its answer is
- * sooner. But a zone may have one server where others have four: kept there
- * whatever it bears, a third of all photos waited for more than half a second.
+ * sooner. But a zone may have one server where others have four, and what it
+ * keeps beyond what that bears waits there while others are idle.
  * So the part that stays follows the load of the zone's servers, in steps of
  * whole eighths: the entry VMs of a zone see the same servers and mostly agree
  * on the step without a message, and a step moves few objects.
--- a/packages/core/include/sas/strength.h
+++ b/packages/core/include/sas/strength.h
@@ -10,8 +10,8 @@
 #ifndef SAS_STRENGTH_H
 #define SAS_STRENGTH_H
 
-/* Measured: 0.10 ms of processor time a request, its log line included; and
- * some 10 kB of requests and answers on average, in and out. */
+/* A request takes 0.10 ms of processor time, its log line included, and some
+ * 10 kB on the link, in and out. */
 #define SasStrength_REQUESTS_PER_CORE 10000.0
 #define SasStrength_REQUESTS_PER_MBIT 12.5
 
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -26,10 +26,6 @@
  * ours do. */
 #define SasTraffic_HALF_LIFE 0.6
 
-/* How slow a server is against the usual is forgotten by halves, in so many
- * paces, so that it is asked again after it was avoided. */
-#define SasTraffic_SLOW_HALF_LIFE 8.0
-
 /* A server trips when it fails or lets requests run into their limits. Then it
  * gets nothing for a while, and after that one request at a time until one of
  * them shows that it is well. Its objects go to their next servers meanwhile.
@@ -75,8 +71,7 @@
 struct sas_traffic_end {
     double elapsed_ms;
     double load_when_sent;
-    double work_ms; /* usual, of such a request; 0: unknown */
-    bool known;     /* the server knew the object */
+    bool known; /* the server knew the object */
     bool timed_out;
     bool failed; /* an error, which says nothing of the usual time */
 };
@@ -122,10 +117,8 @@
 void SasTraffic_AwaitWord(struct sas_fleet *fleet, int slot);
 
 /* It fails part of its requests (sas/grey.h), for left_ms as far as is known.
- * What may not repeat goes to other servers then. It is not shunned: on a
- * loaded day a third of the servers failed a third each, and without them the
- * others refused three times as many as these had failed (worth of the day
- * 0.513 before, 0.452 with them shunned; the mean of two runs). */
+ * What may not repeat goes to other servers then. It is not shunned: under
+ * load the others would have to refuse more than it fails. */
 void SasTraffic_NoteGrey(struct sas_fleet_server *server, int64_t left_ms,
                          int64_t now_ms);
 bool SasTraffic_IsGrey(const struct sas_fleet_server *server, int64_t now_ms);
@@ -145,10 +138,6 @@
 double SasTraffic_EstimateWaitMs(const struct sas_fleet *fleet, int slot,
                                  int64_t now_ms);
 
-/* How much longer than usual its work takes; 1 at least. */
-double SasTraffic_GetSlowness(const struct sas_fleet *fleet, int slot,
-                              int64_t now_ms);
-
 /* Whether it has more free slots than spare. */
 bool SasTraffic_HasRoom(const struct sas_fleet *fleet, int slot, int spare,
                         int64_t now_ms);
--- a/packages/core/src/admit.c
+++ b/packages/core/src/admit.c
@@ -63,8 +63,7 @@
                            SasFleet_GetRef(fleet, slot));
     option.learning = is_learning(fleet, query, slot, now_ms);
     option.wait_ms = SasTraffic_EstimateWaitMs(fleet, slot, now_ms);
-    option.work_ms = get_work(query, slot, option.known) *
-                     SasTraffic_GetSlowness(fleet, slot, now_ms);
+    option.work_ms = get_work(query, slot, option.known);
     option.allowed_ms =
         get_allowed_wait(query, server, option.work_ms, now_ms);
     return option;
--- a/packages/core/src/owner.c
+++ b/packages/core/src/owner.c
@@ -50,9 +50,9 @@
 }
 
 /* Slots of the service's servers that requests may go to, by region. Those
- * that are shunned don't count: when seven of a region's ten servers were
- * slow, the other three got all of its objects and queued them. Which are
- * shunned all entry VMs tell each other. */
+ * that are shunned don't count, or the few that are left would get all of the
+ * region's objects and queue them. Which are shunned all entry VMs tell each
+ * other. */
 static double
 sum_slots(const struct sas_fleet *fleet, const struct sas_owner_query *query,
           int64_t now_ms, double *by_region)
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -2,10 +2,6 @@
 
 #include <math.h>
 
-/* How fast a server's slowness follows its answers, and how far it may go. */
-#define SLOW_SMOOTHING 0.2
-#define MAX_SLOWNESS 16.0
-
 double
 SasTraffic_GetPaceMs(const struct sas_fleet *fleet, int service)
 {
@@ -126,20 +122,6 @@
     return SAS_TRAFFIC_WELL;
 }
 
-static void
-note_slowness(const struct sas_fleet *fleet, int slot,
-              const struct sas_traffic_end *end, int64_t now_ms)
-{
-    struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-    struct sas_server_traffic *traffic = &server->traffic;
-    double ratio = end->elapsed_ms / end->work_ms /
-                   count_rounds(server, end->load_when_sent);
-    double old = SasTraffic_GetSlowness(fleet, slot, now_ms);
-    double slowness = old + SLOW_SMOOTHING * (ratio - old);
-    traffic->slowness = CLAMP(slowness, 1, MAX_SLOWNESS);
-    traffic->slow_at = now_ms;
-}
-
 /* A sample of the service's pace, if it found a free slot. */
 static void
 note_pace(struct sas_fleet *fleet, const struct sas_fleet_server *server,
@@ -172,9 +154,6 @@
     if (traffic->tripped && now_ms >= traffic->shunned_until) {
         return end_trial(fleet, slot, well, now_ms);
     }
-    if (end->work_ms > 0) {
-        note_slowness(fleet, slot, end, now_ms);
-    }
     note_pace(fleet, server, end);
     return traffic->timeouts >= SasTraffic_TIMEOUTS ? trip(fleet, slot, now_ms)
                                                     : SAS_TRAFFIC_SAME;
@@ -299,22 +278,7 @@
     double ahead = SasTraffic_EstimateLoad(fleet, slot, now_ms) - slots + 1;
     double work_ms =
         SasFleet_GetService(fleet, server->service)->pace.mixed.ms;
-    return MAX(ahead, 0) * work_ms / slots *
-           SasTraffic_GetSlowness(fleet, slot, now_ms);
-}
-
-double
-SasTraffic_GetSlowness(const struct sas_fleet *fleet, int slot, int64_t now_ms)
-{
-    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-    const struct sas_server_traffic *traffic = &server->traffic;
-    if (traffic->slowness <= 1) {
-        return 1;
-    }
-    double half_life_ms = SasTraffic_SLOW_HALF_LIFE *
-                          SasTraffic_GetPaceMs(fleet, server->service);
-    double age_ms = (double)(now_ms - traffic->slow_at);
-    return 1 + (traffic->slowness - 1) * exp2(-age_ms / half_life_ms);
+    return MAX(ahead, 0) * work_ms / slots;
 }
 
 bool
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -147,8 +147,7 @@
 
 /* Whether this entry VM tries a tripped server again for all others: the first
  * of the live ones of the server's region, in an order of the server's own.
- * Each of them trying by itself would cost a request each, and with nine entry
- * VMs and ten slow servers that was a tenth of all requests. Where the region
+ * Each of them trying by itself would cost a request each. Where the region
  * has lost all its entry VMs, each of the others does. */
 bool SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash,
                       int region);
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -349,7 +349,6 @@
     struct sas_traffic_end end = {
         .elapsed_ms = (double)(now_ms - call->sent_at),
         .load_when_sent = call->load_when_sent,
-        .work_ms = call->work_ms,
         .known = call->known,
         .timed_out = timed_out,
         .failed = !timed_out && call->status / 100 != 2,
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -179,8 +179,7 @@
  * look-up goes on to the next one. So it leaves an owner that fails part of
  * its requests for the next server with a free slot and no queue lately;
  * where there is none the owner is still better than cold requests that take
- * slots from others. Filings lost on four days of ordinary load: 362 before,
- * 225 so, with the same worth. */
+ * slots from others. */
 static void
 avoid_grey(const struct relay_call *call, int *slots, int count,
            int64_t now_ms)
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -70,10 +70,10 @@
     }
     SasLog_WriteFields(
         SasLog_WARN, tripped ? "server.tripped" : "server.well",
-        server->facts.id, "{s:s, s:i, s:i, s:f, s:f}", "cause",
+        server->facts.id, "{s:s, s:i, s:i, s:f}", "cause",
         tripped ? cause : "its trial", "for_ms",
         tripped ? (int)traffic->hold_ms : 0, "in_flight", traffic->in_flight,
-        "slowness", traffic->slowness, "pace_ms",
+        "pace_ms",
         SasTraffic_GetPaceMs(relay->options.fleet, server->service));
 }
 
--- a/tools/emulate.c
+++ b/tools/emulate.c
@@ -80,7 +80,6 @@
     int server;
     double sent_at;
     double load_when_sent;
-    double work_ms; /* expected when it was sent */
     bool known;
     bool over; /* answered or given up */
 };
@@ -252,7 +251,6 @@
     struct sas_traffic_end end = {
         .elapsed_ms = now_ms - request->sent_at,
         .load_when_sent = request->load_when_sent,
-        .work_ms = request->work_ms,
         .known = request->known,
         .timed_out = timed_out,
     };
@@ -350,7 +348,6 @@
                             SasFleet_GetRef(fleets[request->vm], verdict.slot),
                             (int64_t)now_ms);
     }
-    request->work_ms = SasPace_Get(&paces[request->vm], verdict.known);
     return verdict.slot;
 }
 
