The lessons' load in the emulator: few objects in great demand

Bound: nobody is refused while slots are idle (0.02 for chance), nine of ten in time. The scale property holds for this load too.

--- a/tools/tests/test_emulate.py
+++ b/tools/tests/test_emulate.py
@@ -20,6 +20,11 @@
     return shares, rows
 
 
+# Lessons: long work, four slots, each region's callers ask for few objects.
+LESSONS = ("--slots", "4", "--work", "900", "--goal", "600", "--limit", "1500",
+           "--rate", "176", "--objects", "25", "--memory", "28")
+
+
 class Emulate(unittest.TestCase):
     def test_the_same_seed_gives_the_same_run(self):
         self.assertEqual(run("--seconds", "4"), run("--seconds", "4"))
@@ -43,12 +48,20 @@
             self.assertGreater(in_time, 0.5 * asked)
             self.assertLess(by_second[second][5], 0.05 * asked)
 
+    def test_few_objects_in_great_demand_are_not_refused(self):
+        """25 objects fall on ten servers of a region, and one of them gets
+        twice the mean: its callers are refused while half of all slots are
+        idle. Another server gets to know what it doesn't bear."""
+        shares, _ = run(*LESSONS)
+        self.assertLess(shares["refused"], 0.02)
+        self.assertGreater(shares["in time"], 0.9)
+
     def test_times_multiplied_are_decided_alike(self):
         """Work of 24 ms and of 2.4 s: a policy whose times are absolute gives
         up servers that only work where theirs is long, and lets requests
         hang where it is short."""
         loads = (("--rate", "348"), ("--rate", "475"), ("--rate", "1400"),
-                 ("--slow-share", "0.4"))
+                 ("--slow-share", "0.4"), LESSONS)
         for load in loads:
             usual, _ = run(*load)
             for factor in ("0.1", "0.3", "3", "10"):
