Requests without an object leave no trace; a server that fails in part is left for good

Cause, from reading: a request without an object was remembered under its own id, so a route without objects would push the others out of the table of known ones; and a request that avoids a server that fails in part could still choose it, or another such, as one that knows the object.

--- a/packages/core/include/sas/admit.h
+++ b/packages/core/include/sas/admit.h
@@ -49,7 +49,7 @@
 struct sas_admit_query {
     const int *slots; /* in the order of sas/owner.h, only usable ones */
     int count;
-    const struct sas_objects *objects; /* NULL: nothing is known */
+    const struct sas_objects *objects; /* NULL: its object never comes again */
     const struct sas_pace *pace;       /* of the route */
     uint64_t key;                      /* of the object */
     double goal_ms; /* what is left until the route's objective */
--- a/packages/core/src/admit.c
+++ b/packages/core/src/admit.c
@@ -30,6 +30,7 @@
     return MIN(allowed, SasAdmit_SAFETY * query->left_ms - work_ms);
 }
 
+/* Whether a request from here that makes the object known is at the server. */
 static bool
 is_learning(const struct sas_fleet *fleet, const struct sas_admit_query *query,
             int slot, int64_t now_ms)
@@ -44,6 +45,7 @@
     return sent_at > 0 && (double)(now_ms - sent_at) < limit_ms;
 }
 
+/* Only the owner may know what nobody here has seen it answer for. */
 static double
 get_work(const struct sas_admit_query *query, int slot, bool known)
 {
--- a/packages/core/src/pace.c
+++ b/packages/core/src/pace.c
@@ -13,6 +13,9 @@
 #define REACH 0.4
 #define FIRST_REACH 2.0
 
+/* How fast the luck follows what objects that seemed new turn out to be. */
+#define LUCK_SMOOTHING 0.15
+
 void
 SasPace_Init(struct sas_pace *pace, double goal_ms)
 {
@@ -49,8 +52,6 @@
     estimate->samples = MIN(estimate->samples, MAX_SAMPLES);
 }
 
-#define LUCK_SMOOTHING 0.15
-
 static double
 get_distance(const struct sas_pace_estimate *estimate, double work_ms)
 {
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -258,16 +258,15 @@
     return call->began_at + limit_ms;
 }
 
-static uint64_t
-hash_object(const struct relay_call *call)
+/* A request without an object is one of its own. */
+static void
+find_object(struct relay_call *call)
 {
     const struct sas_entry_wire *wire = call->relay->options.wire;
     const char *key =
         SasHttpExchange_FindHeader(call->exchange, wire->object_key);
-    if (key == NULL || !call->route->sticky) {
-        key = call->request_id;
-    }
-    return SasOwner_HashKey(key);
+    call->keyed = key != NULL && call->route->sticky;
+    call->key = SasOwner_HashKey(call->keyed ? key : call->request_id);
 }
 
 static struct relay_call *
@@ -311,7 +310,7 @@
         return;
     }
     call->deadline_at = get_deadline(call);
-    call->key = hash_object(call);
+    find_object(call);
     call->service = pick_service(call);
     SasRepeat_NoteRequest(&SasRelay_GetService(relay, call->service)->repeats,
                           SasRelay_Now(relay));
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -334,7 +334,10 @@
         SasPace_Note(&SasRelay_GetRouteState(call)->pace, call->known,
                      elapsed_ms);
     }
-    SasObjects_Note(relay->objects, server->service, call->key, call->server);
+    if (call->keyed) {
+        SasObjects_Note(relay->objects, server->service, call->key,
+                        call->server);
+    }
 }
 
 static void
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -77,6 +77,7 @@
     const struct sas_route *route;
     int service;
     uint64_t key;
+    bool keyed; /* other requests have the same object */
     char request_id[64];
     int64_t began_at;
     int64_t deadline_at;
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -179,15 +179,15 @@
  * look-up goes on to the next one. So it leaves an owner that fails part of
  * its requests for the next server with a free slot and no queue lately;
  * where there is none the owner is still better than cold requests that take
- * slots from others. */
-static void
+ * slots from others. How many servers are left to choose from. */
+static int
 avoid_grey(const struct relay_call *call, int *slots, int count,
            int64_t now_ms)
 {
     const struct sas_fleet *fleet = call->relay->options.fleet;
     if (call->route->kind == SAS_ROUTE_SAFE || count == 0 ||
         !SasTraffic_IsGrey(SasFleet_At(fleet, slots[0]), now_ms)) {
-        return;
+        return count;
     }
     for (int i = 1; i < count; i++) {
         const struct sas_fleet_server *server = SasFleet_At(fleet, slots[i]);
@@ -196,9 +196,10 @@
             SasTraffic_HasRoom(fleet, slots[i], SasAdmit_SPARE_SLOTS,
                                now_ms)) {
             slots[0] = slots[i];
-            return;
+            return 1;
         }
     }
+    return count;
 }
 
 /* Where a route states no objective, its requests are in time within their
@@ -264,7 +265,7 @@
     struct sas_admit_query query = {
         .slots = slots,
         .count = count,
-        .objects = call->relay->objects,
+        .objects = call->keyed ? call->relay->objects : NULL,
         .pace = &SasRelay_GetRouteState(call)->pace,
         .key = call->key,
         .goal_ms = (double)(call->began_at + get_goal(call) - now_ms),
@@ -309,7 +310,7 @@
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
     const char *reason = "no server";
     count = keep_usable(call, slots, count, now_ms, &reason);
-    avoid_grey(call, slots, count, now_ms);
+    count = avoid_grey(call, slots, count, now_ms);
     call->alone = suspicion == SAS_QUARANTINE_ALONE;
     if (call->alone) {
         count = keep_idle(call, slots, count, now_ms);
@@ -319,9 +320,8 @@
     call->wait_ms = verdict.wait_ms;
     if (verdict.slot != SasModel_NONE) {
         call->known = verdict.known;
-        call->work_ms =
-            SasPace_Get(&SasRelay_GetRouteState(call)->pace, verdict.known);
-        if (!call->known) {
+        call->work_ms = verdict.work_ms;
+        if (call->keyed && !call->known) {
             SasObjects_NoteSent(relay->objects, call->service, call->key,
                                 SasFleet_GetRef(fleet, verdict.slot), now_ms);
         }
