--- a/packages/core/include/sas/keep.h
+++ b/packages/core/include/sas/keep.h
@@ -35,6 +35,15 @@
     int64_t changed_at;
 };
 
+/* Bytes for each millisecond of work on a new object from which on a route
+ * keeps to its callers' failure domain. */
+#define SasKeep_NEAR_BYTES_PER_MS 12.0
+
+/* Whether a route whose requests and answers carry so many bytes on average
+ * does. An owner in each zone of a region spares half of the bytes between
+ * zones, and makes every object new once more. */
+bool SasKeep_IsNear(const struct sas_pace *pace, double bytes);
+
 /* The part, from 0 to 1, of a service's large bodies that stays in the zone
  * at now_ms. */
 double SasKeep_Update(struct sas_keep *keep, const struct sas_fleet *fleet,
--- a/packages/core/src/keep.c
+++ b/packages/core/src/keep.c
@@ -67,3 +67,9 @@
     keep->changed_at = now_ms;
     return keep->value;
 }
+
+bool
+SasKeep_IsNear(const struct sas_pace *pace, double bytes)
+{
+    return bytes >= SasKeep_NEAR_BYTES_PER_MS * SasPace_Get(pace, false);
+}
--- a/packages/core/tests/test_keep.c
+++ b/packages/core/tests/test_keep.c
@@ -69,10 +69,31 @@
     SasFleet_Free(fleet);
 }
 
+/* Load: certificates of 5.5 kB that take 0.3 s, and orders of 6.2 kB that take
+ * 0.6 s. Kept in each zone of a region, every object is new once more; that
+ * costs the orders twice as much and spares hardly more bytes. */
+static void
+test_long_work_keeps_to_its_zone_for_larger_bodies_only(void **state)
+{
+    (void)state;
+    struct sas_pace quick;
+    struct sas_pace slow;
+    SasPace_Init(&quick, 0);
+    SasPace_Init(&slow, 0);
+    SasPace_Note(&quick, false, 312);
+    SasPace_Note(&slow, false, 600);
+    assert_true(SasKeep_IsNear(&quick, 5500));
+    assert_false(SasKeep_IsNear(&slow, 6200));
+    assert_true(SasKeep_IsNear(&slow, 60000));
+    assert_false(SasKeep_IsNear(&quick, 0));
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            test_long_work_keeps_to_its_zone_for_larger_bodies_only),
         cmocka_unit_test(test_a_short_zone_gives_away_while_it_is_busy),
         cmocka_unit_test(test_close_views_give_the_same_part),
     };
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -6,11 +6,6 @@
 #define EARLY_SHED_RETRY_MS 30
 #define MAX_EARLY_SHEDS 3
 
-/* Routes whose requests and answers are larger on average keep to the caller's
- * failure domain: an owner in each zone of a region makes every object new
- * once more, and spares half of the bytes between zones. */
-#define NEAR_BYTES 3000.0
-
 /* Half a request: what is left of a report when it has faded. */
 #define IDLE_LOAD 0.5
 
@@ -30,8 +25,9 @@
 static bool
 is_near(const struct relay_call *call)
 {
+    const struct route_state *state = SasRelay_GetRouteState(call);
     return call->route->kind == SAS_ROUTE_UPLOAD ||
-           SasRelay_GetRouteState(call)->bytes >= NEAR_BYTES;
+           SasKeep_IsNear(&state->pace, state->bytes);
 }
 
 /* The server. */
