--- a/packages/core/src/objects.c
+++ b/packages/core/src/objects.c
@@ -125,25 +125,29 @@
     object->next = (uint8_t)((object->next + 1) % SasObjects_HOLDERS);
 }
 
-bool
-SasObjects_IsKnown(const struct sas_objects *objects, int service,
-                   uint64_t key, struct sas_server_ref server)
+static const struct object *
+find_object(const struct sas_objects *objects, int service, uint64_t key)
 {
     uint64_t full = get_full_key(service, key);
     const struct object *set = objects->sets[full % SETS];
     int place = find(set, full);
-    return place != SasModel_NONE && has_holder(&set[place], server);
+    return place != SasModel_NONE ? &set[place] : NULL;
+}
+
+bool
+SasObjects_IsKnown(const struct sas_objects *objects, int service,
+                   uint64_t key, struct sas_server_ref server)
+{
+    const struct object *object = find_object(objects, service, key);
+    return object != NULL && has_holder(object, server);
 }
 
 int64_t
 SasObjects_GetSentAt(const struct sas_objects *objects, int service,
                      uint64_t key, struct sas_server_ref server)
 {
-    uint64_t full = get_full_key(service, key);
-    const struct object *set = objects->sets[full % SETS];
-    int place = find(set, full);
-    if (place == SasModel_NONE || !is_holder(&set[place].learner, server)) {
-        return 0;
-    }
-    return set[place].sent_at;
+    const struct object *object = find_object(objects, service, key);
+    return object != NULL && is_holder(&object->learner, server)
+               ? object->sent_at
+               : 0;
 }
--- a/packages/core/tests/test_objects.c
+++ b/packages/core/tests/test_objects.c
@@ -40,6 +40,23 @@
     SasObjects_Free(objects);
 }
 
+/* A request is on its way that will make the object known; others need not
+ * make it known a second time. */
+static void
+test_a_request_that_makes_it_known_is_remembered_until_its_answer(void **state)
+{
+    (void)state;
+    struct sas_objects *objects = SasObjects_New();
+    SasObjects_NoteSent(objects, 0, 77, make_ref(3, 1), 5000);
+    assert_int_equal(SasObjects_GetSentAt(objects, 0, 77, make_ref(3, 1)),
+                     5000);
+    assert_int_equal(SasObjects_GetSentAt(objects, 0, 77, make_ref(4, 1)), 0);
+    assert_false(SasObjects_IsKnown(objects, 0, 77, make_ref(3, 1)));
+    SasObjects_Note(objects, 0, 77, make_ref(3, 1));
+    assert_int_equal(SasObjects_GetSentAt(objects, 0, 77, make_ref(3, 1)), 0);
+    SasObjects_Free(objects);
+}
+
 /* Callers that name a new object with each request must not take memory. */
 static void
 test_the_table_is_bounded_and_keeps_the_latest(void **state)
@@ -67,6 +84,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_an_object_is_known_where_it_was_answered),
         cmocka_unit_test(test_a_server_that_started_anew_knows_nothing),
+        cmocka_unit_test(
+            test_a_request_that_makes_it_known_is_remembered_until_its_answer),
         cmocka_unit_test(test_the_table_is_bounded_and_keeps_the_latest),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
