A new route of a busy service is bounded by its service's pace

Until a route has answers, the service's pace bounds what may wait. Ruled out: the routes' configuration (in force everywhere).

--- a/packages/core/include/sas/pace.h
+++ b/packages/core/include/sas/pace.h
@@ -46,6 +46,9 @@
 /* The answer to a request that found a free slot took work_ms. */
 void SasPace_Note(struct sas_pace *pace, bool known, double work_ms);
 
+/* Whether it rests on answers and not on the objective alone. */
+bool SasPace_IsLearned(const struct sas_pace *pace);
+
 /* Expected work. */
 double SasPace_Get(const struct sas_pace *pace, bool known);
 
--- a/packages/core/src/admit.c
+++ b/packages/core/src/admit.c
@@ -16,9 +16,26 @@
     double allowed_ms; /* how long it may wait there */
 };
 
+/* How long it may wait and still end before its limit. A new route of a busy
+ * service may have an objective far beyond its work; judged by that all its
+ * requests would be refused while those of older routes are served, and no
+ * answer would ever show better. Until one has, the service's pace bounds it.
+ */
+static double
+get_latest_start(const struct sas_fleet *fleet,
+                 const struct sas_admit_query *query, int service,
+                 double work_ms)
+{
+    if (!SasPace_IsLearned(query->pace)) {
+        work_ms = MIN(work_ms, SasTraffic_GetPaceMs(fleet, service));
+    }
+    return SasAdmit_SAFETY * query->left_ms - work_ms;
+}
+
 /* How long a request may wait where its work takes work_ms. */
 static double
-get_allowed_wait(const struct sas_admit_query *query,
+get_allowed_wait(const struct sas_fleet *fleet,
+                 const struct sas_admit_query *query,
                  const struct sas_fleet_server *server, double work_ms,
                  int64_t now_ms)
 {
@@ -27,7 +44,8 @@
     if (now_ms < server->traffic.brief_until) {
         allowed *= query->urgent ? SasAdmit_BRIEF_URGENT : SasAdmit_BRIEF;
     }
-    return MIN(allowed, SasAdmit_SAFETY * query->left_ms - work_ms);
+    return MIN(allowed,
+               get_latest_start(fleet, query, server->service, work_ms));
 }
 
 /* Whether a request from here that makes the object known is at the server. */
@@ -67,7 +85,7 @@
     option.wait_ms = SasTraffic_EstimateWaitMs(fleet, slot, now_ms);
     option.work_ms = get_work(query, slot, option.known);
     option.allowed_ms =
-        get_allowed_wait(query, server, option.work_ms, now_ms);
+        get_allowed_wait(fleet, query, server, option.work_ms, now_ms);
     return option;
 }
 
--- a/packages/core/src/pace.c
+++ b/packages/core/src/pace.c
@@ -13,6 +13,9 @@
 #define REACH 0.4
 #define FIRST_REACH 2.0
 
+/* So many answers show more than an objective says. */
+#define LEARNED_SAMPLES 2.0
+
 /* How fast the luck follows what objects that seemed new turn out to be. */
 #define LUCK_SMOOTHING 0.15
 
@@ -77,6 +80,12 @@
     start_estimate(&pace->known, SasPace_START_KNOWN * pace->fresh.ms);
 }
 
+bool
+SasPace_IsLearned(const struct sas_pace *pace)
+{
+    return pace->mixed.samples >= LEARNED_SAMPLES;
+}
+
 double
 SasPace_Get(const struct sas_pace *pace, bool known)
 {
--- a/packages/core/tests/test_admit.c
+++ b/packages/core/tests/test_admit.c
@@ -21,6 +21,7 @@
     bool brief; /* a queue has stood at the owner */
     bool urgent;
     double left_ms; /* 0: plenty */
+    bool new_route; /* of a lenient objective, without an answer so far */
 };
 
 static struct sas_admit_verdict
@@ -42,6 +43,9 @@
         }
     }
     SasFleet_At(fleet, OWNER)->traffic.brief_until = scene->brief ? 2000 : 0;
+    if (scene->new_route) {
+        SasPace_Init(&pace, 5.0 * NEW_MS);
+    }
     const int slots[SERVERS] = {OWNER, NEXT, 2};
     struct sas_admit_query query = {
         .slots = slots,
@@ -145,6 +149,24 @@
     assert_int_equal(judge(&scene).slot, OWNER);
 }
 
+/* An operator adds a route with a lenient objective to a service that is busy.
+ * Judged by that objective its requests seem to take longer than their limit
+ * leaves, and all are refused while those of older routes are served. */
+static void
+test_a_new_route_of_a_busy_service_is_not_shut_out(void **state)
+{
+    (void)state;
+    struct scene scene = {
+        .loads = {[OWNER] = 5, [NEXT] = 3},
+        .left_ms = 3.0 * NEW_MS,
+    };
+    assert_int_equal(judge(&scene).slot, OWNER);
+    scene.new_route = true;
+    assert_int_equal(judge(&scene).slot, OWNER);
+    scene.left_ms = 1.3 * NEW_MS;
+    assert_int_equal(judge(&scene).slot, SasModel_NONE);
+}
+
 /* An estimate alone, without anybody ahead, refuses nothing: it may be wrong,
  * and nothing else would ever show it. */
 static void
@@ -173,6 +195,7 @@
         cmocka_unit_test(test_where_a_queue_stood_the_more_urgent_wait_longer),
         cmocka_unit_test(
             test_work_that_would_run_into_its_limit_is_not_queued),
+        cmocka_unit_test(test_a_new_route_of_a_busy_service_is_not_shut_out),
         cmocka_unit_test(test_a_free_slot_is_used_whatever_is_expected),
         cmocka_unit_test(test_without_a_server_nothing_is_sent),
     };
