Test: entry VMs that the store stops answering (red)

Callers saw 404 for a route that had been acknowledged, and requests went to servers that had said that they leave, at entry VMs in touch with the store. The stand-in of the store can now be silent for single entry VMs, also for calls that wait already.

--- /dev/null
+++ b/tests/e2e/test_stale_rows.py
@@ -0,0 +1,87 @@
+#!/usr/bin/python3
+"""Entry VMs that the store stops answering, while it serves the others.
+
+What was seen: on two days entry VMs answered 404 for a route that had been
+acknowledged seconds ago, and sent to servers that had said that they leave.
+The store was silent for some entry VMs alone. The leader of a zone told its
+followers "nothing new" until its own long question to the store had run out,
+3.8 s later; the followers were in touch with the store and didn't ask it.
+The logs of both sides proved it: followers had the news 0.1 s after their
+leader's `store.lost`, and no call of theirs reached the store before.
+"""
+
+import unittest
+
+from entry_harness import Fleet, wait_for
+
+
+def pair_up(fleet):
+    """Leader and follower of the two entry VMs of a zone."""
+    def find_follower():
+        return next((vm for vm in fleet.vms if all(
+            vm.find_lines("store.listed", peer=table,
+                          **{"from": "entry VM"})
+            for table in ("op", "servers"))), None)
+    follower = wait_for(find_follower, "one to follow the other")
+    leader = next(vm for vm in fleet.vms
+                  if vm is not follower and vm.zone == follower.zone)
+    return leader, follower
+
+
+class StaleRows(unittest.TestCase):
+    def assert_before_loss(self, line, vm, table):
+        """vm had not given its own question up when the line was written."""
+        for lost in vm.find_lines("store.lost", peer=table):
+            self.assertLess(line["time"], lost["time"])
+
+    def find_version(self, vm, version):
+        return next((line for line in vm.find_lines("config.apply")
+                     if "version=%d " % version in line["text"]), None)
+
+    def find_leaving(self, vm, server):
+        return next((line for line in vm.find_lines("server.state",
+                                                    peer=server)
+                     if "draining=1" in line["text"]), None)
+
+    def test_a_follower_has_a_new_route_while_its_leader_waits_in_vain(self):
+        with Fleet(vms=("a", "a", "c")) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            leader, follower = pair_up(fleet)
+            fleet.store.silenced = {leader.store_port}
+            fleet.configure(version=50)
+            line = wait_for(lambda: self.find_version(follower, 50),
+                            "the new version")
+            self.assert_before_loss(line, leader, "op")
+
+    def test_a_follower_hears_who_leaves_while_its_leader_waits_in_vain(self):
+        with Fleet(vms=("a", "a", "c")) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("d2")
+            fleet.start()
+            leader, follower = pair_up(fleet)
+            fleet.store.silenced = {leader.store_port}
+            fleet.add_worker("d1", state="draining", **{"seq-no": 2})
+            line = wait_for(lambda: self.find_leaving(follower, "d1"),
+                            "the news that it drains")
+            self.assert_before_loss(line, leader, "servers")
+
+    def test_one_alone_in_its_zone_hears_from_other_zones(self):
+        with Fleet(vms=("a", "b", "c")) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("d2")
+            fleet.start()
+            cut_off = fleet.vms[2]
+            fleet.store.silenced = {cut_off.store_port}
+            fleet.configure(version=50)
+            fleet.add_worker("d1", state="draining", **{"seq-no": 2})
+            line = wait_for(lambda: self.find_version(cut_off, 50),
+                            "the new version")
+            self.assert_before_loss(line, cut_off, "op")
+            line = wait_for(lambda: self.find_leaving(cut_off, "d1"),
+                            "the news that it drains")
+            self.assert_before_loss(line, cut_off, "servers")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -6,6 +6,8 @@
 
     refused     ports whose callers get 503; `open_port` gives each of them
                 one of its own
+    silenced    ports whose callers get no answer, also to a call that waits
+                for changes already
     mode        "" serves, "busy" answers 503, "silent" never answers,
                 "reset" closes without an answer
     delay_s     every call waits so long
@@ -60,6 +62,7 @@
         self.waits = []  # wait-ms of each feed
         self.mode = ""
         self.refused = set()
+        self.silenced = set()
         self.delay_s = 0
         self.lose_acks = 0
         self.stopped = False
@@ -176,18 +179,28 @@
             self.end_headers()
             self.wfile.write(data)
 
+        def is_silent(self):
+            return store.mode == "silent" or \
+                self.server.server_address[1] in store.silenced
+
+        def sit_out_silence(self):
+            """True when the call fell into it and gets no answer."""
+            if not self.is_silent():
+                return False
+            end = time.monotonic() + SILENT_S
+            while self.is_silent() and time.monotonic() < end and \
+                    not store.stopped:
+                time.sleep(0.05)
+            self.close_connection = True
+            return True
+
         def is_faulty(self):
             """True when the fault in force has dealt with the call."""
             mode = store.mode
             refused = self.server.server_address[1] in store.refused
             if store.delay_s:
                 time.sleep(store.delay_s)
-            if mode == "silent":
-                end = time.monotonic() + SILENT_S
-                while store.mode == "silent" and time.monotonic() < end and \
-                        not store.stopped:
-                    time.sleep(0.05)
-                self.close_connection = True
+            if self.sit_out_silence():
                 return True
             if mode == "reset":
                 self.close_connection = True
@@ -214,6 +227,8 @@
                     self.answer(404, {"error": "no such call"})
                     return
                 body = store.feed(query)
+            if self.sit_out_silence():
+                return
             self.answer(200 if body is not None else 410, body or {})
 
         def do_POST(self):
