e2e: an entry VM's ports are found together

Seen once while the red test was written: vm-1 did not start, "port 57369: address already in use". Two test processes whose ids differ by 250 also had the same addresses; two octets tell them apart now.

--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -6,6 +6,7 @@
 store, so that the store can refuse one of them.
 """
 
+import contextlib
 import json
 import os
 import signal
@@ -52,10 +53,15 @@
 """
 
 
-def find_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def find_ports(ip, names):
+    """A free port for each name. They are held until all are found: the
+    kernel gives one that was released to the next who asks."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in names]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return {name: probe.getsockname()[1]
+                for name, probe in zip(names, probes)}
 
 
 class EntryVm:
@@ -72,8 +78,9 @@
         self.settings_path = os.path.join(fleet.folder, name + ".toml")
 
     def start(self):
-        for what in ("caller", "ready", "control", "lookup", "peer"):
-            self.ports.setdefault(what, find_port(self.ip))
+        if not self.ports:
+            self.ports = find_ports(self.ip, ("caller", "ready", "control",
+                                              "lookup", "peer"))
         zones = "\n".join('%s = "%s"' % pair for pair in ZONES.items())
         with open(self.settings_path, "w") as file:
             file.write(SETTINGS.format(
@@ -149,7 +156,8 @@
         self.version = 0
         # Addresses of this test process: a port that an entry VM leaves for
         # a moment must not be taken by another test's.
-        network = "127.0.%d." % (1 + os.getpid() % 250)
+        pid = os.getpid()
+        network = "127.%d.%d." % (1 + pid // 250 % 250, pid % 250)
         self.vms = [EntryVm(self, "vm-%d" % i, zone, network + str(i + 1))
                     for i, zone in enumerate(vms)]
         if configured:
