Entry VMs name their newest changes; who misses one asks elsewhere

What callers saw: 404 for a route that had been acknowledged up to 3.8 s before (at most 2.0 to 3.0 s are promised), and requests at servers that had said as long ago that they leave.

Cause: one entry VM of a zone asks the store, in questions that wait for changes, and the others of the zone ask that one. When the store fell silent for it alone, its question looked like one that waits; it went on saying "nothing new" to its followers, who could have asked the store, until the question had run out (2.5 s and 1.2 s more). The excuse of the one that is cut off, 3 s, had been applied to those who trust it. Class: a belief passed on without the age of its evidence.

Mend: each datagram names the newest change of each table that its sender has; a zone's leader tells those of the next four zones at once.

Ruled out: a follower's own call that hung (answered within 90 ms of the unfollow), rows that came and were not applied (config.apply follows at once). Weighed: shorter questions, 2.5 times the calls and still a silence to sit out.

--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -8,6 +8,10 @@
 #include "sas/log.h"
 #include "sas/strength.h"
 
+/* Failure domains whose leaders are told of a change at once. As many leaders
+ * tell each one, so that it hears of it while most of them are cut off. */
+#define TOLD_ZONES 4
+
 int64_t
 SasMesh_Now(const struct sas_mesh *mesh)
 {
@@ -95,6 +99,12 @@
     mesh->user = user;
 }
 
+void
+SasMesh_SetTableUser(struct sas_mesh *mesh, struct sas_mesh_table_user *user)
+{
+    mesh->table_user = user;
+}
+
 /* The own entry VM. */
 
 const struct sas_mesh_facts *
@@ -143,6 +153,27 @@
     return mesh->sheet_version;
 }
 
+void
+SasMesh_NoteChange(struct sas_mesh *mesh, int table, int64_t version)
+{
+    g_assert(table >= 0 && table < SAS_MESH_MAX_TABLES);
+    if (version <= (int64_t)mesh->changes[table]) {
+        return;
+    }
+    mesh->changes[table] = (u_quad_t)version;
+    int own = SasMesh_GetOwnZone(mesh);
+    if (SasMesh_FindZoneLeader(mesh, own) != OWN_SEAT) {
+        return;
+    }
+    int zones = SasFleet_CountZones(mesh->fleet);
+    for (int i = 1; i < zones && i <= TOLD_ZONES; i++) {
+        int seat = SasMesh_FindZoneLeader(mesh, (own + i) % zones);
+        if (seat != SasModel_NONE) {
+            SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, seat), OWN_NEWS, false);
+        }
+    }
+}
+
 void
 SasMesh_SetWithdrawn(struct sas_mesh *mesh, int i, bool withdrawn)
 {
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -71,11 +71,21 @@
     void (*on_newcomer)(struct sas_mesh_user *user, int i);
 };
 
+/* Who hears of changes in the tables that all entry VMs follow, a number each
+ * that is the same for all; embed it as first member. teller has the change,
+ * and answers at this address. */
+struct sas_mesh_table_user {
+    void (*on_change)(struct sas_mesh_table_user *user, int table,
+                      int64_t version, const struct sas_address *teller);
+};
+
 /* Opening and closing. */
 struct sas_mesh *SasMesh_Open(uv_loop_t *loop, struct sas_fleet *fleet,
                               const struct sas_entry_settings *settings,
                               GRand *random, struct sas_error *error);
 void SasMesh_SetUser(struct sas_mesh *mesh, struct sas_mesh_user *user);
+void SasMesh_SetTableUser(struct sas_mesh *mesh,
+                          struct sas_mesh_table_user *user);
 void SasMesh_Close(struct sas_mesh *mesh);
 
 /* The own entry VM. */
@@ -89,6 +99,11 @@
 void SasMesh_NoteSheet(struct sas_mesh *mesh, int64_t version);
 int64_t SasMesh_GetSheet(const struct sas_mesh *mesh);
 
+/* This entry VM has a change of a table. Every message names the newest; where
+ * this one leads its failure domain, the leaders of the next few are told at
+ * once: they pass it on where the store doesn't. */
+void SasMesh_NoteChange(struct sas_mesh *mesh, int table, int64_t version);
+
 /* Tells everybody that this process ends soon. */
 void SasMesh_Leave(struct sas_mesh *mesh);
 
--- a/packages/gateway/src/mesh_order.c
+++ b/packages/gateway/src/mesh_order.c
@@ -84,18 +84,26 @@
     return one->name_hash < other->name_hash;
 }
 
-bool
-SasMesh_FindLeader(const struct sas_mesh *mesh, struct sas_address *peer)
+int
+SasMesh_FindZoneLeader(const struct sas_mesh *mesh, int zone)
 {
-    int leader = OWN_SEAT;
-    for (int seat = OWN_SEAT + 1; seat < (int)mesh->vms->len; seat++) {
+    int leader = SasModel_NONE;
+    for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
         const struct vm *vm = SasMesh_GetVm(mesh, seat);
-        if (vm->zone == SasMesh_GetVm(mesh, OWN_SEAT)->zone &&
-            leads_before(vm, SasMesh_GetVm(mesh, leader)) &&
-            SasMesh_IsLive(mesh, seat)) {
+        if (vm->zone == zone &&
+            (leader == SasModel_NONE ||
+             leads_before(vm, SasMesh_GetVm(mesh, leader))) &&
+            (seat == OWN_SEAT || SasMesh_IsLive(mesh, seat))) {
             leader = seat;
         }
     }
+    return leader;
+}
+
+bool
+SasMesh_FindLeader(const struct sas_mesh *mesh, struct sas_address *peer)
+{
+    int leader = SasMesh_FindZoneLeader(mesh, SasMesh_GetOwnZone(mesh));
     *peer = SasMesh_GetVm(mesh, leader)->facts.peer;
     return leader != OWN_SEAT;
 }
--- a/packages/gateway/src/mesh_seats.h
+++ b/packages/gateway/src/mesh_seats.h
@@ -37,8 +37,10 @@
     GArray *vms; /* struct vm, by seat */
     struct sas_membership table;
     struct sas_mesh_user *user;
-    int64_t sheet_version;     /* the highest heard of */
-    struct sas_proto_key *key; /* NULL: none */
+    struct sas_mesh_table_user *table_user; /* NULL: none */
+    u_quad_t changes[SAS_MESH_MAX_TABLES];  /* the own newest, by table */
+    int64_t sheet_version;                  /* the highest heard of */
+    struct sas_proto_key *key;              /* NULL: none */
 };
 
 /* mesh.c */
@@ -59,6 +61,8 @@
  * none. */
 int SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region,
                       int without);
+/* The seat that leads a failure domain; NONE where nobody there is live. */
+int SasMesh_FindZoneLeader(const struct sas_mesh *mesh, int zone);
 
 /* mesh_talk.c */
 /* Opens the socket and begins the rounds; -1 with an error where the address
--- a/packages/gateway/src/mesh_talk.c
+++ b/packages/gateway/src/mesh_talk.c
@@ -360,6 +360,8 @@
     message->sender.incarnation = own->incarnation;
     message->sender.strength = (u_int)own->strength;
     message->sender.sheet_version = (u_quad_t)mesh->sheet_version;
+    message->sender.changes.changes_len = SAS_MESH_MAX_TABLES;
+    message->sender.changes.changes_val = (u_quad_t *)mesh->changes;
     message->sent_ms = (u_quad_t)SasWall_GetMs();
     char bytes[MAX_DATAGRAM];
     XDR xdr;
@@ -522,6 +524,22 @@
     }
 }
 
+static void
+take_changes(const struct sas_mesh *mesh, const sas_mesh_vm *sender,
+             const struct sas_address *teller)
+{
+    if (mesh->table_user == NULL) {
+        return;
+    }
+    for (u_int i = 0; i < sender->changes.changes_len; i++) {
+        int64_t version = (int64_t)sender->changes.changes_val[i];
+        if (version > 0) {
+            mesh->table_user->on_change(mesh->table_user, (int)i, version,
+                                        teller);
+        }
+    }
+}
+
 static void
 take_message(struct sas_mesh *mesh, const sas_mesh_message *message)
 {
@@ -551,6 +569,7 @@
     SasMembership_NoteDirect(&mesh->table, seat, facts.incarnation,
                              SasMesh_Now(mesh));
     tell_user(mesh, message);
+    take_changes(mesh, &message->sender, &facts.peer);
     if (newcomer) {
         mesh->user->on_newcomer(mesh->user, seat);
     }
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -29,6 +29,9 @@
         int failed;
         int answered;
         struct sas_mesh_suspect_news last_suspect;
+        struct sas_mesh_table_user tables;
+        int64_t changes[2]; /* by table */
+        int teller;         /* its port */
     } nodes[VMS];
 };
 
@@ -64,6 +67,16 @@
     ((struct node *)user)->newcomers++;
 }
 
+static void
+on_change(struct sas_mesh_table_user *user, int table, int64_t version,
+          const struct sas_address *teller)
+{
+    struct node *node =
+        (struct node *)((char *)user - offsetof(struct node, tables));
+    node->changes[table] = version;
+    node->teller = teller->port;
+}
+
 static int
 get_region(const struct fixture *f, const char *name)
 {
@@ -114,6 +127,8 @@
     f->nodes[i].user.on_newcomer = on_newcomer;
     f->nodes[i].user.on_loss = on_loss;
     SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
+    f->nodes[i].tables.on_change = on_change;
+    SasMesh_SetTableUser(f->meshes[i], &f->nodes[i].tables);
 }
 
 static struct fixture *
@@ -422,6 +437,30 @@
     }
 }
 
+/* Guards against an entry VM whose store is silent for it alone and that
+ * therefore believes that nothing has changed. */
+static void
+test_all_hear_who_has_a_change(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    SasMesh_NoteChange(f->meshes[2], 1, 42);
+    for (int i = 0; i < VMS; i++) {
+        if (i != 2) {
+            SPIN_UNTIL(f, f->nodes[i].changes[1] == 42);
+            assert_int_equal(f->nodes[i].changes[0], 0);
+            assert_int_equal(f->nodes[i].teller,
+                             SasMesh_GetOwn(f->meshes[2])->peer.port);
+        }
+    }
+    /* What others have isn't passed on: nobody could be asked for it. */
+    SasMesh_NoteChange(f->meshes[2], 1, 41);
+    SasMesh_NoteChange(f->meshes[0], 0, 7);
+    SPIN_UNTIL(f, f->nodes[3].changes[0] == 7);
+    assert_int_equal(f->nodes[3].changes[1], 42);
+    stop(f);
+}
+
 int
 main(void)
 {
@@ -434,6 +473,7 @@
         cmocka_unit_test(test_a_death_in_a_crowd_is_known_within_seconds),
         cmocka_unit_test(test_one_whose_clock_went_back_is_known_again),
         cmocka_unit_test(test_only_who_has_the_key_is_heard),
+        cmocka_unit_test(test_all_hear_who_has_a_change),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -4,11 +4,12 @@
  * decoder never allocates more than that.
  */
 
-const SAS_MESH_FORMAT = 2;
+const SAS_MESH_FORMAT = 3;
 const SAS_MESH_MAX_NEWS = 24;
 const SAS_MESH_MAX_TRIPS = 8;
 const SAS_MESH_MAX_SUSPECTS = 8;
 const SAS_MESH_MAX_LOSSES = 8;
+const SAS_MESH_MAX_TABLES = 4;
 const SAS_MESH_MAX_TEXT = 47;
 
 /* The sender: enough for a receiver that has never heard of it. */
@@ -21,6 +22,8 @@
     unsigned hyper incarnation;
     unsigned int strength; /* requests a second that it can carry */
     unsigned hyper sheet_version; /* the highest that it knows of */
+    /* The newest change that it has of each table that all follow. */
+    unsigned hyper changes<SAS_MESH_MAX_TABLES>;
 };
 
 /* What the sender knows of an entry VM, itself included. */
