--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -82,6 +82,25 @@
                             "the news that it drains")
             self.assert_before_loss(line, cut_off, "servers")
 
+    def test_one_that_starts_again_in_an_outage_takes_rows_from_others(self):
+        """Guards against refusals by an entry VM that is restarted while the
+        store is away: the others have all rows and would not part with them,
+        since in an outage none of them is sure of the newest."""
+        with Fleet(vms=("a", "c"), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            fleet.store.mode = "silent"
+            fleet.first_start = False
+            again = fleet.vms[1]
+            for vm in fleet.vms:
+                for table in ("op", "servers"):
+                    wait_for(lambda: vm.find_lines("store.lost", peer=table),
+                             "the outage to be noticed at " + vm.name)
+            again.stop()
+            again.start()
+            wait_for(again.is_ready, "rows from the other zone")
+            self.assertEqual(again.request().status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
