A late page of the store is no answer to a question for changes

What it would do: requests go on to a server that has said that it leaves, or callers get 404 for a new route, at an entry VM that has just started and until the row changes again.

Cause: one that starts lists a table from the store in pages and asks other entry VMs meanwhile. Where they were sooner the listing was over, and the store's page, when it came, passed for all changes up to its version; those of rows behind it were lost. Latent before (two pages, 500 rows), likelier since others are asked at once. Found by reading.

--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -101,6 +101,29 @@
             wait_for(again.is_ready, "rows from the other zone")
             self.assertEqual(again.request().status, 200)
 
+    def test_a_late_page_of_the_store_does_not_hide_a_change(self):
+        """Guards against requests to a server that has said that it leaves:
+        an entry VM that starts asks the store for its rows in pages and has
+        all of them from another one sooner. The first page then passed for
+        all changes up to its version, also those of rows behind it."""
+        with Fleet(vms=("a", "c"), first_start=True) as fleet:
+            worker = fleet.add_worker("d1")
+            for i in range(700):
+                fleet.add_worker_row("s%04d" % i, worker.port)
+            fleet.start()
+            fleet.first_start = False
+            again = fleet.vms[1]
+            again.stop()
+            fleet.store.delay_s = 1.0
+            seen = len(again.find_lines("store.listed", peer="servers"))
+            again.start()
+            wait_for(lambda: len(again.find_lines(
+                "store.listed", peer="servers")) > seen, "rows of the other")
+            fleet.add_worker("s0699", service="other", state="draining",
+                             port=worker.port)
+            wait_for(lambda: self.find_leaving(again, "s0699"),
+                     "the news that it drains")
+
 
 if __name__ == "__main__":
     unittest.main()
