--- a/packages/gateway/src/mesh_talk.c
+++ b/packages/gateway/src/mesh_talk.c
@@ -345,6 +345,17 @@
     return mesh->key == NULL || ABS(age_ms) <= MAX_SKEW_MS;
 }
 
+/* Tables up to the last one of which a change is known. */
+static u_int
+count_changes(const struct sas_mesh *mesh)
+{
+    u_int count = SAS_MESH_MAX_TABLES;
+    while (count > 0 && mesh->changes[count - 1] == 0) {
+        count--;
+    }
+    return count;
+}
+
 /* Fills in the sender and sends. */
 static void
 send_message(struct sas_mesh *mesh, const struct vm *vm,
@@ -360,7 +371,7 @@
     message->sender.incarnation = own->incarnation;
     message->sender.strength = (u_int)own->strength;
     message->sender.sheet_version = (u_quad_t)mesh->sheet_version;
-    message->sender.changes.changes_len = SAS_MESH_MAX_TABLES;
+    message->sender.changes.changes_len = count_changes(mesh);
     message->sender.changes.changes_val = (u_quad_t *)mesh->changes;
     message->sent_ms = (u_quad_t)SasWall_GetMs();
     char bytes[MAX_DATAGRAM];
