--- a/packages/core/include/sas/objects.h
+++ b/packages/core/include/sas/objects.h
@@ -28,8 +28,8 @@
                          int64_t now_ms);
 
 /* The server has answered for the object of the service. */
-void SasObjects_Note(struct sas_objects *objects, int service, uint64_t key,
-                     struct sas_server_ref server);
+void SasObjects_NoteAnswered(struct sas_objects *objects, int service,
+                             uint64_t key, struct sas_server_ref server);
 
 /* Whether it has, in this start of the server. */
 bool SasObjects_IsKnown(const struct sas_objects *objects, int service,
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -76,6 +76,11 @@
     bool failed; /* an error, which says nothing of the usual time */
 };
 
+/* Whether a request that was sent at this load met a free slot: only then does
+ * its time say how long its work takes. */
+bool SasTraffic_FoundSlot(const struct sas_fleet_server *server,
+                          double load_when_sent);
+
 /* A request was sent there, and it ended, however that was. */
 void SasTraffic_NoteSent(struct sas_fleet_server *server);
 void SasTraffic_NoteEnded(struct sas_fleet_server *server);
--- a/packages/core/src/admit.c
+++ b/packages/core/src/admit.c
@@ -1,7 +1,5 @@
 #include "sas/admit.h"
 
-#include <math.h>
-
 #include "sas/traffic.h"
 
 #define MIN_RETRY_MS 50
--- a/packages/core/src/objects.c
+++ b/packages/core/src/objects.c
@@ -110,8 +110,8 @@
 }
 
 void
-SasObjects_Note(struct sas_objects *objects, int service, uint64_t key,
-                struct sas_server_ref server)
+SasObjects_NoteAnswered(struct sas_objects *objects, int service, uint64_t key,
+                        struct sas_server_ref server)
 {
     struct object *object = take_place(objects, get_full_key(service, key));
     object->used_at = ++objects->uses;
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -122,12 +122,19 @@
     return SAS_TRAFFIC_WELL;
 }
 
+bool
+SasTraffic_FoundSlot(const struct sas_fleet_server *server,
+                     double load_when_sent)
+{
+    return load_when_sent < server->facts.slots;
+}
+
 /* A sample of the service's pace, if it found a free slot. */
 static void
 note_pace(struct sas_fleet *fleet, const struct sas_fleet_server *server,
           const struct sas_traffic_end *end)
 {
-    if (!end->timed_out && end->load_when_sent < server->facts.slots) {
+    if (!end->timed_out && SasTraffic_FoundSlot(server, end->load_when_sent)) {
         SasPace_Note(&SasFleet_GetService(fleet, server->service)->pace,
                      end->known, end->elapsed_ms);
     }
--- a/packages/core/tests/test_admit.c
+++ b/packages/core/tests/test_admit.c
@@ -39,7 +39,8 @@
     for (int slot = 0; slot < SERVERS; slot++) {
         SasFleet_At(fleet, slot)->traffic.in_flight = scene->loads[slot];
         if (scene->known[slot]) {
-            SasObjects_Note(objects, 0, KEY, SasFleet_GetRef(fleet, slot));
+            SasObjects_NoteAnswered(objects, 0, KEY,
+                                    SasFleet_GetRef(fleet, slot));
         }
     }
     SasFleet_At(fleet, OWNER)->traffic.brief_until = scene->brief ? 2000 : 0;
--- a/packages/core/tests/test_objects.c
+++ b/packages/core/tests/test_objects.c
@@ -18,8 +18,8 @@
 {
     (void)state;
     struct sas_objects *objects = SasObjects_New();
-    SasObjects_Note(objects, 0, 77, make_ref(3, 1));
-    SasObjects_Note(objects, 0, 77, make_ref(0, 1));
+    SasObjects_NoteAnswered(objects, 0, 77, make_ref(3, 1));
+    SasObjects_NoteAnswered(objects, 0, 77, make_ref(0, 1));
     assert_true(SasObjects_IsKnown(objects, 0, 77, make_ref(3, 1)));
     assert_true(SasObjects_IsKnown(objects, 0, 77, make_ref(0, 1)));
     assert_false(SasObjects_IsKnown(objects, 0, 77, make_ref(2, 1)));
@@ -35,7 +35,7 @@
 {
     (void)state;
     struct sas_objects *objects = SasObjects_New();
-    SasObjects_Note(objects, 0, 77, make_ref(3, 1));
+    SasObjects_NoteAnswered(objects, 0, 77, make_ref(3, 1));
     assert_false(SasObjects_IsKnown(objects, 0, 77, make_ref(3, 2)));
     SasObjects_Free(objects);
 }
@@ -52,7 +52,7 @@
                      5000);
     assert_int_equal(SasObjects_GetSentAt(objects, 0, 77, make_ref(4, 1)), 0);
     assert_false(SasObjects_IsKnown(objects, 0, 77, make_ref(3, 1)));
-    SasObjects_Note(objects, 0, 77, make_ref(3, 1));
+    SasObjects_NoteAnswered(objects, 0, 77, make_ref(3, 1));
     assert_int_equal(SasObjects_GetSentAt(objects, 0, 77, make_ref(3, 1)), 0);
     SasObjects_Free(objects);
 }
@@ -64,8 +64,8 @@
     (void)state;
     struct sas_objects *objects = SasObjects_New();
     for (uint64_t key = 1; key <= MANY; key++) {
-        SasObjects_Note(objects, 0, key * 0x9e3779b97f4a7c15ULL,
-                        make_ref(1, 1));
+        SasObjects_NoteAnswered(objects, 0, key * 0x9e3779b97f4a7c15ULL,
+                                make_ref(1, 1));
     }
     int known = 0;
     for (uint64_t key = 1; key <= MANY; key++) {
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -330,13 +330,13 @@
     struct sas_relay *relay = call->relay;
     const struct sas_fleet_server *server =
         SasFleet_At(relay->options.fleet, call->server.slot);
-    if (call->load_when_sent < server->facts.slots) {
+    if (SasTraffic_FoundSlot(server, call->load_when_sent)) {
         SasPace_Note(&SasRelay_GetRouteState(call)->pace, call->known,
                      elapsed_ms);
     }
     if (call->keyed) {
-        SasObjects_Note(relay->objects, server->service, call->key,
-                        call->server);
+        SasObjects_NoteAnswered(relay->objects, server->service, call->key,
+                                call->server);
     }
 }
 
@@ -386,7 +386,7 @@
     bool not_run = call->not_run || call->status == 421;
     call->same_again = call->not_run && call->status != 421 &&
                        server != NULL &&
-                       call->load_when_sent < server->facts.slots;
+                       SasTraffic_FoundSlot(server, call->load_when_sent);
     if (server != NULL) {
         SasTraffic_NoteReport(relay->options.fleet, call->server.slot,
                               &call->report, now_ms);
--- a/tools/emulate.c
+++ b/tools/emulate.c
@@ -271,13 +271,13 @@
 note_work(const struct request *request)
 {
     struct sas_fleet *fleet = fleets[request->vm];
-    if (request->load_when_sent <
-        SasFleet_At(fleet, request->server)->facts.slots) {
+    if (SasTraffic_FoundSlot(SasFleet_At(fleet, request->server),
+                             request->load_when_sent)) {
         SasPace_Note(&paces[request->vm], request->known,
                      now_ms - request->sent_at);
     }
-    SasObjects_Note(objects[request->vm], 0, get_key(request),
-                    SasFleet_GetRef(fleet, request->server));
+    SasObjects_NoteAnswered(objects[request->vm], 0, get_key(request),
+                            SasFleet_GetRef(fleet, request->server));
 }
 
 static void
