soak: the store harms single entry VMs; the last configuration is everywhere at the end

The store is silent for or refuses some entry VMs while the others have a change: the kind of fault that the soak, too, did not hold. After the faults the configuration that was written last has to be in force at each of them.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -156,6 +156,7 @@
         self.generation = 0
         self.poisoned = False
         self.crashes = []   # moments at which the poison took a server down
+        self.operator = threading.Lock()  # one writes configurations
         self.accepted = []  # versions of sheets that were acknowledged
 
     # The deployment.
@@ -211,9 +212,11 @@
     def harm_store(self):
         store = self.fleet.store
         what = self.rng.choice(("busy", "silent", "reset", "slow", "compact",
-                                "acks"))
+                                "acks", "some", "some"))
         self.log("store " + what)
-        if what == "compact":
+        if what == "some":
+            self.harm_store_for_some()
+        elif what == "compact":
             store.compact()
         elif what == "acks":
             store.lose_acks = 2
@@ -226,6 +229,19 @@
             time.sleep(self.rng.uniform(1, 5))
             store.mode = ""
 
+    def harm_store_for_some(self):
+        """It serves the others, which have a change meanwhile."""
+        store = self.fleet.store
+        harm = self.rng.choice((store.silenced, store.silenced,
+                                store.refused))
+        ports = {vm.store_port for vm in self.rng.sample(
+            self.fleet.vms, self.rng.randrange(1, len(self.fleet.vms)))}
+        harm |= ports
+        time.sleep(self.rng.uniform(0, 1))
+        self.change_config()
+        time.sleep(self.rng.uniform(1, 4))
+        harm -= ports
+
     def pick_vm(self):
         """One that runs; at least two others must."""
         alive = [vm for vm in self.fleet.vms
@@ -363,7 +379,8 @@
                        {"service": "vault", "weight": 2}])
             self.allowed["/forms/"].add("vault")
         for _ in range(self.rng.randrange(1, 4)):
-            self.fleet.configure(routes)
+            with self.operator:
+                self.fleet.configure(routes)
             time.sleep(self.rng.uniform(0, 0.4))
         self.log("config %d" % self.fleet.version)
 
@@ -506,12 +523,23 @@
             found.extend(check())
         return found
 
+    def find_version(self, vm):
+        """Of the configuration in force."""
+        lines = [line for line in vm.log()
+                 if line["step"] in ("process.start", "config.apply")]
+        if not lines or lines[-1]["step"] == "process.start":
+            return 0
+        return int(re.search(r"version=(\d+)", lines[-1]["text"]).group(1))
+
     def recover(self):
         wait_for(lambda: all(vm.is_ready() for vm in self.fleet.vms),
                  "all entry VMs ready after the faults")
 
         def served(vm, path):
             return vm.request(path=path, deadline_ms=2000).status == 200
+        wait_for(lambda: all(self.find_version(vm) == self.fleet.version
+                             for vm in self.fleet.vms),
+                 "the configuration in force everywhere")
         newest = max(self.accepted, default=0)
         wait_for(lambda: min(self.read_sheets().values()) >= newest,
                  "the sheet in force everywhere")
