--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -43,12 +43,17 @@
                                                     peer=server)
                      if "draining=1" in line["text"]), None)
 
+    def start_with_silent_leader(self, fleet):
+        fleet.add_worker("d1")
+        fleet.add_worker("d2")
+        fleet.start()
+        leader, follower = pair_up(fleet)
+        fleet.store.silenced = {leader.store_port}
+        return leader, follower
+
     def test_a_follower_has_a_new_route_while_its_leader_waits_in_vain(self):
         with Fleet(vms=("a", "a", "c"), first_start=True) as fleet:
-            fleet.add_worker("d1")
-            fleet.start()
-            leader, follower = pair_up(fleet)
-            fleet.store.silenced = {leader.store_port}
+            leader, follower = self.start_with_silent_leader(fleet)
             fleet.configure(version=50)
             line = wait_for(lambda: self.find_version(follower, 50),
                             "the new version")
@@ -56,11 +61,7 @@
 
     def test_a_follower_hears_who_leaves_while_its_leader_waits_in_vain(self):
         with Fleet(vms=("a", "a", "c"), first_start=True) as fleet:
-            fleet.add_worker("d1")
-            fleet.add_worker("d2")
-            fleet.start()
-            leader, follower = pair_up(fleet)
-            fleet.store.silenced = {leader.store_port}
+            leader, follower = self.start_with_silent_leader(fleet)
             fleet.add_worker("d1", state="draining", **{"seq-no": 2})
             line = wait_for(lambda: self.find_leaving(follower, "d1"),
                             "the news that it drains")
