Sight: connections of callers that this side ends, and what they leave undone

Cause for the change: a connection that an entry VM closes left no line, and a request that ended with it had the outcome 'caller left', as if its caller had gone.

Change: the HTTP server says why a connection ends, and what it leaves unanswered, unsent and unread; 'cut off' is an outcome of its own; a counter of connections by what ended them. No decision changes.

Ruled out as enough: the error line of process.stop, which counts only what a stop's limit cuts.

--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -16,7 +16,11 @@
                        struct sas_http_exchange *exchange);
 static void note_bytes(struct relay_call *call, size_t answer_size);
 static void on_abandoned(struct sas_http_handler *handler,
-                         struct sas_http_exchange *exchange);
+                         struct sas_http_exchange *exchange,
+                         enum sas_http_end end);
+static void on_closed(struct sas_http_handler *handler,
+                      const struct sas_http_leftover *leftover);
+static void register_ends(struct sas_relay *relay);
 
 struct sas_relay *
 SasRelay_New(const struct sas_relay_options *options)
@@ -25,6 +29,8 @@
     relay->options = *options;
     relay->handler.on_request = on_request;
     relay->handler.on_abandoned = on_abandoned;
+    relay->handler.on_closed = on_closed;
+    register_ends(relay);
     relay->suspects =
         SasSuspects_New(options->loop, options->fleet, options->pool,
                         options->mesh, options->metrics);
@@ -317,14 +323,50 @@
     SasRelay_Choose(call);
 }
 
+/* Connections that end. */
+
+static void
+register_ends(struct sas_relay *relay)
+{
+    for (int end = 0; end < SAS_HTTP_END_COUNT; end++) {
+        relay->ends[end] = SasMetrics_Register(
+            relay->options.metrics, "sas_connections_ended_total", "by",
+            SasHttp_GetEndName((enum sas_http_end)end),
+            "Connections of callers by what ended them");
+    }
+}
+
+/* A caller that leaves is an outcome of its requests; here stands only what
+ * this side has cut. */
+static void
+on_closed(struct sas_http_handler *handler,
+          const struct sas_http_leftover *leftover)
+{
+    struct sas_relay *relay = (struct sas_relay *)handler;
+    SasMetrics_Add(relay->options.metrics, relay->ends[leftover->end], 1);
+    if (leftover->end == SAS_HTTP_END_CALLER ||
+        (leftover->unanswered == 0 && leftover->unsent_bytes == 0 &&
+         leftover->unread_bytes == 0)) {
+        return;
+    }
+    SasLog_WriteFields(
+        SasLog_WARN, "caller.closed", "", "{s:s, s:i, s:I, s:I, s:I}", "by",
+        SasHttp_GetEndName(leftover->end), "unanswered", leftover->unanswered,
+        "unsent_bytes", (json_int_t)leftover->unsent_bytes, "unread_bytes",
+        (json_int_t)leftover->unread_bytes, "idle_ms",
+        (json_int_t)leftover->idle_ms);
+}
+
 static void
 on_abandoned(struct sas_http_handler *handler,
-             struct sas_http_exchange *exchange)
+             struct sas_http_exchange *exchange, enum sas_http_end end)
 {
     (void)handler;
     struct relay_call *call = SasHttpExchange_GetUser(exchange);
+    const char *outcome =
+        end == SAS_HTTP_END_CALLER ? "caller left" : "cut off";
     SasRelay_Cancel(call);
-    log_end(call, "caller left", 0);
-    count_outcome(call, "caller left");
+    log_end(call, outcome, 0);
+    count_outcome(call, outcome);
     free_call(call);
 }
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -58,6 +58,7 @@
     GHashTable *routes;  /* struct route_state by route name */
     struct sas_suspects *suspects;
     struct sas_objects *objects;
+    int ends[SAS_HTTP_END_COUNT]; /* counters of connections */
     bool stopping;
 };
 
--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -44,15 +44,43 @@
     int connections;
 };
 
+/* Why a connection ends. */
+enum sas_http_end {
+    SAS_HTTP_END_CALLER, /* the caller closed it, or it broke */
+    SAS_HTTP_END_ANSWER, /* with an answer that says so */
+    SAS_HTTP_END_HEAD,   /* the head of a request came too slowly */
+    SAS_HTTP_END_IDLE,   /* no request for the idle limit */
+    SAS_HTTP_END_SERVER, /* the server is being closed */
+    SAS_HTTP_END_COUNT
+};
+
+/* What a connection that ends leaves undone. */
+struct sas_http_leftover {
+    enum sas_http_end end;
+    int unanswered;      /* requests that the handler has */
+    size_t unsent_bytes; /* of answers that still wait to be written */
+    size_t unread_bytes; /* from the caller, in the socket, as far as looked;
+                            0 where the caller ended the connection */
+    int64_t idle_ms;     /* since the last byte was read or answer given */
+};
+
 /* Embed it as first member. */
 struct sas_http_handler {
     void (*on_request)(struct sas_http_handler *handler,
                        struct sas_http_exchange *exchange);
-    /* The caller has gone; NULL where the handler always replies at once. */
+    /* The connection has ended; NULL where the handler always replies at
+     * once. */
     void (*on_abandoned)(struct sas_http_handler *handler,
-                         struct sas_http_exchange *exchange);
+                         struct sas_http_exchange *exchange,
+                         enum sas_http_end end);
+    /* Called before on_abandoned; NULL: nobody asks. */
+    void (*on_closed)(struct sas_http_handler *handler,
+                      const struct sas_http_leftover *leftover);
 };
 
+/* "caller", "answer", "head", "idle" or "server". */
+const char *SasHttp_GetEndName(enum sas_http_end end);
+
 struct sas_http_reply {
     int status;
     const struct sas_http_header *headers; /* copied */
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -3,12 +3,14 @@
 #include <http_parser.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "sas/http.h"
 
 #define LISTEN_BACKLOG 1024
 #define SWEEP_MS 250
 #define READ_BUFFER_SIZE 65536
+#define UNREAD_SAMPLE 1024 /* bytes; more are not counted */
 #define STEP "server.listen"
 
 struct connection;
@@ -71,7 +73,7 @@
 
 static void on_accept(uv_stream_t *listener, int status);
 static void on_sweep(uv_timer_t *timer);
-static void close_connection(struct connection *c);
+static void close_connection(struct connection *c, enum sas_http_end end);
 static void flush_answers(struct connection *c);
 static const http_parser_settings *get_parser_settings(void);
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
@@ -130,7 +132,7 @@
     }
     server->closed = true;
     while (server->connections != NULL) {
-        close_connection(server->connections);
+        close_connection(server->connections, SAS_HTTP_END_SERVER);
     }
     uv_close((uv_handle_t *)&server->listener, on_server_handle_closed);
     uv_close((uv_handle_t *)&server->sweep, on_server_handle_closed);
@@ -339,7 +341,8 @@
     struct write *write = (struct write *)request;
     struct connection *c = write->connection;
     if (!c->closing && (status != 0 || write->close_after)) {
-        close_connection(c);
+        close_connection(c, status != 0 ? SAS_HTTP_END_CALLER
+                                        : SAS_HTTP_END_ANSWER);
     }
     g_string_free(write->bytes, TRUE);
     g_free(write);
@@ -378,7 +381,7 @@
                  on_written) != 0) {
         g_string_free(write->bytes, TRUE);
         g_free(write);
-        close_connection(c);
+        close_connection(c, SAS_HTTP_END_CALLER);
         return;
     }
     resume_reading(c);
@@ -392,22 +395,71 @@
     g_free(handle->data);
 }
 
+const char *
+SasHttp_GetEndName(enum sas_http_end end)
+{
+    static const char *const names[SAS_HTTP_END_COUNT] = {
+        [SAS_HTTP_END_CALLER] = "caller", [SAS_HTTP_END_ANSWER] = "answer",
+        [SAS_HTTP_END_HEAD] = "head",     [SAS_HTTP_END_IDLE] = "idle",
+        [SAS_HTTP_END_SERVER] = "server",
+    };
+    return names[end];
+}
+
+static bool
+is_unanswered(const struct sas_http_exchange *e)
+{
+    return e->given && e->answer == NULL;
+}
+
+static size_t
+count_unread(const struct connection *c)
+{
+    char bytes[UNREAD_SAMPLE];
+    uv_os_fd_t fd;
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0) {
+        return 0;
+    }
+    ssize_t count = recv(fd, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT);
+    return count > 0 ? (size_t)count : 0;
+}
+
+static void
+tell_leftover(const struct connection *c, enum sas_http_end end)
+{
+    struct sas_http_handler *handler = c->server->handler;
+    if (handler->on_closed == NULL) {
+        return;
+    }
+    struct sas_http_leftover leftover = {
+        .end = end,
+        .unsent_bytes =
+            uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp),
+        .unread_bytes = end == SAS_HTTP_END_CALLER ? 0 : count_unread(c),
+        .idle_ms = (int64_t)uv_now(c->server->loop) - c->active_at,
+    };
+    for (struct sas_http_exchange *e = c->first; e != NULL; e = e->next) {
+        leftover.unanswered += is_unanswered(e) ? 1 : 0;
+    }
+    handler->on_closed(handler, &leftover);
+}
+
 /* Tells the handler of every request that it still has. */
 static void
-abandon_exchanges(struct connection *c)
+abandon_exchanges(struct connection *c, enum sas_http_end end)
 {
     struct sas_http_handler *handler = c->server->handler;
     while (c->first != NULL) {
         struct sas_http_exchange *e = c->first;
-        if (e->given && e->answer == NULL && handler->on_abandoned != NULL) {
-            handler->on_abandoned(handler, e);
+        if (is_unanswered(e) && handler->on_abandoned != NULL) {
+            handler->on_abandoned(handler, e, end);
         }
         free_first_exchange(c);
     }
 }
 
 static void
-close_connection(struct connection *c)
+close_connection(struct connection *c, enum sas_http_end end)
 {
     if (c->closing) {
         return;
@@ -424,7 +476,8 @@
         c->next->previous = c->previous;
     }
     server->connection_count--;
-    abandon_exchanges(c);
+    tell_leftover(c, end);
+    abandon_exchanges(c, end);
     uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
 }
 
@@ -464,13 +517,13 @@
     const struct sas_http_server *server = c->server;
     if (c->reading != NULL && c->reading->method == NULL &&
         now_ms - c->reading->began_at > server->limits.header_ms) {
-        close_connection(c);
+        close_connection(c, SAS_HTTP_END_HEAD);
         return;
     }
     int64_t limit_ms =
         server->draining ? server->drain_idle_ms : server->limits.idle_ms;
     if (c->first == NULL && limit_ms > 0 && now_ms - c->active_at > limit_ms) {
-        close_connection(c);
+        close_connection(c, SAS_HTTP_END_IDLE);
     }
 }
 
@@ -530,7 +583,7 @@
         return;
     }
     if (count < 0) {
-        close_connection(c);
+        close_connection(c, SAS_HTTP_END_CALLER);
         return;
     }
     if (c->ended) {
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -32,9 +32,11 @@
 }
 
 static void
-on_abandoned(struct sas_http_handler *handler, struct sas_http_exchange *e)
+on_abandoned(struct sas_http_handler *handler, struct sas_http_exchange *e,
+             enum sas_http_end end)
 {
     (void)e;
+    (void)end;
     ((struct fixture *)handler)->abandoned++;
 }
 
