Tests: requests and answers that a planned stop loses (red)

What callers see: a connection that ends with neither an answer nor a refusal, or in the middle of an answer.

--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -8,6 +8,7 @@
 #include "sas/http_server.h"
 
 #define MAX_HELD 16
+#define LARGE_BODY ((size_t)12 * 1024 * 1024) /* more than sockets hold */
 
 /* Holds exchanges back until the test answers them. */
 struct fixture {
@@ -21,7 +22,7 @@
     uv_connect_t connect;
     uv_write_t write;
     GString *got;
-    bool ended; /* the server closed the connection */
+    int end; /* libuv's code for the end of the connection; 0: it lasts */
 };
 
 static void
@@ -49,6 +50,18 @@
     *buffer = uv_buf_init(scratch, sizeof(scratch));
 }
 
+/* libuv reports a reset that comes in one turn with bytes as an end. */
+static bool
+was_reset(const struct fixture *f)
+{
+    uv_os_fd_t fd;
+    int cause = 0;
+    socklen_t size = sizeof(cause);
+    assert_int_equal(uv_fileno((const uv_handle_t *)&f->client, &fd), 0);
+    assert_int_equal(getsockopt(fd, SOL_SOCKET, SO_ERROR, &cause, &size), 0);
+    return cause != 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
@@ -57,7 +70,7 @@
         g_string_append_len(f->got, data->base, count);
     }
     if (count < 0) {
-        f->ended = true;
+        f->end = was_reset(f) ? UV_ECONNRESET : (int)count;
         uv_read_stop(stream);
     }
 }
@@ -78,8 +91,19 @@
     }
 }
 
+#define LONG_MS 60000
+
+/* Until the connection has ended, for some seconds at most. */
+static void
+spin_until_end(struct fixture *f)
+{
+    for (int i = 0; i < 250 && f->end == 0; i++) {
+        spin(f);
+    }
+}
+
 static struct fixture *
-start(size_t body_bytes)
+start_with_head_limit(size_t body_bytes, int64_t header_ms)
 {
     struct fixture *f = g_new0(struct fixture, 1);
     f->handler.on_request = on_request;
@@ -91,7 +115,7 @@
         .header_bytes = 1000,
         .body_bytes = body_bytes,
         .bodies_bytes = 2 * body_bytes,
-        .header_ms = 60000,
+        .header_ms = header_ms,
         .connections = 4,
     };
     struct sas_error error = {0};
@@ -108,12 +132,25 @@
     return f;
 }
 
+static struct fixture *
+start(size_t body_bytes)
+{
+    return start_with_head_limit(body_bytes, LONG_MS);
+}
+
+/* Into the socket; the server has not read it yet. */
 static void
-say(struct fixture *f, const char *text)
+put(struct fixture *f, const char *text)
 {
     uv_buf_t buffer = uv_buf_init((char *)text, (unsigned int)strlen(text));
     assert_int_equal(uv_try_write((uv_stream_t *)&f->client, &buffer, 1),
                      strlen(text));
+}
+
+static void
+say(struct fixture *f, const char *text)
+{
+    put(f, text);
     spin(f);
 }
 
@@ -156,7 +193,7 @@
     reply(f, 0, "first");
     assert_true(strstr(f->got->str, "first") < strstr(f->got->str, "second"));
     assert_non_null(strstr(f->got->str, "second"));
-    assert_false(f->ended);
+    assert_int_equal(f->end, 0);
     stop(f);
 }
 
@@ -202,7 +239,7 @@
     say(f, text);
     assert_int_equal(f->held_count, 0);
     assert_non_null(strstr(f->got->str, status));
-    assert_true(f->ended);
+    assert_int_equal(f->end, UV_EOF);
     stop(f);
 }
 
@@ -233,10 +270,87 @@
     SasHttpServer_Drain(f->server, 60000);
     reply(f, 0, "first");
     assert_null(strstr(f->got->str, "Connection: close"));
-    assert_false(f->ended);
+    assert_int_equal(f->end, 0);
     reply(f, 1, "second");
     assert_non_null(strstr(f->got->str, "Connection: close"));
-    assert_true(f->ended);
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
+/* Guards against a request that is handed out behind an answer that closes
+ * its connection, and cut off by it. */
+static void
+test_draining_cuts_no_request_off_behind_a_closing_answer(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    SasHttpServer_Drain(f->server, LONG_MS);
+    reply(f, 1, "second");
+    say(f, "GET /3 HTTP/1.1\r\n\r\n");
+    reply(f, 0, "first");
+    assert_int_equal(f->abandoned, 0);
+    assert_int_equal(f->held_count, 3);
+    reply(f, 2, "third");
+    assert_non_null(strstr(f->got->str, "third"));
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
+/* Guards against a request that is handed out while a closing answer is still
+ * on its way out. */
+static void
+test_nothing_is_handed_out_once_a_closing_answer_is_being_sent(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    SasHttpServer_Drain(f->server, LONG_MS);
+    uv_read_stop((uv_stream_t *)&f->client);
+    g_autofree char *body = g_strnfill(LARGE_BODY, 'x');
+    reply(f, 0, body);
+    say(f, "GET /2 HTTP/1.1\r\n\r\n");
+    assert_int_equal(f->held_count, 1);
+    uv_read_start((uv_stream_t *)&f->client, on_alloc, on_read);
+    spin_until_end(f);
+    assert_true(f->got->len > LARGE_BODY);
+    assert_int_equal(f->end, UV_EOF);
+    assert_int_equal(f->abandoned, 0);
+    stop(f);
+}
+
+/* Guards against a reset that overtakes an answer: a close while bytes of the
+ * caller are unread. */
+static void
+test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    SasHttpServer_Drain(f->server, LONG_MS);
+    put(f, "GET /2 HTTP/1.1\r\n\r\n");
+    reply(f, 0, "first");
+    assert_non_null(strstr(f->got->str, "first"));
+    assert_int_equal(f->end, UV_EOF);
+    assert_int_equal(f->held_count, 1);
+    stop(f);
+}
+
+/* Guards against a slow head that cuts off the requests before it. */
+static void
+test_a_slow_head_cuts_off_nothing_before_it(void **state)
+{
+    (void)state;
+    struct fixture *f = start_with_head_limit(1000, 1);
+    say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTT");
+    for (int i = 0; i < 20; i++) {
+        spin(f);
+    }
+    assert_int_equal(f->abandoned, 0);
+    reply(f, 0, "first");
+    spin_until_end(f);
+    assert_non_null(strstr(f->got->str, "first"));
+    assert_non_null(strstr(f->got->str, " 408 "));
     stop(f);
 }
 
@@ -251,6 +365,13 @@
             test_a_caller_that_leaves_is_seen_while_its_request_runs),
         cmocka_unit_test(test_what_cannot_be_read_is_refused_and_ends),
         cmocka_unit_test(test_draining_closes_behind_the_last_answer_only),
+        cmocka_unit_test(
+            test_draining_cuts_no_request_off_behind_a_closing_answer),
+        cmocka_unit_test(
+            test_nothing_is_handed_out_once_a_closing_answer_is_being_sent),
+        cmocka_unit_test(
+            test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
+        cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/e2e/test_entry_stops.py
@@ -0,0 +1,130 @@
+#!/usr/bin/python3
+"""A planned stop of an entry VM on the platform: what callers get of it."""
+
+import http.client
+import threading
+import unittest
+
+from entry_harness import (Fleet, HOST, ID, signal, socket, time,
+                           wait_for)
+
+LARGE = 12 << 20  # bytes, more than the sockets between two processes hold
+LATE_S = 3.1      # after SIGTERM: callers that keep an old look-up still come
+END_S = 5.6       # past the moment at which what is left is cut off
+
+
+def format_request(path, request_id, deadline_ms=8000):
+    return ("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
+            "X-Sassafrassill-Deadline-Ms: %d\r\n\r\n" %
+            (path, HOST, ID, request_id, deadline_ms)).encode()
+
+
+class Late(threading.Thread):
+    """A request that is sent some time after SIGTERM."""
+
+    def __init__(self, vm, deadline_ms):
+        super().__init__()
+        self.vm = vm
+        self.deadline_ms = deadline_ms
+        self.status = None  # None: neither an answer nor a refusal
+        self.start()
+
+    def run(self):
+        try:
+            self.status = self.vm.request(
+                path="/forms/late", deadline_ms=self.deadline_ms).status
+        except (OSError, http.client.HTTPException):
+            pass
+
+
+class EntryStops(unittest.TestCase):
+    def stop_with_an_upload(self, fleet):
+        """Sends SIGTERM while an upload runs, which keeps the process from
+        ending early. When it was sent."""
+        vm = fleet.vms[0]
+        vault = fleet.workers["v1"]
+        vault.held.clear()
+        upload = threading.Thread(
+            target=lambda: vm.request("POST", "/scans/1", b"x",
+                                      deadline_ms=9000))
+        upload.start()
+        self.addCleanup(upload.join)
+        wait_for(lambda: vault.ran, "an upload in progress")
+        vm.signal(signal.SIGTERM)
+        return time.monotonic()
+
+    # Guards against a request that is taken late in a stop, and cut off with
+    # neither an answer nor a refusal when the process ends.
+    def test_a_request_taken_late_is_answered_or_refused(self):
+        with Fleet(vms=("a",)) as fleet:
+            server = fleet.add_worker("d1")
+            fleet.add_worker("v1", service="vault")
+            fleet.start()
+            began = self.stop_with_an_upload(fleet)
+            server.held.clear()
+            time.sleep(LATE_S)
+            late = Late(fleet.vms[0], deadline_ms=6000)
+            time.sleep(0.2)
+            fleet.workers["v1"].held.set()
+            time.sleep(max(0, began + END_S - time.monotonic()))
+            server.held.set()
+            late.join()
+            self.assertIn(late.status, (200, 503))
+
+    # Guards against an answer that is dropped by the end of the process, or by
+    # the limit for idle connections, while its caller still reads it.
+    def test_an_answer_that_is_read_slowly_is_whole(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1").pad = LARGE
+            fleet.start()
+            vm = fleet.vms[0]
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(vm.address())
+                caller.sendall(format_request("/forms/1", "slow"))
+                wait_for(lambda: vm.find_lines("request", request="slow"),
+                         "an answer on its way")
+                vm.signal(signal.SIGTERM)
+                time.sleep(LATE_S)
+                caller.settimeout(10)
+                answer = http.client.HTTPResponse(caller)
+                answer.begin()
+                self.assertEqual(answer.status, 200)
+                self.assertGreater(len(answer.read()), LARGE)
+            self.assertEqual(vm.process.wait(30), 0)
+
+    # Guards against look-ups sent behind one another that a stop cuts off: a
+    # closing answer goes out while a later one still runs.
+    def test_look_ups_behind_one_another_are_all_answered(self):
+        with Fleet(vms=("a",)) as fleet:
+            slow = fleet.add_worker("d1")
+            quick = fleet.add_worker("v1", service="vault")
+            fleet.configure([
+                fleet.route("forms", "/forms/", "safe"),
+                fleet.route("scans", "/scans/", "safe", "vault")])
+            fleet.start()
+            vm = fleet.vms[0]
+            slow.held.clear()
+            with socket.create_connection(vm.address()) as caller:
+                caller.settimeout(30)
+                caller.sendall(format_request("/forms/1", "p1"))
+                wait_for(lambda: slow.ran, "the first")
+                vm.signal(signal.SIGTERM)
+                wait_for(lambda: vm.find_lines("process.stopping"), "a stop")
+                caller.sendall(format_request("/scans/2", "p2"))
+                wait_for(lambda: vm.find_lines("request", request="p2"),
+                         "an answer to the second")
+                quick.held.clear()
+                caller.sendall(format_request("/scans/3", "p3"))
+                wait_for(lambda: len(quick.ran) == 2, "the third")
+                slow.held.set()
+                reader = caller.makefile("rb")
+                self.assertIn(b" 200 ", reader.readline())
+                quick.held.set()
+                rest = reader.read()
+                self.assertEqual(rest.count(b"HTTP/1.1 200 "), 2)
+                self.assertEqual(quick.left, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -5,6 +5,7 @@
 test's own process and remembers what it ran. Behaviour is set by attributes:
 
     work_s       how long a request takes
+    pad          bytes that answers have behind their text
     forget_s     a connection that rests longer is reset by its next request
     held         an Event: requests wait for it as long as it is not set
     poison       targets of requests that crash the server as they begin: it
@@ -50,6 +51,7 @@
         self.slots = threading.Semaphore(slots)
         self.slot_count = slots
         self.work_s = 0.0
+        self.pad = 0
         self.forget_s = None
         self.held = threading.Event()
         self.held.set()
@@ -192,7 +194,7 @@
                     connection.setblocking(True)
             self.running -= 1
         body = ("%s %s %d" % (self.name, request.target,
-                              len(request.body))).encode()
+                              len(request.body))).encode() + b"." * self.pad
         if fault == "cut":
             return False
         if fault in ("half", "unframed"):
