Test and trace: a request that is taken while the process ends (red)

What callers see: their request is read, and the connection closes without an answer or a refusal, under planned work only.

Closing the admin port runs the loop (SasServer_Close), and the callers' port is still open then.

--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -10,6 +10,7 @@
 
 LARGE = 12 << 20  # bytes, more than the sockets between two processes hold
 LATE_S = 3.1      # after SIGTERM: callers that keep an old look-up still come
+EMPTY_S = 2.8     # after SIGTERM: without connections the process ends
 END_S = 5.6       # past the moment at which what is left is cut off
 
 
@@ -71,6 +72,29 @@
             late.join()
             self.assertIn(late.status, (200, 503))
 
+    # Guards against a request that is taken, and sent to a server, while the
+    # process is already closing its parts.
+    def test_a_request_that_comes_as_the_process_ends_is_not_taken(self):
+        with Fleet(vms=("a",)) as fleet:
+            server = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            server.held.clear()
+            vm.signal(signal.SIGTERM)
+            wait_for(lambda: vm.find_lines("process.stopping"), "a stop")
+            # What comes while it stands still is there at the moment at which
+            # it finds that no connection is left.
+            vm.signal(signal.SIGSTOP)
+            late = Late(vm, deadline_ms=1000)
+            time.sleep(EMPTY_S)
+            vm.signal(signal.SIGCONT)
+            time.sleep(0.5)
+            server.held.set()
+            late.join()
+            if late.status is None:
+                self.assertEqual(server.ran, [])
+            self.assertEqual(vm.process.wait(30), 0)
+
     # Guards against an answer that is dropped by the end of the process, or by
     # the limit for idle connections, while its caller still reads it.
     def test_an_answer_that_is_read_slowly_is_whole(self):
