A process that ends takes nothing more

Cause: the stop decides that the process may end and stops the loop; closing the admin port then runs the loop again (SasServer_Close waits for its handles) while the callers' port is still open and nothing refuses. A connection that comes in that moment is accepted, its request goes to a server, and is cut off when the port is closed.

Change: the ports are closed in the same step as the decision, before anything runs the loop. What is then in the kernel's queue has not been read, which the caller may send again whatever its kind. A configuration that comes after that finds no port whose limits to set.

Ruled out: callers that left (the line says 'by server'); the stop's limit (5.1 s; this was at 2.8 s).

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -106,6 +106,9 @@
 {
     struct sas_gateway *gateway = (struct sas_gateway *)listener;
     SasMesh_SetVersion(gateway->mesh, config->version);
+    if (gateway->servers[LISTEN_CALLER] == NULL) {
+        return; /* the process ends */
+    }
     struct sas_http_server_limits limits = get_caller_limits(gateway);
     SasHttpServer_SetLimits(gateway->servers[LISTEN_CALLER], &limits);
     SasLog_Write(SasLog_INFO, "config.apply", "",
@@ -229,12 +232,19 @@
     uv_close(handle, on_handle_closed);
 }
 
-void
-SasGateway_Close(struct sas_gateway *gateway)
+static void
+close_servers(struct sas_gateway *gateway)
 {
     for (int i = 0; i < LISTEN_COUNT; i++) {
         SasHttpServer_Close(gateway->servers[i]);
+        gateway->servers[i] = NULL;
     }
+}
+
+void
+SasGateway_Close(struct sas_gateway *gateway)
+{
+    close_servers(gateway);
     SasPool_Free(gateway->pool);
     SasMesh_Close(gateway->mesh);
     close_handle(gateway, (uv_handle_t *)&gateway->sweep);
@@ -357,6 +367,9 @@
     }
     uv_timer_stop(timer);
     gateway->source->stop(gateway->source);
+    /* Closing the other parts runs the loop again: from here on nothing may be
+     * taken. */
+    close_servers(gateway);
     uv_stop(gateway->loop);
 }
 
