Tests: the fixture of the callers' connection in files of its own

Cause: a second test of the callers' connection needs the fixture's parts, and test_http_server.c held them for itself.

--- /dev/null
+++ b/packages/net/tests/http_fixture.c
@@ -0,0 +1,157 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "http_fixture.h"
+
+static void
+on_request(struct sas_http_handler *handler, struct sas_http_exchange *e)
+{
+    struct fixture *f = (struct fixture *)handler;
+    f->held[f->held_count++] = e;
+}
+
+static void
+on_abandoned(struct sas_http_handler *handler, struct sas_http_exchange *e,
+             enum sas_http_end end)
+{
+    (void)e;
+    (void)end;
+    ((struct fixture *)handler)->abandoned++;
+}
+
+void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char scratch[65536];
+    (void)handle;
+    (void)suggested;
+    *buffer = uv_buf_init(scratch, sizeof(scratch));
+}
+
+/* libuv reports a reset that comes in one turn with bytes as an end. */
+static bool
+was_reset(const struct fixture *f)
+{
+    uv_os_fd_t fd;
+    int cause = 0;
+    socklen_t size = sizeof(cause);
+    assert_int_equal(uv_fileno((const uv_handle_t *)&f->client, &fd), 0);
+    assert_int_equal(getsockopt(fd, SOL_SOCKET, SO_ERROR, &cause, &size), 0);
+    return cause != 0;
+}
+
+void
+on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
+{
+    struct fixture *f = stream->data;
+    if (count > 0) {
+        g_string_append_len(f->got, data->base, count);
+    }
+    if (count < 0) {
+        f->end = was_reset(f) ? UV_ECONNRESET : (int)count;
+        uv_read_stop(stream);
+    }
+}
+
+static void
+on_connect(uv_connect_t *request, int status)
+{
+    assert_int_equal(status, 0);
+    uv_read_start(request->handle, on_alloc, on_read);
+}
+
+void
+spin(struct fixture *f)
+{
+    for (int i = 0; i < 200; i++) {
+        uv_run(&f->loop, UV_RUN_NOWAIT);
+        g_usleep(100);
+    }
+}
+
+void
+spin_until_end(struct fixture *f)
+{
+    for (int i = 0; i < 250 && f->end == 0; i++) {
+        spin(f);
+    }
+}
+
+struct fixture *
+start_with_head_limit(size_t body_bytes, int64_t header_ms)
+{
+    struct fixture *f = g_new0(struct fixture, 1);
+    f->handler.on_request = on_request;
+    f->handler.on_abandoned = on_abandoned;
+    f->got = g_string_new(NULL);
+    uv_loop_init(&f->loop);
+    struct sas_address address = {"127.0.0.1", 0};
+    struct sas_http_server_limits limits = {
+        .header_bytes = 1000,
+        .body_bytes = body_bytes,
+        .bodies_bytes = 2 * body_bytes,
+        .header_ms = header_ms,
+        .connections = 4,
+    };
+    struct sas_error error = {0};
+    f->server =
+        SasHttpServer_Open(&f->loop, &address, &limits, &f->handler, &error);
+    assert_non_null(f->server);
+    struct sockaddr_in to;
+    uv_ip4_addr("127.0.0.1", SasHttpServer_GetPort(f->server), &to);
+    uv_tcp_init(&f->loop, &f->client);
+    f->client.data = f;
+    uv_tcp_connect(&f->connect, &f->client, (struct sockaddr *)&to,
+                   on_connect);
+    spin(f);
+    return f;
+}
+
+struct fixture *
+start(size_t body_bytes)
+{
+    return start_with_head_limit(body_bytes, LONG_MS);
+}
+
+void
+put(struct fixture *f, const char *text)
+{
+    uv_buf_t buffer = uv_buf_init((char *)text, (unsigned int)strlen(text));
+    assert_int_equal(uv_try_write((uv_stream_t *)&f->client, &buffer, 1),
+                     strlen(text));
+}
+
+void
+say(struct fixture *f, const char *text)
+{
+    put(f, text);
+    spin(f);
+}
+
+void
+reply(struct fixture *f, int number, const char *body)
+{
+    struct sas_http_reply answer = {
+        .status = 200,
+        .body = body,
+        .body_size = strlen(body),
+    };
+    SasHttpExchange_Reply(f->held[number], &answer);
+    spin(f);
+}
+
+void
+stop(struct fixture *f)
+{
+    SasHttpServer_Close(f->server);
+    if (!uv_is_closing((uv_handle_t *)&f->client)) {
+        uv_close((uv_handle_t *)&f->client, NULL);
+    }
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&f->loop), 0);
+    g_string_free(f->got, TRUE);
+    g_free(f);
+}
