--- /dev/null
+++ b/packages/net/tests/property_http_server.py
@@ -0,0 +1,474 @@
+"""What the server gives out of a connection is answered whole, in order.
+
+One caller's connection, with the order of its events drawn: pieces of requests
+cut anywhere, answers in any order and of any size, a caller that reads slowly
+or leaves, a drain, limits that change, time that passes, the server's close.
+Judged by what the caller got on its socket.
+"""
+import select
+import socket
+import time
+import unittest
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (RuleBasedStateMachine, initialize, invariant,
+                                 precondition, rule)
+
+from core_library import I64, INT, PROFILE, PTR, TEXT, declare, load
+
+lib = load()
+new = declare(lib, PTR, "SasShim_NewRig")
+free = declare(lib, INT, "SasShim_FreeRig", PTR)
+get_port = declare(lib, INT, "SasShim_GetPort", PTR)
+turn_loop = declare(lib, None, "SasShim_Turn", PTR)
+let_pass = declare(lib, None, "SasShim_Wait", PTR, I64, INT)
+set_limits = declare(lib, None, "SasShim_SetLimits", PTR, I64, I64, I64, I64,
+                     I64)
+drain_server = declare(lib, None, "SasShim_Drain", PTR, I64)
+close_server = declare(lib, None, "SasShim_CloseServer", PTR)
+is_open = declare(lib, INT, "SasShim_IsOpen", PTR)
+reply = declare(lib, None, "SasShim_Reply", PTR, INT, INT, I64)
+react = declare(lib, None, "SasShim_React", PTR, INT, INT, I64)
+count_given = declare(lib, INT, "SasShim_CountGiven", PTR)
+get_target = declare(lib, TEXT, "SasShim_GetTarget", PTR, INT)
+get_body = declare(lib, TEXT, "SasShim_GetBody", PTR, INT)
+get_state = declare(lib, INT, "SasShim_GetState", PTR, INT)
+get_end = declare(lib, TEXT, "SasShim_GetEnd", PTR, INT)
+count_strays = declare(lib, INT, "SasShim_CountStrays", PTR)
+count_closed = declare(lib, INT, "SasShim_CountClosed", PTR)
+get_unanswered = declare(lib, INT, "SasShim_GetUnanswered", PTR, INT)
+count_exchanges = declare(lib, INT, "SasShim_CountExchanges", PTR)
+count_connections = declare(lib, INT, "SasShim_CountConnections", PTR)
+count_unsent = declare(lib, I64, "SasShim_CountUnsent", PTR)
+
+HELD, ANSWERED, ABANDONED = range(3)
+HOLD, ANSWER, DRAIN, CLOSE = range(4)
+RECEIVE_BUFFER = 16384
+LARGE = 200000  # more than both sockets hold
+TURNS = 500  # at the end, for what must come
+# header_bytes, body_bytes, bodies_bytes, header_ms, idle_ms
+LIMITS = (1000, 1000, 100000, 60000, 60000)
+SMALL_LIMITS = [(40, 1000, 100000, 60000, 60000),
+                (1000, 10, 100000, 60000, 60000),
+                (1000, 1000, 20, 60000, 60000)]
+SHORT_LIMITS = [(1000, 1000, 100000, 200, 60000),
+                (1000, 1000, 100000, 60000, 500),
+                (1000, 1000, 100000, 60000, 0)]
+MALFORMED = [b"NONSENSE\r\n\r\n",
+             b"GET /x HTTP/1.1\r\nX: " + 3000 * b"x" + b"\r\n\r\n",
+             b"POST /x HTTP/1.1\r\nContent-Length: 5000\r\n\r\n",
+             b"POST /x HTTP/1.1\r\nContent-Length: 4\r\n"
+             b"Content-Length: 5\r\n\r\nabcd"]
+
+kinds = st.tuples(
+    st.sampled_from(["GET", "GET", "GET", "HEAD", "length", "chunked"]),
+    st.sampled_from([False] * 9 + [True]))  # asks for the close
+answers = st.sampled_from(
+    [(200, 3), (200, 3), (200, 0), (204, 0), (200, LARGE)])
+reactions = st.one_of(
+    st.tuples(st.just(ANSWER), answers), st.tuples(st.just(ANSWER), answers),
+    st.just((HOLD, (0, 0))), st.just((DRAIN, (0, 60000))))
+picks = st.integers(0, 1000)
+fates = st.sampled_from(["lasts", "lasts", "malformed", "leaves", "closed"])
+
+
+class Request:
+    def __init__(self, number, kind, asks_close):
+        self.head = kind == "HEAD"
+        self.asks_close = asks_close
+        self.malformed = False
+        self.body = b""
+        method = kind if kind in ("GET", "HEAD") else "POST"
+        fields = "Connection: close\r\n" if asks_close else ""
+        framed = b""
+        if kind == "length":
+            self.body = framed = b"b" * (number % 30)
+            fields += f"Content-Length: {len(framed)}\r\n"
+        if kind == "chunked":
+            self.body = b"c" * 20
+            fields += "Transfer-Encoding: chunked\r\n"
+            framed = b"8\r\ncccccccc\r\nc\r\ncccccccccccc\r\n0\r\n\r\n"
+        self.bytes = (f"{method} /{number} HTTP/1.1\r\nHost: x\r\n{fields}"
+                      "\r\n").encode() + framed
+
+
+class Malformed(Request):
+    def __init__(self, text):
+        super().__init__(0, "GET", True)
+        self.malformed = True
+        self.bytes = text
+
+
+class Answer:
+    def __init__(self, status, number, closes):
+        self.status, self.number, self.closes = status, number, closes
+
+
+class Connections(RuleBasedStateMachine):
+    @initialize(fate=fates)
+    def begin(self, fate):
+        self.fate = fate
+        self.rig = new()
+        assert self.rig
+        set_limits(self.rig, *LIMITS)
+        self.caller = socket.socket()
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                               RECEIVE_BUFFER)
+        self.caller.connect(("127.0.0.1", get_port(self.rig)))
+        self.caller.setblocking(False)
+        self.caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.requests, self.ends = [], []  # where each ends among the bytes
+        self.outbox, self.sent = b"", 0
+        self.got, self.answers = b"", []
+        self.reading = True
+        self.ended = self.was_reset = False  # the connection, as it looks
+        self.left = False
+        self.drains = self.limits_were_small = self.time_passed = False
+        self.is_draining, self.answered_draining = False, set()
+        # Bytes that a server which has ended its side and waited may no
+        # longer take: they are answered by a reset.
+        self.may_be_ending = self.sent_late = False
+        self.sound = True
+        turn_loop(self.rig)
+
+    # The caller.
+
+    def compose(self, request):
+        self.requests.append(request)
+        self.outbox += request.bytes
+        self.ends.append(self.sent + len(self.outbox))
+
+    def send(self, size):
+        while size > 0 and not self.was_reset:
+            try:
+                count = self.caller.send(self.outbox[:size])
+            except BlockingIOError:
+                return
+            except (ConnectionResetError, BrokenPipeError):
+                self.was_reset = True
+                return
+            self.sent_late |= self.may_be_ending
+            self.sent += count
+            self.outbox = self.outbox[count:]
+            size -= count
+
+    def receive(self, size):
+        while size > 0 and not self.ended:
+            try:
+                piece = self.caller.recv(min(size, 65536))
+            except BlockingIOError:
+                return
+            except ConnectionResetError:
+                self.ended = self.was_reset = True
+                return
+            self.ended = piece == b""
+            self.got += piece
+            size -= len(piece)
+        if self.ended:
+            # A reset behind the last byte looks like an end.
+            self.was_reset |= self.caller.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+    def may_speak(self):
+        return not (self.left or self.ended or self.was_reset)
+
+    @precondition(may_speak)
+    @rule(kinds=st.lists(kinds, max_size=4),
+          kept_back=st.sampled_from([0, 0, 0, 0, 1, 2, 5, 20, 40]))
+    def send_piece(self, kinds, kept_back):
+        for kind in kinds:
+            self.compose(Request(len(self.requests), *kind))
+        self.send(len(self.outbox) - kept_back)
+
+    @precondition(may_speak)
+    @rule(count=st.sampled_from([31, 32, 33, 70]))
+    def send_many(self, count):
+        for _ in range(count):
+            self.compose(Request(len(self.requests), "GET", False))
+        self.send(len(self.outbox))
+
+    @precondition(lambda self: self.fate == "malformed" and self.may_speak())
+    @rule(text=st.sampled_from(MALFORMED), kept_back=st.integers(0, 3))
+    def send_malformed(self, text, kept_back):
+        self.fate = ""
+        self.compose(Malformed(text))
+        self.send(len(self.outbox) - kept_back)
+
+    @rule()
+    def stop_reading(self):
+        self.reading = False
+
+    @rule()
+    def resume_reading(self):
+        self.reading = True
+
+    @precondition(lambda self: not self.left)
+    @rule(size=st.sampled_from([1, 30, 200, 50000]))
+    def read_some(self, size):
+        self.receive(size)
+
+    @precondition(lambda self: self.fate == "leaves" and not self.left)
+    @rule(size=st.sampled_from([0, 30, 50000]))
+    def leave(self, size):
+        self.receive(size)
+        self.left = True
+        self.caller.close()
+
+    # The handler.
+
+    def find_held(self):
+        return [i for i in range(count_given(self.rig))
+                if get_state(self.rig, i) == HELD]
+
+    def answer(self, i, status, size):
+        if self.is_draining:
+            self.answered_draining.add(i)
+        reply(self.rig, i, status, size)
+
+    @rule(pick=picks, answer=answers)
+    def answer_one(self, pick, answer):
+        held = self.find_held()
+        if held:
+            self.answer(held[pick % len(held)], *answer)
+
+    @rule(newest_first=st.booleans())
+    def answer_all(self, newest_first):
+        for i in sorted(self.find_held(), reverse=newest_first):
+            self.answer(i, 200, 3)
+
+    @rule(reactions=st.lists(reactions, min_size=1, max_size=3))
+    def react_at_once(self, reactions):
+        for deed, (status, number) in reactions:
+            self.drains |= deed == DRAIN
+            react(self.rig, deed, status, number)
+
+    @precondition(lambda self: self.fate == "closed")
+    @rule()
+    def close_in_a_request(self):
+        react(self.rig, CLOSE, 0, 0)
+
+    # The server.
+
+    def serves(self):
+        return is_open(self.rig)
+
+    @precondition(serves)
+    @rule(idle_ms=st.sampled_from([500, 60000]))
+    def drain(self, idle_ms):
+        self.drains = self.is_draining = True
+        drain_server(self.rig, idle_ms)
+
+    @precondition(serves)
+    @rule(limits=st.sampled_from([LIMITS] + SMALL_LIMITS + SHORT_LIMITS))
+    def change_limits(self, limits):
+        self.limits_were_small |= limits in SMALL_LIMITS
+        set_limits(self.rig, *limits)
+
+    @precondition(lambda self: self.fate == "closed" and self.serves())
+    @rule()
+    def close(self):
+        close_server(self.rig)
+
+    @rule(count=st.integers(1, 4))
+    def turn(self, count):
+        for _ in range(count):
+            self.turn_once()
+
+    def turn_once(self):
+        turn_loop(self.rig)
+        if self.reading and not self.left:
+            self.receive(10 * LARGE)
+
+    @rule(ms=st.sampled_from([1, 300, 1000, 70000]),
+          turns=st.sampled_from([0, 3, 3, 3]))
+    def wait(self, ms, turns):
+        self.time_passed = True
+        if not self.find_held():
+            self.may_be_ending = True
+            self.sent_late |= turns == 0
+        let_pass(self.rig, ms, turns)
+
+    # What the caller got.
+
+    def take_answer(self):
+        """The next whole answer of what has arrived; None: not whole yet."""
+        head, whole, rest = self.got.partition(b"\r\n\r\n")
+        if not whole:
+            return None
+        lines = head.decode().split("\r\n")
+        fields = dict(line.split(": ", 1) for line in lines[1:])
+        status = int(lines[0].split(" ")[1])
+        at = len(self.answers)
+        assert at < len(self.requests), "an answer to nothing"
+        size = int(fields.get("Content-Length", 0))
+        if status == 204 or self.requests[at].head:
+            size = 0
+        if len(rest) < size:
+            return None
+        self.got = rest[size:]
+        number = fields.get("X-Number")
+        if number is not None:
+            letter = b"%c" % (ord("a") + int(number) % 26)
+            assert rest[:size] == letter * size, "the body of another answer"
+        return Answer(status, number, fields.get("Connection") == "close")
+
+    def take_answers(self):
+        while self.got:
+            assert not self.closes(), "bytes behind a closing answer"
+            answer = self.take_answer()
+            if answer is None:
+                return
+            self.answers.append(answer)
+            self.judge_answer(len(self.answers) - 1, answer)
+
+    def judge_answer(self, at, answer):
+        request = self.requests[at]
+        if answer.number is None:
+            self.judge_refusal(request, answer)
+            return
+        assert answer.number == str(at), "answers out of order"
+        assert get_state(self.rig, at) == ANSWERED, "an answer nobody gave"
+        if request.asks_close:
+            assert answer.closes, "a wish for the close was not heard"
+        assert request.asks_close or self.drains or not answer.closes, \
+            "a close without a cause"
+
+    def judge_refusal(self, request, answer):
+        assert answer.closes, "a refusal that doesn't close"
+        causes = []
+        if request.malformed:
+            causes += [400, 413, 431]
+        if self.limits_were_small:
+            causes += [413, 431, 503]
+        if self.time_passed:
+            causes += [408]
+        assert answer.status in causes, "a refusal without a cause"
+
+    def closes(self):
+        return bool(self.answers) and self.answers[-1].closes
+
+    def count_whole(self):
+        return sum(end <= self.sent for end in self.ends)
+
+    def may_break(self):
+        """The connection may end at any byte."""
+        return self.left or not is_open(self.rig) or self.sent_late
+
+    @invariant()
+    def hold_the_rules(self):
+        self.sound = False
+        self.take_answers()
+        self.check_given()
+        if is_open(self.rig):
+            self.check_counts()
+        if self.ended:
+            self.check_end()
+        self.sound = True
+
+    def check_given(self):
+        given = count_given(self.rig)
+        assert given <= self.count_whole(), "given before it was whole"
+        for i in range(given):
+            assert get_target(self.rig, i) == b"/%d" % i, "given out of order"
+            assert get_body(self.rig, i) == self.requests[i].body
+            if get_state(self.rig, i) == ABANDONED:
+                end = get_end(self.rig, i)
+                assert (end == b"caller" and self.left) or (
+                    end == b"server" and not is_open(self.rig)), \
+                    f"request {i} was cut off ({end.decode()})"
+            asked = [r.asks_close for r in self.requests[:i]]
+            assert True not in asked, "given behind a wish for the close"
+        assert count_strays(self.rig) == 0, "abandoned, but not held"
+        if self.closes():
+            refused = self.answers[-1].number is None
+            assert given == len(self.answers) - refused, \
+                "given behind an answer that closes"
+
+    def check_counts(self):
+        """The count of what is owed is never below what is owed."""
+        held = self.find_held()
+        owed = count_given(self.rig) - held[0] if held else 0
+        if count_unsent(self.rig) > 0:
+            owed += 1
+        assert count_exchanges(self.rig) >= owed, "owed, but not counted"
+
+    def check_end(self):
+        if self.may_break():
+            return
+        assert not self.got, "half an answer"
+        answered = sum(a.number is not None for a in self.answers)
+        assert answered == count_given(self.rig), \
+            "the end came before an answer"
+        if self.closes():
+            assert not self.was_reset, "a closing answer was reset"
+        else:
+            assert self.time_passed, "an end without a cause"
+
+    # The end: all that is held is answered, and all that is owed must come.
+
+    def teardown(self):
+        if not hasattr(self, "rig"):
+            return
+        sound, self.sound = self.sound, False
+        try:
+            if sound:
+                self.finish()
+        finally:
+            self.caller.close()
+            rc = free(self.rig)
+        assert rc == 0 or not sound, "a handle was left open"
+
+    def finish(self):
+        if not is_open(self.rig):
+            assert not self.find_held(), "held behind the server's close"
+            return
+        self.reading = True
+        self.turn_until(self.is_done)
+        self.hold_the_rules()
+        self.sound = False
+        assert self.is_done(), "a request is neither answered nor refused"
+        if not self.left:
+            self.check_last_answer()
+        if self.ended:
+            self.caller.close()
+            self.left = True
+        if self.left:
+            self.turn_until(self.is_gone)
+            assert not self.find_held(), "held behind the caller's end"
+            assert self.is_gone(), "a connection that nobody ends"
+
+    def is_done(self):
+        for i in self.find_held():
+            self.answer(i, 200, 3)
+        self.take_answers()
+        return (self.left or self.ended or not is_open(self.rig)
+                or not self.closes()
+                and len(self.answers) >= self.count_whole())
+
+    def is_gone(self):
+        if is_open(self.rig):
+            let_pass(self.rig, 1000, 1)
+        return not is_open(self.rig) or count_connections(self.rig) == 0
+
+    def turn_until(self, is_reached):
+        for i in range(TURNS):
+            if is_reached():
+                return
+            self.turn_once()
+            if i > 100:
+                time.sleep(0.001)
+
+    def check_last_answer(self):
+        """What a drain finds without an answer ends the connection, unless
+        a piece of a further request has come."""
+        last = len(self.answers) - 1
+        if last in self.answered_draining and self.sent in self.ends:
+            assert self.closes(), "a drain that leaves a connection open"
+
+
+TestConnections = Connections.TestCase
+TestConnections.settings = settings(PROFILE, max_examples=1000,
+                                    stateful_step_count=40)
+
+if __name__ == "__main__":
+    unittest.main()
