--- /dev/null
+++ b/packages/net/src/http_connection.c
@@ -0,0 +1,396 @@
+#include "http_connection.h"
+
+#include <sys/socket.h>
+
+#define READ_BUFFER_SIZE 65536
+#define UNREAD_SAMPLE 1024 /* bytes; more are not counted */
+
+struct write {
+    uv_write_t request;
+    GString *bytes;
+    struct sas_http_connection *connection;
+    bool close_after;
+};
+
+static _Thread_local char read_buffer[READ_BUFFER_SIZE];
+
+static const http_parser_settings *get_parser_settings(void);
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data);
+
+/* Writing. */
+
+static void
+on_written(uv_write_t *request, int status)
+{
+    struct write *write = (struct write *)request;
+    struct sas_http_connection *c = write->connection;
+    if (!c->closing && (status != 0 || write->close_after)) {
+        SasHttpConnection_Close(c, status != 0 ? SAS_HTTP_END_CALLER
+                                               : SAS_HTTP_END_ANSWER);
+    }
+    g_string_free(write->bytes, TRUE);
+    g_free(write);
+}
+
+static void
+resume_reading(struct sas_http_connection *c)
+{
+    if (c->paused && !c->closing && c->pending < SasHttpServer_MAX_PIPELINE) {
+        c->paused = false;
+        uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+    }
+}
+
+/* Sends the answers that are next in order. */
+void
+SasHttpConnection_Flush(struct sas_http_connection *c)
+{
+    if (c->closing || c->first == NULL || c->first->answer == NULL) {
+        return;
+    }
+    struct write *write = g_new0(struct write, 1);
+    write->connection = c;
+    write->bytes = g_string_new(NULL);
+    while (!write->close_after && c->first != NULL &&
+           c->first->answer != NULL) {
+        g_string_append_len(write->bytes, c->first->answer->str,
+                            (gssize)c->first->answer->len);
+        write->close_after = !c->first->keep_alive;
+        SasHttpExchange_FreeFirst(c);
+    }
+    c->active_at = (int64_t)uv_now(c->server->loop);
+    uv_buf_t buffer =
+        uv_buf_init(write->bytes->str, (unsigned int)write->bytes->len);
+    if (uv_write(&write->request, (uv_stream_t *)&c->tcp, &buffer, 1,
+                 on_written) != 0) {
+        g_string_free(write->bytes, TRUE);
+        g_free(write);
+        SasHttpConnection_Close(c, SAS_HTTP_END_CALLER);
+        return;
+    }
+    resume_reading(c);
+}
+
+/* Connections. */
+
+static void
+on_connection_closed(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+static bool
+is_unanswered(const struct sas_http_exchange *e)
+{
+    return e->given && e->answer == NULL;
+}
+
+static size_t
+count_unread(const struct sas_http_connection *c)
+{
+    char bytes[UNREAD_SAMPLE];
+    uv_os_fd_t fd;
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0) {
+        return 0;
+    }
+    ssize_t count = recv(fd, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT);
+    return count > 0 ? (size_t)count : 0;
+}
+
+static void
+tell_leftover(const struct sas_http_connection *c, enum sas_http_end end)
+{
+    struct sas_http_handler *handler = c->server->handler;
+    if (handler->on_closed == NULL) {
+        return;
+    }
+    struct sas_http_leftover leftover = {
+        .end = end,
+        .unsent_bytes =
+            uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp),
+        .unread_bytes = end == SAS_HTTP_END_CALLER ? 0 : count_unread(c),
+        .idle_ms = (int64_t)uv_now(c->server->loop) - c->active_at,
+    };
+    for (struct sas_http_exchange *e = c->first; e != NULL; e = e->next) {
+        leftover.unanswered += is_unanswered(e) ? 1 : 0;
+    }
+    handler->on_closed(handler, &leftover);
+}
+
+/* Tells the handler of every request that it still has. */
+static void
+abandon_exchanges(struct sas_http_connection *c, enum sas_http_end end)
+{
+    struct sas_http_handler *handler = c->server->handler;
+    while (c->first != NULL) {
+        struct sas_http_exchange *e = c->first;
+        if (is_unanswered(e) && handler->on_abandoned != NULL) {
+            handler->on_abandoned(handler, e, end);
+        }
+        SasHttpExchange_FreeFirst(c);
+    }
+}
+
+void
+SasHttpConnection_Close(struct sas_http_connection *c, enum sas_http_end end)
+{
+    if (c->closing) {
+        return;
+    }
+    c->closing = true;
+    struct sas_http_server *server = c->server;
+    if (c->previous != NULL) {
+        c->previous->next = c->next;
+    }
+    else {
+        server->connections = c->next;
+    }
+    if (c->next != NULL) {
+        c->next->previous = c->previous;
+    }
+    server->connection_count--;
+    tell_leftover(c, end);
+    abandon_exchanges(c, end);
+    uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
+}
+
+void
+SasHttpConnection_Accept(struct sas_http_server *server)
+{
+    uv_stream_t *listener = (uv_stream_t *)&server->listener;
+    struct sas_http_connection *c = g_new0(struct sas_http_connection, 1);
+    c->server = server;
+    uv_tcp_init(server->loop, &c->tcp);
+    c->tcp.data = c;
+    if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 ||
+        server->connection_count >= server->limits.connections) {
+        uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
+        return;
+    }
+    uv_tcp_nodelay(&c->tcp, 1);
+    http_parser_init(&c->parser, HTTP_REQUEST);
+    c->parser.data = c;
+    c->active_at = (int64_t)uv_now(server->loop);
+    c->next = server->connections;
+    if (c->next != NULL) {
+        c->next->previous = c;
+    }
+    server->connections = c;
+    server->connection_count++;
+    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/* Closes what has been idle for too long or sends its head too slowly. */
+void
+SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms)
+{
+    const struct sas_http_server *server = c->server;
+    if (c->reading != NULL && c->reading->method == NULL &&
+        now_ms - c->reading->began_at > server->limits.header_ms) {
+        SasHttpConnection_Close(c, SAS_HTTP_END_HEAD);
+        return;
+    }
+    int64_t limit_ms =
+        server->draining ? server->drain_idle_ms : server->limits.idle_ms;
+    if (c->first == NULL && limit_ms > 0 && now_ms - c->active_at > limit_ms) {
+        SasHttpConnection_Close(c, SAS_HTTP_END_IDLE);
+    }
+}
+
+/* Reading. */
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    (void)handle;
+    (void)suggested;
+    *buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+/* The request that is being read can't be served; what follows it on the
+ * connection can't be told apart, so the connection ends with the answer. */
+static void
+refuse_reading(struct sas_http_connection *c, int status)
+{
+    if (c->reading == NULL) {
+        c->reading = SasHttpExchange_New(c);
+    }
+    struct sas_http_exchange *e = c->reading;
+    c->reading = NULL;
+    c->ended = true;
+    if (e->method == NULL) {
+        e->method = g_strdup("GET");
+    }
+    e->keep_alive = false;
+    struct sas_http_header header = {"Retry-After", "1"};
+    struct sas_http_reply reply = {
+        .status = status,
+        .headers = &header,
+        .header_count = status == 503 ? 1 : 0,
+        .body = "",
+    };
+    SasHttpExchange_Reply(e, &reply);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
+{
+    struct sas_http_connection *c = stream->data;
+    if (count == 0 || c->closing) {
+        return;
+    }
+    if (count < 0) {
+        SasHttpConnection_Close(c, SAS_HTTP_END_CALLER);
+        return;
+    }
+    if (c->ended) {
+        return; /* a caller that goes on sending after it was refused */
+    }
+    c->active_at = (int64_t)uv_now(stream->loop);
+    size_t used = http_parser_execute(&c->parser, get_parser_settings(),
+                                      data->base, (size_t)count);
+    if (c->closing || c->ended) {
+        return;
+    }
+    if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade ||
+        used != (size_t)count) {
+        refuse_reading(c, c->refused != 0 ? c->refused : 400);
+        return;
+    }
+    if (c->pending >= SasHttpServer_MAX_PIPELINE && !c->paused) {
+        c->paused = true;
+        uv_read_stop(stream);
+    }
+}
+
+/* Parser callbacks. */
+
+static int
+on_message_begin(http_parser *parser)
+{
+    struct sas_http_connection *c = parser->data;
+    c->reading = SasHttpExchange_New(c);
+    c->refused = 0;
+    return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_connection *c = parser->data;
+    if (c->reading->target->len + length > c->server->limits.header_bytes) {
+        c->refused = 431;
+        return -1;
+    }
+    g_string_append_len(c->reading->target, at, (gssize)length);
+    return 0;
+}
+
+/* -1, and the refusal that goes with it, when the head has grown too long. */
+static int
+check_head(struct sas_http_connection *c, int appended)
+{
+    if (appended != 0) {
+        c->refused = 431;
+    }
+    return appended;
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_connection *c = parser->data;
+    if (parser->flags & F_TRAILING) {
+        return 0;
+    }
+    return check_head(c,
+                      SasHttpHead_AppendName(&c->reading->head, at, length,
+                                             c->server->limits.header_bytes));
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_connection *c = parser->data;
+    if (parser->flags & F_TRAILING) {
+        return 0;
+    }
+    return check_head(c,
+                      SasHttpHead_AppendValue(&c->reading->head, at, length,
+                                              c->server->limits.header_bytes));
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    struct sas_http_connection *c = parser->data;
+    struct sas_http_exchange *e = c->reading;
+    SasHttpHead_Finish(&e->head);
+    e->method = g_strdup(http_method_str(parser->method));
+    e->keep_alive = http_should_keep_alive(parser);
+    if (parser->flags & F_CONTENTLENGTH &&
+        parser->content_length > c->server->limits.body_bytes) {
+        c->refused = 413;
+        return -1;
+    }
+    if (parser->flags & F_CONTENTLENGTH && parser->content_length > 0) {
+        g_string_set_size(e->body, parser->content_length);
+        g_string_truncate(e->body, 0);
+    }
+    const char *expect = SasHttpExchange_FindHeader(e, "Expect");
+    if (expect != NULL) {
+        /* Only where nothing is owed before it on the connection. */
+        if (c->first == e) {
+            static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+            uv_buf_t buffer = uv_buf_init((char *)go_on, sizeof(go_on) - 1);
+            uv_try_write((uv_stream_t *)&c->tcp, &buffer, 1);
+        }
+    }
+    return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t length)
+{
+    struct sas_http_connection *c = parser->data;
+    struct sas_http_server *server = c->server;
+    GString *body = c->reading->body;
+    if (body->len + length > server->limits.body_bytes) {
+        c->refused = 413;
+        return -1;
+    }
+    if (server->held_bytes + length > server->limits.bodies_bytes) {
+        c->refused = 503;
+        return -1;
+    }
+    server->held_bytes += length;
+    g_string_append_len(body, at, (gssize)length);
+    return 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    struct sas_http_connection *c = parser->data;
+    struct sas_http_exchange *e = c->reading;
+    c->reading = NULL;
+    e->given = true;
+    c->server->handler->on_request(c->server->handler, e);
+    return c->closing ? -1 : 0;
+}
+
+static const http_parser_settings *
+get_parser_settings(void)
+{
+    static const http_parser_settings settings = {
+        .on_message_begin = on_message_begin,
+        .on_url = on_url,
+        .on_header_field = on_header_field,
+        .on_header_value = on_header_value,
+        .on_headers_complete = on_headers_complete,
+        .on_body = on_body,
+        .on_message_complete = on_message_complete,
+    };
+    return &settings;
+}
