A connection gives out nothing behind the answer that closes it

Callers saw: of look-ups sent behind one another the last ones were cut off at a planned stop; each had been sent to a server.

Cause: an answer was made a closing one when it was given, by what waited behind it then, and sent later, behind slower ones; and reading went on until its last byte had been written. A request that came in between was given to the handler and lost its connection to that answer. Class: a decision that is made with one view and takes effect with another.

Change: the closing answer is chosen in the step that sends it, and from that step on nothing more is given out. What is read with a request in one piece is given out before any answer to it is sent. A request that asks for the close is the last one, too.

--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -25,9 +25,11 @@
 {
     struct write *write = (struct write *)request;
     struct sas_http_connection *c = write->connection;
-    if (!c->closing && (status != 0 || write->close_after)) {
-        SasHttpConnection_Close(c, status != 0 ? SAS_HTTP_END_CALLER
-                                               : SAS_HTTP_END_ANSWER);
+    if (status != 0) {
+        SasHttpConnection_Close(c, SAS_HTTP_END_CALLER);
+    }
+    else if (write->close_after) {
+        SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
     }
     g_string_free(write->bytes, TRUE);
     g_free(write);
@@ -36,28 +38,58 @@
 static void
 resume_reading(struct sas_http_connection *c)
 {
-    if (c->paused && !c->closing && c->pending < SasHttpServer_MAX_PIPELINE) {
+    if (c->paused && c->pending < SasHttpServer_MAX_PIPELINE) {
         c->paused = false;
         uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
     }
 }
 
-/* Sends the answers that are next in order. */
+/* While the process is being stopped a connection ends with its last answer.
+ * One that others wait behind stays open: what is behind a closing answer
+ * counts as not read and would be sent once more. */
+static bool
+is_last_answer(const struct sas_http_exchange *e)
+{
+    const struct sas_http_connection *c = e->connection;
+    return !e->keep_alive ||
+           (c->server->draining && e->next == NULL && c->reading == NULL);
+}
+
+static void
+append_answer(GString *bytes, const struct sas_http_exchange *e, bool last)
+{
+    g_string_append_len(bytes, e->answer->str, (gssize)e->fields_at);
+    if (last) {
+        g_string_append(bytes, "Connection: close\r\n");
+    }
+    g_string_append_len(bytes, e->answer->str + e->fields_at,
+                        (gssize)(e->answer->len - e->fields_at));
+}
+
+static bool
+is_answer_due(const struct sas_http_connection *c)
+{
+    return c->state < CONNECTION_ENDING && !c->parsing && c->first != NULL &&
+           c->first->answer != NULL;
+}
+
 void
 SasHttpConnection_Flush(struct sas_http_connection *c)
 {
-    if (c->closing || c->first == NULL || c->first->answer == NULL) {
+    if (!is_answer_due(c)) {
         return;
     }
     struct write *write = g_new0(struct write, 1);
     write->connection = c;
     write->bytes = g_string_new(NULL);
-    while (!write->close_after && c->first != NULL &&
-           c->first->answer != NULL) {
-        g_string_append_len(write->bytes, c->first->answer->str,
-                            (gssize)c->first->answer->len);
-        write->close_after = !c->first->keep_alive;
+    while (is_answer_due(c)) {
+        bool last = is_last_answer(c->first);
+        append_answer(write->bytes, c->first, last);
         SasHttpExchange_FreeFirst(c);
+        if (last) {
+            c->state = CONNECTION_ENDING;
+            write->close_after = true;
+        }
     }
     c->active_at = (int64_t)uv_now(c->server->loop);
     uv_buf_t buffer =
@@ -135,10 +167,10 @@
 void
 SasHttpConnection_Close(struct sas_http_connection *c, enum sas_http_end end)
 {
-    if (c->closing) {
+    if (c->state == CONNECTION_CLOSED) {
         return;
     }
-    c->closing = true;
+    c->state = CONNECTION_CLOSED;
     struct sas_http_server *server = c->server;
     if (c->previous != NULL) {
         c->previous->next = c->next;
@@ -218,7 +250,7 @@
     }
     struct sas_http_exchange *e = c->reading;
     c->reading = NULL;
-    c->ended = true;
+    c->state = CONNECTION_LAST;
     if (e->method == NULL) {
         e->method = g_strdup("GET");
     }
@@ -233,32 +265,39 @@
     SasHttpExchange_Reply(e, &reply);
 }
 
+static void
+parse(struct sas_http_connection *c, const char *data, size_t size)
+{
+    c->parsing = true;
+    size_t used =
+        http_parser_execute(&c->parser, get_parser_settings(), data, size);
+    c->parsing = false;
+    if (c->state == CONNECTION_OPEN &&
+        (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade ||
+         used != size)) {
+        refuse_reading(c, c->refused != 0 ? c->refused : 400);
+    }
+    SasHttpConnection_Flush(c);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
     struct sas_http_connection *c = stream->data;
-    if (count == 0 || c->closing) {
+    if (count == 0) {
         return;
     }
     if (count < 0) {
         SasHttpConnection_Close(c, SAS_HTTP_END_CALLER);
         return;
     }
-    if (c->ended) {
-        return; /* a caller that goes on sending after it was refused */
+    if (c->state != CONNECTION_OPEN) {
+        return; /* behind the last request: not read */
     }
     c->active_at = (int64_t)uv_now(stream->loop);
-    size_t used = http_parser_execute(&c->parser, get_parser_settings(),
-                                      data->base, (size_t)count);
-    if (c->closing || c->ended) {
-        return;
-    }
-    if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade ||
-        used != (size_t)count) {
-        refuse_reading(c, c->refused != 0 ? c->refused : 400);
-        return;
-    }
-    if (c->pending >= SasHttpServer_MAX_PIPELINE && !c->paused) {
+    parse(c, data->base, (size_t)count);
+    if (c->state == CONNECTION_OPEN &&
+        c->pending >= SasHttpServer_MAX_PIPELINE) {
         c->paused = true;
         uv_read_stop(stream);
     }
@@ -376,8 +415,12 @@
     struct sas_http_exchange *e = c->reading;
     c->reading = NULL;
     e->given = true;
+    if (!e->keep_alive) {
+        c->state = CONNECTION_LAST;
+        http_parser_pause(parser, 1);
+    }
     c->server->handler->on_request(c->server->handler, e);
-    return c->closing ? -1 : 0;
+    return 0;
 }
 
 static const http_parser_settings *
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -10,7 +10,12 @@
 
 #include "sas/http_server.h"
 
-struct sas_http_connection;
+enum connection_state {
+    CONNECTION_OPEN,   /* requests are read and given out */
+    CONNECTION_LAST,   /* its last request has been read */
+    CONNECTION_ENDING, /* the answer that closes it has been chosen */
+    CONNECTION_CLOSED
+};
 
 struct sas_http_exchange {
     struct sas_http_connection *connection;
@@ -23,6 +28,7 @@
     bool keep_alive;
     bool given; /* the handler has it */
     GString *answer;
+    size_t fields_at; /* in the answer, behind its status line */
     void *user;
 };
 
@@ -37,10 +43,10 @@
     struct sas_http_exchange *reading; /* the one whose bytes come in */
     int pending;
     int64_t active_at;
+    enum connection_state state;
+    bool parsing; /* a buffer: its answers go out when all of it is read */
     bool paused;
-    bool ended;   /* nothing more is read: closing after what is pending */
-    bool closing; /* the handle is */
-    int refused;  /* status for the request that could not be read, or 0 */
+    int refused; /* status for the request that could not be read, or 0 */
 };
 
 struct sas_http_server {
--- a/packages/net/src/http_exchange.c
+++ b/packages/net/src/http_exchange.c
@@ -57,12 +57,12 @@
 }
 
 static GString *
-format_reply(const struct sas_http_exchange *e,
-             const struct sas_http_reply *reply)
+format_reply(struct sas_http_exchange *e, const struct sas_http_reply *reply)
 {
     GString *text = g_string_sized_new(512 + reply->body_size);
     g_string_append_printf(text, "HTTP/1.1 %d %s\r\n", reply->status,
                            SasHttp_GetReason(reply->status));
+    e->fields_at = text->len;
     for (int i = 0; i < reply->header_count; i++) {
         g_string_append(text, reply->headers[i].name);
         g_string_append(text, ": ");
@@ -73,9 +73,6 @@
         g_string_append_printf(text, "Content-Length: %zu\r\n",
                                reply->body_size);
     }
-    if (!e->keep_alive) {
-        g_string_append(text, "Connection: close\r\n");
-    }
     g_string_append(text, "\r\n");
     if (strcmp(e->method, "HEAD") != 0) {
         g_string_append_len(text, reply->body, (gssize)reply->body_size);
@@ -87,15 +84,8 @@
 SasHttpExchange_Reply(struct sas_http_exchange *e,
                       const struct sas_http_reply *reply)
 {
-    struct sas_http_connection *c = e->connection;
-    /* While the process is being stopped a connection ends with its last
-     * answer. One that others wait behind stays open: what is behind a
-     * closing answer counts as not read and would be sent once more. */
-    if (c->server->draining && e == c->last && c->reading == NULL) {
-        e->keep_alive = false;
-    }
     e->answer = format_reply(e, reply);
-    SasHttpConnection_Flush(c);
+    SasHttpConnection_Flush(e->connection);
 }
 
 void
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -17,6 +17,7 @@
     struct sas_http_server *server;
     struct sas_http_exchange *held[MAX_HELD];
     int held_count;
+    bool refuses_next; /* the next request, as soon as it comes */
     int abandoned;
     uv_tcp_t client;
     uv_connect_t connect;
@@ -30,6 +31,10 @@
 {
     struct fixture *f = (struct fixture *)handler;
     f->held[f->held_count++] = e;
+    if (f->refuses_next) {
+        f->refuses_next = false;
+        SasHttpExchange_ReplyText(e, 503, "text/plain", "", NULL);
+    }
 }
 
 static void
@@ -319,6 +324,25 @@
     stop(f);
 }
 
+/* Guards against a request that comes in one piece with one that is refused
+ * at once, and is cut off by the refusal. */
+static void
+test_draining_cuts_no_request_off_behind_a_refusal(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    SasHttpServer_Drain(f->server, LONG_MS);
+    f->refuses_next = true;
+    say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    assert_int_equal(f->abandoned, 0);
+    assert_int_equal(f->held_count, 2);
+    reply(f, 1, "second");
+    assert_non_null(strstr(f->got->str, " 503 "));
+    assert_non_null(strstr(f->got->str, "second"));
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
 /* Guards against a reset that overtakes an answer: a close while bytes of the
  * caller are unread. */
 static void
@@ -369,6 +393,7 @@
             test_draining_cuts_no_request_off_behind_a_closing_answer),
         cmocka_unit_test(
             test_nothing_is_handed_out_once_a_closing_answer_is_being_sent),
+        cmocka_unit_test(test_draining_cuts_no_request_off_behind_a_refusal),
         cmocka_unit_test(
             test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
