A closing answer is followed by an orderly end, not by a reset

Callers saw: a reset in place of the answer, where they had sent a further request behind the one that was answered with 'Connection: close'.

Cause: the connection was closed as soon as the closing answer was in the socket. Where bytes of the caller are unread then, the kernel sends a reset, and a caller that has not read the answer yet may lose it.

Change: after the closing answer only the sending side is shut; what still comes is read away and counts as not read; the connection is closed when the caller ends it, or half a second later.

Ruled out: reading on and serving what comes; by the protocol a caller sends what is behind a closing answer once more, whatever its kind.

--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -104,8 +104,9 @@
                              const struct sas_http_server_limits *limits);
 
 /* From now on every answer that nothing waits behind when it is sent closes
- * its connection; nothing is given out behind it. So does a connection that has been idle for idle_ms. New connections
- * are still accepted: callers may hold an older look-up. */
+ * its connection, and nothing is given out behind it. So does a connection
+ * that has been idle for idle_ms. New connections are still accepted: callers
+ * may hold an older look-up. */
 void SasHttpServer_Drain(struct sas_http_server *server, int64_t idle_ms);
 
 /* Requests that have not been answered; open connections. */
--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -5,6 +5,10 @@
 #define READ_BUFFER_SIZE 65536
 #define UNREAD_SAMPLE 1024 /* bytes; more are not counted */
 
+/* A caller that has the closing answer ends the connection within a round
+ * trip. */
+#define SETTLE_MS 500
+
 struct write {
     uv_write_t request;
     GString *bytes;
@@ -20,6 +24,25 @@
 
 /* Writing. */
 
+static void
+on_shutdown(uv_shutdown_t *request, int status)
+{
+    (void)request;
+    (void)status; /* the read side reports the end of the connection */
+}
+
+/* Ends the sending side alone, and reads away what still comes: a close with
+ * unread bytes is a reset, which may overtake the answer. */
+static void
+settle(struct sas_http_connection *c)
+{
+    c->state = CONNECTION_SETTLING;
+    c->settle_until = (int64_t)uv_now(c->server->loop) + SETTLE_MS;
+    if (uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) != 0) {
+        SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
+    }
+}
+
 static void
 on_written(uv_write_t *request, int status)
 {
@@ -28,8 +51,8 @@
     if (status != 0) {
         SasHttpConnection_Close(c, SAS_HTTP_END_CALLER);
     }
-    else if (write->close_after) {
-        SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
+    else if (write->close_after && c->state != CONNECTION_CLOSED) {
+        settle(c);
     }
     g_string_free(write->bytes, TRUE);
     g_free(write);
@@ -218,6 +241,12 @@
 SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms)
 {
     const struct sas_http_server *server = c->server;
+    if (c->state == CONNECTION_SETTLING) {
+        if (now_ms >= c->settle_until) {
+            SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
+        }
+        return;
+    }
     if (c->reading != NULL && c->reading->method == NULL &&
         now_ms - c->reading->began_at > server->limits.header_ms) {
         SasHttpConnection_Close(c, SAS_HTTP_END_HEAD);
@@ -288,7 +317,9 @@
         return;
     }
     if (count < 0) {
-        SasHttpConnection_Close(c, SAS_HTTP_END_CALLER);
+        SasHttpConnection_Close(c, c->state == CONNECTION_SETTLING
+                                       ? SAS_HTTP_END_ANSWER
+                                       : SAS_HTTP_END_CALLER);
         return;
     }
     if (c->state != CONNECTION_OPEN) {
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -11,9 +11,10 @@
 #include "sas/http_server.h"
 
 enum connection_state {
-    CONNECTION_OPEN,   /* requests are read and given out */
-    CONNECTION_LAST,   /* its last request has been read */
-    CONNECTION_ENDING, /* the answer that closes it has been chosen */
+    CONNECTION_OPEN,     /* requests are read and given out */
+    CONNECTION_LAST,     /* its last request has been read */
+    CONNECTION_ENDING,   /* the answer that closes it is being sent */
+    CONNECTION_SETTLING, /* it has been sent; the caller's end is awaited */
     CONNECTION_CLOSED
 };
 
@@ -44,6 +45,8 @@
     int pending;
     int64_t active_at;
     enum connection_state state;
+    uv_shutdown_t shutdown;
+    int64_t settle_until;
     bool parsing; /* a buffer: its answers go out when all of it is read */
     bool paused;
     int refused; /* status for the request that could not be read, or 0 */
