A caller that reads an answer slowly is not idle

Callers saw: an answer that ended halfway at a planned stop (or after the idle limit of a connection), though they were reading it.

Cause: a connection counted as idle from the moment at which its last answer was handed to the loop, not from its last byte.

Change: as long as an answer is on its way, the limit is that of the configuration and begins anew with each progress of the caller.

Evidence: test_draining_cuts_no_answer_off_that_is_read_slowly: red on the code before (the answer is cut), green with this.

--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -40,7 +40,8 @@
     size_t body_bytes;   /* of one request */
     size_t bodies_bytes; /* of all requests that are being held */
     int64_t header_ms;   /* from the first byte of a request to its head */
-    int64_t idle_ms;     /* between two requests; 0: for ever */
+    int64_t idle_ms;     /* between two requests, and without progress of an
+                            answer that the caller reads; 0: for ever */
     int connections;
 };
 
--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -141,6 +141,12 @@
     return e->given && e->answer == NULL;
 }
 
+static size_t
+count_unsent(const struct sas_http_connection *c)
+{
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
+}
+
 static size_t
 count_unread(const struct sas_http_connection *c)
 {
@@ -162,8 +168,7 @@
     }
     struct sas_http_leftover leftover = {
         .end = end,
-        .unsent_bytes =
-            uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp),
+        .unsent_bytes = count_unsent(c),
         .unread_bytes = end == SAS_HTTP_END_CALLER ? 0 : count_unread(c),
         .idle_ms = (int64_t)uv_now(c->server->loop) - c->active_at,
     };
@@ -236,11 +241,28 @@
     uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
-/* Closes what has been idle for too long or sends its head too slowly. */
+/* A caller that reads slowly is not idle as long as it reads. */
+static void
+note_progress(struct sas_http_connection *c, int64_t now_ms)
+{
+    size_t unsent = count_unsent(c);
+    if (unsent != c->unsent_seen) {
+        c->unsent_seen = unsent;
+        c->active_at = now_ms;
+    }
+}
+
+static int64_t
+get_idle_limit(const struct sas_http_connection *c)
+{
+    const struct sas_http_server *server = c->server;
+    return server->draining && count_unsent(c) == 0 ? server->drain_idle_ms
+                                                    : server->limits.idle_ms;
+}
+
 void
 SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms)
 {
-    const struct sas_http_server *server = c->server;
     if (c->state == CONNECTION_SETTLING) {
         if (now_ms >= c->settle_until) {
             SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
@@ -248,12 +270,12 @@
         return;
     }
     if (c->reading != NULL && c->reading->method == NULL &&
-        now_ms - c->reading->began_at > server->limits.header_ms) {
+        now_ms - c->reading->began_at > c->server->limits.header_ms) {
         SasHttpConnection_Close(c, SAS_HTTP_END_HEAD);
         return;
     }
-    int64_t limit_ms =
-        server->draining ? server->drain_idle_ms : server->limits.idle_ms;
+    note_progress(c, now_ms);
+    int64_t limit_ms = get_idle_limit(c);
     if (c->first == NULL && limit_ms > 0 && now_ms - c->active_at > limit_ms) {
         SasHttpConnection_Close(c, SAS_HTTP_END_IDLE);
     }
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -44,6 +44,7 @@
     struct sas_http_exchange *reading; /* the one whose bytes come in */
     int pending;
     int64_t active_at;
+    size_t unsent_seen; /* bytes that waited at the last sweep */
     enum connection_state state;
     uv_shutdown_t shutdown;
     int64_t settle_until;
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -360,6 +360,28 @@
     stop(f);
 }
 
+/* Guards against an answer that is cut off by the idle limit of a stop while
+ * its caller reads it. */
+static void
+test_draining_cuts_no_answer_off_that_is_read_slowly(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    uv_read_stop((uv_stream_t *)&f->client);
+    g_autofree char *body = g_strnfill(LARGE_BODY, 'x');
+    reply(f, 0, body);
+    SasHttpServer_Drain(f->server, 1);
+    for (int i = 0; i < 20; i++) {
+        spin(f);
+    }
+    uv_read_start((uv_stream_t *)&f->client, on_alloc, on_read);
+    spin_until_end(f);
+    assert_true(f->got->len > LARGE_BODY);
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
 /* Guards against a slow head that cuts off the requests before it. */
 static void
 test_a_slow_head_cuts_off_nothing_before_it(void **state)
@@ -396,6 +418,7 @@
         cmocka_unit_test(test_draining_cuts_no_request_off_behind_a_refusal),
         cmocka_unit_test(
             test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
+        cmocka_unit_test(test_draining_cuts_no_answer_off_that_is_read_slowly),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
