A head that comes too slowly cuts off nothing before it

Callers saw: an answer that never came, where the head of their next look-up, sent behind the first, took longer than the header limit.

Cause: the connection was closed with all that was on it, also requests that run at servers.

Change: such a head is refused with 408 in its turn, which ends the connection behind the answers before it.

--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -10,8 +10,9 @@
  * SasHttpExchange_Reply or on_abandoned, whichever comes first; an abandoned
  * exchange may still be read during the callback and not after it.
  *
- * What is wrong with a request is answered here: 400, 413, 431, and 503 while
- * the bodies of all connections exceed their limit.
+ * What is wrong with a request is answered here: 400, 408 for a head that
+ * comes too slowly, 413, 431, and 503 while the bodies of all connections
+ * exceed their limit.
  *
  * Times are milliseconds of the loop's clock.
  */
@@ -49,7 +50,6 @@
 enum sas_http_end {
     SAS_HTTP_END_CALLER, /* the caller closed it, or it broke */
     SAS_HTTP_END_ANSWER, /* with an answer that says so */
-    SAS_HTTP_END_HEAD,   /* the head of a request came too slowly */
     SAS_HTTP_END_IDLE,   /* no request for the idle limit */
     SAS_HTTP_END_SERVER, /* the server is being closed */
     SAS_HTTP_END_COUNT
@@ -79,7 +79,7 @@
                       const struct sas_http_leftover *leftover);
 };
 
-/* "caller", "answer", "head", "idle" or "server". */
+/* "caller", "answer", "idle" or "server". */
 const char *SasHttp_GetEndName(enum sas_http_end end);
 
 struct sas_http_reply {
--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -19,6 +19,7 @@
 static _Thread_local char read_buffer[READ_BUFFER_SIZE];
 
 static const http_parser_settings *get_parser_settings(void);
+static void refuse_reading(struct sas_http_connection *c, int status);
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data);
 
@@ -63,6 +64,7 @@
 {
     if (c->paused && c->pending < SasHttpServer_MAX_PIPELINE) {
         c->paused = false;
+        c->head_since = (int64_t)uv_now(c->server->loop);
         uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
     }
 }
@@ -260,6 +262,13 @@
                                                     : server->limits.idle_ms;
 }
 
+static bool
+is_head_late(const struct sas_http_connection *c, int64_t now_ms)
+{
+    return c->reading != NULL && c->reading->method == NULL && !c->paused &&
+           now_ms - c->head_since > c->server->limits.header_ms;
+}
+
 void
 SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms)
 {
@@ -269,9 +278,8 @@
         }
         return;
     }
-    if (c->reading != NULL && c->reading->method == NULL &&
-        now_ms - c->reading->began_at > c->server->limits.header_ms) {
-        SasHttpConnection_Close(c, SAS_HTTP_END_HEAD);
+    if (is_head_late(c, now_ms)) {
+        refuse_reading(c, 408);
         return;
     }
     note_progress(c, now_ms);
@@ -363,6 +371,7 @@
 {
     struct sas_http_connection *c = parser->data;
     c->reading = SasHttpExchange_New(c);
+    c->head_since = c->reading->began_at;
     c->refused = 0;
     return 0;
 }
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -42,6 +42,7 @@
     struct sas_http_exchange *first; /* oldest request without an answer */
     struct sas_http_exchange *last;
     struct sas_http_exchange *reading; /* the one whose bytes come in */
+    int64_t head_since; /* its head comes in, or comes in again */
     int pending;
     int64_t active_at;
     size_t unsent_seen; /* bytes that waited at the last sweep */
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -13,8 +13,9 @@
 SasHttp_GetEndName(enum sas_http_end end)
 {
     static const char *const names[SAS_HTTP_END_COUNT] = {
-        [SAS_HTTP_END_CALLER] = "caller", [SAS_HTTP_END_ANSWER] = "answer",
-        [SAS_HTTP_END_HEAD] = "head",     [SAS_HTTP_END_IDLE] = "idle",
+        [SAS_HTTP_END_CALLER] = "caller",
+        [SAS_HTTP_END_ANSWER] = "answer",
+        [SAS_HTTP_END_IDLE] = "idle",
         [SAS_HTTP_END_SERVER] = "server",
     };
     return names[end];
