An idle connection is not closed over a request that has come

Callers saw: a reset instead of an answer, where they used a kept connection just before its limit (a stop's 1.5 s, or an idle limit that a configuration has just shortened) and the entry VM was busy.

Cause: the limits are judged before the sockets are read, so a request that waits in the socket loses to the clock.

Change: a connection with unread bytes is not closed; they are read next. The same for the head that comes too slowly.

Evidence: test_an_idle_connection_is_not_closed_over_a_request: red on the code before (1 request given where 2 had come), green with this, 5 of 5.

Left: a request that is still on the wire when an idle connection is closed. It is not read, so its caller may send it again, whatever its kind.

--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -269,6 +269,14 @@
            now_ms - c->head_since > c->server->limits.header_ms;
 }
 
+static bool
+is_idle(const struct sas_http_connection *c, int64_t now_ms)
+{
+    int64_t limit_ms = get_idle_limit(c);
+    return c->first == NULL && limit_ms > 0 &&
+           now_ms - c->active_at > limit_ms;
+}
+
 void
 SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms)
 {
@@ -278,15 +286,19 @@
         }
         return;
     }
-    if (is_head_late(c, now_ms)) {
-        refuse_reading(c, 408);
+    note_progress(c, now_ms);
+    bool head_late = is_head_late(c, now_ms);
+    if (!head_late && !is_idle(c, now_ms)) {
         return;
     }
-    note_progress(c, now_ms);
-    int64_t limit_ms = get_idle_limit(c);
-    if (c->first == NULL && limit_ms > 0 && now_ms - c->active_at > limit_ms) {
-        SasHttpConnection_Close(c, SAS_HTTP_END_IDLE);
+    if (count_unread(c) > 0) {
+        return; /* it has come; this side was slow */
+    }
+    if (head_late) {
+        refuse_reading(c, 408);
+        return;
     }
+    SasHttpConnection_Close(c, SAS_HTTP_END_IDLE);
 }
 
 /* Reading. */
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -8,6 +8,7 @@
 #include "sas/http_server.h"
 
 #define MAX_HELD 16
+#define SWEEP_US 600000 /* longer than two sweeps are apart */
 #define LARGE_BODY ((size_t)12 * 1024 * 1024) /* more than sockets hold */
 
 /* Holds exchanges back until the test answers them. */
@@ -382,6 +383,25 @@
     stop(f);
 }
 
+/* Guards against a request that is there already, and is reset by the idle
+ * limit instead of being read. */
+static void
+test_an_idle_connection_is_not_closed_over_a_request(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    reply(f, 0, "first");
+    SasHttpServer_Drain(f->server, 1);
+    put(f, "GET /2 HTTP/1.1\r\n\r\n");
+    g_usleep(SWEEP_US);
+    spin(f);
+    assert_int_equal(f->held_count, 2);
+    reply(f, 1, "second");
+    assert_non_null(strstr(f->got->str, "second"));
+    stop(f);
+}
+
 /* Guards against a slow head that cuts off the requests before it. */
 static void
 test_a_slow_head_cuts_off_nothing_before_it(void **state)
@@ -419,6 +439,7 @@
         cmocka_unit_test(
             test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
         cmocka_unit_test(test_draining_cuts_no_answer_off_that_is_read_slowly),
+        cmocka_unit_test(test_an_idle_connection_is_not_closed_over_a_request),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
