A process ends when what it owes is written, not when it is handed over

Callers saw: an answer that broke off where an entry VM was stopped, though it had been ready for seconds.

Cause: a request counted as done when its answer was handed to the event loop. The stop took 'none left' for 'all answered' and closed the connections, with what a slow caller or a thin link had not taken yet, and with closing answers whose callers had not seen the end.

Change: the stop asks for connections on which something is owed: a request that comes in or has no answer, an answer whose last byte isn't written, an end that the caller has not seen.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -351,19 +351,21 @@
     if (since_ms >= STOP_NOTICE_MS) {
         SasRelay_Stop(gateway->relay);
     }
-    int left = SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]);
-    bool empty =
-        SasHttpServer_CountConnections(gateway->servers[LISTEN_CALLER]) == 0;
-    bool quiet = (since_ms >= STOP_NOTICE_MS && left == 0) ||
+    const struct sas_http_server *callers = gateway->servers[LISTEN_CALLER];
+    int busy = SasHttpServer_CountBusy(callers);
+    bool empty = SasHttpServer_CountConnections(callers) == 0;
+    bool quiet = (since_ms >= STOP_NOTICE_MS && busy == 0) ||
                  (since_ms >= STOP_EMPTY_MS && empty);
     bool late =
         since_ms >= gateway->settings->bounds.grace_ms - STOP_MARGIN_MS;
     if (!quiet && !late) {
         return;
     }
-    if (left > 0) {
+    if (busy > 0) {
         SasLog_Write(SasLog_ERROR, "process.stop", "",
-                     "requests=%d are cut off at the stop's limit", left);
+                     "connections=%d requests=%d are cut off at the stop's "
+                     "limit",
+                     busy, SasHttpServer_CountExchanges(callers));
     }
     uv_timer_stop(timer);
     gateway->source->stop(gateway->source);
--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -243,6 +243,13 @@
     uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
+bool
+SasHttpConnection_IsBusy(const struct sas_http_connection *c)
+{
+    return c->first != NULL || c->state != CONNECTION_OPEN ||
+           count_unsent(c) > 0;
+}
+
 /* A caller that reads slowly is not idle as long as it reads. */
 static void
 note_progress(struct sas_http_connection *c, int64_t now_ms)
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -76,6 +76,9 @@
 /* Ends what has been idle for too long or sends its head too slowly. */
 void SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms);
 
+/* Whether something is still owed on it. */
+bool SasHttpConnection_IsBusy(const struct sas_http_connection *c);
+
 /* Sends the answers that are next in order. */
 void SasHttpConnection_Flush(struct sas_http_connection *c);
 
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -135,3 +135,14 @@
 {
     return server->connection_count;
 }
+
+int
+SasHttpServer_CountBusy(const struct sas_http_server *server)
+{
+    int count = 0;
+    for (const struct sas_http_connection *c = server->connections; c != NULL;
+         c = c->next) {
+        count += SasHttpConnection_IsBusy(c) ? 1 : 0;
+    }
+    return count;
+}
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -358,6 +358,10 @@
     assert_non_null(strstr(f->got->str, "first"));
     assert_int_equal(f->end, UV_EOF);
     assert_int_equal(f->held_count, 1);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 1);
+    uv_close((uv_handle_t *)&f->client, NULL);
+    spin(f);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 0);
     stop(f);
 }
 
@@ -372,6 +376,8 @@
     uv_read_stop((uv_stream_t *)&f->client);
     g_autofree char *body = g_strnfill(LARGE_BODY, 'x');
     reply(f, 0, body);
+    assert_int_equal(SasHttpServer_CountExchanges(f->server), 0);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 1);
     SasHttpServer_Drain(f->server, 1);
     for (int i = 0; i < 20; i++) {
         spin(f);
--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -11,6 +11,7 @@
 LARGE = 12 << 20  # bytes, more than the sockets between two processes hold
 LATE_S = 3.1      # after SIGTERM: callers that keep an old look-up still come
 EMPTY_S = 2.8     # after SIGTERM: without connections the process ends
+QUIET_S = 4.0     # after SIGTERM: without requests the process ends
 END_S = 5.6       # past the moment at which what is left is cut off
 
 
@@ -109,7 +110,7 @@
                 wait_for(lambda: vm.find_lines("request", request="slow"),
                          "an answer on its way")
                 vm.signal(signal.SIGTERM)
-                time.sleep(LATE_S)
+                time.sleep(QUIET_S)
                 caller.settimeout(10)
                 answer = http.client.HTTPResponse(caller)
                 answer.begin()
