A stop takes only what it can still answer

Callers saw: a request that an entry VM took late in its stop was cut off, with neither an answer nor a refusal, when its server needed more than what was left.

Cause: requests were taken for 3.5 s after SIGTERM and cut off 5.1 s after it, whatever their limit and the grace that the settings state. Class: a fixed time beside a bound that isn't.

Change: a plan worked out from the grace (core/stop.h): whatever comes in the first 0.45 of it is taken; later only what its own limit ends before the last answers are due; the rest is refused at once. What is left then is answered with 502 instead of a closed connection.

--- /dev/null
+++ b/packages/core/tests/test_stop.c
@@ -0,0 +1,80 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "sas/stop.h"
+
+#define GRACE_MS 6000
+
+/* A service that is slow to answer: its requests end by their limit alone. */
+#define LONGEST_MS 30000
+
+/* Guards against a request that is taken late in a stop and cut off. */
+static void
+test_what_is_taken_late_ends_before_the_answers_are_due(void **state)
+{
+    (void)state;
+    struct sas_stop_plan plan = SasStop_Plan(GRACE_MS);
+    for (int64_t since = 0; since <= GRACE_MS; since += 10) {
+        for (int64_t left = 0; left <= LONGEST_MS; left += 100) {
+            bool taken = SasStop_MayTake(&plan, since, left);
+            bool in_time = since + left <= plan.answers_ms;
+            assert_true(taken || !in_time);
+            assert_true(in_time || !taken || since < GRACE_MS / 2);
+        }
+    }
+}
+
+static void
+test_at_first_everything_is_taken(void **state)
+{
+    (void)state;
+    struct sas_stop_plan plan = SasStop_Plan(GRACE_MS);
+    assert_true(SasStop_MayTake(&plan, 0, LONGEST_MS));
+    assert_true(SasStop_MayTake(&plan, GRACE_MS / 3, LONGEST_MS));
+    assert_false(SasStop_MayTake(&plan, GRACE_MS / 2, LONGEST_MS));
+}
+
+static void
+test_times_follow_the_grace_in_their_order(void **state)
+{
+    (void)state;
+    for (int64_t grace = 0; grace <= 60000; grace += 100) {
+        struct sas_stop_plan plan = SasStop_Plan(grace);
+        assert_true(plan.notice_ms <= grace / 2);
+        assert_true(plan.answers_ms <= plan.end_ms);
+        assert_true(plan.end_ms <= grace);
+        assert_true(SasStop_IsGivenUp(&plan, plan.end_ms));
+    }
+}
+
+/* Guards against a process that ends while answers are on their way. */
+static void
+test_it_ends_when_nothing_is_owed_or_at_its_limit(void **state)
+{
+    (void)state;
+    struct sas_stop_plan plan = SasStop_Plan(GRACE_MS);
+    const struct sas_stop_left none = {0, 0};
+    const struct sas_stop_left idle = {3, 0};
+    const struct sas_stop_left owed = {3, 1};
+    assert_false(SasStop_IsOver(&plan, 1000, &none));
+    assert_true(SasStop_IsOver(&plan, 2500, &none));
+    assert_false(SasStop_IsOver(&plan, 2500, &idle));
+    assert_true(SasStop_IsOver(&plan, 3500, &idle));
+    assert_false(SasStop_IsOver(&plan, plan.end_ms - 1, &owed));
+    assert_true(SasStop_IsOver(&plan, plan.end_ms, &owed));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            test_what_is_taken_late_ends_before_the_answers_are_due),
+        cmocka_unit_test(test_at_first_everything_is_taken),
+        cmocka_unit_test(test_times_follow_the_grace_in_their_order),
+        cmocka_unit_test(test_it_ends_when_nothing_is_owed_or_at_its_limit),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -22,17 +22,9 @@
 /* The settings file may change without a signal. */
 #define FILE_POLL_MS 3000
 
-/* Before SIGKILL comes: the last answers are out and the process is gone. */
-#define STOP_MARGIN_MS 900
-
-/* For so long after the stop began, callers that hold an older look-up may
- * still send requests. */
-#define STOP_NOTICE_MS 3500
+/* An idle connection of a process that is to end. */
 #define STOP_IDLE_MS 1500
 
-/* Without a single connection nobody holds one; new ones come while look-ups
- * of before are still kept. */
-#define STOP_EMPTY_MS 2500
 #define STOP_CHECK_MS 50
 
 #define DEFAULT_HEADER_BYTES 16384
@@ -69,6 +61,7 @@
     uv_fs_poll_t file; /* the settings */
     int open_handles;  /* of those above, while they are being closed */
     int64_t stop_began_at;
+    struct sas_stop_plan stop_plan;
     void (*reload)(void *data);
     void *reload_data;
 };
@@ -336,7 +329,9 @@
         "signal=%d requests=%d connections=%d", number,
         SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]),
         SasHttpServer_CountConnections(gateway->servers[LISTEN_CALLER]));
+    gateway->stop_plan = SasStop_Plan(gateway->settings->bounds.grace_ms);
     gateway->directory.leaving = true;
+    SasRelay_Stop(gateway->relay, &gateway->stop_plan);
     SasMesh_Leave(gateway->mesh);
     SasHttpServer_Drain(gateway->servers[LISTEN_CALLER], STOP_IDLE_MS);
     uv_timer_start(&gateway->stop, on_stop_check, STOP_CHECK_MS,
@@ -348,24 +343,22 @@
 {
     struct sas_gateway *gateway = timer->data;
     int64_t since_ms = (int64_t)uv_now(gateway->loop) - gateway->stop_began_at;
-    if (since_ms >= STOP_NOTICE_MS) {
-        SasRelay_Stop(gateway->relay);
+    if (SasStop_IsGivenUp(&gateway->stop_plan, since_ms)) {
+        SasRelay_GiveUp(gateway->relay);
     }
     const struct sas_http_server *callers = gateway->servers[LISTEN_CALLER];
-    int busy = SasHttpServer_CountBusy(callers);
-    bool empty = SasHttpServer_CountConnections(callers) == 0;
-    bool quiet = (since_ms >= STOP_NOTICE_MS && busy == 0) ||
-                 (since_ms >= STOP_EMPTY_MS && empty);
-    bool late =
-        since_ms >= gateway->settings->bounds.grace_ms - STOP_MARGIN_MS;
-    if (!quiet && !late) {
+    struct sas_stop_left left = {
+        .connections = SasHttpServer_CountConnections(callers),
+        .busy = SasHttpServer_CountBusy(callers),
+    };
+    if (!SasStop_IsOver(&gateway->stop_plan, since_ms, &left)) {
         return;
     }
-    if (busy > 0) {
+    if (left.busy > 0) {
         SasLog_Write(SasLog_ERROR, "process.stop", "",
                      "connections=%d requests=%d are cut off at the stop's "
                      "limit",
-                     busy, SasHttpServer_CountExchanges(callers));
+                     left.busy, SasHttpServer_CountExchanges(callers));
     }
     uv_timer_stop(timer);
     gateway->source->stop(gateway->source);
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -61,9 +61,22 @@
 }
 
 void
-SasRelay_Stop(struct sas_relay *relay)
+SasRelay_Stop(struct sas_relay *relay, const struct sas_stop_plan *plan)
 {
-    relay->stopping = true;
+    relay->stop = *plan;
+    relay->stop_began_at = SasRelay_Now(relay);
+}
+
+void
+SasRelay_GiveUp(struct sas_relay *relay)
+{
+    while (!g_queue_is_empty(&relay->calls)) {
+        struct relay_call *call = relay->calls.head->data;
+        SasRelay_Cancel(call);
+        if (!SasRelay_DeliverKept(call)) {
+            SasRelay_Fail(call, "given up", 502);
+        }
+    }
 }
 
 int64_t
@@ -108,6 +121,7 @@
 static void
 free_call(struct relay_call *call)
 {
+    g_queue_unlink(&call->relay->calls, &call->link);
     SasSteering_End(call->relay->options.steering, &call->grant,
                     (double)call->answer_body->len, SasRelay_Now(call->relay));
     SasFleetConfig_Unref(call->config);
@@ -264,6 +278,16 @@
     return call->began_at + limit_ms;
 }
 
+static bool
+may_take(const struct relay_call *call)
+{
+    const struct sas_relay *relay = call->relay;
+    int64_t now_ms = SasRelay_Now(relay);
+    return relay->stop_began_at == 0 ||
+           SasStop_MayTake(&relay->stop, now_ms - relay->stop_began_at,
+                           call->deadline_at - now_ms);
+}
+
 /* A request without an object is one of its own. */
 static void
 find_object(struct relay_call *call)
@@ -289,6 +313,8 @@
     g_strlcpy(call->request_id, id != NULL ? id : "",
               sizeof(call->request_id));
     SasHttpExchange_SetUser(exchange, call);
+    call->link.data = call;
+    g_queue_push_tail_link(&relay->calls, &call->link);
     return call;
 }
 
@@ -299,10 +325,6 @@
     struct sas_relay *relay = (struct sas_relay *)handler;
     struct relay_call *call = new_call(relay, exchange);
     struct sas_fleet_config *config = SasFleet_GetConfig(relay->options.fleet);
-    if (relay->stopping) {
-        SasRelay_Refuse(call, "stopping", SasRelay_RETRY_AFTER_MS);
-        return;
-    }
     if (config == NULL) {
         SasRelay_Refuse(call, "no configuration", SasRelay_RETRY_AFTER_MS);
         return;
@@ -316,6 +338,10 @@
         return;
     }
     call->deadline_at = get_deadline(call);
+    if (!may_take(call)) {
+        SasRelay_Refuse(call, "stopping", SasRelay_RETRY_AFTER_MS);
+        return;
+    }
     find_object(call);
     call->service = pick_service(call);
     SasRepeat_NoteRequest(&SasRelay_GetService(relay, call->service)->repeats,
--- a/packages/gateway/src/relay.h
+++ b/packages/gateway/src/relay.h
@@ -21,6 +21,7 @@
 #include "sas/http_server.h"
 #include "sas/metrics.h"
 #include "sas/steering.h"
+#include "sas/stop.h"
 
 struct sas_relay;
 
@@ -41,7 +42,11 @@
 /* The handler to give to the callers' HTTP server. */
 struct sas_http_handler *SasRelay_GetHandler(struct sas_relay *relay);
 
-/* From now on new requests are refused as not run: the process ends soon. */
-void SasRelay_Stop(struct sas_relay *relay);
+/* The process is to end by this plan. From now on a request that the plan
+ * doesn't take is refused as not run. */
+void SasRelay_Stop(struct sas_relay *relay, const struct sas_stop_plan *plan);
+
+/* Answers every request that has no answer yet: it may have run. */
+void SasRelay_GiveUp(struct sas_relay *relay);
 
 #endif
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -59,7 +59,9 @@
     struct sas_suspects *suspects;
     struct sas_objects *objects;
     int ends[SAS_HTTP_END_COUNT]; /* counters of connections */
-    bool stopping;
+    GQueue calls;                 /* struct relay_call *, by their links */
+    struct sas_stop_plan stop;
+    int64_t stop_began_at; /* 0: it goes on */
 };
 
 /* An answer that is whole. */
@@ -73,6 +75,7 @@
 struct relay_call {
     struct sas_http_user user; /* of the current attempt's connection */
     struct sas_relay *relay;
+    GList link; /* among the relay's calls */
     struct sas_http_exchange *exchange;
     struct sas_fleet_config *config;
     const struct sas_route *route;
--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -73,6 +73,35 @@
             late.join()
             self.assertIn(late.status, (200, 503))
 
+    # Guards against a refusal of what still has time: a late request whose own
+    # limit ends before the process does.
+    def test_a_late_request_with_a_short_limit_is_served(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("v1", service="vault")
+            fleet.start()
+            self.stop_with_an_upload(fleet)
+            time.sleep(LATE_S)
+            late = Late(fleet.vms[0], deadline_ms=1000)
+            late.join()
+            fleet.workers["v1"].held.set()
+            self.assertEqual(late.status, 200)
+
+    # Guards against a connection that just closes at the end of a stop, where
+    # its caller could be told.
+    def test_what_runs_at_the_end_of_a_stop_gets_an_answer(self):
+        with Fleet(vms=("a",)) as fleet:
+            server = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            server.held.clear()
+            long = Late(vm, deadline_ms=20000)
+            wait_for(lambda: server.ran, "a request in progress")
+            vm.signal(signal.SIGTERM)
+            long.join()
+            self.assertEqual(long.status, 502)
+            self.assertEqual(vm.process.wait(30), 0)
+
     # Guards against a request that is taken, and sent to a server, while the
     # process is already closing its parts.
     def test_a_request_that_comes_as_the_process_ends_is_not_taken(self):
