--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -10,8 +10,9 @@
  * SasHttpExchange_Reply or on_abandoned, whichever comes first; an abandoned
  * exchange may still be read during the callback and not after it.
  *
- * What is wrong with a request is answered here: 400, 413, 431, and 503 while
- * the bodies of all connections exceed their limit.
+ * What is wrong with a request is answered here: 400, 408 for a head that
+ * comes too slowly, 413, 431, and 503 while the bodies of all connections
+ * exceed their limit.
  *
  * Times are milliseconds of the loop's clock.
  */
@@ -40,7 +41,8 @@
     size_t body_bytes;   /* of one request */
     size_t bodies_bytes; /* of all requests that are being held */
     int64_t header_ms;   /* from the first byte of a request to its head */
-    int64_t idle_ms;     /* between two requests; 0: for ever */
+    int64_t idle_ms;     /* between two requests, and without progress of an
+                            answer that the caller reads; 0: for ever */
     int connections;
 };
 
@@ -48,7 +50,6 @@
 enum sas_http_end {
     SAS_HTTP_END_CALLER, /* the caller closed it, or it broke */
     SAS_HTTP_END_ANSWER, /* with an answer that says so */
-    SAS_HTTP_END_HEAD,   /* the head of a request came too slowly */
     SAS_HTTP_END_IDLE,   /* no request for the idle limit */
     SAS_HTTP_END_SERVER, /* the server is being closed */
     SAS_HTTP_END_COUNT
@@ -78,7 +79,7 @@
                       const struct sas_http_leftover *leftover);
 };
 
-/* "caller", "answer", "head", "idle" or "server". */
+/* "caller", "answer", "idle" or "server". */
 const char *SasHttp_GetEndName(enum sas_http_end end);
 
 struct sas_http_reply {
@@ -103,15 +104,21 @@
 void SasHttpServer_SetLimits(struct sas_http_server *server,
                              const struct sas_http_server_limits *limits);
 
-/* From now on every answer that nothing waits behind closes its connection,
- * and so does a connection that has been idle for idle_ms. New connections
- * are still accepted: callers may hold an older look-up. */
+/* From now on every answer that nothing waits behind when it is sent closes
+ * its connection, and nothing is given out behind it. So does a connection
+ * that has been idle for idle_ms. New connections are still accepted: callers
+ * may hold an older look-up. */
 void SasHttpServer_Drain(struct sas_http_server *server, int64_t idle_ms);
 
 /* Requests that have not been answered; open connections. */
 int SasHttpServer_CountExchanges(const struct sas_http_server *server);
 int SasHttpServer_CountConnections(const struct sas_http_server *server);
 
+/* Connections on which something is still owed: a request that is being read
+ * or has no answer, an answer whose last byte is not written, an end that the
+ * caller has not seen. */
+int SasHttpServer_CountBusy(const struct sas_http_server *server);
+
 /* One request. */
 const char *SasHttpExchange_GetMethod(const struct sas_http_exchange *e);
 const char *SasHttpExchange_GetTarget(const struct sas_http_exchange *e);
--- a/packages/net/tests/http_fixture.c
+++ b/packages/net/tests/http_fixture.c
@@ -11,6 +11,10 @@
 {
     struct fixture *f = (struct fixture *)handler;
     f->held[f->held_count++] = e;
+    if (f->refuses_next) {
+        f->refuses_next = false;
+        SasHttpExchange_ReplyText(e, 503, "text/plain", "", NULL);
+    }
 }
 
 static void
--- a/packages/net/tests/http_fixture.h
+++ b/packages/net/tests/http_fixture.h
@@ -5,6 +5,7 @@
 #ifndef HTTP_FIXTURE_H
 #define HTTP_FIXTURE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -14,6 +15,7 @@
 #include "sas/http_server.h"
 
 #define MAX_HELD 16
+#define SWEEP_US 600000 /* longer than two sweeps are apart */
 #define LONG_MS 60000
 #define LARGE_BODY ((size_t)12 * 1024 * 1024) /* more than sockets hold */
 
@@ -24,6 +26,7 @@
     struct sas_http_server *server;
     struct sas_http_exchange *held[MAX_HELD];
     int held_count;
+    bool refuses_next; /* the next request, as soon as it comes */
     int abandoned;
     uv_tcp_t client;
     uv_connect_t connect;
--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -11,6 +11,7 @@
 LARGE = 12 << 20  # bytes, more than the sockets between two processes hold
 LATE_S = 3.1      # after SIGTERM: callers that keep an old look-up still come
 EMPTY_S = 2.8     # after SIGTERM: without connections the process ends
+QUIET_S = 4.0     # after SIGTERM: without requests the process ends
 END_S = 5.6       # past the moment at which what is left is cut off
 
 
@@ -72,6 +73,35 @@
             late.join()
             self.assertIn(late.status, (200, 503))
 
+    # Guards against a refusal of what still has time: a late request whose own
+    # limit ends before the process does.
+    def test_a_late_request_with_a_short_limit_is_served(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("v1", service="vault")
+            fleet.start()
+            self.stop_with_an_upload(fleet)
+            time.sleep(LATE_S)
+            late = Late(fleet.vms[0], deadline_ms=1000)
+            late.join()
+            fleet.workers["v1"].held.set()
+            self.assertEqual(late.status, 200)
+
+    # Guards against a connection that just closes at the end of a stop, where
+    # its caller could be told.
+    def test_what_runs_at_the_end_of_a_stop_gets_an_answer(self):
+        with Fleet(vms=("a",)) as fleet:
+            server = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            server.held.clear()
+            long = Late(vm, deadline_ms=20000)
+            wait_for(lambda: server.ran, "a request in progress")
+            vm.signal(signal.SIGTERM)
+            long.join()
+            self.assertEqual(long.status, 502)
+            self.assertEqual(vm.process.wait(30), 0)
+
     # Guards against a request that is taken, and sent to a server, while the
     # process is already closing its parts.
     def test_a_request_that_comes_as_the_process_ends_is_not_taken(self):
@@ -109,7 +139,7 @@
                 wait_for(lambda: vm.find_lines("request", request="slow"),
                          "an answer on its way")
                 vm.signal(signal.SIGTERM)
-                time.sleep(LATE_S)
+                time.sleep(QUIET_S)
                 caller.settimeout(10)
                 answer = http.client.HTTPResponse(caller)
                 answer.begin()
