--- a/packages/net/tests/http_server_shim.c
+++ b/packages/net/tests/http_server_shim.c
@@ -61,6 +61,7 @@
     GArray *timers;    /* struct timer */
     GArray *closed;    /* struct sas_http_leftover */
     int strays;        /* abandoned, but not held */
+    int late;          /* given behind the server's close */
     uint64_t now;
 };
 
@@ -83,10 +84,12 @@
 int SasShim_GetState(const struct rig *rig, int index);
 const char *SasShim_GetEnd(const struct rig *rig, int index);
 int SasShim_CountStrays(const struct rig *rig);
+int SasShim_CountLate(const struct rig *rig);
 int SasShim_CountClosed(const struct rig *rig);
 int SasShim_GetUnanswered(const struct rig *rig, int index);
 int SasShim_CountExchanges(const struct rig *rig);
 int SasShim_CountConnections(const struct rig *rig);
+int SasShim_CountBusy(const struct rig *rig);
 int64_t SasShim_CountUnsent(struct rig *rig);
 
 uint64_t __wrap_uv_now(const uv_loop_t *loop);
@@ -235,6 +238,10 @@
 on_request(struct sas_http_handler *handler, struct sas_http_exchange *e)
 {
     struct rig *rig = (struct rig *)handler;
+    if (rig->server == NULL) {
+        rig->late++;
+        return;
+    }
     size_t size;
     const char *body = SasHttpExchange_GetBody(e, &size);
     struct given given = {
@@ -432,6 +439,12 @@
     return rig->strays;
 }
 
+int
+SasShim_CountLate(const struct rig *rig)
+{
+    return rig->late;
+}
+
 int
 SasShim_CountClosed(const struct rig *rig)
 {
@@ -457,6 +470,12 @@
     return SasHttpServer_CountConnections(rig->server);
 }
 
+int
+SasShim_CountBusy(const struct rig *rig)
+{
+    return SasHttpServer_CountBusy(rig->server);
+}
+
 static void
 add_unsent(uv_handle_t *handle, void *sum)
 {
--- a/packages/net/tests/property_http_server.py
+++ b/packages/net/tests/property_http_server.py
@@ -35,14 +35,17 @@
 get_state = declare(lib, INT, "SasShim_GetState", PTR, INT)
 get_end = declare(lib, TEXT, "SasShim_GetEnd", PTR, INT)
 count_strays = declare(lib, INT, "SasShim_CountStrays", PTR)
+count_late = declare(lib, INT, "SasShim_CountLate", PTR)
 count_closed = declare(lib, INT, "SasShim_CountClosed", PTR)
 get_unanswered = declare(lib, INT, "SasShim_GetUnanswered", PTR, INT)
 count_exchanges = declare(lib, INT, "SasShim_CountExchanges", PTR)
 count_connections = declare(lib, INT, "SasShim_CountConnections", PTR)
+count_busy = declare(lib, INT, "SasShim_CountBusy", PTR)
 count_unsent = declare(lib, I64, "SasShim_CountUnsent", PTR)
 
 HELD, ANSWERED, ABANDONED = range(3)
 HOLD, ANSWER, DRAIN, CLOSE = range(4)
+PIPELINE = 32  # SasHttpServer_MAX_PIPELINE
 RECEIVE_BUFFER = 16384
 LARGE = 200000  # more than both sockets hold
 TURNS = 500  # at the end, for what must come
@@ -111,6 +114,7 @@
         self.rig = new()
         assert self.rig
         set_limits(self.rig, *LIMITS)
+        self.idle_ms = LIMITS[-1]
         self.caller = socket.socket()
         self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                RECEIVE_BUFFER)
@@ -128,6 +132,9 @@
         # Bytes that a server which has ended its side and waited may no
         # longer take: they are answered by a reset.
         self.may_be_ending = self.sent_late = False
+        # Answers that wait for the caller to read, and since when.
+        self.unsent = self.stalled_ms = 0
+        self.is_too_slow = False
         self.sound = True
         turn_loop(self.rig)
 
@@ -262,6 +269,7 @@
     @rule(limits=st.sampled_from([LIMITS] + SMALL_LIMITS + SHORT_LIMITS))
     def change_limits(self, limits):
         self.limits_were_small |= limits in SMALL_LIMITS
+        self.idle_ms = limits[-1]
         set_limits(self.rig, *limits)
 
     @precondition(lambda self: self.fate == "closed" and self.serves())
@@ -286,8 +294,18 @@
         if not self.find_held():
             self.may_be_ending = True
             self.sent_late |= turns == 0
+        self.note_stall(ms)
         let_pass(self.rig, ms, turns)
 
+    def note_stall(self, ms):
+        """No answer moves while time passes: the caller doesn't read then."""
+        unsent = count_unsent(self.rig)
+        if unsent != self.unsent:
+            self.unsent, self.stalled_ms = unsent, 0
+        if unsent > 0:
+            self.stalled_ms += ms
+            self.is_too_slow |= 0 < self.idle_ms < self.stalled_ms
+
     # What the caller got.
 
     def take_answer(self):
@@ -352,7 +370,8 @@
 
     def may_break(self):
         """The connection may end at any byte."""
-        return self.left or not is_open(self.rig) or self.sent_late
+        return (self.left or self.is_too_slow or self.sent_late
+                or not is_open(self.rig))
 
     @invariant()
     def hold_the_rules(self):
@@ -379,18 +398,21 @@
             asked = [r.asks_close for r in self.requests[:i]]
             assert True not in asked, "given behind a wish for the close"
         assert count_strays(self.rig) == 0, "abandoned, but not held"
+        assert count_late(self.rig) == 0, "given behind the server's close"
         if self.closes():
             refused = self.answers[-1].number is None
             assert given == len(self.answers) - refused, \
                 "given behind an answer that closes"
 
     def check_counts(self):
-        """The count of what is owed is never below what is owed."""
+        """The counts are never below what is owed."""
         held = self.find_held()
         owed = count_given(self.rig) - held[0] if held else 0
-        if count_unsent(self.rig) > 0:
-            owed += 1
         assert count_exchanges(self.rig) >= owed, "owed, but not counted"
+        if owed or count_unsent(self.rig) > 0:
+            assert count_busy(self.rig) == 1, "owed, but not busy"
+        if self.closes() and not self.ended and not self.may_break():
+            assert count_busy(self.rig) == 1, "the end is still owed"
 
     def check_end(self):
         if self.may_break():
@@ -427,7 +449,7 @@
         self.hold_the_rules()
         self.sound = False
         assert self.is_done(), "a request is neither answered nor refused"
-        if not self.left:
+        if not self.may_break():
             self.check_last_answer()
         if self.ended:
             self.caller.close()
@@ -446,6 +468,9 @@
                 and len(self.answers) >= self.count_whole())
 
     def is_gone(self):
+        held = self.find_held()
+        if len(held) >= PIPELINE:  # reading waits, and the end isn't seen
+            self.answer(held[0], 200, 3)
         if is_open(self.rig):
             let_pass(self.rig, 1000, 1)
         return not is_open(self.rig) or count_connections(self.rig) == 0
