A process that was paused reads its sockets once more before it ends

Callers saw: a reset, where they had connected to an entry VM that stood still near the end of its stop (a frozen or starved machine).

Cause: the stop judges by its timer, before the sockets are read. After a pause it finds no connection though callers wait at the port.

Change: the process ends when the stop is over at two checks in a row; between them what waits is taken and served.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -62,6 +62,7 @@
     int open_handles;  /* of those above, while they are being closed */
     int64_t stop_began_at;
     struct sas_stop_plan stop_plan;
+    bool stop_was_over; /* at the check before */
     void (*reload)(void *data);
     void *reload_data;
 };
@@ -351,7 +352,12 @@
         .connections = SasHttpServer_CountConnections(callers),
         .busy = SasHttpServer_CountBusy(callers),
     };
-    if (!SasStop_IsOver(&gateway->stop_plan, since_ms, &left)) {
+    bool over = SasStop_IsOver(&gateway->stop_plan, since_ms, &left);
+    bool settled = over && gateway->stop_was_over;
+    gateway->stop_was_over = over;
+    /* After a pause of the process callers may wait at the port: the sockets
+     * are read once more before it ends. */
+    if (!settled) {
         return;
     }
     if (left.busy > 0) {
--- /dev/null
+++ b/packages/gateway/tests/test_gateway.c
@@ -0,0 +1,184 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "sas/gateway.h"
+#include "sas/http.h"
+
+#define GRACE_MS 100 /* so short that the process ends at once */
+#define TURNS 50
+
+/* A gateway whose model stays empty; every request that it takes is answered
+ * with 503. */
+struct fixture {
+    struct sas_source source;
+    struct sas_http_handler peers;
+    uv_loop_t loop;
+    struct sas_fleet *fleet;
+    struct sas_steering *steering;
+    struct sas_entry_settings settings;
+    struct sas_gateway *gateway;
+    int caller_port;
+};
+
+static void
+start_source(struct sas_source *source, struct sas_gateway *gateway)
+{
+    (void)source;
+    (void)gateway;
+    raise(SIGTERM);
+}
+
+static bool
+is_source_ready(const struct sas_source *source)
+{
+    (void)source;
+    return false;
+}
+
+static void
+stop_source(struct sas_source *source)
+{
+    (void)source;
+}
+
+static void
+refuse_peer(struct sas_http_handler *handler, struct sas_http_exchange *e)
+{
+    (void)handler;
+    SasHttpExchange_ReplyText(e, 503, "text/plain", "", NULL);
+}
+
+static const struct sas_entry_wire wire = {
+    .request_id = "Id",
+    .deadline_ms = "Deadline",
+    .object_key = "Object",
+    .seal = "Seal",
+    .target = "Target",
+    .load = "Load",
+    .not_run = "Not-Run",
+    .cold_ms = "Cold",
+    .ready_path = "/ready",
+    .lookup_path = "/resolve",
+    .lookup_zone = "zone",
+    .lookup_region = "region",
+    .lookup_addresses = "addresses",
+    .lookup_ttl_s = "ttl",
+};
+
+/* A port that is free now; the kernel gives the next one to the next who
+ * asks. */
+static int
+find_port(int type)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, type, 0);
+    assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size), 0);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+static void
+set_address(struct sas_address *address, int type)
+{
+    g_strlcpy(address->ip, "127.0.0.1", sizeof(address->ip));
+    address->port = find_port(type);
+}
+
+static void
+start(struct fixture *f)
+{
+    memset(f, 0, sizeof(*f));
+    uv_loop_init(&f->loop);
+    f->fleet = SasFleet_New();
+    SasFleet_AddZone(f->fleet, "a", "east");
+    f->steering = SasSteering_New(f->fleet);
+    f->source.start = start_source;
+    f->source.is_ready = is_source_ready;
+    f->source.stop = stop_source;
+    f->peers.on_request = refuse_peer;
+    f->source.peers = &f->peers;
+    g_strlcpy(f->settings.name, "vm", sizeof(f->settings.name));
+    g_strlcpy(f->settings.zone, "a", sizeof(f->settings.zone));
+    f->settings.memory_bytes = 1 << 28;
+    f->settings.max_descriptors = 4096;
+    f->settings.cores = 1;
+    f->settings.link_mbps = 1000;
+    f->settings.bounds.grace_ms = GRACE_MS;
+    f->settings.bounds.config_ms = 1000;
+    f->settings.bounds.lookup_ttl_ms = 1000;
+    set_address(&f->settings.caller, SOCK_STREAM);
+    set_address(&f->settings.ready, SOCK_STREAM);
+    set_address(&f->settings.lookup, SOCK_STREAM);
+    set_address(&f->settings.peer, SOCK_DGRAM);
+    struct sas_gateway_options options = {
+        .loop = &f->loop,
+        .fleet = f->fleet,
+        .settings = &f->settings,
+        .wire = &wire,
+        .source = &f->source,
+        .steering = f->steering,
+    };
+    struct sas_error error = {0};
+    f->gateway = SasGateway_Open(&options, &error);
+    assert_non_null(f->gateway);
+}
+
+static void
+stop(struct fixture *f)
+{
+    SasGateway_Close(f->gateway);
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+    uv_loop_close(&f->loop);
+    SasSteering_Free(f->steering);
+    SasFleet_Free(f->fleet);
+}
+
+/* -1: nobody listens. */
+static int
+connect_caller(const struct fixture *f)
+{
+    struct sockaddr_storage address;
+    SasHttp_GetSockaddr(&f->settings.caller, &address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(fd, (struct sockaddr *)&address, sizeof(struct sockaddr_in)) !=
+        0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+/* Guards against a request that is taken by a process that has decided to end
+ * and only runs its loop to close its parts. */
+static void
+test_a_process_that_has_ended_its_loop_takes_nothing(void **state)
+{
+    (void)state;
+    struct fixture f;
+    start(&f);
+    assert_int_equal(SasGateway_Run(f.gateway), 0);
+    int caller = connect_caller(&f);
+    for (int i = 0; i < TURNS; i++) {
+        uv_run(&f.loop, UV_RUN_NOWAIT);
+    }
+    assert_int_equal(caller, -1);
+    stop(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_a_process_that_has_ended_its_loop_takes_nothing),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
