A request that waits in its socket keeps its process from ending

Cause: a connection counted as done while bytes of its caller lay unread.

Change: it is busy, so the process reads and answers it first.

Evidence: test_a_request_that_waits_in_its_socket_is_owed: red on the code before, green with this.

--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -114,9 +114,9 @@
 int SasHttpServer_CountExchanges(const struct sas_http_server *server);
 int SasHttpServer_CountConnections(const struct sas_http_server *server);
 
-/* Connections on which something is still owed: a request that is being read
- * or has no answer, an answer whose last byte is not written, an end that the
- * caller has not seen. */
+/* Connections on which something is still owed: a request that waits to be
+ * read, is being read or has no answer, an answer whose last byte is not
+ * written, an end that the caller has not seen. */
 int SasHttpServer_CountBusy(const struct sas_http_server *server);
 
 /* One request. */
--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -247,7 +247,7 @@
 SasHttpConnection_IsBusy(const struct sas_http_connection *c)
 {
     return c->first != NULL || c->state != CONNECTION_OPEN ||
-           count_unsent(c) > 0;
+           count_unsent(c) > 0 || count_unread(c) > 0;
 }
 
 /* A caller that reads slowly is not idle as long as it reads. */
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -408,6 +408,22 @@
     stop(f);
 }
 
+/* Guards against the end of a process over a request that has come and is not
+ * read yet. */
+static void
+test_a_request_that_waits_in_its_socket_is_owed(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 0);
+    put(f, "GET /1 HTTP/1.1\r\n\r\n");
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 1);
+    spin(f);
+    reply(f, 0, "first");
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 0);
+    stop(f);
+}
+
 /* Guards against a slow head that cuts off the requests before it. */
 static void
 test_a_slow_head_cuts_off_nothing_before_it(void **state)
@@ -446,6 +462,7 @@
             test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
         cmocka_unit_test(test_draining_cuts_no_answer_off_that_is_read_slowly),
         cmocka_unit_test(test_an_idle_connection_is_not_closed_over_a_request),
+        cmocka_unit_test(test_a_request_that_waits_in_its_socket_is_owed),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
