Own mode: the last answer on a connection reaches its caller

Callers saw: while an entry VM in the project's own mode stops, an answer that broke off with a reset, when they had sent a further request behind the one that was being answered.

Cause: h2o reads nothing while a request runs, so the further one stays in the kernel; the answer closes the connection, and a socket that is closed over unread bytes is reset at once: what of the answer has not left yet is dropped.

Change: a connection that a stop ends keeps a second descriptor, so h2o's close isn't the last; the sending side is shut, what comes is read away until the caller closes, 1 s at most. The stop counts these. Its end is one step now: first no new connections, then, with nothing active or closing, no reading either, then the loop is stopped. By reading, not seen: uv_stop in a timer still lets the loop poll once, and a request of that turn passed for one of before the refusal, if h2o's cached time was of the same millisecond.

Can't act here, with a test each: a request behind a closing answer is not handed on (h2o parses it only after the answer); an answer that is read slowly is whole after the process's end (h2o counts a request until the kernel has its last byte).

--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -96,6 +96,17 @@
                SasServer_CountRequests(caller->server));
 }
 
+bool
+SasCaller_End(struct sas_caller *caller)
+{
+    SasServer_StopListening(caller->server);
+    if (SasServer_CountClosing(caller->server) > 0) {
+        return false;
+    }
+    SasServer_StopReading(caller->server);
+    return true;
+}
+
 /* Refusals. */
 
 static void
@@ -116,7 +127,7 @@
         SasServer_AddHeader(req, "retry-after", seconds);
     }
     if (caller->stopping) {
-        req->http1_is_persistent = 0;
+        SasServer_EndAfter(caller->server, req);
     }
     SasServer_Answer(req, SasReasons_GetStatus(reason), "application/json",
                      body, (size_t)size);
@@ -241,7 +252,7 @@
         req->res.content_length = (size_t)answer->length;
     }
     if (exchange->caller->stopping) {
-        req->http1_is_persistent = 0;
+        SasServer_EndAfter(exchange->caller->server, req);
     }
     exchange->generator.proceed = on_proceed;
     exchange->generator.stop = on_stop;
--- a/packages/node/src/caller.h
+++ b/packages/node/src/caller.h
@@ -33,4 +33,8 @@
  * callers. */
 int SasCaller_CountActive(const struct sas_caller *caller);
 
+/* While none is active: takes no new connection. True once the last answers
+ * have been left to their callers; from then on nothing more is read. */
+bool SasCaller_End(struct sas_caller *caller);
+
 #endif
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -214,10 +214,13 @@
         return;
     }
     SasCaller_RefuseRequests(node->caller);
+    bool late = elapsed >= node->settings->stop_limit_ms;
     if (active == 0) {
-        end_loop(node, EXIT_STOPPED);
+        if (SasCaller_End(node->caller) || late) {
+            end_loop(node, EXIT_STOPPED);
+        }
     }
-    else if (elapsed >= node->settings->stop_limit_ms) {
+    else if (late) {
         SasLog_Write(SasLog_ERROR, "node.stop", NULL,
                      "the limit is over with %d requests in progress", active);
         end_loop(node, EXIT_STOP_LIMIT);
--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -3,14 +3,18 @@
 #include <glib.h>
 #include <h2o/http1.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "sas/metrics.h"
 
 #define SWEEP_MS 50
 /* Bodies up to this size are still taken while memory is short. */
 #define SMALL_BODY 65536
+/* For so long what comes behind a closing answer is read away. */
+#define LINGER_MS 1000
 
 struct sas_server {
     uv_loop_t *loop;
@@ -25,6 +29,7 @@
     uv_timer_t sweep;
     int connections;
     GHashTable *by_socket; /* of struct connection, by h2o's socket */
+    GList *closings;       /* of struct closing */
     struct sas_metrics *metrics;
     int http_errors;
     int refused_connections;
@@ -37,12 +42,22 @@
     uv_tcp_t tcp; /* first: libuv's handle is freed as a whole */
     struct sas_server *server;
     h2o_socket_t *socket; /* h2o's; gone once the handle is closing */
+    int kept_fd;          /* a second descriptor of it; -1: none */
     size_t held_bytes;    /* of its request, as last seen */
     int64_t active_at;    /* when bytes came, or a request was running */
 };
 
+/* A connection that h2o has closed behind its last answer. */
+struct closing {
+    uv_poll_t poll; /* first: libuv's handle is freed as a whole */
+    struct sas_server *server;
+    int fd;
+    int64_t ends_at;
+};
+
 static void on_sweep(uv_timer_t *timer);
 static void on_accept(uv_stream_t *listener, int status);
+static void end_closing(struct closing *closing);
 
 static int
 on_request(h2o_handler_t *base, h2o_req_t *req)
@@ -166,6 +181,9 @@
     bool unused = server->connections == 0;
     server->closing = true;
     SasServer_StopListening(server);
+    while (server->closings != NULL) {
+        end_closing(server->closings->data);
+    }
     uv_close((uv_handle_t *)&server->sweep, on_handle_closed);
     if (server->context_open && !unused) {
         h2o_context_request_shutdown(&server->context);
@@ -176,11 +194,122 @@
     release(server, unused);
 }
 
+/* Closing behind an answer. */
+
+static void
+on_closing_closed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+end_closing(struct closing *closing)
+{
+    struct sas_server *server = closing->server;
+    server->closings = g_list_remove(server->closings, closing);
+    uv_close((uv_handle_t *)&closing->poll, on_closing_closed);
+    close(closing->fd);
+}
+
+/* True when the other end has closed it too. */
+static bool
+read_away(int fd)
+{
+    char rest[4096];
+    ssize_t count;
+    do {
+        count = recv(fd, rest, sizeof(rest), MSG_DONTWAIT);
+    } while (count > 0 || (count < 0 && errno == EINTR));
+    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+static void
+on_rest(uv_poll_t *poll, int status, int events)
+{
+    (void)events;
+    struct closing *closing = (struct closing *)poll;
+    if (status < 0 || read_away(closing->fd)) {
+        end_closing(closing);
+    }
+}
+
+/* A socket that is closed over bytes which nobody has read resets its
+ * connection, and what of the answer is still on its way is lost. */
+static void
+begin_closing(struct sas_server *server, int fd)
+{
+    shutdown(fd, SHUT_WR);
+    struct closing *closing = g_new0(struct closing, 1);
+    closing->server = server;
+    closing->fd = fd;
+    closing->ends_at = (int64_t)uv_now(server->loop) + LINGER_MS;
+    if (uv_poll_init(server->loop, &closing->poll, fd) != 0) {
+        close(fd);
+        g_free(closing);
+        return;
+    }
+    server->closings = g_list_prepend(server->closings, closing);
+    uv_poll_start(&closing->poll, UV_READABLE, on_rest);
+}
+
+static void
+end_old_closings(struct sas_server *server)
+{
+    int64_t now = (int64_t)uv_now(server->loop);
+    GList *link = server->closings;
+    while (link != NULL) {
+        struct closing *closing = link->data;
+        link = link->next;
+        if (now >= closing->ends_at) {
+            read_away(closing->fd);
+            end_closing(closing);
+        }
+    }
+}
+
+void
+SasServer_EndAfter(struct sas_server *server, h2o_req_t *req)
+{
+    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
+    struct connection *connection =
+        g_hash_table_lookup(server->by_socket, socket);
+    req->http1_is_persistent = 0;
+    if (connection != NULL && connection->kept_fd < 0) {
+        connection->kept_fd =
+            fcntl(h2o_socket_get_fd(socket), F_DUPFD_CLOEXEC, 0);
+    }
+}
+
+int
+SasServer_CountClosing(const struct sas_server *server)
+{
+    return (int)g_list_length(server->closings);
+}
+
+void
+SasServer_StopReading(struct sas_server *server)
+{
+    GHashTableIter at;
+    gpointer value;
+    g_hash_table_iter_init(&at, server->by_socket);
+    while (g_hash_table_iter_next(&at, NULL, &value)) {
+        struct connection *connection = value;
+        if (!uv_is_closing((uv_handle_t *)&connection->tcp)) {
+            h2o_socket_read_stop(connection->socket);
+        }
+    }
+}
+
+/* Connections. */
+
 static void
 on_connection_closed(uv_handle_t *handle)
 {
     struct connection *connection = (struct connection *)handle;
     connection->server->connections--;
+    if (connection->kept_fd >= 0) {
+        begin_closing(connection->server, connection->kept_fd);
+    }
     /* The memory of h2o's socket may be in use again for a new one. */
     GHashTable *table = connection->server->by_socket;
     if (g_hash_table_lookup(table, connection->socket) == connection) {
@@ -227,6 +356,7 @@
     uv_tcp_nodelay(&connection->tcp, 1);
     connection->socket = h2o_uv_socket_create((uv_stream_t *)&connection->tcp,
                                               on_connection_closed);
+    connection->kept_fd = -1;
     connection->active_at = (int64_t)uv_now(server->loop);
     g_hash_table_insert(server->by_socket, connection->socket, connection);
     h2o_accept(&server->accept, connection->socket);
@@ -325,6 +455,7 @@
     struct sas_server *server = timer->data;
     count_errors(server);
     cut_off_silent(server);
+    end_old_closings(server);
     size_t sum = 0;
     server->config.http1.callbacks.foreach_request(&server->context,
                                                    add_held_bytes, &sum);
@@ -332,7 +463,7 @@
         sum > server->limits.bodies_limit
             ? MIN(server->limits.body_limit, SMALL_BODY)
             : server->limits.body_limit;
-    if (server->connections == 0) {
+    if (server->connections == 0 && server->closings == NULL) {
         uv_timer_stop(timer);
     }
 }
--- a/packages/node/src/server.h
+++ b/packages/node/src/server.h
@@ -76,6 +76,17 @@
 /* The caller's IPv4 address in host byte order, 0 when it is another. */
 uint32_t SasServer_GetCallerIp(h2o_req_t *req, char *text, size_t text_size);
 
+/* The answer to this request is the last one on its connection. What its
+ * caller sends behind the request is read away for a moment, so that the whole
+ * answer reaches it. Before the answer is begun. */
+void SasServer_EndAfter(struct sas_server *server, h2o_req_t *req);
+
+/* Connections that are being closed so. */
+int SasServer_CountClosing(const struct sas_server *server);
+
+/* Nothing more is read, whatever the loop does before it ends. */
+void SasServer_StopReading(struct sas_server *server);
+
 /* True when the other end has closed its connection. */
 bool SasServer_IsGone(h2o_req_t *req);
 
--- a/tests/e2e/test_stopping.py
+++ b/tests/e2e/test_stopping.py
@@ -1,5 +1,7 @@
-"""A planned stop while requests are still arriving."""
+"""A planned stop while requests are still arriving, and answers still being
+read."""
 
+import http.client
 import signal
 import socket
 import unittest
@@ -9,6 +11,12 @@
 HEAD = ("POST /s/dossiers/%s HTTP/1.1\r\nHost: x\r\n"
         "Content-Length: %d\r\n\r\n")
 BODY = b"p" * 200000
+ANSWER = 200000   # bytes: more than a slow caller takes at once
+WINDOW = 4096     # bytes that such a caller takes
+
+
+def format_get(target):
+    return ("GET /s/dossiers%s HTTP/1.1\r\nHost: x\r\n\r\n" % target).encode()
 
 
 class StoppingTest(unittest.TestCase):
@@ -49,6 +57,63 @@
             self.assertIn(b'"body_bytes":%d' % len(BODY), answer)
             self.assertEqual(d.nodes["montreal-1"].wait(), 0)
 
+    def connect_slowly(self, d):
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+        caller.settimeout(30)
+        caller.connect(d.caller_address("montreal-1"))
+        return caller
+
+    def begin_stop(self, d):
+        """With a request in progress, so that it can't end yet."""
+        wait_until(lambda: d.loads()[0]["running"] +
+                   d.loads()[1]["running"] > 0, "a request in progress")
+        d.kill("montreal-1", signal.SIGTERM)
+        wait_until(lambda: d.health("montreal-1") == 503, "a stop")
+
+    def read_whole(self, caller):
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+        return answer.status, len(answer.read())
+
+    # Guards against an answer that is dropped by the end of the process while
+    # its caller still reads it.
+    def test_an_answer_that_is_read_slowly_is_whole(self):
+        with Deployment(regions=("montreal",), vms=1) as d:
+            caller = self.connect_slowly(d)
+            caller.sendall(format_get("/a?ms=600&bytes=%d" % ANSWER))
+            self.begin_stop(d)
+            self.assertEqual(d.nodes["montreal-1"].wait(), 0)
+            self.assertEqual(self.read_whole(caller), (200, ANSWER))
+
+    # Guards against an answer that is dropped because bytes of a further
+    # request came behind it: closing over them resets the connection.
+    def test_an_answer_with_a_request_behind_it_is_whole(self):
+        with Deployment(regions=("montreal",), vms=1) as d:
+            caller = self.connect_slowly(d)
+            caller.sendall(format_get("/a?ms=600&bytes=%d" % ANSWER))
+            self.begin_stop(d)
+            caller.sendall(format_get("/b"))
+            self.assertEqual(d.nodes["montreal-1"].wait(), 0)
+            self.assertEqual(self.read_whole(caller), (200, ANSWER))
+
+    # Guards against a request that is handed to a server behind an answer
+    # which closes its connection: it would be lost.
+    def test_a_request_behind_a_closing_answer_is_not_run(self):
+        with Deployment(regions=("montreal",), vms=1) as d:
+            with socket.create_connection(
+                    d.caller_address("montreal-1")) as caller:
+                caller.settimeout(30)
+                caller.sendall(format_get("/a?ms=600&bytes=10") +
+                               format_get("/b?bytes=10"))
+                self.begin_stop(d)
+                answers = caller.makefile("rb").read()
+            self.assertEqual(answers.count(b"HTTP/1.1 200 "), 1)
+            self.assertEqual(sum(row["started"]
+                                 for row in d.counts().values()), 1)
+            self.assertEqual(d.nodes["montreal-1"].wait(), 0)
+
     def is_refused(self, d):
         answer = d.request("montreal-1", "/s/dossiers/late")
         return answer if answer.reason == "stopping" else None
