Own mode: a stop waits for operators' calls that the store still has

Operators saw: a sheet put to an entry VM that is being stopped got no answer (the connection closed), though it may have taken effect.

Cause: the stop counted callers' requests and claims; a call of the admin port that waits for the store was nobody's, and the process ended under it.

Change: these calls count as active; with the end of the loop the admin port takes no connection and no call either (the loop still polls once).

--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -15,6 +15,7 @@
     struct sas_admin_parts parts;
     struct sas_server *server;
     int unauthorized;
+    int waiting; /* calls that wait for the store */
     uint64_t next_operation;
 };
 
@@ -73,6 +74,19 @@
     g_free(admin);
 }
 
+int
+SasAdmin_CountWaiting(const struct sas_admin *admin)
+{
+    return admin->waiting;
+}
+
+void
+SasAdmin_End(struct sas_admin *admin)
+{
+    SasServer_StopListening(admin->server);
+    SasServer_StopReading(admin->server);
+}
+
 /* Answering. */
 
 static void
@@ -157,6 +171,7 @@
     if (call->req != NULL) {
         call->link->call = NULL;
     }
+    call->admin->waiting--;
     g_free(call);
 }
 
@@ -187,6 +202,7 @@
     struct admin_call *call = g_new0(struct admin_call, 1);
     call->admin = admin;
     call->req = req;
+    admin->waiting++;
     call->link =
         h2o_mem_alloc_shared(&req->pool, sizeof(*call->link), on_request_gone);
     call->link->call = call;
--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -37,4 +37,10 @@
                                 struct sas_error *error);
 void SasAdmin_Close(struct sas_admin *admin);
 
+/* Calls that wait for the store, and their callers for an answer. */
+int SasAdmin_CountWaiting(const struct sas_admin *admin);
+
+/* Takes no connection and no call any more. */
+void SasAdmin_End(struct sas_admin *admin);
+
 #endif
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -196,6 +196,8 @@
 static void
 end_loop(struct sas_node *node, int status)
 {
+    /* The loop still polls once. */
+    SasAdmin_End(node->admin);
     node->exit_status = status;
     uv_stop(&node->loop);
 }
@@ -207,7 +209,8 @@
     int64_t elapsed = (int64_t)uv_now(&node->loop) - node->stopping_at;
     int active = SasForward_CountActive(node->forward) +
                  SasCaller_CountActive(node->caller) +
-                 SasClaims_CountActive(node->claims);
+                 SasClaims_CountActive(node->claims) +
+                 SasAdmin_CountWaiting(node->admin);
     /* Callers may still hold look-ups that name this VM; it serves them
      * until those have died. */
     if (elapsed < node->settings->drain_notice_ms) {
--- a/tests/e2e/test_stopping.py
+++ b/tests/e2e/test_stopping.py
@@ -6,13 +6,16 @@
 import socket
 import unittest
 
-from harness import Deployment, wait_until
+from harness import TOKEN, Deployment, wait_until
 
 HEAD = ("POST /s/dossiers/%s HTTP/1.1\r\nHost: x\r\n"
         "Content-Length: %d\r\n\r\n")
 BODY = b"p" * 200000
 ANSWER = 200000   # bytes: more than a slow caller takes at once
 WINDOW = 4096     # bytes that such a caller takes
+STORE_MS = 600    # for one access: longer than the notice, and less than what
+                  # is waited for
+HEADER = "time,service,from,to,share,cap,drain,limits\n"  # no row
 
 
 def format_get(target):
@@ -98,6 +101,21 @@
             self.assertEqual(d.nodes["montreal-1"].wait(), 0)
             self.assertEqual(self.read_whole(caller), (200, ANSWER))
 
+    # Guards against an operator's change that is dropped without an answer
+    # when the process ends while the store still takes it.
+    def test_a_change_that_waits_for_the_store_is_answered(self):
+        with Deployment(regions=("montreal",), vms=1) as d:
+            d.control_platform(delay_ms=STORE_MS)
+            change = http.client.HTTPConnection(
+                d.ip, d.vms["montreal-1"][1][2], timeout=30)
+            self.addCleanup(change.close)
+            change.request("PUT", "/v1/sheet", HEADER,
+                           {"Authorization": "Bearer " + TOKEN})
+            d.status("montreal-1")  # answered: the one before has been read
+            d.kill("montreal-1", signal.SIGTERM)
+            self.assertEqual(change.getresponse().status, 200)
+            self.assertEqual(d.nodes["montreal-1"].wait(), 0)
+
     # Guards against a request that is handed to a server behind an answer
     # which closes its connection: it would be lost.
     def test_a_request_behind_a_closing_answer_is_not_run(self):
