A kept connection that its server has closed carries no further request

Callers saw: 502 for a filing that ran nowhere, when its server had just closed the connection by plan (a leaving server, its limit for idle connections): the close lay in the kernel, unread, and the filing was sent on that connection. What may not repeat can't be sent again, since nobody can tell that it wasn't read.

Cause: whether a pooled connection is usable was asked of our own state alone, which learns of a close in a later event of the loop's turn.

Change: SasHttp_IsIdle also asks the socket (one recv with MSG_PEEK for each connection that is used again). A close that is still on the network's way can't be seen by anybody; FRESH_MS and wary_until remain for it.

--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -94,8 +94,9 @@
 void SasHttp_Pause(struct sas_http_conn *conn);
 void SasHttp_Resume(struct sas_http_conn *conn);
 
-/* State of a connection, times in loop milliseconds. HadStrayBytes: bytes
- * came that belong to no request. */
+/* State of a connection, times in loop milliseconds. IsIdle: a request may be
+ * sent on it; the socket is asked whether its peer has closed it.
+ * HadStrayBytes: bytes came that belong to no request. */
 bool SasHttp_IsIdle(const struct sas_http_conn *conn);
 bool SasHttp_HadStrayBytes(const struct sas_http_conn *conn);
 int64_t SasHttp_GetOpenedAt(const struct sas_http_conn *conn);
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #define READ_BUFFER_SIZE 65536
 
@@ -203,10 +204,23 @@
     conn->skipping = true;
 }
 
+/* Whether the peer has closed it, or sent something, which the loop has not
+ * come to yet. */
+static bool
+is_untouched(const struct sas_http_conn *conn)
+{
+    uv_os_fd_t fd;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool
 SasHttp_IsIdle(const struct sas_http_conn *conn)
 {
-    return conn->state == CONN_IDLE && conn->user == NULL;
+    return conn->state == CONN_IDLE && conn->user == NULL &&
+           is_untouched(conn);
 }
 
 bool
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -342,6 +342,52 @@
     g_string_free(client.body, TRUE);
 }
 
+static void
+answered(struct sas_http_user *user, bool whole, bool reusable)
+{
+    (void)whole;
+    struct client *client = (struct client *)user;
+    client->ends++;
+    client->reusable = reusable;
+}
+
+/* Guards against a request that is sent on a connection which its server has
+ * closed already: one that may not repeat is lost. */
+static void
+test_a_connection_that_its_server_has_closed_is_not_idle(void **state)
+{
+    (void)state;
+    static const struct sas_http_user_vtable vtable = {
+        client_head, client_body, answered, client_fail};
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    struct server server = {
+        .answer = "HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 2\r\n\r\n"
+                  "hi"};
+    start_server(&loop, &server);
+    struct client client = {
+        .user.vtable = &vtable,
+        .owner.on_closed = client_closed,
+        .server = &server,
+        .body = g_string_new(NULL),
+    };
+    struct sas_address address = {"127.0.0.1", server.port};
+    struct sas_http_request request = {.method = "GET", .target = "/"};
+    client.conn = SasHttp_Connect(&loop, &address, 5000, &client.owner);
+    SasHttp_Send(client.conn, &request, 5000, &client.user);
+    while (client.ends + client.fails == 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    assert_true(client.reusable);
+    assert_true(SasHttp_IsIdle(client.conn));
+    stop_server(&server); /* closes at once; the loop doesn't run */
+    assert_false(SasHttp_IsIdle(client.conn));
+    uv_run(&loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&loop), 0);
+    assert_int_equal(client.closes, 1);
+    g_string_free(client.body, TRUE);
+}
+
 static void
 test_refused_connection_sent_nothing(void **state)
 {
@@ -373,6 +419,8 @@
         cmocka_unit_test(test_late_bytes_end_the_connection),
         cmocka_unit_test(test_informational_answers_are_skipped),
         cmocka_unit_test(test_a_paused_answer_leaves_the_connection_readable),
+        cmocka_unit_test(
+            test_a_connection_that_its_server_has_closed_is_not_idle),
         cmocka_unit_test(test_refused_connection_sent_nothing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -1,11 +1,12 @@
 #!/usr/bin/python3
 """An entry VM on the platform: routes, whole answers, what may be repeated."""
 
+import os
 import threading
 import unittest
 
-from entry_harness import (Fleet, HOST, ID, SEAL, exchange, socket, time,
-                           wait_for)
+from entry_harness import (Fleet, HOST, ID, SEAL, exchange, signal, socket,
+                           time, wait_for)
 
 
 def read_answers(connection, count):
@@ -26,10 +27,10 @@
     return answers
 
 
-def format_request(path, request_id):
-    return ("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
+def format_request(path, request_id, method="GET"):
+    return ("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: 0\r\n"
             "X-Sassafrassill-Deadline-Ms: 8000\r\n\r\n" %
-            (path, HOST, ID, request_id)).encode()
+            (method, path, HOST, ID, request_id)).encode()
 
 
 class EntryRequests(unittest.TestCase):
@@ -169,6 +170,35 @@
                 self.assertEqual(answer.status, 200)
             self.assertEqual(vm.find_lines("server.tripped"), [])
 
+    # Guards against a filing that is sent on a connection which its server,
+    # going by plan, has just closed: it runs nowhere and its caller is told
+    # that it may have run.
+    def test_a_filing_avoids_a_connection_that_its_server_has_closed(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            with socket.create_connection(vm.address()) as caller:
+                caller.settimeout(30)
+                # Which of the two it sees first is up to the kernel.
+                for n in range(12):
+                    self.file_as_the_server_closes(vm, worker, caller, n)
+
+    def file_as_the_server_closes(self, vm, worker, caller, n):
+        """Both the filing and the close come while the entry VM stands
+        still."""
+        caller.sendall(format_request("/forms/1", "l%d" % n))
+        self.assertEqual(read_answers(caller, 1)[0][0], 200)
+        vm.signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, vm.process.pid, os.WSTOPPED)
+        caller.sendall(format_request("/filings/2", "f%d" % n, "POST"))
+        for connection in list(worker.connections):
+            connection.shutdown(socket.SHUT_RDWR)
+        wait_for(lambda: not worker.connections, "closed connections")
+        vm.signal(signal.SIGCONT)
+        self.assertEqual(read_answers(caller, 1)[0][0], 200)
+        self.assertEqual(worker.ids()[-1], "f%d" % n)
+
     def test_a_request_that_crashes_servers_is_sent_no_more(self):
         """One look-up crashes each server that begins it, and its caller
         sends it again, to any entry VM. Two servers go down before it is
