Own mode: a request at the limit of a stop is told, not cut off

Callers saw: a connection that closed with neither an answer nor a refusal, when their request outlasted stop_limit_ms. The settings' check covers the services' deadline_ms; a caller's own Sas-Deadline-Ms may be longer.

Cause: at its limit the stop ended the loop over the requests in progress.

Change: at the limit the attempts are cancelled and callers without any part of an answer get 502 `lost`, `unknown`; the process ends with the next tick. An answer that has begun is still cut, visibly, and an upload that is still arriving: it was not run.

--- a/packages/node/src/caller.c
+++ b/packages/node/src/caller.c
@@ -301,6 +301,32 @@
     .on_abort = reply_on_abort,
 };
 
+/* Before any part of an answer is out. */
+static void
+abandon(struct exchange *exchange, enum sas_refusal reason)
+{
+    struct sas_forward_call *call = exchange->call;
+    exchange->call = NULL;
+    exchange->begun = true;
+    SasForward_Cancel(call);
+    exchange->req->http1_is_persistent = 0;
+    answer_refusal(exchange->caller, exchange->req, reason,
+                   SAS_OUTCOME_UNKNOWN, 0);
+}
+
+void
+SasCaller_Abandon(struct sas_caller *caller)
+{
+    GList *link = caller->exchanges;
+    while (link != NULL) {
+        struct exchange *exchange = link->data;
+        link = link->next;
+        if (!exchange->begun) {
+            abandon(exchange, SAS_REFUSE_LOST);
+        }
+    }
+}
+
 /* h2o does not read while a request is in progress, so it does not see that
  * its caller has gone. Without this look at the socket a backend server
  * would work on for nobody. */
@@ -312,16 +338,9 @@
     while (link != NULL) {
         struct exchange *exchange = link->data;
         link = link->next;
-        if (exchange->begun || !SasServer_IsGone(exchange->req)) {
-            continue;
+        if (!exchange->begun && SasServer_IsGone(exchange->req)) {
+            abandon(exchange, SAS_REFUSE_CALLER_GONE);
         }
-        struct sas_forward_call *call = exchange->call;
-        exchange->call = NULL;
-        exchange->begun = true;
-        SasForward_Cancel(call);
-        exchange->req->http1_is_persistent = 0;
-        answer_refusal(caller, exchange->req, SAS_REFUSE_CALLER_GONE,
-                       SAS_OUTCOME_UNKNOWN, 0);
     }
 }
 
--- a/packages/node/src/caller.h
+++ b/packages/node/src/caller.h
@@ -33,6 +33,10 @@
  * callers. */
 int SasCaller_CountActive(const struct sas_caller *caller);
 
+/* At a stop's limit: requests without an answer are ended, and their callers
+ * told that they may have run. The answers need a turn of the loop. */
+void SasCaller_Abandon(struct sas_caller *caller);
+
 /* While none is active: takes no new connection. True once the last answers
  * have been left to their callers; from then on nothing more is read. */
 bool SasCaller_End(struct sas_caller *caller);
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -63,6 +63,7 @@
     uv_signal_t signals[3];
     uv_timer_t stop_timer;
     int64_t stopping_at; /* 0: not stopping */
+    bool abandoned;      /* requests, at the stop's limit */
     int exit_status;
 };
 
@@ -218,15 +219,15 @@
     }
     SasCaller_RefuseRequests(node->caller);
     bool late = elapsed >= node->settings->stop_limit_ms;
-    if (active == 0) {
-        if (SasCaller_End(node->caller) || late) {
-            end_loop(node, EXIT_STOPPED);
-        }
-    }
-    else if (late) {
+    if (late && active > 0 && !node->abandoned) {
         SasLog_Write(SasLog_ERROR, "node.stop", NULL,
                      "the limit is over with %d requests in progress", active);
-        end_loop(node, EXIT_STOP_LIMIT);
+        node->abandoned = true;
+        SasCaller_Abandon(node->caller);
+        return; /* ends with the next tick, when the answers are out */
+    }
+    if (late || (active == 0 && SasCaller_End(node->caller))) {
+        end_loop(node, node->abandoned ? EXIT_STOP_LIMIT : EXIT_STOPPED);
     }
 }
 
--- a/tests/e2e/test_leaving.py
+++ b/tests/e2e/test_leaving.py
@@ -156,6 +156,26 @@
         except OSError:
             pass
 
+    # Guards against requests that the limit of a stop cuts off without a
+    # word: a deadline may be longer than the limit.
+    def test_a_request_at_the_limit_of_a_stop_is_told(self):
+        with Deployment(regions=("montreal",), vms=1,
+                        services={"dossiers": {"deadline_ms": 500}},
+                        limits={"drain_notice_ms": 100,
+                                "stop_limit_ms": 700}) as d:
+            answers = []
+            thread = threading.Thread(target=lambda: answers.append(
+                d.request("montreal-1", "/s/dossiers/x?fault=hang", "POST",
+                          Sas_Deadline_Ms=60000)))
+            thread.start()
+            wait_until(lambda: sum(row["started"] for row in
+                                   d.counts().values()) > 0, "it runs")
+            d.kill("montreal-1", signal.SIGTERM)
+            self.assertEqual(d.nodes["montreal-1"].wait(), 3)
+            thread.join()
+            self.assertEqual([(one.status, one.outcome) for one in answers],
+                             [(502, "unknown")])
+
 
 if __name__ == "__main__":
     unittest.main()
