--- a/tests/e2e/test_entry_platform.py
+++ b/tests/e2e/test_entry_platform.py
@@ -57,6 +57,31 @@
             self.assertEqual(answers[0].status, 200)
             self.assertEqual(len(worker.ran), 1)
 
+    # Guards against requests that are dropped when the row of their server
+    # goes while they run, also those that may not repeat.
+    def test_a_removed_server_ends_its_work(self):
+        with Fleet(vms=("a",)) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            worker.held.clear()
+            statuses = []
+            requests = [threading.Thread(
+                target=lambda m=method, p=path: statuses.append(
+                    vm.request(m, p, deadline_ms=9000).status))
+                for method, path in (("GET", "/forms/1"),
+                                     ("POST", "/filings/1"))]
+            for request in requests:
+                request.start()
+            wait_for(lambda: len(worker.ran) == 2, "both in progress")
+            fleet.store.remove("servers", "d1")
+            wait_for(lambda: vm.request(path="/forms/2", deadline_ms=200)
+                     .status == 503, "no server")
+            worker.held.set()
+            for request in requests:
+                request.join()
+            self.assertEqual(statuses, [200, 200])
+
     def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back(self):
         with Fleet(vms=("a",)) as fleet:
             worker = fleet.add_worker("d1", zone="a")
