--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,7 +42,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "e2e"))
 
 from entry_harness import (Fleet, HOST, ID, SEAL, exchange,  # noqa: E402
-                           signal, wait_for)
+                           hold_signals, signal, wait_for)
 from proxy import Proxy  # noqa: E402
 
 SERVERS = 6
@@ -255,7 +255,11 @@
         if offset:
             self.log("%s starts with a clock off by %d ms" % (vm.name,
                                                               offset))
-        vm.start()
+        # A reload may come at any moment. Until main runs only whoever starts
+        # the process can keep it from ending by that.
+        with hold_signals(signal.SIGHUP, signal.SIGTERM):
+            vm.start()
+        vm.signal(signal.SIGHUP)
 
     def put_sheet(self):
         """Two operators may do so at the same moment."""
