Platform mode: a stop waits for operators' calls that the store still has

Cause: the gateway knows callers' requests only; the operators' port was closed over calls that wait for the store.

Change: after the gateway's end the loop goes on, with no new call taken, until the calls are answered, 600 ms at most: the gateway leaves at least 900 ms before SIGKILL. This is one more constant beside the bound: a stop planned from grace-s should give the time instead.

Found by the same test, and older: with an operator's connection open at the end the process of a sanitizer's build ended with 1 (h2o's handles keep the loop's memory, which was reachable only from the stack); a connection that merely rests was enough. The state is static now, as the memory is kept until the exit by intent (server.c, release()).

--- a/packages/node/src/live.c
+++ b/packages/node/src/live.c
@@ -21,6 +21,9 @@
  * 15 us a line the log takes under 1% of its core share. */
 #define LOG_LINES_PER_S 200
 
+/* Of what the gateway leaves of the time before SIGKILL, at least 900 ms. */
+#define CHANGES_MS 600
+
 #define TOKEN_VARIABLE "SASSAFRASSILL_OPERATOR_TOKEN"
 #define PEER_KEY_VARIABLE "SASSAFRASSILL_PEER_KEY"
 
@@ -161,6 +164,17 @@
     return live->sheet != NULL ? 0 : -1;
 }
 
+/* Callers have had their answers; an operator may still wait for one. */
+static void
+await_changes(struct live *live)
+{
+    int64_t ends_at = (int64_t)uv_now(&live->loop) + CHANGES_MS;
+    while (SasLiveSheet_End(live->sheet) > 0 &&
+           (int64_t)uv_now(&live->loop) < ends_at) {
+        uv_run(&live->loop, UV_RUN_ONCE);
+    }
+}
+
 static void
 close_all(struct live *live)
 {
@@ -188,6 +202,7 @@
     SasSignals_Release();
     int status = SasGateway_Run(live->gateway);
     SasSignals_Hold();
+    await_changes(live);
     close_all(live);
     return status;
 }
@@ -195,7 +210,10 @@
 int
 SasLive_Run(const char *settings_path, bool check)
 {
-    struct live live = {.path = settings_path};
+    /* Not on the stack: with an operator's connection open at the end the HTTP
+     * library keeps handles, and the loop its memory, until the exit. */
+    static struct live live;
+    live.path = settings_path;
     struct sas_error error = {0};
     if (load(&live, &error) != 0) {
         fprintf(stderr, "sassafrassilld: %s\n", error.text);
--- a/packages/node/src/live_sheet.c
+++ b/packages/node/src/live_sheet.c
@@ -265,6 +265,16 @@
     g_free(sheet);
 }
 
+int
+SasLiveSheet_End(struct sas_live_sheet *sheet)
+{
+    if (sheet->admin == NULL) {
+        return 0;
+    }
+    SasAdmin_End(sheet->admin);
+    return SasAdmin_CountWaiting(sheet->admin);
+}
+
 void
 SasLiveSheet_Close(struct sas_live_sheet *sheet)
 {
--- a/packages/node/src/live_sheet.h
+++ b/packages/node/src/live_sheet.h
@@ -38,4 +38,7 @@
                   struct sas_error *error);
 void SasLiveSheet_Close(struct sas_live_sheet *sheet);
 
+/* Takes no call of operators any more; how many wait for the store. */
+int SasLiveSheet_End(struct sas_live_sheet *sheet);
+
 #endif
--- a/tests/e2e/test_entry_sheet.py
+++ b/tests/e2e/test_entry_sheet.py
@@ -1,6 +1,7 @@
 """The operators' sheet on the users' platform: entry VMs learn services and
 servers at run time, and the sheet lives in tables of its own in the store."""
 
+import http.client
 import os
 import subprocess
 import sys
@@ -9,9 +10,11 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, HERE)
 
-from entry_harness import BUILD, Fleet, exchange, wait_for  # noqa: E402
+from entry_harness import (BUILD, Fleet, exchange, signal,  # noqa: E402
+                           time, wait_for)
 
 TOKEN = "a-token-of-operators"
+EMPTY_S = 2.8  # after SIGTERM: without connections the process ends
 HEADER = "time,service,from,to,share,cap,drain,limits\n"
 EVERYTHING_WEST = HEADER + "+0,desk,east,west,100%,,,\n"
 
@@ -138,6 +141,28 @@
                                  for vm in fleet.vms), "one is left out")
             self.assertEqual(fleet.vms[1].request().status, 200)
 
+    # Guards against a change that is dropped without an answer when the
+    # process ends while the store still takes it.
+    def test_a_change_that_comes_as_the_process_ends_is_answered(self):
+        with SheetFleet(vms=("a",)) as fleet:
+            fleet.start()
+            vm = fleet.vms[0]
+            change = http.client.HTTPConnection(*vm.address("control"),
+                                                timeout=30)
+            self.addCleanup(change.close)
+            fields = {"Authorization": "Bearer " + TOKEN}
+            change.request("GET", "/v1/status", headers=fields)
+            change.getresponse().read()
+            vm.signal(signal.SIGTERM)
+            wait_for(lambda: vm.find_lines("process.stopping"), "a stop")
+            # It is read when the stop is just about to end.
+            vm.signal(signal.SIGSTOP)
+            change.request("PUT", "/v1/sheet", EVERYTHING_WEST, fields)
+            time.sleep(EMPTY_S)
+            vm.signal(signal.SIGCONT)
+            self.assertEqual(change.getresponse().status, 200)
+            self.assertEqual(vm.process.wait(30), 0)
+
     def test_bad_calls_change_nothing_and_say_why(self):
         with SheetFleet(("a", "b")) as fleet:
             fleet.vms[1].environment = {}
