Soak: callers that come with new connections while an entry VM stops

Cause: few requests came in the last second of a stop, so what is taken too late was not exercised. Change: two such callers, some of their look-ups with long work; a request that is read late and left without an answer is a violation too.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,8 +6,10 @@
                 it reads late and in small pieces
     Keeper      uses a kept connection again at once, or after resting for up
                 to the idle limit and a little more
+    Opener      a new connection for each request, some with long work, and
+                mostly at entry VMs that stop: it keeps an old look-up
 
-Each keeps its connection until an answer closes it or it fails.
+Each other one keeps its connection until an answer closes it or it fails.
 """
 
 import collections
@@ -33,6 +35,7 @@
 SMALL_SEGMENT = 1400  # a large one makes the sender's buffer megabytes
 GRACE_S = 6
 LATEST_SENT_S = 3  # after SIGTERM: what is sent later may not be cut at all
+LOSS_S = 0.5  # the platform's loss-slack-ms, and what a caller may be late
 
 
 class Sent:
@@ -171,6 +174,9 @@
     def rest(self):
         time.sleep(self.rng.uniform(0.01, 0.08))
 
+    def pick_vm(self):
+        return self.rng.choice(self.soak.fleet.vms)
+
     def run(self):
         while not self.soak.over:
             self.step(self.rng.randint(1, self.DEPTH))
@@ -183,7 +189,7 @@
         """Sends so many, where there is room for them, and reads one answer;
         without any to send, all that are left."""
         if self.connection is None:
-            self.vm = self.rng.choice(self.soak.fleet.vms)
+            self.vm = self.pick_vm()
         waiting = self.connection.waiting if self.connection else ()
         requests = [self.draw()
                     for _ in range(min(count, self.DEPTH - len(waiting)))]
@@ -260,6 +266,25 @@
             time.sleep(max(0, limit_s + self.rng.uniform(-0.4, 0.4)))
 
 
+class Opener(Caller):
+    HOW = "fresh"
+
+    def pick_vm(self):
+        stopping = list(self.soak.stopping)
+        if stopping and self.rng.random() < 0.7:
+            return self.rng.choice(stopping)
+        return super().pick_vm()
+
+    def draw(self):
+        if self.rng.random() > 0.1:
+            return super().draw()
+        return Sent(self.vm, self.rng.choice(sorted(LONG)), None, self.HOW)
+
+    def rest(self):
+        self.end(False)
+        time.sleep(self.rng.uniform(0, 0.03))
+
+
 # What is promised while all that happens is planned.
 
 
@@ -285,8 +310,13 @@
         return "has neither an answer nor an end"
     if sent.status in NOT_RUN and ran:
         return "was refused with %d and ran" % sent.status
-    if sent.status is None and ran and not is_cut_by_limit(sent, ran, stops):
+    if sent.status is not None or is_cut_by_limit(sent, ran, stops):
+        return None
+    if ran:
         return "ran and has no answer"
+    if sent.connected and not sent.second and \
+            sent.ended_at - sent.at > LOSS_S:
+        return "was left without an answer"
     return None
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,13 +48,13 @@
 from entry_harness import (Fleet, exchange, signal,  # noqa: E402
                            wait_for)
 from callers import (Caller, GRACE_S, Keeper, LARGE, LONG,  # noqa: E402
-                     NOT_RUN, POISON, Pipeliner, SlowReader, describe,
-                     explain_loss)
+                     NOT_RUN, Opener, POISON, Pipeliner, SlowReader,
+                     describe, explain_loss)
 from proxy import Proxy  # noqa: E402
 
 SERVERS = 6
 CALLERS = [Caller] * 6 + [Pipeliner] * 3 + \
-    [SlowReader] * 2 + [Keeper] * 3
+    [SlowReader] * 2 + [Keeper] * 3 + [Opener] * 2
 TARGET = "x-sassafrassill-target-instance"
 STOP_CLEAR_S = 4  # nothing else near a stop, before and after
 # Crashes that a request may still cause after its third: what was on its way
@@ -83,6 +83,7 @@
         self.over = False
         self.events = []
         self.stops = []     # (vm, from, to)
+        self.stopping = []  # vms, for now
         self.troubles = []  # (from, to) of all that is unplanned
         self.lock = threading.Lock()
         self.exits = []
@@ -245,12 +246,14 @@
         began = time.monotonic()
         self.log("stop " + vm.name)
         vm.signal(signal.SIGTERM)
+        self.stopping.append(vm)
         if self.rng.random() < 0.3:
             vm.signal(signal.SIGTERM)
         if self.planned and self.rng.random() < 0.3:
             self.hup_while_it_stops(vm)
         code = vm.process.wait(30)
         self.stops.append((vm, began, time.monotonic()))
+        self.stopping.remove(vm)
         if code != 0:
             self.exits.append((vm.name, code))
         self.start_again(vm)
