--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -25,6 +25,9 @@
 /* What a caller is told where nothing is known of when it will be better. */
 #define SasRelay_RETRY_AFTER_MS 200
 
+/* Other entry VMs can serve it now. */
+#define SasRelay_ELSEWHERE_MS 1
+
 /* Where neither the caller nor the route states a limit. */
 #define SasRelay_DEFAULT_DEADLINE_MS 30000
 
@@ -59,7 +62,9 @@
     struct sas_suspects *suspects;
     struct sas_objects *objects;
     int ends[SAS_HTTP_END_COUNT]; /* counters of connections */
-    bool stopping;
+    GQueue calls;                 /* struct relay_call *, by their links */
+    struct sas_stop_plan stop;
+    int64_t stop_began_at; /* 0: it goes on */
 };
 
 /* An answer that is whole. */
@@ -73,6 +78,7 @@
 struct relay_call {
     struct sas_http_user user; /* of the current attempt's connection */
     struct sas_relay *relay;
+    GList link; /* among the relay's calls */
     struct sas_http_exchange *exchange;
     struct sas_fleet_config *config;
     const struct sas_route *route;
--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -29,12 +29,15 @@
         self.vm = vm
         self.deadline_ms = deadline_ms
         self.status = None  # None: neither an answer nor a refusal
+        self.retry_s = None
         self.start()
 
     def run(self):
         try:
-            self.status = self.vm.request(
-                path="/forms/late", deadline_ms=self.deadline_ms).status
+            answer = self.vm.request(path="/forms/late",
+                                     deadline_ms=self.deadline_ms)
+            self.status = answer.status
+            self.retry_s = float(answer.headers.get("Retry-After", "inf"))
         except (OSError, http.client.HTTPException):
             pass
 
@@ -72,10 +75,42 @@
             server.held.set()
             late.join()
             self.assertIn(late.status, (200, 503))
+            if late.status == 503:
+                self.assertLess(late.retry_s, 0.01)
+
+    # Guards against a refusal of what still has time: a late request whose own
+    # limit ends before the process does.
+    def test_a_late_request_with_a_short_limit_is_served(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.add_worker("v1", service="vault")
+            fleet.start()
+            self.stop_with_an_upload(fleet)
+            time.sleep(LATE_S)
+            late = Late(fleet.vms[0], deadline_ms=1000)
+            late.join()
+            fleet.workers["v1"].held.set()
+            self.assertEqual(late.status, 200)
+
+    # Guards against a connection that just closes at the end of a stop, where
+    # its caller could be told.
+    def test_what_runs_at_the_end_of_a_stop_gets_an_answer(self):
+        with Fleet(vms=("a",)) as fleet:
+            server = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            server.held.clear()
+            long = Late(vm, deadline_ms=20000)
+            wait_for(lambda: server.ran, "a request in progress")
+            vm.signal(signal.SIGTERM)
+            long.join()
+            self.assertEqual(long.status, 502)
+            self.assertEqual(vm.process.wait(30), 0)
 
     # Guards against a request that is taken, and sent to a server, while the
-    # process is already closing its parts.
-    def test_a_request_that_comes_as_the_process_ends_is_not_taken(self):
+    # process is already closing its parts; and against a reset for callers
+    # that wait at the port of a process that was paused.
+    def test_a_request_that_comes_as_the_process_ends_is_answered(self):
         with Fleet(vms=("a",)) as fleet:
             server = fleet.add_worker("d1")
             fleet.start()
@@ -92,8 +127,7 @@
             time.sleep(0.5)
             server.held.set()
             late.join()
-            if late.status is None:
-                self.assertEqual(server.ran, [])
+            self.assertEqual(late.status, 200)
             self.assertEqual(vm.process.wait(30), 0)
 
     # Guards against an answer that is dropped by the end of the process, or by
