--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -8,6 +8,7 @@
 #include "sas/http_server.h"
 
 #define MAX_HELD 16
+#define SWEEP_US 600000 /* longer than two sweeps are apart */
 #define LARGE_BODY ((size_t)12 * 1024 * 1024) /* more than sockets hold */
 
 /* Holds exchanges back until the test answers them. */
@@ -17,6 +18,7 @@
     struct sas_http_server *server;
     struct sas_http_exchange *held[MAX_HELD];
     int held_count;
+    bool refuses_next; /* the next request, as soon as it comes */
     int abandoned;
     uv_tcp_t client;
     uv_connect_t connect;
@@ -30,6 +32,10 @@
 {
     struct fixture *f = (struct fixture *)handler;
     f->held[f->held_count++] = e;
+    if (f->refuses_next) {
+        f->refuses_next = false;
+        SasHttpExchange_ReplyText(e, 503, "text/plain", "", NULL);
+    }
 }
 
 static void
@@ -319,6 +325,25 @@
     stop(f);
 }
 
+/* Guards against a request that comes in one piece with one that is refused
+ * at once, and is cut off by the refusal. */
+static void
+test_draining_cuts_no_request_off_behind_a_refusal(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    SasHttpServer_Drain(f->server, LONG_MS);
+    f->refuses_next = true;
+    say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    assert_int_equal(f->abandoned, 0);
+    assert_int_equal(f->held_count, 2);
+    reply(f, 1, "second");
+    assert_non_null(strstr(f->got->str, " 503 "));
+    assert_non_null(strstr(f->got->str, "second"));
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
 /* Guards against a reset that overtakes an answer: a close while bytes of the
  * caller are unread. */
 static void
@@ -333,6 +358,53 @@
     assert_non_null(strstr(f->got->str, "first"));
     assert_int_equal(f->end, UV_EOF);
     assert_int_equal(f->held_count, 1);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 1);
+    uv_close((uv_handle_t *)&f->client, NULL);
+    spin(f);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 0);
+    stop(f);
+}
+
+/* Guards against an answer that is cut off by the idle limit of a stop while
+ * its caller reads it. */
+static void
+test_draining_cuts_no_answer_off_that_is_read_slowly(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    uv_read_stop((uv_stream_t *)&f->client);
+    g_autofree char *body = g_strnfill(LARGE_BODY, 'x');
+    reply(f, 0, body);
+    assert_int_equal(SasHttpServer_CountExchanges(f->server), 0);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 1);
+    SasHttpServer_Drain(f->server, 1);
+    for (int i = 0; i < 20; i++) {
+        spin(f);
+    }
+    uv_read_start((uv_stream_t *)&f->client, on_alloc, on_read);
+    spin_until_end(f);
+    assert_true(f->got->len > LARGE_BODY);
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
+/* Guards against a request that is there already, and is reset by the idle
+ * limit instead of being read. */
+static void
+test_an_idle_connection_is_not_closed_over_a_request(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    reply(f, 0, "first");
+    SasHttpServer_Drain(f->server, 1);
+    put(f, "GET /2 HTTP/1.1\r\n\r\n");
+    g_usleep(SWEEP_US);
+    spin(f);
+    assert_int_equal(f->held_count, 2);
+    reply(f, 1, "second");
+    assert_non_null(strstr(f->got->str, "second"));
     stop(f);
 }
 
@@ -369,8 +441,11 @@
             test_draining_cuts_no_request_off_behind_a_closing_answer),
         cmocka_unit_test(
             test_nothing_is_handed_out_once_a_closing_answer_is_being_sent),
+        cmocka_unit_test(test_draining_cuts_no_request_off_behind_a_refusal),
         cmocka_unit_test(
             test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
+        cmocka_unit_test(test_draining_cuts_no_answer_off_that_is_read_slowly),
+        cmocka_unit_test(test_an_idle_connection_is_not_closed_over_a_request),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
