--- a/packages/gateway/tests/test_gateway.c
+++ b/packages/gateway/tests/test_gateway.c
@@ -12,6 +12,7 @@
 
 #define GRACE_MS 100 /* so short that the process ends at once */
 #define TURNS 50
+#define MAX_DRAWS 100 /* of a port */
 
 /* A gateway whose model stays empty; every request that it takes is answered
  * with 503. */
@@ -71,26 +72,44 @@
     .lookup_ttl_s = "ttl",
 };
 
-/* A port that is free now; the kernel gives the next one to the next who
- * asks. */
+/* A port that is free for TCP and UDP. Its sockets stay open, so that the
+ * kernel doesn't give it to the next who asks. */
 static int
-find_port(int type)
+hold_port(int held[2])
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    int fd = socket(AF_INET, type, 0);
-    assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-    assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size), 0);
-    close(fd);
-    return ntohs(address.sin_port);
+    for (int i = 0; i < MAX_DRAWS; i++) {
+        address.sin_port = 0;
+        held[0] = socket(AF_INET, SOCK_STREAM, 0);
+        held[1] = socket(AF_INET, SOCK_DGRAM, 0);
+        assert_int_equal(bind(held[0], (struct sockaddr *)&address, size), 0);
+        getsockname(held[0], (struct sockaddr *)&address, &size);
+        if (bind(held[1], (struct sockaddr *)&address, size) == 0) {
+            return ntohs(address.sin_port);
+        }
+        close(held[0]);
+        close(held[1]);
+    }
+    fail_msg("no port is free for both");
+    return 0;
 }
 
 static void
-set_address(struct sas_address *address, int type)
+find_ports(struct sas_entry_settings *settings)
 {
-    g_strlcpy(address->ip, "127.0.0.1", sizeof(address->ip));
-    address->port = find_port(type);
+    struct sas_address *addresses[] = {&settings->caller, &settings->ready,
+                                       &settings->lookup, &settings->peer};
+    int held[G_N_ELEMENTS(addresses)][2];
+    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        g_strlcpy(addresses[i]->ip, "127.0.0.1", sizeof(addresses[i]->ip));
+        addresses[i]->port = hold_port(held[i]);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        close(held[i][0]);
+        close(held[i][1]);
+    }
 }
 
 static void
@@ -115,10 +134,7 @@
     f->settings.bounds.grace_ms = GRACE_MS;
     f->settings.bounds.config_ms = 1000;
     f->settings.bounds.lookup_ttl_ms = 1000;
-    set_address(&f->settings.caller, SOCK_STREAM);
-    set_address(&f->settings.ready, SOCK_STREAM);
-    set_address(&f->settings.lookup, SOCK_STREAM);
-    set_address(&f->settings.peer, SOCK_DGRAM);
+    find_ports(&f->settings);
     struct sas_gateway_options options = {
         .loop = &f->loop,
         .fleet = f->fleet,
