An answer is owed until its caller has it, not until the kernel does

Callers saw: a reset in the middle of an answer that they read slowly, when they had sent a further request in the meantime.

Cause: what the kernel holds counted as written. The half second for a caller's own end ran while it still read, and the close behind it, with a request unread, reset what was left. The idle limit judged progress by this process's own queue, which moves in large steps.

Change: the bytes that the caller has not acknowledged count as unsent (SIOCOUTQ), for the end behind a closing answer, for the idle limit and for the end of the process.

--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -1,5 +1,7 @@
 #include "http_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define READ_BUFFER_SIZE 65536
@@ -38,7 +40,7 @@
 settle(struct sas_http_connection *c)
 {
     c->state = CONNECTION_SETTLING;
-    c->settle_until = (int64_t)uv_now(c->server->loop) + SETTLE_MS;
+    c->active_at = (int64_t)uv_now(c->server->loop);
     if (uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) != 0) {
         SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
     }
@@ -143,10 +145,19 @@
     return e->given && e->answer == NULL;
 }
 
+/* Bytes of answers that the caller has not got, in this process or the
+ * kernel. */
 static size_t
 count_unsent(const struct sas_http_connection *c)
 {
-    return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
+    uv_os_fd_t fd;
+    int held = 0;
+    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+        ioctl(fd, SIOCOUTQ, &held) != 0 || held < 0) {
+        held = 0;
+    }
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) +
+           (size_t)held;
 }
 
 static size_t
@@ -250,23 +261,24 @@
            count_unsent(c) > 0 || count_unread(c) > 0;
 }
 
-/* A caller that reads slowly is not idle as long as it reads. */
-static void
-note_progress(struct sas_http_connection *c, int64_t now_ms)
+/* How long it may rest. 0: for ever. */
+static int64_t
+get_rest_limit(const struct sas_http_connection *c)
 {
-    size_t unsent = count_unsent(c);
-    if (unsent != c->unsent_seen) {
-        c->unsent_seen = unsent;
-        c->active_at = now_ms;
+    const struct sas_http_server *server = c->server;
+    bool short_rest = server->draining || c->state == CONNECTION_SETTLING;
+    if (!short_rest || count_unsent(c) > 0) {
+        return server->limits.idle_ms;
     }
+    return c->state == CONNECTION_SETTLING ? SETTLE_MS : server->drain_idle_ms;
 }
 
-static int64_t
-get_idle_limit(const struct sas_http_connection *c)
+static bool
+is_idle(const struct sas_http_connection *c, int64_t now_ms)
 {
-    const struct sas_http_server *server = c->server;
-    return server->draining && count_unsent(c) == 0 ? server->drain_idle_ms
-                                                    : server->limits.idle_ms;
+    int64_t limit_ms = get_rest_limit(c);
+    return c->first == NULL && limit_ms > 0 &&
+           now_ms - c->active_at > limit_ms;
 }
 
 static bool
@@ -276,36 +288,36 @@
            now_ms - c->head_since > c->server->limits.header_ms;
 }
 
+/* A caller that reads slowly is not idle as long as it reads. */
 static bool
-is_idle(const struct sas_http_connection *c, int64_t now_ms)
+has_progressed(struct sas_http_connection *c, int64_t now_ms)
 {
-    int64_t limit_ms = get_idle_limit(c);
-    return c->first == NULL && limit_ms > 0 &&
-           now_ms - c->active_at > limit_ms;
+    size_t unsent = count_unsent(c);
+    if (unsent == c->unsent_seen) {
+        return false;
+    }
+    c->unsent_seen = unsent;
+    c->active_at = now_ms;
+    return true;
 }
 
 void
 SasHttpConnection_Sweep(struct sas_http_connection *c, int64_t now_ms)
 {
-    if (c->state == CONNECTION_SETTLING) {
-        if (now_ms >= c->settle_until) {
-            SasHttpConnection_Close(c, SAS_HTTP_END_ANSWER);
-        }
-        return;
-    }
-    note_progress(c, now_ms);
     bool head_late = is_head_late(c, now_ms);
     if (!head_late && !is_idle(c, now_ms)) {
         return;
     }
-    if (count_unread(c) > 0) {
-        return; /* it has come; this side was slow */
+    if (count_unread(c) > 0 || has_progressed(c, now_ms)) {
+        return;
     }
     if (head_late) {
         refuse_reading(c, 408);
         return;
     }
-    SasHttpConnection_Close(c, SAS_HTTP_END_IDLE);
+    SasHttpConnection_Close(c, c->state == CONNECTION_SETTLING
+                                   ? SAS_HTTP_END_ANSWER
+                                   : SAS_HTTP_END_IDLE);
 }
 
 /* Reading. */
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -45,10 +45,9 @@
     int64_t head_since; /* its head comes in, or comes in again */
     int pending;
     int64_t active_at;
-    size_t unsent_seen; /* bytes that waited at the last sweep */
+    size_t unsent_seen; /* when it last had rested for its limit */
     enum connection_state state;
     uv_shutdown_t shutdown;
-    int64_t settle_until;
     bool parsing; /* a buffer: its answers go out when all of it is read */
     bool paused;
     int refused; /* status for the request that could not be read, or 0 */
--- a/packages/net/tests/http_fixture.c
+++ b/packages/net/tests/http_fixture.c
@@ -26,6 +26,15 @@
     ((struct fixture *)handler)->abandoned++;
 }
 
+static void
+on_closed(struct sas_http_handler *handler,
+          const struct sas_http_leftover *leftover)
+{
+    struct fixture *f = (struct fixture *)handler;
+    f->closed++;
+    f->leftover = *leftover;
+}
+
 void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -85,28 +94,34 @@
 }
 
 struct fixture *
-start_with_head_limit(size_t body_bytes, int64_t header_ms)
+start_with(const struct fixture_limits *given)
 {
     struct fixture *f = g_new0(struct fixture, 1);
     f->handler.on_request = on_request;
     f->handler.on_abandoned = on_abandoned;
+    f->handler.on_closed = on_closed;
     f->got = g_string_new(NULL);
     uv_loop_init(&f->loop);
     struct sas_address address = {"127.0.0.1", 0};
     struct sas_http_server_limits limits = {
         .header_bytes = 1000,
-        .body_bytes = body_bytes,
-        .bodies_bytes = 2 * body_bytes,
-        .header_ms = header_ms,
+        .body_bytes = given->body_bytes,
+        .bodies_bytes = 2 * given->body_bytes,
+        .header_ms = given->header_ms,
+        .idle_ms = given->idle_ms,
         .connections = 4,
     };
     struct sas_error error = {0};
     f->server =
         SasHttpServer_Open(&f->loop, &address, &limits, &f->handler, &error);
     assert_non_null(f->server);
+    int window = given->window;
     struct sockaddr_in to;
     uv_ip4_addr("127.0.0.1", SasHttpServer_GetPort(f->server), &to);
-    uv_tcp_init(&f->loop, &f->client);
+    uv_tcp_init_ex(&f->loop, &f->client, AF_INET);
+    if (given->window > 0) {
+        uv_recv_buffer_size((uv_handle_t *)&f->client, &window);
+    }
     f->client.data = f;
     uv_tcp_connect(&f->connect, &f->client, (struct sockaddr *)&to,
                    on_connect);
@@ -117,7 +132,9 @@
 struct fixture *
 start(size_t body_bytes)
 {
-    return start_with_head_limit(body_bytes, LONG_MS);
+    const struct fixture_limits limits = {.body_bytes = body_bytes,
+                                          .header_ms = LONG_MS};
+    return start_with(&limits);
 }
 
 void
--- a/packages/net/tests/http_fixture.h
+++ b/packages/net/tests/http_fixture.h
@@ -14,7 +14,7 @@
 
 #include "sas/http_server.h"
 
-#define MAX_HELD 16
+#define MAX_HELD 64
 #define SWEEP_US 600000 /* longer than two sweeps are apart */
 #define LONG_MS 60000
 #define LARGE_BODY ((size_t)12 * 1024 * 1024) /* more than sockets hold */
@@ -28,6 +28,8 @@
     int held_count;
     bool refuses_next; /* the next request, as soon as it comes */
     int abandoned;
+    int closed; /* connections that the server has told the end of */
+    struct sas_http_leftover leftover; /* of the last one */
     uv_tcp_t client;
     uv_connect_t connect;
     uv_write_t write;
@@ -35,10 +37,17 @@
     int end; /* libuv's code for the end of the connection; 0: it lasts */
 };
 
+struct fixture_limits {
+    size_t body_bytes;
+    int64_t header_ms;
+    int64_t idle_ms; /* 0: for ever */
+    int window;      /* bytes that the caller's socket takes; 0: many */
+};
+
 /* A server of its own and a caller that is connected. Stop closes both and
  * checks that nothing is left open. */
 struct fixture *start(size_t body_bytes);
-struct fixture *start_with_head_limit(size_t body_bytes, int64_t header_ms);
+struct fixture *start_with(const struct fixture_limits *limits);
 void stop(struct fixture *f);
 
 /* Turns the loop for a while. */
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -7,6 +7,9 @@
 
 #include "http_fixture.h"
 
+#define WINDOW 4096                      /* bytes */
+#define KERNEL_BODY ((size_t)100 * 1024) /* less than a socket holds */
+
 static void
 test_pipelined_requests_are_given_at_once_and_answered_in_order(void **state)
 {
@@ -246,12 +249,178 @@
     stop(f);
 }
 
+/* Heads have no time to come in pieces. */
+static const struct fixture_limits hasty = {.body_bytes = 1000,
+                                            .header_ms = 1};
+
+/* Guards against a reset that overtakes an answer which the kernel still
+ * holds: its caller reads it late, and sends something before. */
+static void
+test_a_closing_answer_that_is_read_late_is_not_reset(void **state)
+{
+    (void)state;
+    const struct fixture_limits limits = {
+        .body_bytes = 1000, .header_ms = LONG_MS, .window = WINDOW};
+    struct fixture *f = start_with(&limits);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    SasHttpServer_Drain(f->server, LONG_MS);
+    uv_read_stop((uv_stream_t *)&f->client);
+    g_autofree char *body = g_strnfill(KERNEL_BODY, 'x');
+    reply(f, 0, body);
+    g_usleep(SWEEP_US);
+    spin(f);
+    g_usleep(SWEEP_US);
+    spin(f);
+    say(f, "GET /2 HTTP/1.1\r\n\r\n");
+    uv_read_start((uv_stream_t *)&f->client, on_alloc, on_read);
+    spin_until_end(f);
+    assert_int_equal(f->end, UV_EOF);
+    assert_true(f->got->len > KERNEL_BODY);
+    assert_int_equal(f->held_count, 1);
+    stop(f);
+}
+
+/* Guards against an idle limit that cuts off a caller which reads an answer
+ * in small pieces for longer than that. */
+static void
+test_an_answer_outlasts_the_idle_limit_while_it_is_read(void **state)
+{
+    (void)state;
+    const struct fixture_limits limits = {.body_bytes = 1000,
+                                          .header_ms = LONG_MS,
+                                          .idle_ms = 1000,
+                                          .window = WINDOW};
+    struct fixture *f = start_with(&limits);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    uv_read_stop((uv_stream_t *)&f->client);
+    g_autofree char *body = g_strnfill(LARGE_BODY, 'x');
+    reply(f, 0, body);
+    for (int i = 0; i < 60; i++) {
+        char piece[WINDOW];
+        uv_os_fd_t fd;
+        uv_fileno((uv_handle_t *)&f->client, &fd);
+        assert_true(recv(fd, piece, sizeof(piece), MSG_DONTWAIT) != 0);
+        spin(f);
+        g_usleep(SWEEP_US / 20);
+    }
+    assert_int_equal(f->closed, 0);
+    stop(f);
+}
+
+/* Guards against callers that keep a connection open for ever behind its
+ * closing answer. */
+static void
+test_a_connection_that_its_caller_does_not_close_is_closed(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    reply(f, 0, "first");
+    assert_int_equal(f->end, UV_EOF);
+    for (int i = 0; i < 250 && f->closed == 0; i++) {
+        spin(f);
+    }
+    assert_int_equal(f->closed, 1);
+    assert_int_equal(f->leftover.end, SAS_HTTP_END_ANSWER);
+    stop(f);
+}
+
+/* Guards against a request that is given out behind one that asks for the
+ * close, and cut off by its answer. */
+static void
+test_nothing_is_given_out_behind_a_request_that_asks_for_the_close(
+    void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n"
+           "GET /2 HTTP/1.1\r\n\r\n");
+    say(f, "GET /3 HTTP/1.1\r\n\r\n");
+    assert_int_equal(f->held_count, 1);
+    reply(f, 0, "first");
+    assert_non_null(strstr(f->got->str, "Connection: close"));
+    assert_int_equal(f->end, UV_EOF);
+    stop(f);
+}
+
+/* Guards against connections that are cut without a word: whoever serves is
+ * told what is left undone, and by whom. */
+static void
+test_what_a_connection_leaves_undone_is_told(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    put(f, "GET /3");
+    SasHttpServer_Close(f->server);
+    assert_int_equal(f->closed, 1);
+    assert_int_equal(f->leftover.end, SAS_HTTP_END_SERVER);
+    assert_int_equal(f->leftover.unanswered, 2);
+    assert_int_equal(f->leftover.unread_bytes, strlen("GET /3"));
+    stop(f);
+}
+
+static void
+test_a_caller_that_leaves_is_told_as_such(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    uv_close((uv_handle_t *)&f->client, NULL);
+    spin(f);
+    assert_int_equal(f->leftover.end, SAS_HTTP_END_CALLER);
+    assert_int_equal(f->leftover.unanswered, 1);
+    stop(f);
+}
+
+/* Guards against 408 for a head whose rest waits in the socket. */
+static void
+test_a_head_that_has_come_is_not_late(void **state)
+{
+    (void)state;
+    struct fixture *f = start_with(&hasty);
+    say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTT");
+    put(f, "P/1.1\r\n\r\n");
+    g_usleep(SWEEP_US);
+    spin(f);
+    assert_int_equal(f->held_count, 2);
+    reply(f, 0, "first");
+    reply(f, 1, "second");
+    assert_non_null(strstr(f->got->str, "second"));
+    stop(f);
+}
+
+/* Guards against 408 for a head that this side doesn't read on, as too many
+ * requests wait before it. */
+static void
+test_a_head_that_is_not_read_on_is_not_late(void **state)
+{
+    (void)state;
+    struct fixture *f = start_with(&hasty);
+    for (int i = 0; i < SasHttpServer_MAX_PIPELINE - 1; i++) {
+        put(f, "GET / HTTP/1.1\r\n\r\n");
+    }
+    say(f, "GET / HTTP/1.1\r\n\r\nGET /last HTT");
+    g_usleep(SWEEP_US);
+    spin(f);
+    g_usleep(SWEEP_US);
+    spin(f);
+    assert_int_equal(f->got->len, 0);
+    put(f, "P/1.1\r\n\r\n");
+    for (int i = 0; i < SasHttpServer_MAX_PIPELINE; i++) {
+        reply(f, i, "");
+    }
+    assert_int_equal(f->held_count, SasHttpServer_MAX_PIPELINE + 1);
+    assert_null(strstr(f->got->str, " 408 "));
+    stop(f);
+}
+
 /* Guards against a slow head that cuts off the requests before it. */
 static void
 test_a_slow_head_cuts_off_nothing_before_it(void **state)
 {
     (void)state;
-    struct fixture *f = start_with_head_limit(1000, 1);
+    struct fixture *f = start_with(&hasty);
     say(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTT");
     for (int i = 0; i < 20; i++) {
         spin(f);
@@ -285,6 +454,17 @@
         cmocka_unit_test(test_draining_cuts_no_answer_off_that_is_read_slowly),
         cmocka_unit_test(test_an_idle_connection_is_not_closed_over_a_request),
         cmocka_unit_test(test_a_request_that_waits_in_its_socket_is_owed),
+        cmocka_unit_test(test_a_closing_answer_that_is_read_late_is_not_reset),
+        cmocka_unit_test(
+            test_an_answer_outlasts_the_idle_limit_while_it_is_read),
+        cmocka_unit_test(
+            test_a_connection_that_its_caller_does_not_close_is_closed),
+        cmocka_unit_test(
+            test_nothing_is_given_out_behind_a_request_that_asks_for_the_close),
+        cmocka_unit_test(test_what_a_connection_leaves_undone_is_told),
+        cmocka_unit_test(test_a_caller_that_leaves_is_told_as_such),
+        cmocka_unit_test(test_a_head_that_has_come_is_not_late),
+        cmocka_unit_test(test_a_head_that_is_not_read_on_is_not_late),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
