The stop's plan holds for any grace, and for operators' calls as well

Cause: margins of fixed milliseconds, and a notice without a limit, beside a grace of any length; at its limit the stop waited for a second check. The wait for operators' calls counted on a margin that the plan no longer left.

Change: the plan's last moments are parts of the last sixth of the grace (the last second at most), the notice ends after 2.7 s, the limit is one, and operators' calls have what is left of the plan.

--- a/packages/core/include/sas/stop.h
+++ b/packages/core/include/sas/stop.h
@@ -7,7 +7,8 @@
  * better refused at once, so that its caller goes elsewhere.
  *
  * The process ends when nobody has a connection any more, or a while later
- * when nothing is owed to anybody, at the latest at the end of the plan.
+ * when nothing is owed to anybody, at the latest at the end of the plan. Its
+ * last moments lie in the last sixth of the grace, before the kill.
  *
  * Times are milliseconds since the order to stop.
  */
@@ -20,7 +21,8 @@
 struct sas_stop_plan {
     int64_t notice_ms;  /* requests of any limit are taken until then */
     int64_t answers_ms; /* what has no answer by then is given up */
-    int64_t end_ms;     /* the process ends, whatever is left */
+    int64_t end_ms;     /* callers' connections end, whatever is left */
+    int64_t changes_ms; /* operators' calls that the store has still: too */
 };
 
 /* What is left, by the callers' connections. */
@@ -39,8 +41,9 @@
 /* Whether what has no answer is given up now. */
 bool SasStop_IsGivenUp(const struct sas_stop_plan *plan, int64_t since_ms);
 
-/* Whether the process may end. */
+/* Whether the process may end; it has to at its limit. */
 bool SasStop_IsOver(const struct sas_stop_plan *plan, int64_t since_ms,
                     const struct sas_stop_left *left);
+bool SasStop_IsAtLimit(const struct sas_stop_plan *plan, int64_t since_ms);
 
 #endif
--- a/packages/core/src/stop.c
+++ b/packages/core/src/stop.c
@@ -2,12 +2,18 @@
 
 #include <glib.h>
 
-/* Under half of the grace, so that what is taken last has as long again. */
+/* Whatever their limit, requests are taken for under half of the grace, and
+ * for a few seconds at most: by then callers have newer look-ups. */
 #define NOTICE_PART 0.45
+#define MAX_NOTICE_MS 2700.0
 
-/* Before the kill: the last answers go out, and the process closes. */
-#define ANSWERS_MARGIN_MS 700
-#define END_MARGIN_MS 300
+/* The end of the plan lies in the last sixth of the grace, and in its last
+ * second: what is given up has had all the time that there was. */
+#define LAST_PART (1.0 / 6.0)
+#define MAX_LAST_MS 1000.0
+#define ANSWERS_BEFORE 0.85 /* parts of that time before the kill */
+#define END_BEFORE 0.6
+#define CHANGES_BEFORE 0.25
 
 /* Callers keep look-ups for some seconds: without a connection, and with
  * nothing owed, new ones may still come for so long. */
@@ -17,10 +23,13 @@
 struct sas_stop_plan
 SasStop_Plan(int64_t grace_ms)
 {
+    double grace = (double)grace_ms;
+    double last = MIN(grace * LAST_PART, MAX_LAST_MS);
     return (struct sas_stop_plan){
-        .notice_ms = (int64_t)((double)grace_ms * NOTICE_PART),
-        .answers_ms = MAX(grace_ms - ANSWERS_MARGIN_MS, 0),
-        .end_ms = MAX(grace_ms - END_MARGIN_MS, 0),
+        .notice_ms = (int64_t)MIN(grace * NOTICE_PART, MAX_NOTICE_MS),
+        .answers_ms = (int64_t)(grace - last * ANSWERS_BEFORE),
+        .end_ms = (int64_t)(grace - last * END_BEFORE),
+        .changes_ms = (int64_t)(grace - last * CHANGES_BEFORE),
     };
 }
 
@@ -44,5 +53,11 @@
 {
     return (left->connections == 0 && since_ms >= EMPTY_MS) ||
            (left->busy == 0 && since_ms >= QUIET_MS) ||
-           since_ms >= plan->end_ms;
+           SasStop_IsAtLimit(plan, since_ms);
+}
+
+bool
+SasStop_IsAtLimit(const struct sas_stop_plan *plan, int64_t since_ms)
+{
+    return since_ms >= plan->end_ms;
 }
--- a/packages/core/tests/test_stop.c
+++ b/packages/core/tests/test_stop.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <glib.h>
 
 #include "sas/stop.h"
 
@@ -10,22 +11,43 @@
 /* A service that is slow to answer: its requests end by their limit alone. */
 #define LONGEST_MS 30000
 
-/* Guards against a request that is taken late in a stop and cut off. */
+/* A cut is excused only for requests that were sent by then. */
+#define FIRST_MS 3000
+
+/* Guards against a request that is taken late in a stop and cut off: after
+ * the first seconds, and the first half of any grace, only what its own limit
+ * ends before the answers are due is taken. */
 static void
 test_what_is_taken_late_ends_before_the_answers_are_due(void **state)
 {
     (void)state;
-    struct sas_stop_plan plan = SasStop_Plan(GRACE_MS);
-    for (int64_t since = 0; since <= GRACE_MS; since += 10) {
-        for (int64_t left = 0; left <= LONGEST_MS; left += 100) {
-            bool taken = SasStop_MayTake(&plan, since, left);
-            bool in_time = since + left <= plan.answers_ms;
-            assert_true(taken || !in_time);
-            assert_true(in_time || !taken || since < GRACE_MS / 2);
+    for (int64_t grace = 1000; grace <= 60000; grace += 500) {
+        struct sas_stop_plan plan = SasStop_Plan(grace);
+        for (int64_t since = 0; since <= grace; since += 50) {
+            for (int64_t left = 0; left <= LONGEST_MS; left += 500) {
+                bool taken = SasStop_MayTake(&plan, since, left);
+                bool in_time = since + left <= plan.answers_ms;
+                bool early = since < MIN(grace / 2, FIRST_MS);
+                assert_true(taken || !in_time);
+                assert_true(in_time || !taken || early);
+            }
         }
     }
 }
 
+/* Guards against a request that is given up while there is time left, or in
+ * the moment in which it is taken. */
+static void
+test_what_is_given_up_has_had_five_sixths_of_the_grace(void **state)
+{
+    (void)state;
+    for (int64_t grace = 100; grace <= 60000; grace += 100) {
+        struct sas_stop_plan plan = SasStop_Plan(grace);
+        assert_true(plan.answers_ms >= grace * 5 / 6);
+        assert_true(plan.notice_ms < plan.answers_ms);
+    }
+}
+
 static void
 test_at_first_everything_is_taken(void **state)
 {
@@ -44,7 +66,8 @@
         struct sas_stop_plan plan = SasStop_Plan(grace);
         assert_true(plan.notice_ms <= grace / 2);
         assert_true(plan.answers_ms <= plan.end_ms);
-        assert_true(plan.end_ms <= grace);
+        assert_true(plan.end_ms <= plan.changes_ms);
+        assert_true(plan.changes_ms <= grace);
         assert_true(SasStop_IsGivenUp(&plan, plan.end_ms));
     }
 }
@@ -72,6 +95,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(
             test_what_is_taken_late_ends_before_the_answers_are_due),
+        cmocka_unit_test(
+            test_what_is_given_up_has_had_five_sixths_of_the_grace),
         cmocka_unit_test(test_at_first_everything_is_taken),
         cmocka_unit_test(test_times_follow_the_grace_in_their_order),
         cmocka_unit_test(test_it_ends_when_nothing_is_owed_or_at_its_limit),
--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -48,6 +48,9 @@
 int SasGateway_Run(struct sas_gateway *gateway);
 void SasGateway_Close(struct sas_gateway *gateway);
 
+/* After Run: milliseconds until the rest of the process has to be closed. */
+int64_t SasGateway_GetTimeLeft(const struct sas_gateway *gateway);
+
 /* GetMesh: the other entry VMs, for the source of the model and the sheet. */
 bool SasGateway_IsReady(const struct sas_gateway *gateway);
 struct sas_mesh *SasGateway_GetMesh(const struct sas_gateway *gateway);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -339,6 +339,30 @@
                    STOP_CHECK_MS);
 }
 
+static void
+end_process(struct sas_gateway *gateway, int busy)
+{
+    if (busy > 0) {
+        SasLog_Write(
+            SasLog_ERROR, "process.stop", "",
+            "connections=%d requests=%d are cut off at the stop's limit", busy,
+            SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]));
+    }
+    uv_timer_stop(&gateway->stop);
+    gateway->source->stop(gateway->source);
+    /* Closing the other parts runs the loop again: from here on nothing may be
+     * taken. */
+    close_servers(gateway);
+    uv_stop(gateway->loop);
+}
+
+int64_t
+SasGateway_GetTimeLeft(const struct sas_gateway *gateway)
+{
+    return gateway->stop_began_at + gateway->stop_plan.changes_ms -
+           (int64_t)uv_now(gateway->loop);
+}
+
 static void
 on_stop_check(uv_timer_t *timer)
 {
@@ -353,25 +377,14 @@
         .busy = SasHttpServer_CountBusy(callers),
     };
     bool over = SasStop_IsOver(&gateway->stop_plan, since_ms, &left);
-    bool settled = over && gateway->stop_was_over;
-    gateway->stop_was_over = over;
     /* After a pause of the process callers may wait at the port: the sockets
      * are read once more before it ends. */
-    if (!settled) {
-        return;
-    }
-    if (left.busy > 0) {
-        SasLog_Write(SasLog_ERROR, "process.stop", "",
-                     "connections=%d requests=%d are cut off at the stop's "
-                     "limit",
-                     left.busy, SasHttpServer_CountExchanges(callers));
+    bool settled = gateway->stop_was_over ||
+                   SasStop_IsAtLimit(&gateway->stop_plan, since_ms);
+    gateway->stop_was_over = over;
+    if (over && settled) {
+        end_process(gateway, left.busy);
     }
-    uv_timer_stop(timer);
-    gateway->source->stop(gateway->source);
-    /* Closing the other parts runs the loop again: from here on nothing may be
-     * taken. */
-    close_servers(gateway);
-    uv_stop(gateway->loop);
 }
 
 static void
--- a/packages/node/src/live.c
+++ b/packages/node/src/live.c
@@ -21,9 +21,6 @@
  * 15 us a line the log takes under 1% of its core share. */
 #define LOG_LINES_PER_S 200
 
-/* Of what the gateway leaves of the time before SIGKILL, at least 900 ms. */
-#define CHANGES_MS 600
-
 #define TOKEN_VARIABLE "SASSAFRASSILL_OPERATOR_TOKEN"
 #define PEER_KEY_VARIABLE "SASSAFRASSILL_PEER_KEY"
 
@@ -42,6 +39,7 @@
     struct sas_gateway *gateway;
     struct sas_store *store;
     struct sas_live_sheet *sheet;
+    uv_timer_t limit; /* of what is waited for at the end */
 };
 
 static void
@@ -164,15 +162,24 @@
     return live->sheet != NULL ? 0 : -1;
 }
 
+static void
+on_limit(uv_timer_t *timer)
+{
+    (void)timer; /* it only ends a turn of the loop */
+}
+
 /* Callers have had their answers; an operator may still wait for one. */
 static void
 await_changes(struct live *live)
 {
-    int64_t ends_at = (int64_t)uv_now(&live->loop) + CHANGES_MS;
+    int64_t left_ms = SasGateway_GetTimeLeft(live->gateway);
+    uv_timer_init(&live->loop, &live->limit);
+    uv_timer_start(&live->limit, on_limit, (uint64_t)MAX(left_ms, 0), 0);
     while (SasLiveSheet_End(live->sheet) > 0 &&
-           (int64_t)uv_now(&live->loop) < ends_at) {
+           SasGateway_GetTimeLeft(live->gateway) > 0) {
         uv_run(&live->loop, UV_RUN_ONCE);
     }
+    uv_close((uv_handle_t *)&live->limit, NULL);
 }
 
 static void
