--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -5,185 +5,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
-#include "sas/http_server.h"
-
-#define MAX_HELD 16
-#define SWEEP_US 600000 /* longer than two sweeps are apart */
-#define LARGE_BODY ((size_t)12 * 1024 * 1024) /* more than sockets hold */
-
-/* Holds exchanges back until the test answers them. */
-struct fixture {
-    struct sas_http_handler handler;
-    uv_loop_t loop;
-    struct sas_http_server *server;
-    struct sas_http_exchange *held[MAX_HELD];
-    int held_count;
-    bool refuses_next; /* the next request, as soon as it comes */
-    int abandoned;
-    uv_tcp_t client;
-    uv_connect_t connect;
-    uv_write_t write;
-    GString *got;
-    int end; /* libuv's code for the end of the connection; 0: it lasts */
-};
-
-static void
-on_request(struct sas_http_handler *handler, struct sas_http_exchange *e)
-{
-    struct fixture *f = (struct fixture *)handler;
-    f->held[f->held_count++] = e;
-    if (f->refuses_next) {
-        f->refuses_next = false;
-        SasHttpExchange_ReplyText(e, 503, "text/plain", "", NULL);
-    }
-}
-
-static void
-on_abandoned(struct sas_http_handler *handler, struct sas_http_exchange *e,
-             enum sas_http_end end)
-{
-    (void)e;
-    (void)end;
-    ((struct fixture *)handler)->abandoned++;
-}
-
-static void
-on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
-{
-    static char scratch[65536];
-    (void)handle;
-    (void)suggested;
-    *buffer = uv_buf_init(scratch, sizeof(scratch));
-}
-
-/* libuv reports a reset that comes in one turn with bytes as an end. */
-static bool
-was_reset(const struct fixture *f)
-{
-    uv_os_fd_t fd;
-    int cause = 0;
-    socklen_t size = sizeof(cause);
-    assert_int_equal(uv_fileno((const uv_handle_t *)&f->client, &fd), 0);
-    assert_int_equal(getsockopt(fd, SOL_SOCKET, SO_ERROR, &cause, &size), 0);
-    return cause != 0;
-}
-
-static void
-on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
-{
-    struct fixture *f = stream->data;
-    if (count > 0) {
-        g_string_append_len(f->got, data->base, count);
-    }
-    if (count < 0) {
-        f->end = was_reset(f) ? UV_ECONNRESET : (int)count;
-        uv_read_stop(stream);
-    }
-}
-
-static void
-on_connect(uv_connect_t *request, int status)
-{
-    assert_int_equal(status, 0);
-    uv_read_start(request->handle, on_alloc, on_read);
-}
-
-static void
-spin(struct fixture *f)
-{
-    for (int i = 0; i < 200; i++) {
-        uv_run(&f->loop, UV_RUN_NOWAIT);
-        g_usleep(100);
-    }
-}
-
-#define LONG_MS 60000
-
-/* Until the connection has ended, for some seconds at most. */
-static void
-spin_until_end(struct fixture *f)
-{
-    for (int i = 0; i < 250 && f->end == 0; i++) {
-        spin(f);
-    }
-}
-
-static struct fixture *
-start_with_head_limit(size_t body_bytes, int64_t header_ms)
-{
-    struct fixture *f = g_new0(struct fixture, 1);
-    f->handler.on_request = on_request;
-    f->handler.on_abandoned = on_abandoned;
-    f->got = g_string_new(NULL);
-    uv_loop_init(&f->loop);
-    struct sas_address address = {"127.0.0.1", 0};
-    struct sas_http_server_limits limits = {
-        .header_bytes = 1000,
-        .body_bytes = body_bytes,
-        .bodies_bytes = 2 * body_bytes,
-        .header_ms = header_ms,
-        .connections = 4,
-    };
-    struct sas_error error = {0};
-    f->server =
-        SasHttpServer_Open(&f->loop, &address, &limits, &f->handler, &error);
-    assert_non_null(f->server);
-    struct sockaddr_in to;
-    uv_ip4_addr("127.0.0.1", SasHttpServer_GetPort(f->server), &to);
-    uv_tcp_init(&f->loop, &f->client);
-    f->client.data = f;
-    uv_tcp_connect(&f->connect, &f->client, (struct sockaddr *)&to,
-                   on_connect);
-    spin(f);
-    return f;
-}
-
-static struct fixture *
-start(size_t body_bytes)
-{
-    return start_with_head_limit(body_bytes, LONG_MS);
-}
-
-/* Into the socket; the server has not read it yet. */
-static void
-put(struct fixture *f, const char *text)
-{
-    uv_buf_t buffer = uv_buf_init((char *)text, (unsigned int)strlen(text));
-    assert_int_equal(uv_try_write((uv_stream_t *)&f->client, &buffer, 1),
-                     strlen(text));
-}
-
-static void
-say(struct fixture *f, const char *text)
-{
-    put(f, text);
-    spin(f);
-}
-
-static void
-reply(struct fixture *f, int number, const char *body)
-{
-    struct sas_http_reply answer = {
-        .status = 200,
-        .body = body,
-        .body_size = strlen(body),
-    };
-    SasHttpExchange_Reply(f->held[number], &answer);
-    spin(f);
-}
-
-static void
-stop(struct fixture *f)
-{
-    SasHttpServer_Close(f->server);
-    if (!uv_is_closing((uv_handle_t *)&f->client)) {
-        uv_close((uv_handle_t *)&f->client, NULL);
-    }
-    uv_run(&f->loop, UV_RUN_DEFAULT);
-    assert_int_equal(uv_loop_close(&f->loop), 0);
-    g_string_free(f->got, TRUE);
-    g_free(f);
-}
+#include "http_fixture.h"
 
 static void
 test_pipelined_requests_are_given_at_once_and_answered_in_order(void **state)
@@ -408,6 +230,22 @@
     stop(f);
 }
 
+/* Guards against the end of a process over a request that has come and is not
+ * read yet. */
+static void
+test_a_request_that_waits_in_its_socket_is_owed(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 0);
+    put(f, "GET /1 HTTP/1.1\r\n\r\n");
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 1);
+    spin(f);
+    reply(f, 0, "first");
+    assert_int_equal(SasHttpServer_CountBusy(f->server), 0);
+    stop(f);
+}
+
 /* Guards against a slow head that cuts off the requests before it. */
 static void
 test_a_slow_head_cuts_off_nothing_before_it(void **state)
@@ -446,6 +284,7 @@
             test_a_closing_answer_is_not_reset_by_what_the_caller_sent_after),
         cmocka_unit_test(test_draining_cuts_no_answer_off_that_is_read_slowly),
         cmocka_unit_test(test_an_idle_connection_is_not_closed_over_a_request),
+        cmocka_unit_test(test_a_request_that_waits_in_its_socket_is_owed),
         cmocka_unit_test(test_a_slow_head_cuts_off_nothing_before_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
