Nothing is given out of a connection that its handler has closed

Found by property_http_server (story: 31 requests in one piece, the handler closes the server at the first): the rest of the piece was given out on the closed connection.

property_http_server: red on the code before, green with this; http_server green.

--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -510,9 +510,11 @@
     e->given = true;
     if (!e->keep_alive) {
         c->state = CONNECTION_LAST;
-        http_parser_pause(parser, 1);
     }
     c->server->handler->on_request(c->server->handler, e);
+    if (c->state != CONNECTION_OPEN) {
+        http_parser_pause(parser, 1); /* what follows is not read */
+    }
     return 0;
 }
 
