--- a/packages/core/include/sas/stop.h
+++ b/packages/core/include/sas/stop.h
@@ -10,7 +10,7 @@
  * when nothing is owed to anybody, at the latest at the end of the plan. Its
  * last moments lie in the last sixth of the grace, before the kill.
  *
- * Times are milliseconds since the order to stop.
+ * Times are milliseconds of one monotonic clock.
  */
 #ifndef SAS_STOP_H
 #define SAS_STOP_H
@@ -19,10 +19,11 @@
 #include <stdint.h>
 
 struct sas_stop_plan {
-    int64_t notice_ms;  /* requests of any limit are taken until then */
-    int64_t answers_ms; /* what has no answer by then is given up */
-    int64_t end_ms;     /* callers' connections end, whatever is left */
-    int64_t changes_ms; /* operators' calls that the store has still: too */
+    int64_t began_at;   /* the order to stop; 0: there is none */
+    int64_t notice_at;  /* requests of any limit are taken until then */
+    int64_t answers_at; /* what has no answer by then is given up */
+    int64_t end_at;     /* callers' connections end, whatever is left */
+    int64_t changes_at; /* operators' calls that the store has still: too */
 };
 
 /* What is left, by the callers' connections. */
@@ -32,18 +33,19 @@
 };
 
 /* grace_ms: from the order to stop to the kill. */
-struct sas_stop_plan SasStop_Plan(int64_t grace_ms);
+struct sas_stop_plan SasStop_Plan(int64_t now_ms, int64_t grace_ms);
 
-/* Whether a request that has at most left_ms until its limit is taken. */
-bool SasStop_MayTake(const struct sas_stop_plan *plan, int64_t since_ms,
-                     int64_t left_ms);
+/* Whether a request that reaches its own limit at limit_at is taken; true
+ * while there is no order to stop. */
+bool SasStop_MayTake(const struct sas_stop_plan *plan, int64_t now_ms,
+                     int64_t limit_at);
 
 /* Whether what has no answer is given up now. */
-bool SasStop_IsGivenUp(const struct sas_stop_plan *plan, int64_t since_ms);
+bool SasStop_IsGivenUp(const struct sas_stop_plan *plan, int64_t now_ms);
 
 /* Whether the process may end; it has to at its limit. */
-bool SasStop_IsOver(const struct sas_stop_plan *plan, int64_t since_ms,
+bool SasStop_IsOver(const struct sas_stop_plan *plan, int64_t now_ms,
                     const struct sas_stop_left *left);
-bool SasStop_IsAtLimit(const struct sas_stop_plan *plan, int64_t since_ms);
+bool SasStop_IsAtLimit(const struct sas_stop_plan *plan, int64_t now_ms);
 
 #endif
--- a/packages/core/src/stop.c
+++ b/packages/core/src/stop.c
@@ -21,43 +21,45 @@
 #define QUIET_MS 3500
 
 struct sas_stop_plan
-SasStop_Plan(int64_t grace_ms)
+SasStop_Plan(int64_t now_ms, int64_t grace_ms)
 {
     double grace = (double)grace_ms;
     double last = MIN(grace * LAST_PART, MAX_LAST_MS);
     return (struct sas_stop_plan){
-        .notice_ms = (int64_t)MIN(grace * NOTICE_PART, MAX_NOTICE_MS),
-        .answers_ms = (int64_t)(grace - last * ANSWERS_BEFORE),
-        .end_ms = (int64_t)(grace - last * END_BEFORE),
-        .changes_ms = (int64_t)(grace - last * CHANGES_BEFORE),
+        .began_at = now_ms,
+        .notice_at = now_ms + (int64_t)MIN(grace * NOTICE_PART, MAX_NOTICE_MS),
+        .answers_at = now_ms + (int64_t)(grace - last * ANSWERS_BEFORE),
+        .end_at = now_ms + (int64_t)(grace - last * END_BEFORE),
+        .changes_at = now_ms + (int64_t)(grace - last * CHANGES_BEFORE),
     };
 }
 
 bool
-SasStop_MayTake(const struct sas_stop_plan *plan, int64_t since_ms,
-                int64_t left_ms)
+SasStop_MayTake(const struct sas_stop_plan *plan, int64_t now_ms,
+                int64_t limit_at)
 {
-    return since_ms < plan->notice_ms ||
-           since_ms + left_ms <= plan->answers_ms;
+    return plan->began_at == 0 || now_ms < plan->notice_at ||
+           limit_at <= plan->answers_at;
 }
 
 bool
-SasStop_IsGivenUp(const struct sas_stop_plan *plan, int64_t since_ms)
+SasStop_IsGivenUp(const struct sas_stop_plan *plan, int64_t now_ms)
 {
-    return since_ms >= plan->answers_ms;
+    return now_ms >= plan->answers_at;
 }
 
 bool
-SasStop_IsOver(const struct sas_stop_plan *plan, int64_t since_ms,
+SasStop_IsOver(const struct sas_stop_plan *plan, int64_t now_ms,
                const struct sas_stop_left *left)
 {
+    int64_t since_ms = now_ms - plan->began_at;
     return (left->connections == 0 && since_ms >= EMPTY_MS) ||
            (left->busy == 0 && since_ms >= QUIET_MS) ||
-           SasStop_IsAtLimit(plan, since_ms);
+           SasStop_IsAtLimit(plan, now_ms);
 }
 
 bool
-SasStop_IsAtLimit(const struct sas_stop_plan *plan, int64_t since_ms)
+SasStop_IsAtLimit(const struct sas_stop_plan *plan, int64_t now_ms)
 {
-    return since_ms >= plan->end_ms;
+    return now_ms >= plan->end_at;
 }
--- a/packages/core/tests/test_stop.c
+++ b/packages/core/tests/test_stop.c
@@ -6,6 +6,7 @@
 
 #include "sas/stop.h"
 
+#define BEGAN_AT 1000000 /* any */
 #define GRACE_MS 6000
 
 /* A service that is slow to answer: its requests end by their limit alone. */
@@ -22,11 +23,12 @@
 {
     (void)state;
     for (int64_t grace = 1000; grace <= 60000; grace += 500) {
-        struct sas_stop_plan plan = SasStop_Plan(grace);
+        struct sas_stop_plan plan = SasStop_Plan(BEGAN_AT, grace);
         for (int64_t since = 0; since <= grace; since += 50) {
             for (int64_t left = 0; left <= LONGEST_MS; left += 500) {
-                bool taken = SasStop_MayTake(&plan, since, left);
-                bool in_time = since + left <= plan.answers_ms;
+                int64_t now = BEGAN_AT + since;
+                bool taken = SasStop_MayTake(&plan, now, now + left);
+                bool in_time = now + left <= plan.answers_at;
                 bool early = since < MIN(grace / 2, FIRST_MS);
                 assert_true(taken || !in_time);
                 assert_true(in_time || !taken || early);
@@ -42,9 +44,9 @@
 {
     (void)state;
     for (int64_t grace = 100; grace <= 60000; grace += 100) {
-        struct sas_stop_plan plan = SasStop_Plan(grace);
-        assert_true(plan.answers_ms >= grace * 5 / 6);
-        assert_true(plan.notice_ms < plan.answers_ms);
+        struct sas_stop_plan plan = SasStop_Plan(BEGAN_AT, grace);
+        assert_true(plan.answers_at >= BEGAN_AT + grace * 5 / 6);
+        assert_true(plan.notice_at < plan.answers_at);
     }
 }
 
@@ -52,10 +54,19 @@
 test_at_first_everything_is_taken(void **state)
 {
     (void)state;
-    struct sas_stop_plan plan = SasStop_Plan(GRACE_MS);
-    assert_true(SasStop_MayTake(&plan, 0, LONGEST_MS));
-    assert_true(SasStop_MayTake(&plan, GRACE_MS / 3, LONGEST_MS));
-    assert_false(SasStop_MayTake(&plan, GRACE_MS / 2, LONGEST_MS));
+    struct sas_stop_plan plan = SasStop_Plan(BEGAN_AT, GRACE_MS);
+    int64_t limit_at = BEGAN_AT + LONGEST_MS;
+    assert_true(SasStop_MayTake(&plan, BEGAN_AT, limit_at));
+    assert_true(SasStop_MayTake(&plan, BEGAN_AT + GRACE_MS / 3, limit_at));
+    assert_false(SasStop_MayTake(&plan, BEGAN_AT + GRACE_MS / 2, limit_at));
+}
+
+static void
+test_without_an_order_everything_is_taken(void **state)
+{
+    (void)state;
+    const struct sas_stop_plan none = {0};
+    assert_true(SasStop_MayTake(&none, BEGAN_AT, BEGAN_AT + LONGEST_MS));
 }
 
 static void
@@ -63,12 +74,12 @@
 {
     (void)state;
     for (int64_t grace = 0; grace <= 60000; grace += 100) {
-        struct sas_stop_plan plan = SasStop_Plan(grace);
-        assert_true(plan.notice_ms <= grace / 2);
-        assert_true(plan.answers_ms <= plan.end_ms);
-        assert_true(plan.end_ms <= plan.changes_ms);
-        assert_true(plan.changes_ms <= grace);
-        assert_true(SasStop_IsGivenUp(&plan, plan.end_ms));
+        struct sas_stop_plan plan = SasStop_Plan(BEGAN_AT, grace);
+        assert_true(plan.notice_at <= BEGAN_AT + grace / 2);
+        assert_true(plan.answers_at <= plan.end_at);
+        assert_true(plan.end_at <= plan.changes_at);
+        assert_true(plan.changes_at <= BEGAN_AT + grace);
+        assert_true(SasStop_IsGivenUp(&plan, plan.end_at));
     }
 }
 
@@ -77,16 +88,16 @@
 test_it_ends_when_nothing_is_owed_or_at_its_limit(void **state)
 {
     (void)state;
-    struct sas_stop_plan plan = SasStop_Plan(GRACE_MS);
+    struct sas_stop_plan plan = SasStop_Plan(BEGAN_AT, GRACE_MS);
     const struct sas_stop_left none = {0, 0};
     const struct sas_stop_left idle = {3, 0};
     const struct sas_stop_left owed = {3, 1};
-    assert_false(SasStop_IsOver(&plan, 1000, &none));
-    assert_true(SasStop_IsOver(&plan, 2500, &none));
-    assert_false(SasStop_IsOver(&plan, 2500, &idle));
-    assert_true(SasStop_IsOver(&plan, 3500, &idle));
-    assert_false(SasStop_IsOver(&plan, plan.end_ms - 1, &owed));
-    assert_true(SasStop_IsOver(&plan, plan.end_ms, &owed));
+    assert_false(SasStop_IsOver(&plan, BEGAN_AT + 1000, &none));
+    assert_true(SasStop_IsOver(&plan, BEGAN_AT + 2500, &none));
+    assert_false(SasStop_IsOver(&plan, BEGAN_AT + 2500, &idle));
+    assert_true(SasStop_IsOver(&plan, BEGAN_AT + 3500, &idle));
+    assert_false(SasStop_IsOver(&plan, plan.end_at - 1, &owed));
+    assert_true(SasStop_IsOver(&plan, plan.end_at, &owed));
 }
 
 int
@@ -98,6 +109,7 @@
         cmocka_unit_test(
             test_what_is_given_up_has_had_five_sixths_of_the_grace),
         cmocka_unit_test(test_at_first_everything_is_taken),
+        cmocka_unit_test(test_without_an_order_everything_is_taken),
         cmocka_unit_test(test_times_follow_the_grace_in_their_order),
         cmocka_unit_test(test_it_ends_when_nothing_is_owed_or_at_its_limit),
     };
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -60,7 +60,6 @@
     uv_signal_t signals[3];
     uv_fs_poll_t file; /* the settings */
     int open_handles;  /* of those above, while they are being closed */
-    int64_t stop_began_at;
     struct sas_stop_plan stop_plan;
     bool stop_was_over; /* at the check before */
     void (*reload)(void *data);
@@ -208,7 +207,7 @@
     gateway->source->start(gateway->source, gateway);
     uv_run(gateway->loop, UV_RUN_DEFAULT);
     SasLog_Write(SasLog_INFO, "process.stop", "", "after_ms=%" G_GINT64_FORMAT,
-                 (int64_t)uv_now(gateway->loop) - gateway->stop_began_at);
+                 (int64_t)uv_now(gateway->loop) - gateway->stop_plan.began_at);
     return 0;
 }
 
@@ -321,16 +320,16 @@
 static void
 begin_stop(struct sas_gateway *gateway, int number)
 {
-    if (gateway->stop_began_at != 0) {
+    if (gateway->stop_plan.began_at != 0) {
         return;
     }
-    gateway->stop_began_at = (int64_t)uv_now(gateway->loop);
+    gateway->stop_plan = SasStop_Plan((int64_t)uv_now(gateway->loop),
+                                      gateway->settings->bounds.grace_ms);
     SasLog_Write(
         SasLog_INFO, "process.stopping", "",
         "signal=%d requests=%d connections=%d", number,
         SasHttpServer_CountExchanges(gateway->servers[LISTEN_CALLER]),
         SasHttpServer_CountConnections(gateway->servers[LISTEN_CALLER]));
-    gateway->stop_plan = SasStop_Plan(gateway->settings->bounds.grace_ms);
     gateway->directory.leaving = true;
     SasRelay_Stop(gateway->relay, &gateway->stop_plan);
     SasMesh_Leave(gateway->mesh);
@@ -359,16 +358,15 @@
 int64_t
 SasGateway_GetTimeLeft(const struct sas_gateway *gateway)
 {
-    return gateway->stop_began_at + gateway->stop_plan.changes_ms -
-           (int64_t)uv_now(gateway->loop);
+    return gateway->stop_plan.changes_at - (int64_t)uv_now(gateway->loop);
 }
 
 static void
 on_stop_check(uv_timer_t *timer)
 {
     struct sas_gateway *gateway = timer->data;
-    int64_t since_ms = (int64_t)uv_now(gateway->loop) - gateway->stop_began_at;
-    if (SasStop_IsGivenUp(&gateway->stop_plan, since_ms)) {
+    int64_t now_ms = (int64_t)uv_now(gateway->loop);
+    if (SasStop_IsGivenUp(&gateway->stop_plan, now_ms)) {
         SasRelay_GiveUp(gateway->relay);
     }
     const struct sas_http_server *callers = gateway->servers[LISTEN_CALLER];
@@ -376,11 +374,11 @@
         .connections = SasHttpServer_CountConnections(callers),
         .busy = SasHttpServer_CountBusy(callers),
     };
-    bool over = SasStop_IsOver(&gateway->stop_plan, since_ms, &left);
+    bool over = SasStop_IsOver(&gateway->stop_plan, now_ms, &left);
     /* After a pause of the process callers may wait at the port: the sockets
      * are read once more before it ends. */
     bool settled = gateway->stop_was_over ||
-                   SasStop_IsAtLimit(&gateway->stop_plan, since_ms);
+                   SasStop_IsAtLimit(&gateway->stop_plan, now_ms);
     gateway->stop_was_over = over;
     if (over && settled) {
         end_process(gateway, left.busy);
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -64,7 +64,6 @@
 SasRelay_Stop(struct sas_relay *relay, const struct sas_stop_plan *plan)
 {
     relay->stop = *plan;
-    relay->stop_began_at = SasRelay_Now(relay);
 }
 
 void
@@ -282,10 +281,8 @@
 may_take(const struct relay_call *call)
 {
     const struct sas_relay *relay = call->relay;
-    int64_t now_ms = SasRelay_Now(relay);
-    return relay->stop_began_at == 0 ||
-           SasStop_MayTake(&relay->stop, now_ms - relay->stop_began_at,
-                           call->deadline_at - now_ms);
+    return SasStop_MayTake(&relay->stop, SasRelay_Now(relay),
+                           call->deadline_at);
 }
 
 /* A request without an object is one of its own. */
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -64,7 +64,6 @@
     int ends[SAS_HTTP_END_COUNT]; /* counters of connections */
     GQueue calls;                 /* struct relay_call *, by their links */
     struct sas_stop_plan stop;
-    int64_t stop_began_at; /* 0: it goes on */
 };
 
 /* An answer that is whole. */
