A pause behind a closing answer is no idle connection

Callers saw: a reset in place of the orderly end, where an entry VM stood still for longer than a stop's idle limit in the moment in which a closing answer had been written and the loop did not know it yet.

Cause: that limit was judged in this state as well.

--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -266,11 +266,12 @@
 get_rest_limit(const struct sas_http_connection *c)
 {
     const struct sas_http_server *server = c->server;
-    bool short_rest = server->draining || c->state == CONNECTION_SETTLING;
-    if (!short_rest || count_unsent(c) > 0) {
+    bool settling = c->state == CONNECTION_SETTLING;
+    bool drained = server->draining && c->state == CONNECTION_OPEN;
+    if ((!settling && !drained) || count_unsent(c) > 0) {
         return server->limits.idle_ms;
     }
-    return c->state == CONNECTION_SETTLING ? SETTLE_MS : server->drain_idle_ms;
+    return settling ? SETTLE_MS : server->drain_idle_ms;
 }
 
 static bool
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -307,6 +307,25 @@
     stop(f);
 }
 
+/* Guards against a closing answer without an orderly end, where the process
+ * stood still between the answer's last byte and the news of it. */
+static void
+test_a_pause_behind_a_closing_answer_is_no_idle_connection(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    say(f, "GET /1 HTTP/1.1\r\n\r\n");
+    SasHttpServer_Drain(f->server, 1);
+    struct sas_http_reply answer = {.status = 200, .body = ""};
+    SasHttpExchange_Reply(f->held[0], &answer);
+    g_usleep(SWEEP_US);
+    for (int i = 0; i < 250 && f->closed == 0; i++) {
+        spin(f);
+    }
+    assert_int_equal(f->leftover.end, SAS_HTTP_END_ANSWER);
+    stop(f);
+}
+
 /* Guards against callers that keep a connection open for ever behind its
  * closing answer. */
 static void
@@ -457,6 +476,8 @@
         cmocka_unit_test(test_a_closing_answer_that_is_read_late_is_not_reset),
         cmocka_unit_test(
             test_an_answer_outlasts_the_idle_limit_while_it_is_read),
+        cmocka_unit_test(
+            test_a_pause_behind_a_closing_answer_is_no_idle_connection),
         cmocka_unit_test(
             test_a_connection_that_its_caller_does_not_close_is_closed),
         cmocka_unit_test(
