Sight: a caller that has ended its side leaves no unsent bytes

Change: after the caller's own end nothing counts as unsent in that line. No decision changes. http_server green.

--- a/packages/net/src/http_connection.c
+++ b/packages/net/src/http_connection.c
@@ -181,7 +181,7 @@
     }
     struct sas_http_leftover leftover = {
         .end = end,
-        .unsent_bytes = count_unsent(c),
+        .unsent_bytes = c->caller_done ? 0 : count_unsent(c),
         .unread_bytes = end == SAS_HTTP_END_CALLER ? 0 : count_unread(c),
         .idle_ms = (int64_t)uv_now(c->server->loop) - c->active_at,
     };
@@ -379,6 +379,7 @@
         return;
     }
     if (count < 0) {
+        c->caller_done = count == UV_EOF;
         SasHttpConnection_Close(c, c->state == CONNECTION_SETTLING
                                        ? SAS_HTTP_END_ANSWER
                                        : SAS_HTTP_END_CALLER);
--- a/packages/net/src/http_connection.h
+++ b/packages/net/src/http_connection.h
@@ -48,7 +48,8 @@
     size_t unsent_seen; /* when it last had rested for its limit */
     enum connection_state state;
     uv_shutdown_t shutdown;
-    bool parsing; /* a buffer: its answers go out when all of it is read */
+    bool caller_done; /* it has ended its side; acknowledgements may lag */
+    bool parsing;     /* a buffer: its answers go out when all of it is read */
     bool paused;
     int refused; /* status for the request that could not be read, or 0 */
 };
