Own mode: a server that is being closed begins no lingering close

Found by reading the diff: a connection that h2o closes while its server is being closed (a stop at its limit) began one, whose handle outlived the server that it points to.

--- a/packages/node/src/server.c
+++ b/packages/node/src/server.c
@@ -307,7 +307,10 @@
 {
     struct connection *connection = (struct connection *)handle;
     connection->server->connections--;
-    if (connection->kept_fd >= 0) {
+    if (connection->kept_fd >= 0 && connection->server->closing) {
+        close(connection->kept_fd);
+    }
+    else if (connection->kept_fd >= 0) {
         begin_closing(connection->server, connection->kept_fd);
     }
     /* The memory of h2o's socket may be in use again for a new one. */
