e2e: one format_request for the tests that write to a socket themselves

It stood three times, once with a parameter that nobody used. The harness has it now, as test_entry_requests had it; the two others send Content-Length: 0 with their GETs as that one does.

--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -265,9 +265,17 @@
             "slots": 3, "state": "ready", "cold-left-ms": 0, "born": 1})
 
 
+def format_request(path, request_id, method="GET"):
+    """As a caller sends it who writes to a socket of its own."""
+    return ("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: 0\r\n"
+            "X-Sassafrassill-Deadline-Ms: 8000\r\n\r\n" %
+            (method, path, HOST, ID, request_id)).encode()
+
+
 def wait_for(condition, what, limit_s=30):
     return wait_until(condition, what, limit_s)
 
 
 __all__ = ["BUILD", "Fleet", "HOST", "ID", "SEAL", "exchange",
-           "hold_signals", "signal", "socket", "time", "wait_for"]
+           "format_request", "hold_signals", "signal", "socket", "time",
+           "wait_for"]
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -5,8 +5,8 @@
 import threading
 import unittest
 
-from entry_harness import (Fleet, HOST, ID, SEAL, exchange, signal, socket,
-                           time, wait_for)
+from entry_harness import (Fleet, HOST, SEAL, exchange, format_request,
+                           signal, socket, time, wait_for)
 
 
 def read_answers(connection, count):
@@ -27,12 +27,6 @@
     return answers
 
 
-def format_request(path, request_id, method="GET"):
-    return ("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: 0\r\n"
-            "X-Sassafrassill-Deadline-Ms: 8000\r\n\r\n" %
-            (method, path, HOST, ID, request_id)).encode()
-
-
 class EntryRequests(unittest.TestCase):
     def test_requests_go_by_route_and_keep_the_servers_answer(self):
         with Fleet(vms=("a",)) as fleet:
--- a/tests/e2e/test_entry_slow_callers.py
+++ b/tests/e2e/test_entry_slow_callers.py
@@ -4,7 +4,7 @@
 import http.client
 import unittest
 
-from entry_harness import (Fleet, HOST, ID, signal, socket, time,
+from entry_harness import (Fleet, format_request, signal, socket, time,
                            wait_for)
 
 LARGE = 300 << 10
@@ -14,12 +14,6 @@
 READS_AFTER_S = 1
 
 
-def format_request(request_id):
-    return ("GET /forms/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
-            "X-Sassafrassill-Deadline-Ms: 8000\r\n\r\n" %
-            (HOST, ID, request_id)).encode()
-
-
 def read_answer(caller):
     answer = http.client.HTTPResponse(caller)
     answer.begin()
@@ -41,15 +35,16 @@
                                   SEGMENT)
                 caller.connect(vm.address())
                 for number in range(10):  # the sender's buffer grows with use
-                    caller.sendall(format_request("warm-%d" % number))
+                    caller.sendall(format_request("/forms/1",
+                                                  "warm-%d" % number))
                     self.assertEqual(read_answer(caller)[0], 200)
                 vm.signal(signal.SIGTERM)
                 wait_for(lambda: vm.find_lines("process.stopping"), "a stop")
-                caller.sendall(format_request("slow"))
+                caller.sendall(format_request("/forms/1", "slow"))
                 wait_for(lambda: vm.find_lines("request", request="slow"),
                          "an answer on its way")
                 time.sleep(READS_AFTER_S)
-                caller.sendall(format_request("behind"))
+                caller.sendall(format_request("/forms/1", "behind"))
                 status, size = read_answer(caller)
                 self.assertEqual(status, 200)
                 self.assertGreater(size, LARGE)
--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -5,7 +5,7 @@
 import threading
 import unittest
 
-from entry_harness import (Fleet, HOST, ID, signal, socket, time,
+from entry_harness import (Fleet, format_request, signal, socket, time,
                            wait_for)
 
 LARGE = 12 << 20  # bytes, more than the sockets between two processes hold
@@ -15,12 +15,6 @@
 END_S = 5.6       # past the moment at which what is left is cut off
 
 
-def format_request(path, request_id, deadline_ms=8000):
-    return ("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
-            "X-Sassafrassill-Deadline-Ms: %d\r\n\r\n" %
-            (path, HOST, ID, request_id, deadline_ms)).encode()
-
-
 class Late(threading.Thread):
     """A request that is sent some time after SIGTERM."""
 
