Look-ups send callers farther where little of their zone is left

Cause: a look-up named the live entry VMs of the caller's zone as long as there was one. While both strong ones and three of the four weak ones of pew-b stopped, all callers of the zone (222 requests a second, uploads of 60 kB among them) were sent to front-pew-b-3: 10 Mbit/s, 2 in 100 of what the zone has. Its link was full; connections to servers and to the store timed out, and requests and rows waited in it for 0.7 s and more.

Change: a look-up names the zone, or else the region, or else all, the nearest of which at least a quarter of its usual strength is left; where nothing has so much, what has most. Each change of scope of a zone is logged (lookup.scope).

Test: test_gossip, the callers of a zone are not left to its weakest; on it fails at the first look-up after the stop (one name, the weak one).

--- a/packages/core/include/sas/strength.h
+++ b/packages/core/include/sas/strength.h
@@ -18,6 +18,10 @@
 /* A part of the strongest that still counts as about as strong. */
 #define SasStrength_SHARE 0.5
 
+/* A zone, or region, of which less than this part is left can't serve its
+ * callers: they are sent farther. */
+#define SasStrength_LEAST_LEFT 0.25
+
 /* With fewer names than this a single loss leaves callers nowhere to go. */
 #define SasStrength_MIN_NAMED 2
 
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -132,9 +132,10 @@
 /* Live ones, this one included. */
 int SasMesh_Count(const struct sas_mesh *mesh);
 
-/* The callers' addresses of the strongest live entry VMs in the zone; where
- * there is none, of those in the region; where there is none, of all. */
-int SasMesh_Find(const struct sas_mesh *mesh, int zone, int region,
+/* The callers' addresses of the strongest live entry VMs in the zone, or where
+ * too little of it is left in its region (region, where zone is NONE), or
+ * where too little of that is left anywhere. How many; at most max. */
+int SasMesh_Find(struct sas_mesh *mesh, int zone, int region,
                  struct sas_address *addresses, int max);
 
 /* Tells of a backend server, see on_trip: the tester all others, anybody else
--- a/packages/gateway/src/mesh_seats.h
+++ b/packages/gateway/src/mesh_seats.h
@@ -37,10 +37,11 @@
     GArray *vms; /* struct vm, by seat */
     struct sas_membership table;
     struct sas_mesh_user *user;
-    struct sas_mesh_table_user *table_user; /* NULL: none */
-    u_quad_t changes[SAS_MESH_MAX_TABLES];  /* the own newest, by table */
-    int64_t sheet_version;                  /* the highest heard of */
-    struct sas_proto_key *key;              /* NULL: none */
+    struct sas_mesh_table_user *table_user;    /* NULL: none */
+    u_quad_t changes[SAS_MESH_MAX_TABLES];     /* the own newest, by table */
+    int64_t sheet_version;                     /* the highest heard of */
+    struct sas_proto_key *key;                 /* NULL: none */
+    uint8_t lookup_scopes[SasFleet_MAX_ZONES]; /* as last logged, by zone */
 };
 
 /* mesh.c */
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -20,6 +20,7 @@
     GRand *random;
     struct sas_mesh *meshes[VMS];
     struct sas_proto_key *keys[VMS]; /* NULL: none */
+    double links_mbps[VMS];          /* 0: the usual */
     struct node {
         struct sas_mesh_user user;
         int trips;
@@ -114,7 +115,7 @@
         .started_at = started_at,
         .peer_key = f->keys[i],
         .cores = 1,
-        .link_mbps = 100,
+        .link_mbps = f->links_mbps[i] > 0 ? f->links_mbps[i] : 100,
     };
     g_snprintf(settings.name, sizeof(settings.name), "vm-%d", i);
     g_strlcpy(settings.zone, zones[i], sizeof(settings.zone));
@@ -235,6 +236,32 @@
     stop(f);
 }
 
+/* All strong entry VMs of a zone stop at once: its callers would overrun the
+ * link of the weak one that is left. */
+static void
+test_the_callers_of_a_zone_are_not_left_to_its_weakest(void **state)
+{
+    (void)state;
+    struct fixture *f = prepare();
+    f->links_mbps[0] = 5;
+    open_all(f);
+    SPIN_UNTIL(f, all_know_all(f));
+    struct sas_address addresses[4];
+    assert_int_equal(SasMesh_Find(f->meshes[2], 0, 0, addresses, 4), 2);
+    assert_int_equal(addresses[0].port, 8001);
+    SasMesh_Leave(f->meshes[1]);
+    SPIN_UNTIL(f, SasMesh_Count(f->meshes[2]) == VMS - 1);
+    assert_int_equal(SasMesh_Find(f->meshes[2], 0, 0, addresses, 4), 2);
+    assert_int_equal(addresses[0].port, 8002);
+    assert_int_equal(addresses[1].port, 8000);
+    /* Nor to the weakest of the region. */
+    SasMesh_Leave(f->meshes[2]);
+    SPIN_UNTIL(f, SasMesh_Count(f->meshes[3]) == VMS - 2);
+    assert_int_equal(SasMesh_Find(f->meshes[3], 0, 0, addresses, 4), 2);
+    assert_int_equal(addresses[0].port, 8003);
+    stop(f);
+}
+
 /* Hundreds of entry VMs meet a slow server at the same moment. Each tells its
  * tester alone, and the tester tells all. */
 static void
@@ -467,6 +494,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_leads_a_zone_and_one_tests_a_server),
         cmocka_unit_test(test_one_that_leaves_still_counts_among_the_senders),
+        cmocka_unit_test(
+            test_the_callers_of_a_zone_are_not_left_to_its_weakest),
         cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
         cmocka_unit_test(
             test_a_suspect_goes_to_its_keeper_and_from_there_to_all),
