No final 404 by an entry VM that has heard of a newer configuration

What callers saw: 404 for a route that others served already; nobody asks again after a 404.

Cause: an entry VM hears the newest change of the operators' table with each datagram, often before it has the rows, and answered 404 all the same.

Change: without a route, and while another entry VM has named a newer change of the operators' table, the answer is 503 ("not run", come back at once). Requests whose route is known are served as before: refusing them too would refuse everything where one that had a change is gone and the store is away.

Elsewhere: services of the own mode are fixed by the settings file, so its 404 rests on nothing that comes late.

--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -25,6 +25,8 @@
     /* Begins; the gateway is open, so entry VMs may be added. */
     void (*start)(struct sas_source *source, struct sas_gateway *gateway);
     bool (*is_ready)(const struct sas_source *source);
+    /* Another entry VM has a newer configuration; NULL: there is no other. */
+    bool (*is_behind)(const struct sas_source *source);
     /* No more calls are made; the loop runs out of its handles. */
     void (*stop)(struct sas_source *source);
     /* Answers other entry VMs that ask what this one knows. */
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -141,6 +141,7 @@
     struct sas_relay_options options = {
         .loop = gateway->loop,
         .fleet = gateway->fleet,
+        .source = given->source,
         .pool = gateway->pool,
         .mesh = gateway->mesh,
         .metrics = gateway->metrics,
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -7,6 +7,7 @@
 
 #include <jansson.h>
 
+#include "sas/gateway.h"
 #include "sas/log.h"
 
 /* How fast the size of a route's bodies follows the last ones. */
@@ -315,6 +316,19 @@
     return call;
 }
 
+/* A newer configuration may have the route, and no caller asks again after a
+ * 404. */
+static void
+end_unrouted(struct relay_call *call)
+{
+    const struct sas_source *source = call->relay->options.source;
+    if (source->is_behind != NULL && source->is_behind(source)) {
+        SasRelay_Refuse(call, "behind", SasRelay_ELSEWHERE_MS);
+        return;
+    }
+    SasRelay_Fail(call, "no route", 404);
+}
+
 static void
 on_request(struct sas_http_handler *handler,
            struct sas_http_exchange *exchange)
@@ -331,7 +345,7 @@
     call->route = SasFleetConfig_FindRoute(
         config, host != NULL ? host : "", SasHttpExchange_GetTarget(exchange));
     if (call->route == NULL) {
-        SasRelay_Fail(call, "no route", 404);
+        end_unrouted(call);
         return;
     }
     call->deadline_at = get_deadline(call);
--- a/packages/gateway/src/relay.h
+++ b/packages/gateway/src/relay.h
@@ -24,10 +24,12 @@
 #include "sas/stop.h"
 
 struct sas_relay;
+struct sas_source;
 
 struct sas_relay_options {
     uv_loop_t *loop;
     struct sas_fleet *fleet;
+    const struct sas_source *source; /* of the model */
     struct sas_pool *pool;
     struct sas_mesh *mesh;
     struct sas_metrics *metrics;
--- a/packages/gateway/tests/test_gateway.c
+++ b/packages/gateway/tests/test_gateway.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,6 +26,7 @@
     struct sas_entry_settings settings;
     struct sas_gateway *gateway;
     int caller_port;
+    bool behind;
 };
 
 static void
@@ -35,6 +37,12 @@
     raise(SIGTERM);
 }
 
+static bool
+is_source_behind(const struct sas_source *source)
+{
+    return ((const struct fixture *)source)->behind;
+}
+
 static bool
 is_source_ready(const struct sas_source *source)
 {
@@ -122,6 +130,7 @@
     f->steering = SasSteering_New(f->fleet);
     f->source.start = start_source;
     f->source.is_ready = is_source_ready;
+    f->source.is_behind = is_source_behind;
     f->source.stop = stop_source;
     f->peers.on_request = refuse_peer;
     f->source.peers = &f->peers;
@@ -190,11 +199,50 @@
     stop(&f);
 }
 
+/* The status of the answer to a request for a path. */
+static int
+ask(struct fixture *f, const char *path)
+{
+    int caller = connect_caller(f);
+    g_autofree char *request = g_strdup_printf(
+        "GET %s HTTP/1.1\r\nHost: forms\r\nConnection: close\r\n\r\n", path);
+    assert_int_equal(write(caller, request, strlen(request)), strlen(request));
+    char answer[1024] = "";
+    ssize_t size = -1;
+    for (int i = 0; i < TURNS && size < 0; i++) {
+        uv_run(&f->loop, UV_RUN_NOWAIT);
+        size = recv(caller, answer, sizeof(answer) - 1, MSG_DONTWAIT);
+        g_usleep(1000);
+    }
+    close(caller);
+    int status = 0;
+    assert_int_equal(sscanf(answer, "HTTP/1.1 %d", &status), 1);
+    return status;
+}
+
+/* Guards against a final "no such route" by an entry VM that has heard that
+ * others have a newer configuration. */
+static void
+test_one_that_is_behind_rules_no_route_out(void **state)
+{
+    (void)state;
+    struct fixture f;
+    start(&f);
+    SasFleet_ApplyConfig(f.fleet, SasFleetConfig_New(1), 0);
+    f.behind = true;
+    assert_int_equal(ask(&f, "/new/"), 503);
+    f.behind = false;
+    assert_int_equal(ask(&f, "/new/"), 404);
+    assert_int_equal(SasGateway_Run(f.gateway), 0);
+    stop(&f);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_a_process_that_has_ended_its_loop_takes_nothing),
+        cmocka_unit_test(test_one_that_is_behind_rules_no_route_out),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -83,6 +83,26 @@
                             "the news that it drains")
             self.assert_before_loss(line, cut_off, "servers")
 
+    def test_a_new_route_is_not_ruled_out_by_one_that_is_behind(self):
+        """Guards against a final 404 for a route that others serve already,
+        by an entry VM that has heard of the newer configuration and doesn't
+        have it."""
+        with Fleet(vms=("a", "b", "c"), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            behind = fleet.vms[2]
+            fleet.store.silenced = {behind.store_port}
+            fleet.configure(fleet.default_routes() + [
+                fleet.route("new", "/new/", "safe")])
+            statuses = []
+
+            def ask():
+                statuses.append(behind.request(path="/new/1").status)
+                return statuses[-1] == 200
+            wait_for(ask, "the new route")
+            self.assertIn(503, statuses)
+            self.assertNotIn(404, statuses[statuses.index(503):])
+
     def test_one_that_starts_again_in_an_outage_takes_rows_from_others(self):
         """Guards against refusals by an entry VM that is restarted while the
         store is away: the others have all rows and would not part with them,
