Requests that crash servers: what is known is compared with each message

Entry VMs that had started again sent it as if nothing had been.

Cause: one that starts was told by the keeper of the request alone, once, by one datagram. Nobody told it where the keeper was frozen, or dead and not yet found out: all others still counted the keeper as the first. Later the keeper itself starts and knows nothing, and is who should tell the next.

Change: each datagram between entry VMs ends with a digest of the crashes that its sender knows of suspected requests; who hears another digest sends what it has, at most twice a second, until they are the same. Whoever starts, was frozen or missed a datagram is told by anybody. Crashes that were cleared go along, so that a cleared request doesn't come back. The digest stands behind the message: processes without it read the message as before.

Tests: e2e_entry_requests (above), test_gossip: who differs is told until it doesn't. test_gossip's check of newcomers went with the callback it checked; in its place one whose clock went back is told of what it doesn't know. packages/node's own digest of the same table is the core's now.

--- a/packages/core/include/sas/quarantine.h
+++ b/packages/core/include/sas/quarantine.h
@@ -48,14 +48,15 @@
     bool cleared; /* no crash, or the request proved innocent of it */
 };
 
-/* As it is sent between nodes: times are what is left of them. */
+/* As it is sent between nodes: times are what is left of them, and how long
+ * ago the last crash was. */
 struct sas_quarantine_entry {
     struct sas_fingerprint fingerprint;
     struct sas_crash crashes[SasQuarantine_MAX_CRASHES];
     int crash_count;
     int64_t left_ms;    /* of the entry's life; in a table: until when */
     int64_t trial_ms;   /* of a run alone; in a table: until when */
-    int64_t crashed_at; /* when a crash was added here; not sent */
+    int64_t crashed_at; /* of the last crash; in a table: when */
 };
 
 struct sas_quarantine {
@@ -122,7 +123,12 @@
                               struct sas_fingerprint fingerprint,
                               int64_t lasts_ms, int64_t now_ms);
 
-/* Exchange with other nodes. */
+/* Exchange with other nodes: Export gives out all entries, Merge takes one
+ * over. Two nodes whose digests are the same have nothing to tell each other
+ * of requests suspected of at least min_crashes (cleared ones counted) whose
+ * last crash is younger than max_age_ms; 0: there are none. */
+uint64_t SasQuarantine_GetDigest(struct sas_quarantine *q, int min_crashes,
+                                 int64_t max_age_ms, int64_t now_ms);
 
 /* Entry number index (from 0) to be sent; false: there is none. */
 bool SasQuarantine_Export(struct sas_quarantine *q, int index, int64_t now_ms,
--- a/packages/core/src/quarantine.c
+++ b/packages/core/src/quarantine.c
@@ -179,9 +179,37 @@
     *entry = q->entries[index];
     entry->left_ms = MAX(entry->left_ms - now_ms, 0);
     entry->trial_ms = MAX(entry->trial_ms - now_ms, 0);
+    entry->crashed_at = now_ms - entry->crashed_at;
     return true;
 }
 
+static uint64_t
+hash_crash(const struct sas_quarantine_entry *entry,
+           const struct sas_crash *crash)
+{
+    uint64_t words[] = {entry->fingerprint.high, entry->fingerprint.low,
+                        crash->id,
+                        (uint64_t)crash->alone << 1 | crash->cleared};
+    return XXH3_64bits(words, sizeof(words));
+}
+
+uint64_t
+SasQuarantine_GetDigest(struct sas_quarantine *q, int min_crashes,
+                        int64_t max_age_ms, int64_t now_ms)
+{
+    uint64_t digest = 0;
+    drop_expired(q, now_ms);
+    for (int i = 0; i < q->count; i++) {
+        const struct sas_quarantine_entry *entry = &q->entries[i];
+        bool counts = entry->crash_count >= min_crashes &&
+                      now_ms - entry->crashed_at < max_age_ms;
+        for (int j = 0; counts && j < entry->crash_count; j++) {
+            digest ^= hash_crash(entry, &entry->crashes[j]);
+        }
+    }
+    return digest;
+}
+
 void
 SasQuarantine_Merge(struct sas_quarantine *q,
                     const struct sas_quarantine_entry *entry, int64_t now_ms)
@@ -201,6 +229,7 @@
     }
     own->left_ms = MAX(own->left_ms, now_ms + left);
     own->trial_ms = MAX(own->trial_ms, now_ms + trial);
+    own->crashed_at = MAX(own->crashed_at, now_ms - MAX(entry->crashed_at, 0));
 }
 
 /* Static helpers. */
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -147,6 +147,12 @@
     }
 }
 
+void
+SasMesh_SetRecordsDigest(struct sas_mesh *mesh, uint64_t digest)
+{
+    mesh->records_digest = digest;
+}
+
 int64_t
 SasMesh_GetSheet(const struct sas_mesh *mesh)
 {
@@ -223,21 +229,12 @@
     struct vm *vm = SasMesh_GetVm(mesh, seat);
     if (seat != OWN_SEAT && facts->incarnation > vm->facts.incarnation) {
         vm->facts = *facts;
+        vm->differed_at = 0;
         SasHttp_GetSockaddr(&facts->peer, &vm->peer);
     }
     return seat;
 }
 
-bool
-SasMesh_IsNewcomer(const struct sas_mesh *mesh,
-                   const struct sas_mesh_facts *facts)
-{
-    int seat =
-        SasMesh_FindSeat(mesh, XXH3_64bits(facts->name, strlen(facts->name)));
-    return seat == SasModel_NONE ||
-           SasMesh_GetVm(mesh, seat)->facts.incarnation < facts->incarnation;
-}
-
 void
 SasMesh_AddVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts)
 {
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -67,8 +67,12 @@
     /* Another one's news; this entry VM is the server's tester. */
     void (*on_loss)(struct sas_mesh_user *user,
                     const struct sas_mesh_loss_news *news);
-    /* Entry VM number i has started, and knows nothing of what was told. */
-    void (*on_newcomer)(struct sas_mesh_user *user, int i);
+    /* Entry VM number i has other records (SasMesh_SetRecordsDigest), as one
+     * that has just started has none. */
+    void (*on_differ)(struct sas_mesh_user *user, int i);
+    /* All that another one knows of one request that crashes servers. */
+    void (*on_record)(struct sas_mesh_user *user,
+                      const struct sas_quarantine_entry *entry);
 };
 
 /* Who hears of changes in the tables that all entry VMs follow, a number each
@@ -149,17 +153,20 @@
 void SasMesh_TellLoss(struct sas_mesh *mesh,
                       const struct sas_mesh_loss_news *news, int region);
 
-/* Whether this entry VM is the first of all live ones in the hash's order;
- * IsFirstBut leaves number i out. TellSuspect goes to that one of the first
- * row's fingerprint (low), or to all, TellSuspectTo to number i. */
+/* Whether this entry VM is the first of all live ones in the hash's order.
+ * TellSuspect goes to that one of the first row's fingerprint (low), or to
+ * all. */
 bool SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash);
-bool SasMesh_IsFirstBut(const struct sas_mesh *mesh, uint64_t hash, int i);
 void SasMesh_TellSuspect(struct sas_mesh *mesh,
                          const struct sas_mesh_suspect_news *rows, int count,
                          bool to_all);
-void SasMesh_TellSuspectTo(struct sas_mesh *mesh,
-                           const struct sas_mesh_suspect_news *rows, int count,
-                           int i);
+
+/* Records: what is known of requests that crash servers. Each message names
+ * their digest, and who hears of another one is called (on_differ), now and
+ * then for as long as it is. SendRecord goes to number i. */
+void SasMesh_SetRecordsDigest(struct sas_mesh *mesh, uint64_t digest);
+void SasMesh_SendRecord(struct sas_mesh *mesh,
+                        const struct sas_quarantine_entry *entry, int i);
 
 /* Whether this entry VM tries a tripped server again for all others: the first
  * of the live ones of the server's region, in an order of the server's own.
--- a/packages/gateway/src/mesh_order.c
+++ b/packages/gateway/src/mesh_order.c
@@ -36,16 +36,15 @@
 }
 
 /* The first of the live ones in the hash's order, of one region or (NONE) of
- * all, without one seat (or NONE); SasModel_NONE where there is none. */
+ * all; SasModel_NONE where there is none. */
 int
-SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region,
-                  int without)
+SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region)
 {
     int first = SasModel_NONE;
     for (int seat = OWN_SEAT; seat < (int)mesh->vms->len; seat++) {
         bool counts =
             region == SasModel_NONE || SasMesh_GetRegion(mesh, seat) == region;
-        if (!counts || seat == without || !SasMesh_IsLive(mesh, seat)) {
+        if (!counts || !SasMesh_IsLive(mesh, seat)) {
             continue;
         }
         if (first == SasModel_NONE ||
@@ -59,19 +58,13 @@
 bool
 SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash)
 {
-    return SasMesh_IsFirstBut(mesh, hash, SasModel_NONE);
-}
-
-bool
-SasMesh_IsFirstBut(const struct sas_mesh *mesh, uint64_t hash, int i)
-{
-    return SasMesh_FindFirst(mesh, hash, SasModel_NONE, i) == OWN_SEAT;
+    return SasMesh_FindFirst(mesh, hash, SasModel_NONE) == OWN_SEAT;
 }
 
 bool
 SasMesh_IsTester(const struct sas_mesh *mesh, uint64_t server_hash, int region)
 {
-    int first = SasMesh_FindFirst(mesh, server_hash, region, SasModel_NONE);
+    int first = SasMesh_FindFirst(mesh, server_hash, region);
     return first == OWN_SEAT || first == SasModel_NONE;
 }
 
--- a/packages/gateway/src/mesh_seats.h
+++ b/packages/gateway/src/mesh_seats.h
@@ -23,6 +23,7 @@
     bool withdrawn; /* by the operators' sheet */
     struct sockaddr_storage peer;
     enum sas_member_state told; /* state in the last log line */
+    int64_t differed_at;        /* its records, when last noted; 0: never */
 };
 
 struct sas_mesh {
@@ -37,9 +38,10 @@
     GArray *vms; /* struct vm, by seat */
     struct sas_membership table;
     struct sas_mesh_user *user;
-    struct sas_mesh_table_user *table_user;    /* NULL: none */
-    u_quad_t changes[SAS_MESH_MAX_TABLES];     /* the own newest, by table */
-    int64_t sheet_version;                     /* the highest heard of */
+    struct sas_mesh_table_user *table_user; /* NULL: none */
+    u_quad_t changes[SAS_MESH_MAX_TABLES];  /* the own newest, by table */
+    int64_t sheet_version;                  /* the highest heard of */
+    uint64_t records_digest;
     struct sas_proto_key *key;                 /* NULL: none */
     uint8_t lookup_scopes[SasFleet_MAX_ZONES]; /* as last logged, by zone */
 };
@@ -53,15 +55,10 @@
 /* The seat of an entry VM, with its newest addresses; SasModel_NONE where
  * there is no room or its zone is not known. */
 int SasMesh_LearnVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts);
-/* Not heard of before, or started again since. */
-bool SasMesh_IsNewcomer(const struct sas_mesh *mesh,
-                        const struct sas_mesh_facts *facts);
 
 /* mesh_order.c: the first of the live ones in the hash's order, of one region
- * or (NONE) of all, without one seat (or NONE); SasModel_NONE where there is
- * none. */
-int SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region,
-                      int without);
+ * or (NONE) of all; SasModel_NONE where there is none. */
+int SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region);
 /* The seat that leads a failure domain; NONE where nobody there is live. */
 int SasMesh_FindZoneLeader(const struct sas_mesh *mesh, int zone);
 
--- a/packages/gateway/src/mesh_talk.c
+++ b/packages/gateway/src/mesh_talk.c
@@ -25,6 +25,12 @@
 /* More than one entry VM sends to one server in a window. */
 #define MAX_LOSSES 10000u
 
+/* Between two times that an entry VM is told of records that differ. */
+#define DIFFER_EVERY_MS 500
+
+/* One that starts greets all others. About so many of them tell it. */
+#define TELLERS 8
+
 static void on_round(uv_timer_t *timer);
 static void on_replies_due(uv_timer_t *timer);
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
@@ -33,6 +39,9 @@
 static void tell_of(struct sas_mesh *mesh, int about);
 static void send_message(struct sas_mesh *mesh, const struct vm *vm,
                          sas_mesh_message *message);
+static void send_with_records(struct sas_mesh *mesh, const struct vm *vm,
+                              sas_mesh_message *message,
+                              sas_mesh_trailer *trailer);
 
 /* Opening. */
 
@@ -203,10 +212,8 @@
     sas_mesh_message message = {
         .trips = {.trips_len = 1, .trips_val = &trip},
     };
-    send_by_way_of(
-        mesh, &message,
-        SasMesh_FindFirst(mesh, news->server_hash, region, SasModel_NONE),
-        false);
+    send_by_way_of(mesh, &message,
+                   SasMesh_FindFirst(mesh, news->server_hash, region), false);
 }
 
 void
@@ -221,8 +228,7 @@
     sas_mesh_message message = {
         .losses = {.losses_len = 1, .losses_val = &loss},
     };
-    int tester =
-        SasMesh_FindFirst(mesh, news->server_hash, region, SasModel_NONE);
+    int tester = SasMesh_FindFirst(mesh, news->server_hash, region);
     if (tester != SasModel_NONE && tester != OWN_SEAT) {
         send_message(mesh, SasMesh_GetVm(mesh, tester), &message);
     }
@@ -256,20 +262,30 @@
     sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
     sas_mesh_message message = {0};
     fill_suspects(&message, suspects, rows, count);
-    int first = SasMesh_FindFirst(mesh, rows[0].fingerprint.low, SasModel_NONE,
-                                  SasModel_NONE);
+    int first =
+        SasMesh_FindFirst(mesh, rows[0].fingerprint.low, SasModel_NONE);
     send_by_way_of(mesh, &message, first, to_all);
 }
 
 void
-SasMesh_TellSuspectTo(struct sas_mesh *mesh,
-                      const struct sas_mesh_suspect_news *rows, int count,
-                      int i)
-{
-    sas_mesh_suspect suspects[SAS_MESH_MAX_SUSPECTS];
+SasMesh_SendRecord(struct sas_mesh *mesh,
+                   const struct sas_quarantine_entry *entry, int i)
+{
+    sas_mesh_record records[SAS_MESH_MAX_SUSPECTS];
+    int count = MIN(entry->crash_count, SAS_MESH_MAX_SUSPECTS);
+    for (int j = 0; j < count; j++) {
+        records[j].high = entry->fingerprint.high;
+        records[j].low = entry->fingerprint.low;
+        records[j].crash = entry->crashes[j].id;
+        records[j].alone = entry->crashes[j].alone;
+        records[j].cleared = entry->crashes[j].cleared;
+        records[j].age_ms = (u_int)CLAMP(entry->crashed_at, 0, G_MAXINT32);
+    }
     sas_mesh_message message = {0};
-    fill_suspects(&message, suspects, rows, count);
-    send_message(mesh, SasMesh_GetVm(mesh, i), &message);
+    sas_mesh_trailer trailer = {
+        .records = {.records_len = (u_int)count, .records_val = records},
+    };
+    send_with_records(mesh, SasMesh_GetVm(mesh, i), &message, &trailer);
 }
 
 /* Datagrams. */
@@ -358,8 +374,8 @@
 
 /* Fills in the sender and sends. */
 static void
-send_message(struct sas_mesh *mesh, const struct vm *vm,
-             sas_mesh_message *message)
+send_with_records(struct sas_mesh *mesh, const struct vm *vm,
+                  sas_mesh_message *message, sas_mesh_trailer *trailer)
 {
     const struct sas_mesh_facts *own = SasMesh_GetOwn(mesh);
     message->format = SAS_MESH_FORMAT;
@@ -374,10 +390,12 @@
     message->sender.changes.changes_len = count_changes(mesh);
     message->sender.changes.changes_val = (u_quad_t *)mesh->changes;
     message->sent_ms = (u_quad_t)SasWall_GetMs();
+    trailer->records_digest = mesh->records_digest;
     char bytes[MAX_DATAGRAM];
     XDR xdr;
     xdrmem_create(&xdr, bytes, sizeof(bytes) - SasProto_MAC_SIZE, XDR_ENCODE);
-    if (xdr_sas_mesh_message(&xdr, message)) {
+    if (xdr_sas_mesh_message(&xdr, message) &&
+        xdr_sas_mesh_trailer(&xdr, trailer)) {
         unsigned size = sign(mesh, bytes, xdr_getpos(&xdr));
         uv_buf_t buffer = uv_buf_init(bytes, size);
         /* A full socket loses the datagram, as the network may. */
@@ -387,6 +405,14 @@
     xdr_destroy(&xdr);
 }
 
+static void
+send_message(struct sas_mesh *mesh, const struct vm *vm,
+             sas_mesh_message *message)
+{
+    sas_mesh_trailer trailer = {0};
+    send_with_records(mesh, vm, message, &trailer);
+}
+
 void
 SasMesh_SendNews(struct sas_mesh *mesh, const struct vm *vm, int max,
                  bool wants_reply)
@@ -551,8 +577,60 @@
     }
 }
 
+/* The records of a message are all of one request. */
 static void
-take_message(struct sas_mesh *mesh, const sas_mesh_message *message)
+take_records(const struct sas_mesh *mesh, const sas_mesh_trailer *trailer)
+{
+    int count = (int)MIN(trailer->records.records_len,
+                         (u_int)SasQuarantine_MAX_CRASHES);
+    if (count == 0) {
+        return;
+    }
+    const sas_mesh_record *rows = trailer->records.records_val;
+    struct sas_quarantine_entry entry = {
+        .fingerprint = {rows[0].high, rows[0].low},
+        .crash_count = count,
+        .crashed_at = (int64_t)rows[0].age_ms,
+    };
+    for (int i = 0; i < count; i++) {
+        entry.crashes[i].id = rows[i].crash;
+        entry.crashes[i].alone = rows[i].alone;
+        entry.crashes[i].cleared = rows[i].cleared;
+    }
+    mesh->user->on_record(mesh->user, &entry);
+}
+
+static bool
+is_greeting(const sas_mesh_message *message)
+{
+    return message->news.news_len <= OWN_NEWS;
+}
+
+/* Who differs is told until it doesn't: whoever should have told it may have
+ * been away itself, and a datagram is lost now and then. */
+static void
+compare_records(struct sas_mesh *mesh, int seat,
+                const sas_mesh_message *message,
+                const sas_mesh_trailer *trailer)
+{
+    struct vm *vm = SasMesh_GetVm(mesh, seat);
+    int64_t now_ms = SasMesh_Now(mesh);
+    bool told_lately =
+        vm->differed_at > 0 && now_ms - vm->differed_at < DIFFER_EVERY_MS;
+    if (trailer->records_digest == mesh->records_digest || told_lately) {
+        return;
+    }
+    if (is_greeting(message) &&
+        g_rand_int_range(mesh->random, 0, (gint32)mesh->vms->len) >= TELLERS) {
+        return;
+    }
+    vm->differed_at = now_ms;
+    mesh->user->on_differ(mesh->user, seat);
+}
+
+static void
+take_message(struct sas_mesh *mesh, const sas_mesh_message *message,
+             const sas_mesh_trailer *trailer)
 {
     struct sas_mesh_facts facts = {
         .caller.port = (int)message->sender.caller_port,
@@ -564,7 +642,6 @@
     g_strlcpy(facts.zone, message->sender.zone, sizeof(facts.zone));
     g_strlcpy(facts.caller.ip, message->sender.ip, sizeof(facts.caller.ip));
     g_strlcpy(facts.peer.ip, message->sender.ip, sizeof(facts.peer.ip));
-    bool newcomer = SasMesh_IsNewcomer(mesh, &facts);
     int seat = SasMesh_LearnVm(mesh, &facts);
     if (seat == SasModel_NONE || seat == OWN_SEAT) {
         return;
@@ -581,10 +658,9 @@
                              SasMesh_Now(mesh));
     tell_user(mesh, message);
     take_changes(mesh, &message->sender, &facts.peer);
-    if (newcomer) {
-        mesh->user->on_newcomer(mesh->user, seat);
-    }
-    if (message->wants_reply && message->news.news_len <= 1) {
+    take_records(mesh, trailer);
+    compare_records(mesh, seat, message, trailer);
+    if (message->wants_reply && is_greeting(message)) {
         SasMesh_SendNews(mesh, SasMesh_GetVm(mesh, seat), OWN_NEWS, false);
     }
     else if (message->wants_reply) {
@@ -593,6 +669,13 @@
     }
 }
 
+/* A process of before there was a trailer sends none. */
+static bool
+decode_trailer(XDR *xdr, unsigned size, sas_mesh_trailer *trailer)
+{
+    return xdr_getpos(xdr) == size || xdr_sas_mesh_trailer(xdr, trailer);
+}
+
 static void
 on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *data,
             const struct sockaddr *from, unsigned flags)
@@ -603,6 +686,7 @@
         return;
     }
     sas_mesh_message message = {0};
+    sas_mesh_trailer trailer = {0};
     unsigned size = verify(mesh, data->base, (unsigned)count);
     if (size == 0) {
         SasLog_Write(SasLog_WARN, "mesh.refuse", "",
@@ -612,14 +696,15 @@
     }
     XDR xdr;
     xdrmem_create(&xdr, data->base, size, XDR_DECODE);
-    bool decoded = xdr_sas_mesh_message(&xdr, &message);
+    bool decoded = xdr_sas_mesh_message(&xdr, &message) &&
+                   decode_trailer(&xdr, size, &trailer);
     if (decoded && message.format == SAS_MESH_FORMAT &&
         !is_fresh(mesh, &message)) {
         SasLog_Write(SasLog_WARN, "mesh.refuse", message.sender.name,
                      "a datagram was sent too long ago, or a clock is wrong");
     }
     else if (decoded && message.format == SAS_MESH_FORMAT) {
-        take_message(mesh, &message);
+        take_message(mesh, &message, &trailer);
     }
     else {
         SasLog_Write(SasLog_WARN, "mesh.decode", "",
@@ -627,4 +712,5 @@
     }
     xdr_destroy(&xdr);
     xdr_free((xdrproc_t)xdr_sas_mesh_message, (char *)&message);
+    xdr_free((xdrproc_t)xdr_sas_mesh_trailer, (char *)&trailer);
 }
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -196,9 +196,15 @@
 }
 
 static void
-on_newcomer(struct sas_mesh_user *user, int i)
+on_record(struct sas_mesh_user *user, const struct sas_quarantine_entry *entry)
 {
-    SasSuspects_TellNewcomer(get_relay(user)->suspects, i);
+    SasSuspects_TakeRecord(get_relay(user)->suspects, entry);
+}
+
+static void
+on_differ(struct sas_mesh_user *user, int i)
+{
+    SasSuspects_TellRecords(get_relay(user)->suspects, i);
 }
 
 void
@@ -206,7 +212,8 @@
 {
     relay->peers.on_trip = on_trip;
     relay->peers.on_suspect = on_suspect;
-    relay->peers.on_newcomer = on_newcomer;
+    relay->peers.on_record = on_record;
+    relay->peers.on_differ = on_differ;
     relay->peers.on_loss = on_loss;
     relay->listener.on_reopened = on_reopened;
     SasFleet_AddListener(relay->options.fleet, &relay->listener);
--- a/packages/gateway/src/suspects.c
+++ b/packages/gateway/src/suspects.c
@@ -20,6 +20,9 @@
 #define SUSPECT_MS 30000
 #define REFUSED_MS 60000
 
+/* Requests whose last crash is older are not told of any more. */
+#define SHARED_MS SasQuarantine_SUSPECT_MS
+
 /* Requests that were answered whole of late, by the low part of their
  * fingerprint. One that crashes servers never is; a popular one is all the
  * time, and would otherwise be condemned by crashes that have other causes. */
@@ -185,22 +188,33 @@
     }
 }
 
+static bool
+is_shared(const struct sas_quarantine_entry *entry)
+{
+    return entry->crash_count >= ALONE_CRASHES &&
+           entry->crashed_at < SHARED_MS;
+}
+
+static void
+update_digest(struct sas_suspects *suspects)
+{
+    SasMesh_SetRecordsDigest(
+        suspects->mesh, SasQuarantine_GetDigest(&suspects->core, ALONE_CRASHES,
+                                                SHARED_MS, get_now(suspects)));
+}
+
 void
-SasSuspects_TellNewcomer(struct sas_suspects *suspects, int number)
+SasSuspects_TellRecords(struct sas_suspects *suspects, int i)
 {
     struct sas_quarantine_entry entry;
-    struct sas_mesh_suspect_news rows[SasQuarantine_MAX_CRASHES];
-    for (int i = 0;
-         SasQuarantine_Export(&suspects->core, i, get_now(suspects), &entry);
-         i++) {
-        int count = list_crashes(&entry, rows);
-        /* The newcomer itself may be the keeper. */
-        if (count >= ALONE_CRASHES &&
-            SasMesh_IsFirstBut(suspects->mesh, entry.fingerprint.low,
-                               number)) {
-            SasMesh_TellSuspectTo(suspects->mesh, rows, count, number);
+    for (int j = 0;
+         SasQuarantine_Export(&suspects->core, j, get_now(suspects), &entry);
+         j++) {
+        if (is_shared(&entry)) {
+            SasMesh_SendRecord(suspects->mesh, &entry, i);
         }
     }
+    update_digest(suspects); /* some may have become too old */
 }
 
 static bool
@@ -225,6 +239,7 @@
         SasQuarantine_Suspect(&suspects->core, news->fingerprint, news->crash,
                               news->alone, now_ms);
     }
+    update_digest(suspects);
     return count_crashes(suspects, news->fingerprint) != before ||
            SasSuspects_Check(suspects, news->fingerprint) != verdict;
 }
@@ -300,6 +315,36 @@
     }
 }
 
+static bool
+is_cleared(const struct sas_quarantine_entry *entry)
+{
+    for (int i = 0; i < entry->crash_count; i++) {
+        if (!entry->crashes[i].cleared) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+SasSuspects_TakeRecord(struct sas_suspects *suspects,
+                       const struct sas_quarantine_entry *entry)
+{
+    struct sas_mesh_suspect_news news = {.fingerprint = entry->fingerprint};
+    int known = count_crashes(suspects, entry->fingerprint);
+    if (!is_cleared(entry) && was_answered(suspects, entry->fingerprint)) {
+        vouch(suspects, entry->fingerprint);
+        return;
+    }
+    struct sas_quarantine_entry copy = *entry;
+    copy.left_ms = SHARED_MS - entry->crashed_at;
+    SasQuarantine_Merge(&suspects->core, &copy, get_now(suspects));
+    update_digest(suspects);
+    if (count_crashes(suspects, entry->fingerprint) != known) {
+        note_event(suspects, "heard", "", &news);
+    }
+}
+
 /* Reports. */
 
 static void
--- a/packages/gateway/src/suspects.h
+++ b/packages/gateway/src/suspects.h
@@ -16,7 +16,9 @@
  * The callers of such a request come to any entry VM. Each tells its crashes
  * to the keeper of the request, the entry VM that the fingerprint's hash
  * picks; the keeper tells all when there are two. If the keeper dies, the
- * next one counts anew.
+ * next one counts anew. What is known of such requests is also compared with
+ * each message between entry VMs, and who knows other crashes is told, so that
+ * it reaches whoever starts, was frozen or missed a datagram, by anybody.
  */
 #ifndef SAS_SUSPECTS_H
 #define SAS_SUSPECTS_H
@@ -55,12 +57,16 @@
 void SasSuspects_NoteSurvived(struct sas_suspects *suspects,
                               struct sas_fingerprint fingerprint);
 
-/* Entry VM number i has started: it is told of the requests that run alone or
- * nowhere, or it would send them again as if nothing had been. */
-void SasSuspects_TellNewcomer(struct sas_suspects *suspects, int i);
-
-/* What another entry VM says of a request. */
+/* What another entry VM says of a request: that it was in a crash or ran to
+ * its end, or all that it knows. */
 void SasSuspects_TakeNews(struct sas_suspects *suspects,
                           const struct sas_mesh_suspect_news *news);
+void SasSuspects_TakeRecord(struct sas_suspects *suspects,
+                            const struct sas_quarantine_entry *entry);
+
+/* Entry VM number i knows other requests, or other crashes of them: it is told
+ * of all that run alone or nowhere. One that has just started would otherwise
+ * send them as if nothing had been. */
+void SasSuspects_TellRecords(struct sas_suspects *suspects, int i);
 
 #endif
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -26,7 +26,9 @@
         int trips;
         struct sas_mesh_trip_news last;
         int suspects;
-        int newcomers;
+        int differing;
+        int records;
+        struct sas_quarantine_entry last_record;
         int failed;
         int answered;
         struct sas_mesh_suspect_news last_suspect;
@@ -62,10 +64,18 @@
 }
 
 static void
-on_newcomer(struct sas_mesh_user *user, int i)
+on_differ(struct sas_mesh_user *user, int i)
 {
     (void)i;
-    ((struct node *)user)->newcomers++;
+    ((struct node *)user)->differing++;
+}
+
+static void
+on_record(struct sas_mesh_user *user, const struct sas_quarantine_entry *entry)
+{
+    struct node *node = (struct node *)user;
+    node->records++;
+    node->last_record = *entry;
 }
 
 static void
@@ -125,7 +135,8 @@
     assert_non_null(f->meshes[i]);
     f->nodes[i].user.on_trip = on_trip;
     f->nodes[i].user.on_suspect = on_suspect;
-    f->nodes[i].user.on_newcomer = on_newcomer;
+    f->nodes[i].user.on_differ = on_differ;
+    f->nodes[i].user.on_record = on_record;
     f->nodes[i].user.on_loss = on_loss;
     SasMesh_SetUser(f->meshes[i], &f->nodes[i].user);
     f->nodes[i].tables.on_change = on_change;
@@ -342,6 +353,41 @@
  * age of the news alone it took 37 s. */
 #define CROWD 130
 
+/* Requests that are refused would be sent again by one that has started since,
+ * or missed the news. */
+static void
+test_whoever_has_other_records_is_told_until_it_has_them(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    struct sas_quarantine_entry entry = {
+        .fingerprint = {3, 4},
+        .crashes = {{.id = 5, .alone = true}, {.id = 6, .cleared = true}},
+        .crash_count = 2,
+        .crashed_at = 700,
+    };
+    SasMesh_SetRecordsDigest(f->meshes[0], 9);
+    SPIN_UNTIL(f, f->nodes[0].differing > 1 && f->nodes[1].differing > 0 &&
+                      f->nodes[2].differing > 0 && f->nodes[3].differing > 0);
+    for (int i = 1; i < VMS; i++) {
+        SasMesh_SendRecord(f->meshes[0], &entry, i);
+        SasMesh_SetRecordsDigest(f->meshes[i], 9);
+    }
+    for (int i = 1; i < VMS; i++) {
+        SPIN_UNTIL(f, f->nodes[i].records > 0);
+        const struct sas_quarantine_entry *got = &f->nodes[i].last_record;
+        assert_int_equal(got->fingerprint.high, 3);
+        assert_int_equal(got->fingerprint.low, 4);
+        assert_int_equal(got->crash_count, 2);
+        assert_int_equal(got->crashes[0].id, 5);
+        assert_true(got->crashes[0].alone);
+        assert_false(got->crashes[0].cleared);
+        assert_true(got->crashes[1].cleared);
+        assert_int_equal(got->crashed_at, 700);
+    }
+    stop(f);
+}
+
 static int
 count_who_trust(struct sas_mesh **meshes, const char *name)
 {
@@ -363,7 +409,6 @@
     (void)state;
     struct fixture *f = prepare();
     static struct sas_mesh *meshes[CROWD];
-    f->nodes[0].user.on_newcomer = on_newcomer;
     struct sas_error error = {0};
     for (int i = 0; i < CROWD; i++) {
         struct sas_entry_settings settings = {
@@ -401,7 +446,11 @@
     struct fixture *f = start();
     SasMesh_Close(f->meshes[1]);
     SPIN_UNTIL(f, SasMesh_Count(f->meshes[0]) == VMS - 1);
-    int newcomers = f->nodes[0].newcomers;
+    for (int i = 0; i < VMS; i++) {
+        if (i != 1) {
+            SasMesh_SetRecordsDigest(f->meshes[i], 5);
+        }
+    }
     open_vm(f, 1, STARTED_AT - 60000);
     for (int i = 0; i < VMS; i++) {
         if (i != 1) {
@@ -410,7 +459,8 @@
     }
     SPIN_UNTIL(f, all_know_all(f));
     assert_true(SasMesh_GetOwn(f->meshes[1])->incarnation > STARTED_AT);
-    assert_int_equal(f->nodes[0].newcomers, newcomers + 1);
+    /* And told of what it doesn't know. */
+    SPIN_UNTIL(f, f->nodes[0].differing > 0);
     stop(f);
 }
 
@@ -499,6 +549,8 @@
         cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
         cmocka_unit_test(
             test_a_suspect_goes_to_its_keeper_and_from_there_to_all),
+        cmocka_unit_test(
+            test_whoever_has_other_records_is_told_until_it_has_them),
         cmocka_unit_test(test_a_death_in_a_crowd_is_known_within_seconds),
         cmocka_unit_test(test_one_whose_clock_went_back_is_known_again),
         cmocka_unit_test(test_only_who_has_the_key_is_heard),
--- a/packages/node/src/guard.c
+++ b/packages/node/src/guard.c
@@ -166,22 +166,10 @@
     return count;
 }
 
-/* Changes with every crash and mark that is known, not with time. */
 static uint64_t
-get_digest(const struct sas_guard *guard)
+get_digest(struct sas_guard *guard)
 {
-    uint64_t digest = 0;
-    for (int i = 0; i < guard->core.count; i++) {
-        const struct sas_quarantine_entry *entry = &guard->core.entries[i];
-        for (int j = 0; j < entry->crash_count; j++) {
-            const struct sas_crash *crash = &entry->crashes[j];
-            uint64_t parts[] = {entry->fingerprint.high,
-                                entry->fingerprint.low, crash->id,
-                                crash->alone, crash->cleared};
-            digest += XXH3_64bits(parts, sizeof(parts));
-        }
-    }
-    return digest;
+    return SasQuarantine_GetDigest(&guard->core, 0, INT64_MAX, get_now(guard));
 }
 
 bool
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -64,6 +64,23 @@
     unsigned int answered;
 };
 
+/* A crash that the sender knows of, of a request that is suspected of several;
+ * cleared: it was no crash, or the request has run to a whole answer since. */
+struct sas_mesh_record {
+    unsigned hyper high;
+    unsigned hyper low;
+    unsigned hyper crash;
+    bool alone;
+    bool cleared;
+    unsigned int age_ms; /* of the last crash of the request */
+};
+
+/* Behind the message; one that doesn't know it stops reading before it. */
+struct sas_mesh_trailer {
+    unsigned hyper records_digest; /* of all that the sender has; 0: none */
+    sas_mesh_record records<SAS_MESH_MAX_SUSPECTS>;
+};
+
 /* With a shared key SAS_MESH_MAC_SIZE bytes of HMAC-SHA-256 follow. */
 struct sas_mesh_message {
     unsigned int format;
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -230,6 +230,37 @@
                 vm.request("GET", "/forms/%d" % i).status == 200
                 for vm in fleet.vms for i in range(8)), "all others served")
 
+    def test_one_that_starts_again_hears_of_refusals_whoever_is_absent(self):
+        """Guards against a refused request that crashes servers again by way
+        of an entry VM that starts while any other one is frozen."""
+        with Fleet(vms=("a", "a", "b", "c")) as fleet:
+            workers = [fleet.add_worker("d%d" % i) for i in range(8)]
+            fleet.start()
+            for worker in workers:
+                worker.poison.add("/forms/poison")
+
+            def is_refused(vm):
+                return vm.find_lines("suspect", quarantined=True)
+            wait_for(lambda: fleet.vms[0].request(
+                "GET", "/forms/poison").status == 503 and
+                all(is_refused(vm) for vm in fleet.vms),
+                "the request to be refused everywhere")
+            crashes = sum(w.crashes for w in workers)
+            for absent, again in zip(fleet.vms,
+                                     fleet.vms[1:] + fleet.vms[:1]):
+                known = len(is_refused(again))
+                absent.signal(signal.SIGSTOP)
+                again.stop()
+                again.start()
+                wait_for(lambda: len(is_refused(again)) > known,
+                         "%s to know while %s is frozen" % (again.name,
+                                                            absent.name))
+                wait_for(again.is_ready, again.name + " to be ready")
+                self.assertEqual(again.request(
+                    "GET", "/forms/poison").status, 503)
+                absent.signal(signal.SIGCONT)
+            self.assertEqual(sum(w.crashes for w in workers), crashes)
+
     def test_what_may_not_repeat_avoids_a_server_that_fails_in_part(self):
         """A clerk's filings are lost now and then: their server resets two of
         five, answers the others in time, and its health check is good. No
