Own mode: a repeat after a lost answer goes over a new connection

What callers saw (e2e_whole_answers, once, beside load): 502 in place of an answer, for a look-up that may repeat, though all servers were well.

Cause: a server that sends late bytes spoils the next request on its kept connection: its answer is another's, the attempt is lost and made again at the next server, over a kept connection as well. Where several servers have sent late bytes within some ms, each repeat meets the same, and after three tries the caller gets 502.

Evidence: three requests with late bytes at the same time, one at each of three servers, and one more request at once: 502 ("lost") in 8 of 12 runs on; in the other four the first server had just opened a new connection (for a probe). The listed test needs the same by chance within 20 ms.

Change: after an attempt that was lost on its connection the next ones of the request go over new connections, as after a silent one already.

Test: the three at once (1 of 5 runs red on by itself: callers and probes decide whether all three connections are spoilt).

Elsewhere: on the users' platform an answer with another id is skipped and the own one awaited, on the same connection; unseen there.

--- a/packages/node/src/forward_attempt.c
+++ b/packages/node/src/forward_attempt.c
@@ -69,7 +69,7 @@
     }
     SasUpstream_Send(parts->upstream, call->grant.backend, &request,
                      call->deadline_at - now,
-                     !call->idempotent || call->stalled, &attempt_vtable,
+                     !call->idempotent || call->was_lost, &attempt_vtable,
                      &call->attempt);
 }
 
@@ -246,6 +246,8 @@
 {
     bool may_have_run = outcome != SAS_OUTCOME_NOT_RUN;
     call->may_have_run |= may_have_run;
+    /* What spoilt a kept connection may be on those to other servers too. */
+    call->was_lost |= why == SAS_RETRY_CUT;
     note_tried(call);
     g_string_truncate(call->held, 0);
     g_array_set_size(call->answer_headers, 0);
@@ -425,7 +427,7 @@
     }
     SasUpstream_Cancel(attempt);
     call->may_have_run = true;
-    call->stalled = true;
+    call->was_lost = true;
     SasForwardCall_ReleaseGrant(call);
     /* A silent connection is not the fault of its backend server, which may
      * be asked again over a new one; a slow one is not asked twice. */
--- a/packages/node/src/forward_call.h
+++ b/packages/node/src/forward_call.h
@@ -63,7 +63,7 @@
     int attempts;
     bool in_trial;     /* it runs alone as a suspect */
     bool may_have_run; /* an earlier attempt was sent and lost */
-    bool stalled;      /* an earlier attempt met a silent connection */
+    bool was_lost;     /* an earlier attempt was lost on its connection */
 
     /* the answer */
     int status;
--- a/tests/e2e/test_whole_answers.py
+++ b/tests/e2e/test_whole_answers.py
@@ -61,6 +61,20 @@
             self.assertEqual(answer.status, 200)
             self.assertEqual(answer.json()["target"], "/own/%d" % number)
 
+    # All backend servers send late bytes at the same time, so that whichever
+    # is asked next, and after it, has them on its kept connection.
+    def test_late_bytes_of_all_servers_reach_nobody(self):
+        threads = [threading.Thread(target=self.get, args=(
+            "/late-all/%d?fault=late&ms=100" % number,))
+            for number in range(3)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        answer = self.get("/own-of-all")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.json()["target"], "/own-of-all")
+
     # Many callers at a time over the same few backend connections, some of
     # which give up half way: each of the others still gets its own answer.
     def test_answers_are_not_mixed_up(self):
