Servers that fall silent are left alone while nobody can say that they are cold

So what counts is what is sent to a cold server, and each entry VM filled its queue: it sees its own requests there and a fading part of the others', and nothing comes back to correct it.

Change: where the rows of servers were confirmed more than 3.5 s ago (the usual way takes up to 3.3), queues are kept short, as where one has stood, and a server that has answered none of the own requests for 0.8 paces gets no more until it answers, unless all servers of the object are silent. One log line (servers.doubt) says when this begins and ends.

Tests: test_traffic, test_admit (load: an outage of the store).

--- a/packages/core/include/sas/admit.h
+++ b/packages/core/include/sas/admit.h
@@ -41,8 +41,8 @@
  * also where the objective is lost already. */
 #define SasAdmit_LEAST_WAIT 2.0
 
-/* Where a queue has stood only this part of the wait is allowed, more for what
- * is more urgent. */
+/* Where a queue has stood, or nobody can tell whether servers are cold, only
+ * this part of the wait is allowed, more for what is more urgent. */
 #define SasAdmit_BRIEF 0.4
 #define SasAdmit_BRIEF_URGENT 0.7
 
@@ -55,6 +55,7 @@
     double goal_ms; /* what is left until the route's objective */
     double left_ms; /* until the caller's or the route's time limit */
     bool urgent;    /* the route isn't of the lowest rank */
+    bool in_doubt;  /* a server may be cold without anybody knowing it */
 };
 
 struct sas_admit_verdict {
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -46,6 +46,9 @@
 #define SasTraffic_HOLD_MS 1500
 #define SasTraffic_MAX_HOLD_MS 6000
 
+/* No answer for so many paces is silence. */
+#define SasTraffic_SILENCE 0.8
+
 /* An answer so recent proves a server well against another's word. In
  * paces. */
 #define SasTraffic_WELL 1.6
@@ -81,9 +84,15 @@
 bool SasTraffic_FoundSlot(const struct sas_fleet_server *server,
                           double load_when_sent);
 
-/* A request was sent there, and it ended, however that was. */
-void SasTraffic_NoteSent(struct sas_fleet_server *server);
-void SasTraffic_NoteEnded(struct sas_fleet_server *server);
+/* A request was sent there, and it ended; answered: by any answer. */
+void SasTraffic_NoteSent(struct sas_fleet_server *server, int64_t now_ms);
+void SasTraffic_NoteEnded(struct sas_fleet_server *server, bool answered,
+                          int64_t now_ms);
+
+/* Requests of this entry VM are there, and it has answered none for about as
+ * long as one takes: it may have turned slow just now. */
+bool SasTraffic_IsSilent(const struct sas_fleet *fleet, int slot,
+                         int64_t now_ms);
 
 /* What an answer says of the load. */
 void SasTraffic_NoteReport(struct sas_fleet *fleet, int slot,
--- a/packages/core/src/admit.c
+++ b/packages/core/src/admit.c
@@ -39,7 +39,7 @@
 {
     double least = SasAdmit_LEAST_WAIT * SasPace_Get(query->pace, true);
     double allowed = MAX(query->goal_ms - work_ms, least);
-    if (now_ms < server->traffic.brief_until) {
+    if (query->in_doubt || now_ms < server->traffic.brief_until) {
         allowed *= query->urgent ? SasAdmit_BRIEF_URGENT : SasAdmit_BRIEF;
     }
     return MIN(allowed,
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -17,15 +17,34 @@
 }
 
 void
-SasTraffic_NoteSent(struct sas_fleet_server *server)
+SasTraffic_NoteSent(struct sas_fleet_server *server, int64_t now_ms)
 {
-    server->traffic.in_flight++;
+    struct sas_server_traffic *traffic = &server->traffic;
+    traffic->in_flight++;
+    if (traffic->unanswered_since == 0) {
+        traffic->unanswered_since = now_ms;
+    }
 }
 
 void
-SasTraffic_NoteEnded(struct sas_fleet_server *server)
+SasTraffic_NoteEnded(struct sas_fleet_server *server, bool answered,
+                     int64_t now_ms)
+{
+    struct sas_server_traffic *traffic = &server->traffic;
+    traffic->in_flight--;
+    if (answered) {
+        traffic->unanswered_since = traffic->in_flight > 0 ? now_ms : 0;
+    }
+}
+
+bool
+SasTraffic_IsSilent(const struct sas_fleet *fleet, int slot, int64_t now_ms)
 {
-    server->traffic.in_flight--;
+    const struct sas_server_traffic *traffic =
+        &SasFleet_At(fleet, slot)->traffic;
+    return traffic->in_flight > 0 && traffic->unanswered_since > 0 &&
+           now_ms - traffic->unanswered_since >=
+               in_paces(fleet, slot, SasTraffic_SILENCE);
 }
 
 static void
--- a/packages/core/tests/test_admit.c
+++ b/packages/core/tests/test_admit.c
@@ -20,6 +20,7 @@
     bool known[SERVERS];
     bool brief; /* a queue has stood at the owner */
     bool urgent;
+    bool in_doubt;
     double left_ms; /* 0: plenty */
     bool new_route; /* of a lenient objective, without an answer so far */
 };
@@ -57,6 +58,7 @@
         .goal_ms = GOAL_MS,
         .left_ms = scene->left_ms > 0 ? scene->left_ms : 10000,
         .urgent = scene->urgent,
+        .in_doubt = scene->in_doubt,
     };
     struct sas_admit_verdict verdict = SasAdmit_Judge(fleet, &query, 1000);
     SasObjects_Free(objects);
@@ -134,6 +136,23 @@
     assert_int_equal(judge(&scene).slot, OWNER);
 }
 
+/* Load: an outage of the store. A server that turns cold unnoticed would have
+ * a full queue before it has answered anything. */
+static void
+test_queues_are_short_while_servers_may_be_cold(void **state)
+{
+    (void)state;
+    struct scene scene = {
+        .loads = {[OWNER] = 7, [NEXT] = 3},
+        .known = {[OWNER] = true},
+    };
+    assert_int_equal(judge(&scene).slot, OWNER);
+    scene.in_doubt = true;
+    assert_int_equal(judge(&scene).slot, SasModel_NONE);
+    scene.loads[OWNER] = 3;
+    assert_int_equal(judge(&scene).slot, OWNER);
+}
+
 /* Load: the first seconds. Work on a new object takes nearly all of the
  * route's time limit; behind others it runs into it, its work is thrown away,
  * and a registration that may not repeat is lost. */
@@ -194,6 +213,7 @@
         cmocka_unit_test(test_an_object_in_demand_gets_a_second_server),
         cmocka_unit_test(test_more_than_they_bear_is_refused_at_once),
         cmocka_unit_test(test_where_a_queue_stood_the_more_urgent_wait_longer),
+        cmocka_unit_test(test_queues_are_short_while_servers_may_be_cold),
         cmocka_unit_test(
             test_work_that_would_run_into_its_limit_is_not_queued),
         cmocka_unit_test(test_a_new_route_of_a_busy_service_is_not_shut_out),
--- a/packages/core/tests/test_traffic.c
+++ b/packages/core/tests/test_traffic.c
@@ -47,13 +47,13 @@
     (void)state;
     struct sas_fleet *fleet = start();
     struct sas_fleet_server *server = SasFleet_At(fleet, 0);
-    SasTraffic_NoteSent(server);
-    SasTraffic_NoteSent(server);
+    SasTraffic_NoteSent(server, 0);
+    SasTraffic_NoteSent(server, 0);
     assert_true(SasTraffic_EstimateLoad(fleet, 0, 0) == 2);
     struct sas_traffic_report report = {.running = 3, .waiting = 3};
     SasTraffic_NoteReport(fleet, 0, &report, 1000);
     assert_true(SasTraffic_EstimateLoad(fleet, 0, 1000) == 6);
-    SasTraffic_NoteSent(server);
+    SasTraffic_NoteSent(server, 0);
     assert_true(SasTraffic_EstimateLoad(fleet, 0, 1000) == 7);
     double later = SasTraffic_EstimateLoad(
         fleet, 0, 1000 + in_paces(SasTraffic_HALF_LIFE));
@@ -61,6 +61,35 @@
     SasFleet_Free(fleet);
 }
 
+/* A server turns cold while nobody can say so: requests would pile up there
+ * until the first of them are back. */
+static void
+test_a_server_with_requests_and_no_answers_is_silent(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    int64_t silence = in_paces(SasTraffic_SILENCE);
+    assert_false(SasTraffic_IsSilent(fleet, 0, 5000));
+    SasTraffic_NoteSent(server, 1000);
+    SasTraffic_NoteSent(server, 1000 + silence - 1);
+    assert_false(SasTraffic_IsSilent(fleet, 0, 1000 + silence - 1));
+    assert_true(SasTraffic_IsSilent(fleet, 0, 1000 + silence));
+    /* An answer ends it, and begins a new time for those that are left. */
+    SasTraffic_NoteEnded(server, true, 2000);
+    assert_false(SasTraffic_IsSilent(fleet, 0, 2000 + silence - 1));
+    assert_true(SasTraffic_IsSilent(fleet, 0, 2000 + silence));
+    /* A request that is given up doesn't: the next is one at a time. */
+    SasTraffic_NoteEnded(server, false, 3000);
+    assert_false(SasTraffic_IsSilent(fleet, 0, 3000));
+    SasTraffic_NoteSent(server, 3010);
+    assert_true(SasTraffic_IsSilent(fleet, 0, 3010));
+    SasTraffic_NoteEnded(server, true, 3100);
+    SasTraffic_NoteSent(server, 4000);
+    assert_false(SasTraffic_IsSilent(fleet, 0, 4000));
+    SasFleet_Free(fleet);
+}
+
 /* Load: the workers' queue is kept full by more callers than they serve. With
  * nine waiting every answer is late; with two the same number of answers is
  * in time. A short burst, in contrast, may fill the queue. */
@@ -105,9 +134,9 @@
     assert_int_equal(end_run(fleet, 0, 1000, true, 1500), SAS_TRAFFIC_SAME);
     int64_t trial_at = 1010 + SasTraffic_HOLD_MS;
     assert_false(SasTraffic_IsShunned(server, trial_at));
-    SasTraffic_NoteSent(SasFleet_At(fleet, 0));
+    SasTraffic_NoteSent(SasFleet_At(fleet, 0), 0);
     assert_true(SasTraffic_IsShunned(server, trial_at + 1)); /* one only */
-    SasTraffic_NoteEnded(SasFleet_At(fleet, 0));
+    SasTraffic_NoteEnded(SasFleet_At(fleet, 0), true, 0);
     assert_int_equal(end_run(fleet, 0, 900, false, trial_at + 900),
                      SAS_TRAFFIC_TRIPPED);
     int64_t again_at = trial_at + 900 + 2LL * SasTraffic_HOLD_MS;
@@ -254,6 +283,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_the_load_of_others_fades_and_the_own_is_exact),
+        cmocka_unit_test(test_a_server_with_requests_and_no_answers_is_silent),
         cmocka_unit_test(
             test_a_standing_queue_is_cut_short_and_a_burst_is_not),
         cmocka_unit_test(
--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -27,6 +27,9 @@
     bool (*is_ready)(const struct sas_source *source);
     /* Another entry VM has a newer configuration; NULL: there is no other. */
     bool (*is_behind)(const struct sas_source *source);
+    /* How long ago what is known of the servers was confirmed, milliseconds;
+     * NULL: it never gets old. */
+    int64_t (*get_age_ms)(const struct sas_source *source);
     /* No more calls are made; the loop runs out of its handles. */
     void (*stop)(struct sas_source *source);
     /* Answers other entry VMs that ask what this one knows. */
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -85,7 +85,7 @@
     SasRelay_NoteServer(call, slot, now_ms);
     call->sent_at = now_ms;
     call->tried[call->tried_count++] = slot;
-    SasTraffic_NoteSent(server);
+    SasTraffic_NoteSent(server, now_ms);
     SasWindow_Add(&SasRelay_GetSlot(relay, slot)->cold_sends, 1, now_ms);
 
     struct sas_http_header headers[SasHttp_MAX_HEADERS + 4];
@@ -108,12 +108,12 @@
 }
 
 static void
-end_attempt(struct relay_call *call)
+end_attempt(struct relay_call *call, bool answered)
 {
     struct sas_fleet_server *server =
         SasFleet_GetServer(call->relay->options.fleet, call->server);
     if (server != NULL) {
-        SasTraffic_NoteEnded(server);
+        SasTraffic_NoteEnded(server, answered, SasRelay_Now(call->relay));
     }
     call->pooled = NULL;
 }
@@ -123,7 +123,7 @@
 {
     if (call->pooled != NULL) {
         struct sas_pooled *pooled = call->pooled;
-        end_attempt(call);
+        end_attempt(call, false);
         SasPool_Drop(pooled);
     }
 }
@@ -379,7 +379,7 @@
     struct sas_pooled *pooled = call->pooled;
     struct sas_fleet_server *server =
         SasFleet_GetServer(relay->options.fleet, call->server);
-    end_attempt(call);
+    end_attempt(call, true);
     if (reusable) {
         SasPool_Give(pooled, call->idle_ms);
     }
@@ -462,7 +462,7 @@
 on_fail(struct sas_http_user *user, const struct sas_http_failure *failure)
 {
     struct relay_call *call = (struct relay_call *)user;
-    end_attempt(call);
+    end_attempt(call, false);
     if (failure->error.code == SAS_ETIMEOUT) {
         call->attempts++;
         note_run(call, true);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -61,6 +61,7 @@
     GHashTable *routes;  /* struct route_state by route name */
     struct sas_suspects *suspects;
     struct sas_objects *objects;
+    bool in_doubt; /* servers may be cold without anybody knowing it */
     int ends[SAS_HTTP_END_COUNT]; /* counters of connections */
     GQueue calls;                 /* struct relay_call *, by their links */
     struct sas_stop_plan stop;
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -1,11 +1,22 @@
 /* Which server a request is sent to, or why to none. */
 #include "relay_call.h"
 
+#include <string.h>
+
+#include <jansson.h>
+
+#include "sas/gateway.h"
+#include "sas/log.h"
+
 /* A refusal by a server with free slots says nothing of the next try; the
  * caller may come back at once. */
 #define EARLY_SHED_RETRY_MS 30
 #define MAX_EARLY_SHEDS 3
 
+/* Servers' rows that were confirmed longer ago may be wrong. The store's
+ * longest wait for a change, and the way by a leader, take up to 3.3 s. */
+#define DOUBT_MS 3500
+
 /* Half a request: what is left of a report when it has faded. */
 #define IDLE_LOAD 0.5
 
@@ -198,6 +209,47 @@
     return count;
 }
 
+/* A server that turns cold says so by its row, which can't come while the
+ * store is away. It breaks down under what a warm one gets in the second that
+ * follows. */
+static void
+update_doubt(struct sas_relay *relay)
+{
+    const struct sas_source *source = relay->options.source;
+    int64_t age_ms =
+        source->get_age_ms != NULL ? source->get_age_ms(source) : 0;
+    bool in_doubt = age_ms > DOUBT_MS;
+    if (in_doubt != relay->in_doubt) {
+        relay->in_doubt = in_doubt;
+        SasLog_WriteFields(SasLog_INFO, "servers.doubt", "", "{s:b, s:I}",
+                           "in_doubt", in_doubt, "age_ms", (json_int_t)age_ms);
+    }
+}
+
+/* In doubt, leaves out the servers that have fallen silent, unless all have:
+ * then the cause is not theirs. */
+static int
+avoid_silent(const struct relay_call *call, int *slots, int count,
+             int64_t now_ms)
+{
+    const struct sas_fleet *fleet = call->relay->options.fleet;
+    if (!call->relay->in_doubt) {
+        return count;
+    }
+    int kept = 0;
+    int heard[SasOwner_MAX_CANDIDATES];
+    for (int i = 0; i < count; i++) {
+        if (!SasTraffic_IsSilent(fleet, slots[i], now_ms)) {
+            heard[kept++] = slots[i];
+        }
+    }
+    if (kept == 0) {
+        return count;
+    }
+    memcpy(slots, heard, sizeof(heard[0]) * (size_t)kept);
+    return kept;
+}
+
 /* Where a route states no objective, its requests are in time within their
  * limit. */
 static int64_t
@@ -267,6 +319,7 @@
         .goal_ms = (double)(call->began_at + get_goal(call) - now_ms),
         .left_ms = (double)(call->deadline_at - now_ms),
         .urgent = call->route->urgent,
+        .in_doubt = call->relay->in_doubt,
     };
     return SasAdmit_Judge(call->relay->options.fleet, &query, now_ms);
 }
@@ -290,6 +343,7 @@
         return;
     }
     take_orders(call, now_ms);
+    update_doubt(relay);
     struct sas_fleet *fleet = relay->options.fleet;
     struct sas_owner_query query = {
         .service = call->service,
@@ -306,6 +360,7 @@
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
     const char *reason = "no server";
     count = keep_usable(call, slots, count, now_ms, &reason);
+    count = avoid_silent(call, slots, count, now_ms);
     count = avoid_grey(call, slots, count, now_ms);
     call->alone = suspicion == SAS_QUARANTINE_ALONE;
     if (call->alone) {
--- a/tools/emulate.c
+++ b/tools/emulate.c
@@ -205,8 +205,8 @@
     if (g_queue_get_length(&server->waiting) >= QUEUE) {
         request->over = true;
         get_window(request)->refused++;
-        SasTraffic_NoteEnded(
-            SasFleet_At(fleets[request->vm], request->server));
+        SasTraffic_NoteEnded(SasFleet_At(fleets[request->vm], request->server),
+                             true, (int64_t)now_ms);
         return;
     }
     g_queue_push_tail(&server->waiting, request);
@@ -254,7 +254,8 @@
         .known = request->known,
         .timed_out = timed_out,
     };
-    SasTraffic_NoteEnded(SasFleet_At(fleet, request->server));
+    SasTraffic_NoteEnded(SasFleet_At(fleet, request->server), !timed_out,
+                         (int64_t)now_ms);
     tell_all(request->server, SasTraffic_NoteRun(fleet, request->server, &end,
                                                  (int64_t)now_ms));
 }
@@ -384,7 +385,7 @@
     request->sent_at = now_ms;
     request->load_when_sent = SasTraffic_EstimateLoad(
         fleets[request->vm], request->server, (int64_t)now_ms);
-    SasTraffic_NoteSent(server);
+    SasTraffic_NoteSent(server, (int64_t)now_ms);
     schedule(now_ms + get_delay(request), REACH, request);
     schedule(now_ms + options.limit_ms, EXPIRE, request);
 }
