Rows that the store has never confirmed are old, however new the process

Cause: an entry VM that starts while the store is away takes its rows from another one, and counted their age from its own start; so for 3.5 s it sent to servers of that zone as if all were well.

Test: e2e_stale_rows, one that starts in an outage knows that its rows are old; without the change it has no such line.

--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -122,6 +122,29 @@
             wait_for(again.is_ready, "rows from the other zone")
             self.assertEqual(again.request().status, 200)
 
+    def test_one_that_starts_in_an_outage_knows_that_its_rows_are_old(self):
+        """Guards against requests that pile up at servers which turned cold
+        in the outage, sent by an entry VM that takes others' rows for the
+        store's own."""
+        with Fleet(vms=("a", "c"), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            fleet.store.mode = "silent"
+            fleet.first_start = False
+            stays, again = fleet.vms
+            for table in ("op", "servers"):
+                wait_for(lambda: stays.find_lines("store.lost", peer=table),
+                         "the outage to be noticed")
+            again.stop()
+            again.start()
+            wait_for(again.is_ready, "rows from the other zone")
+            self.assertEqual(again.request().status, 200)
+            self.assertTrue(again.find_lines("servers.doubt", in_doubt=True))
+            fleet.store.mode = ""
+            wait_for(lambda: again.request().status == 200 and
+                     again.find_lines("servers.doubt", in_doubt=False),
+                     "the store's own word")
+
     def test_a_late_page_of_the_store_does_not_hide_a_change(self):
         """Guards against requests to a server that has said that it leaves:
         an entry VM that starts asks the store for its rows in pages and has
