After an outage servers stay in doubt until they have written again

Cause: at the store's return rows are confirmed within some ms, while a server that turned cold in the outage says so with its next heartbeat, up to 1.5 s later.

--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -28,7 +28,8 @@
     /* Another entry VM has a newer configuration; NULL: there is no other. */
     bool (*is_behind)(const struct sas_source *source);
     /* How long ago what is known of the servers was confirmed, milliseconds;
-     * INT64_MAX: never. NULL: it never gets old. */
+     * INT64_MAX: never, or not yet by the servers themselves after an outage
+     * or a start. NULL: it never gets old. */
     int64_t (*get_age_ms)(const struct sas_source *source);
     /* No more calls are made; the loop runs out of its handles. */
     void (*stop)(struct sas_source *source);
--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -145,6 +145,29 @@
                      again.find_lines("servers.doubt", in_doubt=False),
                      "the store's own word")
 
+    def test_servers_have_time_to_say_that_they_are_cold(self):
+        """Guards against requests that pile up at servers which turned cold
+        in an outage of the store: at its return their rows are confirmed, but
+        they write again only with their next heartbeat."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.store.mode = "silent"
+
+            def find(step, **fields):
+                vm.request()
+                return vm.find_lines(step, **fields)
+            wait_for(lambda: find("servers.doubt", in_doubt=True), "a doubt")
+            time.sleep(3)  # long enough for rows to lapse
+            fleet.store.mode = ""
+            wait_for(lambda: vm.find_lines("store.regained", peer="servers"),
+                     "the store to answer again")
+            back_at = time.monotonic()
+            wait_for(lambda: find("servers.doubt", in_doubt=False),
+                     "the doubt to end")
+            self.assertGreater(time.monotonic() - back_at, 1.5)
+
     def test_a_late_page_of_the_store_does_not_hide_a_change(self):
         """Guards against requests to a server that has said that it leaves:
         an entry VM that starts asks the store for its rows in pages and has
