In doubt a server that is slow twice in a row is taken for cold

Change: while nobody can say which servers are cold, two runs in a row that took longer than a warm server's (a known object longer than a new one usually takes, a new one longer than a trial may) make this entry VM treat the server as cold for as long as cold servers are: entry VMs of its region send their parts of what it bears, others nothing. Each decides by its own answers.

Test: test_traffic, slow runs in a row show a server slow.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -61,6 +61,7 @@
     int64_t unanswered_since; /* the first request after its last answer; 0:
                                  there was none */
     int timeouts;             /* in a row */
+    int slow_runs;            /* in a row */
     int64_t queued_since;  /* it has not been seen with a short queue since */
     int64_t brief_until;   /* only a short queue is allowed there until then */
     int failures;          /* in a row */
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -46,6 +46,11 @@
 #define SasTraffic_HOLD_MS 1500
 #define SasTraffic_MAX_HOLD_MS 6000
 
+/* Runs in a row that show a server slow, and the paces that one on a known
+ * object must take for it; one on a new object must fail a trial. */
+#define SasTraffic_SLOW_RUNS 2
+#define SasTraffic_SLOW_KNOWN 1.0
+
 /* No answer for so many paces is silence. */
 #define SasTraffic_SILENCE 0.8
 
@@ -94,6 +99,9 @@
 bool SasTraffic_IsSilent(const struct sas_fleet *fleet, int slot,
                          int64_t now_ms);
 
+/* Its last runs were slow, each for what it was: a cold server's are. */
+bool SasTraffic_IsSlow(const struct sas_fleet_server *server);
+
 /* What an answer says of the load. */
 void SasTraffic_NoteReport(struct sas_fleet *fleet, int slot,
                            const struct sas_traffic_report *report,
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -47,6 +47,12 @@
                in_paces(fleet, slot, SasTraffic_SILENCE);
 }
 
+bool
+SasTraffic_IsSlow(const struct sas_fleet_server *server)
+{
+    return server->traffic.slow_runs >= SasTraffic_SLOW_RUNS;
+}
+
 static void
 note_queue(struct sas_fleet *fleet, int slot, int waiting, int64_t now_ms)
 {
@@ -177,6 +183,8 @@
     if (well) {
         traffic->well_at = now_ms;
     }
+    bool slow = !well || (end->known && paces > SasTraffic_SLOW_KNOWN);
+    traffic->slow_runs = slow ? traffic->slow_runs + 1 : 0;
     if (traffic->tripped && now_ms >= traffic->shunned_until) {
         return end_trial(fleet, slot, well, now_ms);
     }
--- a/packages/core/tests/test_traffic.c
+++ b/packages/core/tests/test_traffic.c
@@ -90,6 +90,27 @@
     SasFleet_Free(fleet);
 }
 
+/* Known objects take as long as new ones on a server that has lost its cache.
+ */
+static void
+test_slow_runs_in_a_row_show_a_server_slow(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    const struct sas_fleet_server *server = SasFleet_At(fleet, 0);
+    end_run(fleet, 0, PACE_MS + 1, false, 1000);
+    assert_false(SasTraffic_IsSlow(server));
+    end_run(fleet, 0, KNOWN_MS, false, 1100);
+    end_run(fleet, 0, PACE_MS + 1, false, 1200);
+    assert_false(SasTraffic_IsSlow(server));
+    end_run(fleet, 0, PACE_MS + 1, false, 1300);
+    assert_true(SasTraffic_IsSlow(server));
+    struct sas_traffic_end new_object = {.elapsed_ms = PACE_MS + 1};
+    SasTraffic_NoteRun(fleet, 0, &new_object, 1400);
+    assert_false(SasTraffic_IsSlow(server));
+    SasFleet_Free(fleet);
+}
+
 /* Load: the workers' queue is kept full by more callers than they serve. With
  * nine waiting every answer is late; with two the same number of answers is
  * in time. A short burst, in contrast, may fill the queue. */
@@ -284,6 +305,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_the_load_of_others_fades_and_the_own_is_exact),
         cmocka_unit_test(test_a_server_with_requests_and_no_answers_is_silent),
+        cmocka_unit_test(test_slow_runs_in_a_row_show_a_server_slow),
         cmocka_unit_test(
             test_a_standing_queue_is_cut_short_and_a_burst_is_not),
         cmocka_unit_test(
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -360,6 +360,10 @@
         relay, call->server.slot,
         SasTraffic_NoteRun(fleet, call->server.slot, &end, now_ms),
         timed_out ? "timed out" : "slow");
+    if (relay->in_doubt &&
+        SasTraffic_IsSlow(SasFleet_At(fleet, call->server.slot))) {
+        SasRelay_SuspectCold(relay, call->server.slot);
+    }
     if (!timed_out && call->status / 100 == 2) {
         note_work(call, end.elapsed_ms);
         SasRelay_NoteAnswered(relay, call->server.slot);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -148,6 +148,8 @@
 void SasRelay_TellChange(struct sas_relay *relay, int slot,
                          enum sas_traffic_change change, const char *cause);
 
+/* What a server does looks as if it had turned cold. */
+void SasRelay_SuspectCold(struct sas_relay *relay, int slot);
 void SasRelay_NoteAnswered(struct sas_relay *relay, int slot);
 void SasRelay_NoteFailed(struct sas_relay *relay, int slot);
 
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -25,6 +25,20 @@
         SasRelay_Now(relay) + service->cold_ms;
 }
 
+void
+SasRelay_SuspectCold(struct sas_relay *relay, int slot)
+{
+    const struct sas_fleet_server *server =
+        SasFleet_At(relay->options.fleet, slot);
+    if (SasRelay_GetSlot(relay, slot)->cold_until_ms > SasRelay_Now(relay)) {
+        return;
+    }
+    suspect_cold(relay, slot);
+    SasLog_WriteFields(SasLog_WARN, "server.cold", server->facts.id,
+                       "{s:s, s:i}", "cause", "slow, and nobody can say why",
+                       "slow_runs", server->traffic.slow_runs);
+}
+
 static void
 on_reopened(struct sas_fleet_listener *listener, int zone)
 {
