A version's rows are due everywhere once it was accepted

An entry VM whose clock is behind that of the one which accepted a sheet, by its own time of day or because its schedule's clock has not caught up, takes the new version with no row due. Until its clock came to the version's time, or the next tick, a shift that the version only repeats had no share there and no cap: its callers went home, and what home had no room for came back over the cap.

Cause: rows were compared with the entry VM's own clock alone.

Change: rows that were due when the version was accepted are due, as far as the clocks of two entry VMs may differ (10 s; beyond it the schedule's own clock goes on alone, so that one wrong clock starts no row of the next hour).

Test: test_plan, a clock that is behind ends no shift: share 0 before, 0.6 now, and the cap stays.

Ruled out by reading: the loop's cached time (rates use a clock of their own, read each time), loans that two versions count (floors have the same proportions, a new core starts in recovery), spill to another region (it takes from the same cap).

--- a/packages/core/include/sas/plan.h
+++ b/packages/core/include/sas/plan.h
@@ -35,6 +35,7 @@
 
 #define SasPlan_CATCH_UP 10
 #define SasPlan_MAX_STEP_MS 10000
+#define SasPlan_SKEW_MS 10000     /* between clocks of entry VMs, at most */
 #define SasPlan_OLD_MS 10000      /* a measurement of this age holds ramps */
 #define SasPlan_MIN_HEADROOM 0.05 /* where the row states none or less */
 #define SasPlan_WARM_SHARE 0.1    /* of the ordered share, while warming */
@@ -90,6 +91,7 @@
 struct sas_plan {
     const struct sas_model *model;
     int64_t version; /* of the configuration, 0 before the first */
+    int64_t accepted_ms;
     struct sas_shift *shifts;
     int shift_count;
     struct sas_intention *rows; /* by service, from, to, then time */
--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -41,6 +41,7 @@
     memset(plan, 0, sizeof(*plan));
     plan->model = model;
     plan->version = config->number;
+    plan->accepted_ms = config->accepted_ms;
     plan->fresh = old.version == 0;
     plan->started = old.started;
     plan->fresh_since_ms = old.fresh_since_ms;
@@ -470,13 +471,30 @@
     return level;
 }
 
+/* Failure: this node's clock is behind that of the one which accepted the
+ * version, and until it has caught up a shift that goes on has no row: its
+ * callers go home, and what home has no room for comes back without a cap. */
+static bool
+is_due(const struct sas_plan *plan, const struct sas_intention *row)
+{
+    int64_t ahead_ms = plan->accepted_ms - plan->clock_ms;
+    return row->at_ms <= plan->clock_ms ||
+           (row->at_ms <= plan->accepted_ms && ahead_ms <= SasPlan_SKEW_MS);
+}
+
+static int64_t
+get_time_since(const struct sas_plan *plan, const struct sas_intention *row)
+{
+    return MAX(plan->clock_ms - row->at_ms, 0);
+}
+
 static double
 get_schedule_point(const struct sas_plan *plan, const struct sas_shift *shift)
 {
     const struct sas_intention *rows = plan->rows + shift->first_row;
     const struct sas_intention *row = &rows[shift->active];
     return climb(rows, shift->active, shift->start_level,
-                 plan->clock_ms - row->at_ms, row->share);
+                 get_time_since(plan, row), row->share);
 }
 
 /* Moves to the row in force at the schedule's clock. */
@@ -485,8 +503,7 @@
 {
     const struct sas_intention *rows = plan->rows + shift->first_row;
     int next = shift->active + 1;
-    for (; next < shift->row_count && rows[next].at_ms <= plan->clock_ms;
-         next++) {
+    for (; next < shift->row_count && is_due(plan, &rows[next]); next++) {
         const struct sas_intention *row = &rows[next];
         double level = 0;
         if (next > 0) {
@@ -496,7 +513,7 @@
         }
         shift->start_level = fmin(level, row->share);
         shift->active = next;
-        shift->flowing_ms = fresh ? plan->clock_ms - row->at_ms : 0;
+        shift->flowing_ms = fresh ? get_time_since(plan, row) : 0;
         if (row->at_ms == shift->carried_at_ms &&
             row->share == shift->carried_share) {
             shift->flowing_ms = shift->carried_flowing_ms;
--- a/packages/core/tests/test_plan.c
+++ b/packages/core/tests/test_plan.c
@@ -277,6 +277,33 @@
     SasPlan_Free(&plan);
 }
 
+/* An entry VM whose clock is behind takes a version that repeats a shift:
+ * until its clock came to the version's time the shift had no share and no
+ * cap there. */
+static void
+test_a_clock_that_is_behind_ends_no_shift(void **state)
+{
+    (void)state;
+    struct sas_plan plan = {0};
+    const char *row = "+0,dossiers,montreal,quebec,60%,20 req/s,,\n";
+    build(&plan, 1, row);
+    run(&plan, NOW - 2000, 0, 1);
+    assert_near(get_share(&plan), 0.6);
+    build(&plan, 2, row);
+    run(&plan, NOW - 900, 1100, 0);
+    assert_near(get_share(&plan), 0.6);
+    assert_int_equal(
+        SasPlan_FindShift(&plan, DOSSIERS, MONTREAL, QUEBEC)->cap_unit,
+        SAS_CAP_REQUESTS);
+    SasPlan_Free(&plan);
+    /* One that is off by an hour says nothing of this one's schedule. */
+    plan = (struct sas_plan){0};
+    build(&plan, 1, row);
+    run(&plan, NOW - HOUR, 0, 1);
+    assert_near(get_share(&plan), 0);
+    SasPlan_Free(&plan);
+}
+
 static void
 test_rows_follow_each_other(void **state)
 {
@@ -375,6 +402,8 @@
                                set_up),
         cmocka_unit_test_setup(test_a_new_version_keeps_what_is_in_force,
                                set_up),
+        cmocka_unit_test_setup(test_a_clock_that_is_behind_ends_no_shift,
+                               set_up),
         cmocka_unit_test_setup(test_rows_follow_each_other, set_up),
         cmocka_unit_test_setup(test_capacity_is_checked_before, set_up),
     };
