A part of a common limit is taken only when the others have given it up

Cause: who shares a limit is read from one's own table. One that starts takes its part before the others have heard of it, and what they sent in the last second counts still; one that is gone for the others may be cut off from them and go on sending.

Change: one that has started, or stood still for over a second (a freeze; it says so, mesh.pause), has no part for 2 s; one that is gone keeps its part for 10 s, unless it said that it leaves. For what cold servers bear and for the caps of the operators' sheet, which are divided the same way. At the very first start of the system there is nobody to wait for.

Tests: test_gossip, one that is gone keeps its part for a while; one that starts has no part until the others know; test_steering, a newcomer has no part of a cap. Without the change there is no such moment to ask for: the count was 2 as soon as the third was gone.

Not touched: parts of repeats. They count a window of 10 s and a margin, and requests that are refused for want of a repeat are lost to their callers.

--- a/packages/core/include/sas/steering.h
+++ b/packages/core/include/sas/steering.h
@@ -56,9 +56,10 @@
     int service;
     int home; /* region of the caller */
     uint64_t key;
-    double bytes; /* of the request */
-    int vms;      /* entry VMs of the home region that share the cap */
-    int rank;     /* of this one among them, from 0 */
+    double bytes;  /* of the request */
+    int vms;       /* entry VMs of the home region that share the cap */
+    int rank;      /* of this one among them, from 0 */
+    bool newcomer; /* has no part of a cap yet; others still use it */
 };
 
 /* The region that the shares in force give to an object, whatever the caps
--- a/packages/core/src/steering.c
+++ b/packages/core/src/steering.c
@@ -240,6 +240,9 @@
 has_room(struct usage *usage, const struct sas_shift *shift,
          const struct sas_steering_query *query, int64_t now_ms)
 {
+    if (query->newcomer && shift->cap_unit != SAS_CAP_NONE) {
+        return false;
+    }
     switch (shift->cap_unit) {
     case SAS_CAP_REQUESTS:
         return SasWindow_Count(&usage->requests, now_ms) + 1 <=
--- a/packages/core/tests/test_steering.c
+++ b/packages/core/tests/test_steering.c
@@ -138,6 +138,24 @@
     assert_int_equal(sum, 10);
 }
 
+/* One that starts would use its part of a cap while the others still do. */
+static void
+test_a_newcomer_has_no_part_of_a_cap(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    struct sas_config *config =
+        accept(f, SasSheet_HEADER "\n+0,desk,east,west,100%,10 req/s,,\n");
+    struct sas_steering_query query = {
+        .service = f->desk, .home = f->east, .vms = 1, .newcomer = true};
+    struct sas_steering_grant grant;
+    assert_false(SasSteering_Take(f->steering, &query, 1000, &grant));
+    query.newcomer = false;
+    assert_true(SasSteering_Take(f->steering, &query, 1000, &grant));
+    SasConfig_Unref(config);
+    stop(f);
+}
+
 static void
 test_a_cap_of_concurrent_requests_counts_those_that_run(void **state)
 {
@@ -264,6 +282,7 @@
         cmocka_unit_test(
             test_a_share_of_the_objects_goes_where_the_sheet_says),
         cmocka_unit_test(test_entry_vms_together_stay_under_the_cap),
+        cmocka_unit_test(test_a_newcomer_has_no_part_of_a_cap),
         cmocka_unit_test(
             test_a_cap_of_concurrent_requests_counts_those_that_run),
         cmocka_unit_test(test_servers_and_vms_that_the_sheet_drains_are_left),
--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -75,6 +75,8 @@
     int seat = add_seat(mesh, &own);
     SasMembership_Init(&mesh->table, 1, OWN_SEAT, own.incarnation,
                        SasMesh_Now(mesh));
+    mesh->round_at = SasMesh_Now(mesh);
+    mesh->woke_at = settings->first_start ? INT64_MIN / 2 : mesh->round_at;
     if (SasMesh_OpenTalk(mesh, seat == OWN_SEAT, error) != 0) {
         SasMesh_Close(mesh);
         return NULL;
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -176,12 +176,16 @@
                       int region);
 
 /* How many entry VMs of a region may be sending to a server of it, and the
- * place of this one among them, for limits that they share. One that is
- * leaving or suspect still sends; were it not counted, the others would take
- * its part while it uses it. */
+ * place of this one among them, for limits that they share. At any moment the
+ * parts that are used must not add up to more than the whole, whatever each
+ * believes. So one that is leaving, suspect or gone for a short while keeps
+ * its part, which it may still be using; and one that has just started, or
+ * was frozen, has none (joined is false) until the others have heard of it
+ * and what they sent with its part is a second old. */
 struct sas_mesh_senders {
     int count;
     int rank;
+    bool joined; /* this one may use its part */
 };
 
 struct sas_mesh_senders SasMesh_GetSenders(const struct sas_mesh *mesh,
--- a/packages/gateway/src/mesh_order.c
+++ b/packages/gateway/src/mesh_order.c
@@ -10,20 +10,34 @@
     return XXH3_64bits(words, sizeof(words));
 }
 
+/* One that is gone may be cut off from the others and not from the servers. */
+#define RESERVED_MS 10000
+
+/* Others hear of a start or of the end of a pause within a second; what they
+ * sent until then counts for one more. */
+#define JOIN_MS 2000
+
 static bool
 may_send(const struct sas_mesh *mesh, int seat)
 {
+    int64_t now_ms = SasMesh_Now(mesh);
     enum sas_member_state state =
-        SasMembership_GetState(&mesh->table, seat, SasMesh_Now(mesh));
+        SasMembership_GetState(&mesh->table, seat, now_ms);
+    bool reserved =
+        state == SAS_MEMBER_GONE && !mesh->table.members[seat].leaving &&
+        SasMembership_GetAge(&mesh->table, seat, now_ms) < RESERVED_MS;
     return seat == OWN_SEAT || state == SAS_MEMBER_LIVE ||
-           state == SAS_MEMBER_LEAVING || state == SAS_MEMBER_SUSPECT;
+           state == SAS_MEMBER_LEAVING || state == SAS_MEMBER_SUSPECT ||
+           reserved;
 }
 
 struct sas_mesh_senders
 SasMesh_GetSenders(const struct sas_mesh *mesh, uint64_t server_hash,
                    int region)
 {
-    struct sas_mesh_senders senders = {0};
+    struct sas_mesh_senders senders = {
+        .joined = SasMesh_Now(mesh) - mesh->woke_at >= JOIN_MS,
+    };
     uint64_t own = score_vm(mesh, server_hash, OWN_SEAT);
     for (int seat = 0; seat < (int)mesh->vms->len; seat++) {
         if (SasMesh_GetRegion(mesh, seat) != region || !may_send(mesh, seat)) {
--- a/packages/gateway/src/mesh_seats.h
+++ b/packages/gateway/src/mesh_seats.h
@@ -42,7 +42,9 @@
     u_quad_t changes[SAS_MESH_MAX_TABLES];  /* the own newest, by table */
     int64_t sheet_version;                  /* the highest heard of */
     uint64_t records_digest;
-    struct sas_proto_key *key;                 /* NULL: none */
+    int64_t woke_at;           /* its start, or the end of its last pause */
+    int64_t round_at;          /* the last round of gossip */
+    struct sas_proto_key *key; /* NULL: none */
     uint8_t lookup_scopes[SasFleet_MAX_ZONES]; /* as last logged, by zone */
 };
 
--- a/packages/gateway/src/mesh_talk.c
+++ b/packages/gateway/src/mesh_talk.c
@@ -25,6 +25,9 @@
 /* More than one entry VM sends to one server in a window. */
 #define MAX_LOSSES 10000u
 
+/* Others take the part of one that is silent for longer. */
+#define PAUSE_MS 1000
+
 /* Between two times that an entry VM is told of records that differ. */
 #define DIFFER_EVERY_MS 500
 
@@ -157,11 +160,27 @@
     }
 }
 
+/* A process that was frozen has rounds missing. */
+static void
+note_pause(struct sas_mesh *mesh, int64_t now_ms)
+{
+    int64_t missed_ms =
+        now_ms - mesh->round_at - mesh->table.times.interval_ms;
+    if (missed_ms > PAUSE_MS) {
+        mesh->woke_at = now_ms;
+        SasLog_Write(SasLog_WARN, "mesh.pause", "",
+                     "this process stood still for %" G_GINT64_FORMAT " ms",
+                     missed_ms);
+    }
+    mesh->round_at = now_ms;
+}
+
 static void
 on_round(uv_timer_t *timer)
 {
     struct sas_mesh *mesh = timer->data;
     int64_t now_ms = SasMesh_Now(mesh);
+    note_pause(mesh, now_ms);
     SasMembership_Beat(&mesh->table, now_ms);
     int seat = SasModel_NONE;
     if (SasMembership_PickPeers(&mesh->table, mesh->random, now_ms, &seat,
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -84,6 +84,9 @@
     }
     struct sas_mesh_senders senders =
         SasMesh_GetSenders(relay->options.mesh, server->hash, region);
+    if (!senders.joined) {
+        return true;
+    }
     int share =
         SasCold_GetShare(service->cold_per_s, bounds->cold_factor,
                          bounds->cold_slack, senders.count, senders.rank);
@@ -303,6 +306,7 @@
         .bytes = (double)size,
         .vms = senders.count,
         .rank = senders.rank,
+        .newcomer = !senders.joined,
     };
     SasSteering_Take(options->steering, &query, now_ms, &call->grant);
 }
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -200,6 +200,25 @@
     stop_meshes(f, f->meshes, VMS);
 }
 
+static void
+stop_all_but(struct fixture *f, int closed)
+{
+    f->meshes[closed] = f->meshes[VMS - 1];
+    stop_meshes(f, f->meshes, VMS - 1);
+}
+
+static bool
+find_view(const struct sas_mesh *mesh, const char *name,
+          struct sas_mesh_view *view)
+{
+    for (int i = 0; SasMesh_GetView(mesh, i, view); i++) {
+        if (strcmp(view->name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 test_one_leads_a_zone_and_one_tests_a_server(void **state)
 {
@@ -247,6 +266,43 @@
     stop(f);
 }
 
+/* A cold server would be sent more than it bears: an entry VM is cut off from
+ * the others and still reaches the server, and the others take its part. */
+static void
+test_one_that_is_gone_keeps_its_part_for_a_while(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    int region = get_region(f, "east");
+    SasMesh_Close(f->meshes[1]);
+    struct sas_mesh_view view = {0};
+    SPIN_UNTIL(f, find_view(f->meshes[0], "vm-1", &view) &&
+                      strcmp(view.state, "gone") == 0);
+    assert_int_equal(
+        SasMesh_GetSenders(f->meshes[0], SERVER_HASH, region).count, 3);
+    stop_all_but(f, 1);
+}
+
+/* A cold server would be sent more than it bears: one that starts takes its
+ * part while the others still use it. */
+static void
+test_one_that_starts_has_no_part_until_the_others_know(void **state)
+{
+    (void)state;
+    struct fixture *f = prepare();
+    int region = get_region(f, "east");
+    int64_t began_at = g_get_monotonic_time();
+    open_all(f);
+    struct sas_mesh *mesh = f->meshes[0];
+    assert_false(SasMesh_GetSenders(mesh, SERVER_HASH, region).joined);
+    SPIN_UNTIL(f, SasMesh_GetSenders(mesh, SERVER_HASH, region).joined);
+    assert_true(g_get_monotonic_time() - began_at > G_USEC_PER_SEC);
+    /* And one that was frozen, when it goes on. */
+    g_usleep(2 * G_USEC_PER_SEC);
+    SPIN_UNTIL(f, !SasMesh_GetSenders(mesh, SERVER_HASH, region).joined);
+    stop(f);
+}
+
 /* All strong entry VMs of a zone stop at once: its callers would overrun the
  * link of the weak one that is left. */
 static void
@@ -544,6 +600,9 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_leads_a_zone_and_one_tests_a_server),
         cmocka_unit_test(test_one_that_leaves_still_counts_among_the_senders),
+        cmocka_unit_test(test_one_that_is_gone_keeps_its_part_for_a_while),
+        cmocka_unit_test(
+            test_one_that_starts_has_no_part_until_the_others_know),
         cmocka_unit_test(
             test_the_callers_of_a_zone_are_not_left_to_its_weakest),
         cmocka_unit_test(test_a_trip_goes_to_the_tester_and_from_there_to_all),
