Log lines say whether home regions bind: config.apply, request

How many routes of a version have home regions, and whether the route that decided a request has. Without it a request that was sent abroad can't be told from one that an older version allowed there.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -93,6 +93,17 @@
     return limits;
 }
 
+static int
+count_with_homes(const struct sas_fleet_config *config)
+{
+    int count = 0;
+    for (guint i = 0; i < config->routes->len; i++) {
+        const struct sas_route *route = config->routes->pdata[i];
+        count += route->homes != 0 ? 1 : 0;
+    }
+    return count;
+}
+
 static void
 on_config(struct sas_fleet_listener *listener,
           const struct sas_fleet_config *config)
@@ -105,8 +116,9 @@
     struct sas_http_server_limits limits = get_caller_limits(gateway);
     SasHttpServer_SetLimits(gateway->servers[LISTEN_CALLER], &limits);
     SasLog_Write(SasLog_INFO, "config.apply", "",
-                 "version=%" G_GINT64_FORMAT " routes=%u", config->version,
-                 config->routes->len);
+                 "version=%" G_GINT64_FORMAT " routes=%u homes=%d",
+                 config->version, config->routes->len,
+                 count_with_homes(config));
 }
 
 static int
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -149,7 +149,7 @@
     SasLog_WriteFields(
         SasLog_INFO, SasLog_REQUEST, call->server_id,
         "{s:s, s:s, s:i, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:b, "
-        "s:i, s:i, s:I, s:I}",
+        "s:i, s:i, s:I, s:I, s:b}",
         "request", call->request_id, "outcome", outcome, "status", status,
         "object", object, "route", routed ? call->route->name : "", "service",
         routed ? SasFleet_GetService(relay->options.fleet, call->service)->name
@@ -163,7 +163,8 @@
         (json_int_t)(call->config != NULL ? call->config->version : 0),
         "config_age_ms",
         (json_int_t)(call->config != NULL ? now_ms - call->config->applied_at
-                                          : 0));
+                                          : 0),
+        "homes", routed && call->route->homes != 0);
 }
 
 static void
