--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -26,9 +26,9 @@
 
 HOST = "forms.example"
 ZONES = {"a": "east", "b": "east", "c": "west"}
-BOUNDS = ["drain-ms=2000", "grace-s=6", "config-ms=2000", "ttl_max_s=5",
-          "budget-ratio=0.2", "budget-burst=58", "budget-window-s=10",
-          "cold-factor=1.5", "cold-slack=5", "max-shift=0.15"]
+BOUNDS = {"drain-ms": 2000, "grace-s": 6, "config-ms": 2000, "ttl_max_s": 5,
+          "budget-ratio": 0.2, "budget-burst": 58, "budget-window-s": 10,
+          "cold-factor": 1.5, "cold-slack": 5, "max-shift": 0.15}
 
 SETTINGS = """node-name = "{name}"
 bootstrap = {first_start}
@@ -97,7 +97,7 @@
         with open(self.settings_path, "w") as file:
             file.write(SETTINGS.format(
                 name=self.name, ip=self.ip, zone=self.zone,
-                region=ZONES[self.zone], bounds=json.dumps(BOUNDS),
+                region=ZONES[self.zone], bounds=json.dumps(self.fleet.bounds),
                 zones=zones, store=self.store_port,
                 first_start=json.dumps(self.fleet.first_start),
                 **self.ports))
@@ -165,10 +165,14 @@
 
 class Fleet:
     """vms: zone of each entry VM; first_start: the whole system starts for the
-    first time. Servers are added by add_worker."""
+    first time; bounds: in place of the usual ones. Servers are added by
+    add_worker."""
 
-    def __init__(self, vms=("a", "b"), configured=True, first_start=False):
+    def __init__(self, vms=("a", "b"), configured=True, first_start=False,
+                 bounds=None):
         self.first_start = first_start
+        self.bounds = ["%s=%s" % pair
+                       for pair in {**BOUNDS, **(bounds or {})}.items()]
         self.directory = tempfile.TemporaryDirectory()
         self.folder = self.directory.name
         self.store = RowStore()
--- /dev/null
+++ b/tests/e2e/test_large_configuration.py
@@ -0,0 +1,53 @@
+#!/usr/bin/python3
+"""A configuration that takes longer to arrive than a call may be silent."""
+
+import unittest
+
+from entry_harness import Fleet, wait_for
+
+ROUTES = 2000
+BYTES_PER_S = 100000
+
+
+def is_in_force(vm, version):
+    lines = vm.find_lines("config.apply")
+    return lines and lines[-1]["text"].startswith("version=%d " % version)
+
+
+def add_routes(fleet):
+    return fleet.default_routes() + [
+        fleet.route("more-%d" % i, "/more-%d/" % i, "safe")
+        for i in range(ROUTES)]
+
+
+class LargeConfiguration(unittest.TestCase):
+    def test_an_answer_that_goes_on_arriving_is_not_given_up(self):
+        """Guards against a large configuration that is never in force behind
+        a narrow link: each call for it was given up, with most of it there,
+        and the next one began anew."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.store.bytes_per_s = BYTES_PER_S
+            fleet.configure(routes=add_routes(fleet), version=50)
+            wait_for(lambda: is_in_force(vm, 50), "the large configuration")
+            self.assertEqual(vm.find_lines("store.lost", peer="op"), [])
+
+    def test_an_answer_that_stops_arriving_is_given_up(self):
+        """Guards against an entry VM that waits for the rest of an answer
+        whose connection has gone silent."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.store.stop_after = 20000
+            fleet.configure(routes=add_routes(fleet), version=50)
+            wait_for(lambda: vm.find_lines("store.lost", peer="op"),
+                     "the silence to be noticed")
+            fleet.store.stop_after = 0
+            wait_for(lambda: is_in_force(vm, 50), "the large configuration")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -12,6 +12,9 @@
                 "reset" closes without an answer
     delay_s     every call waits so long
     lose_acks   so many writes take effect and their connection closes
+    bytes_per_s answers of GET go out no faster; 0: at once
+    stop_after  answers of GET stop after so many bytes, their connection
+                stays open; 0: they are whole
     compact()   forgets all history: a feed from before gets 410
 """
 
@@ -24,6 +27,7 @@
 
 PAGE = 500
 SILENT_S = 3600
+PIECES_PER_S = 20
 
 
 class Row:
@@ -65,6 +69,8 @@
         self.silenced = set()
         self.delay_s = 0
         self.lose_acks = 0
+        self.bytes_per_s = 0
+        self.stop_after = 0
         self.stopped = False
         self.servers = []
 
@@ -177,7 +183,22 @@
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(data)))
             self.end_headers()
-            self.wfile.write(data)
+            self.send_body(data)
+
+        def send_body(self, data):
+            if store.stop_after and len(data) > store.stop_after:
+                self.wfile.write(data[:store.stop_after])
+                while store.stop_after and not store.stopped:
+                    time.sleep(0.05)
+                self.close_connection = True
+                return
+            if not store.bytes_per_s:
+                self.wfile.write(data)
+                return
+            size = max(store.bytes_per_s // PIECES_PER_S, 1)
+            for start in range(0, len(data), size):
+                self.wfile.write(data[start:start + size])
+                time.sleep(1 / PIECES_PER_S)
 
         def is_silent(self):
             return store.mode == "silent" or \
@@ -219,14 +240,12 @@
                 store.waits.append(int(query.get("wait-ms", 0)))
             if self.is_faulty():
                 return
+            if url.path not in ("/rows-get", "/rows-feed"):
+                self.answer(404, {"error": "no such call"})
+                return
+            call = store.get if url.path == "/rows-get" else store.feed
             with store.lock:
-                if url.path == "/rows-get":
-                    self.answer(200, store.get(query))
-                    return
-                if url.path != "/rows-feed":
-                    self.answer(404, {"error": "no such call"})
-                    return
-                body = store.feed(query)
+                body = call(query)
             if self.sit_out_silence():
                 return
             self.answer(200 if body is not None else 410, body or {})
