An answer that goes on arriving is not given up

Cause: a call was limited as a whole, to 900 ms at a leader, 400 ms at another entry VM and 1,200 ms at the store. 4,200 routes are 1.13 MB on the wire, 0.9 s over a link of 10 Mbit/s alone. With most of it there (store.lost, received=1032116) the call was given up, and the next began from nothing, beside others for the same row; every three seconds those that had the version listed all rows anew from their leader, in vain. Class: a limit on silence that counts progress as silence.

Ruled out: processor time (0 to 4 in 100 of a core), homes that weren't heeded (the request's line has its version and whether its route has homes).

--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -26,6 +26,9 @@
  * connection: three retransmissions of a busy link fit into it. */
 #define SasHttp_UNACKED_LIMIT_MS 1500
 
+/* For an answer that never stands still (pause_ms), from its first byte. */
+#define SasHttp_ANSWER_LIMIT_MS 10000
+
 struct sas_http_request {
     const char *method;
     const char *target;
@@ -34,6 +37,9 @@
     int header_count;
     const char *body; /* must stay until the request has ended */
     size_t body_size;
+    /* 0: the timeout is for the whole answer. Else it is for its first byte,
+     * and from then on the answer may stand still for so long. */
+    int64_t pause_ms;
 };
 
 /* What is known when a request fails. */
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -37,6 +37,8 @@
     const char *out_body;
     size_t out_body_size;
     int64_t request_timeout_ms;
+    int64_t pause_ms;
+    int64_t answer_ends_at; /* with pause_ms, once the answer has begun */
     bool head_method;
     bool sent;
     bool writing;
@@ -151,6 +153,7 @@
     conn->out_body = request->body;
     conn->out_body_size = request->body_size;
     conn->request_timeout_ms = MAX(timeout_ms, 1);
+    conn->pause_ms = request->pause_ms;
     conn->head_method = strcmp(request->method, "HEAD") == 0;
     conn->sent = false;
     conn->begun = false;
@@ -328,7 +331,9 @@
         fail(conn, SAS_EUNAVAILABLE, "http.connect", "no connection in time");
         return;
     }
-    fail(conn, SAS_ETIMEOUT, "http.answer", "no whole answer in time");
+    bool stopped = conn->pause_ms > 0 && conn->begun;
+    fail(conn, SAS_ETIMEOUT, "http.answer",
+         stopped ? "the answer stopped" : "no whole answer in time");
 }
 
 /* Ends the connection and tells the user, once. */
@@ -398,6 +403,23 @@
            cause != 0;
 }
 
+/* Bytes have come: the rest of the answer has time. */
+static void
+note_progress(struct sas_http_conn *conn)
+{
+    int64_t now_ms = (int64_t)uv_now(conn->tcp.loop);
+    if (!conn->begun) {
+        conn->answer_ends_at = now_ms + SasHttp_ANSWER_LIMIT_MS;
+    }
+    conn->begun = true;
+    conn->last_read_at = now_ms;
+    if (conn->pause_ms > 0) {
+        int64_t left_ms = MAX(conn->answer_ends_at - now_ms, 0);
+        uv_timer_start(&conn->timer, on_timer,
+                       (uint64_t)MIN(conn->pause_ms, left_ms), 0);
+    }
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
@@ -414,8 +436,7 @@
     }
     size_t size = count > 0 ? (size_t)count : 0;
     if (count > 0) {
-        conn->begun = true;
-        conn->last_read_at = (int64_t)uv_now(stream->loop);
+        note_progress(conn);
     }
     else if (count != UV_EOF || was_reset(conn)) {
         fail(conn, SAS_EIO, "http.read",
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -179,7 +179,7 @@
     client_head, client_body, client_end, client_fail};
 
 static struct client
-exchange_with(struct server server, const char *method)
+exchange_request(struct server server, const struct sas_http_request *request)
 {
     uv_loop_t loop;
     uv_loop_init(&loop);
@@ -191,9 +191,8 @@
         .body = g_string_new(NULL),
     };
     struct sas_address address = {"127.0.0.1", server.port};
-    struct sas_http_request request = {.method = method, .target = "/"};
     client.conn = SasHttp_Connect(&loop, &address, 5000, &client.owner);
-    SasHttp_Send(client.conn, &request, 5000, &client.user);
+    SasHttp_Send(client.conn, request, 5000, &client.user);
     uv_run(&loop, UV_RUN_DEFAULT);
     assert_int_equal(uv_loop_close(&loop), 0);
     assert_int_equal(client.closes, 1);
@@ -201,6 +200,13 @@
     return client;
 }
 
+static struct client
+exchange_with(struct server server, const char *method)
+{
+    struct sas_http_request request = {.method = method, .target = "/"};
+    return exchange_request(server, &request);
+}
+
 static struct client
 exchange(const char *answer, bool close_after, const char *method)
 {
@@ -258,6 +264,25 @@
     expect(&client, 0, false, false, "");
 }
 
+/* Guards against an answer that has begun and then stands still for as long
+ * as its first byte may take. */
+static void
+test_an_answer_that_stands_still_fails(void **state)
+{
+    (void)state;
+    struct server server = {
+        .answer =
+            "HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 9\r\n\r\nhi",
+    };
+    struct sas_http_request request = {
+        .method = "GET", .target = "/", .pause_ms = 50};
+    struct client client = exchange_request(server, &request);
+    assert_int_equal(client.failure.error.code, SAS_ETIMEOUT);
+    assert_string_equal(client.failure.error.text, "the answer stopped");
+    assert_true(client.failure.begun);
+    expect(&client, 0, false, false, "");
+}
+
 /* An answer that ends only with its connection looks the same when its
  * sender crashed half way: it must never be reported as whole. */
 static void
@@ -414,6 +439,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_whole_answers_leave_the_connection_reusable),
         cmocka_unit_test(test_cut_answers_fail),
+        cmocka_unit_test(test_an_answer_that_stands_still_fails),
         cmocka_unit_test(test_close_framed_answer_is_not_whole),
         cmocka_unit_test(test_a_reset_behind_a_close_framed_answer_fails),
         cmocka_unit_test(test_late_bytes_end_the_connection),
