No final 404 on rows that are older than a new configuration may take

The same cause elsewhere: a 404 is final, and only a newer change that somebody had named kept it back. Now it is 503 with Retry-After also where the store's last word, passed on or not, is older than the bound of a configuration. Known routes are served as before.

Cost: in an outage of the store routes that never were are 503, not 404.

--- a/packages/gateway/include/sas/gateway.h
+++ b/packages/gateway/include/sas/gateway.h
@@ -25,7 +25,8 @@
     /* Begins; the gateway is open, so entry VMs may be added. */
     void (*start)(struct sas_source *source, struct sas_gateway *gateway);
     bool (*is_ready)(const struct sas_source *source);
-    /* Another entry VM has a newer configuration; NULL: there is no other. */
+    /* There is a newer configuration than the one here, or there may be: too
+     * long ago the store confirmed it. NULL: there is no other. */
     bool (*is_behind)(const struct sas_source *source);
     /* How long ago what is known of the servers was confirmed, milliseconds;
      * INT64_MAX: never, or not yet by the servers themselves after an outage
--- a/tests/e2e/test_stale_rows.py
+++ b/tests/e2e/test_stale_rows.py
@@ -103,6 +103,22 @@
             self.assertIn(503, statuses)
             self.assertNotIn(404, statuses[statuses.index(503):])
 
+    def test_a_new_route_is_not_ruled_out_in_an_outage(self):
+        """Guards against a final 404 by an entry VM whose configuration is
+        older than a new one may take, and that nobody can tell of one."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            self.assertEqual(vm.request(path="/new/1").status, 404)
+            fleet.store.mode = "silent"
+            wait_for(lambda: vm.request(path="/new/1").status == 503,
+                     "no verdict on the route")
+            self.assertEqual(vm.request().status, 200)
+            fleet.store.mode = ""
+            wait_for(lambda: vm.request(path="/new/1").status == 404,
+                     "the store's own word")
+
     def test_one_that_starts_again_in_an_outage_takes_rows_from_others(self):
         """Guards against refusals by an entry VM that is restarted while the
         store is away: the others have all rows and would not part with them,
