--- a/tests/e2e/test_large_configuration.py
+++ b/tests/e2e/test_large_configuration.py
@@ -34,6 +34,26 @@
             wait_for(lambda: is_in_force(vm, 50), "the large configuration")
             self.assertEqual(vm.find_lines("store.lost", peer="op"), [])
 
+    def test_a_route_that_gets_a_home_is_kept_there(self):
+        """Guards against requests that leave their region long after a
+        version gave it to their route as its home: the version was too large
+        to arrive in the time of a call."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("east", zone="a")
+            fleet.add_worker("west", zone="c")
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.store.bytes_per_s = BYTES_PER_S
+            routes = add_routes(fleet)
+            routes[0]["home-regions"] = ["west"]
+            fleet.configure(routes=routes, version=50)
+            wait_for(lambda: is_in_force(vm, 50), "the home region")
+            before = len(fleet.workers["east"].ran)
+            for key in range(20):
+                self.assertEqual(vm.request(key=str(key)).status, 200)
+            self.assertEqual(len(fleet.workers["east"].ran), before)
+            self.assertEqual(len(fleet.workers["west"].ran), 20)
+
     def test_an_answer_that_stops_arriving_is_given_up(self):
         """Guards against an entry VM that waits for the rest of an answer
         whose connection has gone silent."""
