property_owner: no order and no lack of room leads out of the homes

For drawn fleets, evacuations, draining servers, orders and homes: whoever is ranked is open and at home, each once, and somebody is wherever somebody may be.

--- a/packages/core/tests/property_shim.c
+++ b/packages/core/tests/property_shim.c
@@ -9,6 +9,7 @@
 #include "sas/fleet.h"
 #include "sas/config.h"
 #include "sas/lookup.h"
+#include "sas/owner.h"
 #include "sas/plan.h"
 #include "sas/sheet.h"
 #include "steering_fixture.h"
@@ -175,6 +176,24 @@
     return SasFleet_PutServer(fleet, &facts);
 }
 
+/* numbers: service, the caller's zone, near, ordered, to region. */
+int
+SasShim_Rank(const struct sas_fleet *fleet, const int *numbers, double keep,
+             uint64_t key, uint64_t homes, int *slots)
+{
+    struct sas_owner_query query = {
+        .service = numbers[0],
+        .zone = numbers[1],
+        .near = numbers[2] != 0,
+        .ordered = numbers[3] != 0,
+        .to_region = numbers[4],
+        .keep = keep,
+        .key = key,
+        .homes = homes,
+    };
+    return SasOwner_Rank(fleet, &query, 0, slots, SasOwner_MAX_CANDIDATES);
+}
+
 uint32_t
 SasShim_GetGeneration(const struct sas_fleet *fleet, int slot)
 {
