--- a/packages/core/include/sas/waits.h
+++ b/packages/core/include/sas/waits.h
@@ -34,6 +34,10 @@
 
 void SasWaits_Init(struct sas_waits *waits, int64_t bound_ms);
 
+/* After so long since the store's last answer a leader knows that the store
+ * is silent, and vouches for its rows no more. */
+int64_t SasWaits_GetVouchMs(const struct sas_waits *waits);
+
 /* From a change until it is in force at entry VMs that the store answers, at
  * the latest. */
 int64_t SasWaits_GetLongestMs(const struct sas_waits *waits);
--- a/packages/core/src/waits.c
+++ b/packages/core/src/waits.c
@@ -44,11 +44,15 @@
         CLAMP(left_ms - waits->vm_silence_ms, 0, MAX_VM_QUESTION_MS);
 }
 
+int64_t
+SasWaits_GetVouchMs(const struct sas_waits *waits)
+{
+    return waits->pause_ms + waits->question_ms + waits->silence_ms;
+}
+
 int64_t
 SasWaits_GetLongestMs(const struct sas_waits *waits)
 {
-    int64_t store_ms =
-        waits->pause_ms + waits->question_ms + waits->silence_ms;
     int64_t vm_ms = waits->vm_question_ms + waits->vm_silence_ms;
-    return MAX(store_ms, vm_ms) + waits->hop_ms;
+    return MAX(SasWaits_GetVouchMs(waits), vm_ms) + waits->hop_ms;
 }
