--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -1,6 +1,8 @@
 /* Exchanges reports on backend servers with other entry VMs. */
 #include "relay_call.h"
 
+#include <jansson.h>
+
 #include "sas/log.h"
 
 static bool
@@ -93,6 +95,22 @@
         SasTraffic_GetServiceTimeMs(relay->options.fleet, server->service));
 }
 
+/* Without this line a server that is ejected here though nothing failed here
+ * can't be told from one that failed. */
+static void
+log_peer_report(const struct sas_fleet_server *server,
+                const struct sas_mesh_ejection *ejection, int64_t now_ms)
+{
+    const struct sas_server_traffic *traffic = &server->traffic;
+    SasLog_WriteFields(
+        SasLog_INFO, "server.reported", server->facts.id, "{s:I, s:b, s:I}",
+        "for_ms", (json_int_t)ejection->left_ms, "applied",
+        SasTraffic_IsEjected(server, now_ms) == (ejection->left_ms > 0),
+        "healthy_age_ms",
+        (json_int_t)(traffic->healthy_at > 0 ? now_ms - traffic->healthy_at
+                                             : -1));
+}
+
 /* Applies a peer's report; the prober forwards it to all if it changes the
  * server's state here. */
 static void
@@ -111,6 +129,7 @@
     if (ejection->restarted) {
         assume_cold(relay, slot);
     }
+    log_peer_report(server, ejection, SasRelay_Now(relay));
     if (prober && was_ejected != server->traffic.ejected) {
         SasMesh_ReportEjection(
             relay->options.mesh, ejection,
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -26,6 +26,7 @@
     uv_write_t write;
     int open_handles;
     enum conn_state state;
+    bool unusable; /* its address can't be connected to */
     struct sas_http_conn_listener *owner;
     struct sas_http_listener *listener;
     char peer[SasModel_IP_SIZE + 8];
@@ -110,6 +111,7 @@
     if (SasHttp_GetSockaddr(address, &storage) != 0 ||
         uv_tcp_connect(&conn->connect, &conn->tcp,
                        (const struct sockaddr *)&storage, on_connect) != 0) {
+        conn->unusable = true;
         uv_timer_start(&conn->timer, on_timer, 0, 0);
         return conn;
     }
@@ -331,7 +333,7 @@
     struct sas_http_conn *conn = timer->data;
     if (conn->state == CONN_CONNECTING) {
         fail(conn, SAS_EUNAVAILABLE, "http.connect",
-             "connect timeout or unusable address");
+             conn->unusable ? "unusable address" : "connect timeout");
         return;
     }
     bool stalled = conn->stall_timeout_ms > 0 && conn->begun;
