--- /dev/null
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -0,0 +1,190 @@
+#!/usr/bin/python3
+"""Entry VMs that lose their links to the backend servers, while callers, the
+store and the other entry VMs still reach them."""
+
+import os
+import socket
+import threading
+import unittest
+
+from entry_harness import BUILD, Fleet, time, wait_for
+
+CUT_LINKS = os.path.join(BUILD, "lib", "libsas_cut_links.so")
+BOUND_S = 3      # an entry VM that was cut off serves its callers again
+MEASURED_S = 2
+ZONES = ("a", "a", "b", "b", "c", "c")
+TIMEOUT_MS = 1500
+
+
+class Hole:
+    """A port whose queue of new connections is full: none is completed."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.fillers = []
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.fillers.append(filler)
+
+    def close(self):
+        for each in self.fillers + [self.listener]:
+            each.close()
+
+
+class CutFleet(Fleet):
+    """Entry VMs of three failure domains whose links can be cut, and nine
+    servers of one service."""
+
+    def __init__(self, vms=ZONES):
+        super().__init__(vms=vms, configured=False, first_start=True)
+        self.hole = Hole()
+        self.configure([
+            self.route("forms", "/forms/", "safe", **{
+                "timeout-ms": TIMEOUT_MS}),
+            self.route("filings", "/filings/", "unsafe", **{
+                "timeout-ms": TIMEOUT_MS})])
+        for vm in self.vms:
+            vm.environment = {
+                "LD_PRELOAD": CUT_LINKS, "SAS_CUT_LINKS": self.cut_path(vm),
+                "ASAN_OPTIONS": "verify_asan_link_order=0"}
+        for i in range(9):
+            self.add_worker("d%d" % i, zone="abc"[i % 3]).work_s = 0.02
+
+    def __exit__(self, *error):
+        super().__exit__(*error)
+        self.hole.close()
+
+    def cut_path(self, vm):
+        return os.path.join(self.folder, vm.name + ".cut")
+
+    def cut(self, vms, mode, workers=None):
+        """Cuts the links of the entry VMs to the servers, by default to all
+        of them."""
+        workers = workers or list(self.workers.values())
+        ports = " ".join(str(worker.port) for worker in workers)
+        for vm in vms:
+            path = self.cut_path(vm)
+            with open(path + ".new", "w") as file:
+                file.write("%s %d %s\n" % (mode, self.hole.port, ports))
+            os.rename(path + ".new", path)
+
+    def heal(self, vms):
+        for vm in vms:
+            os.remove(self.cut_path(vm))
+
+    def find_runs(self):
+        """How often each request ran, by its id."""
+        runs = {}
+        for worker in self.workers.values():
+            for request_id in worker.ids():
+                runs[request_id] = runs.get(request_id, 0) + 1
+        return runs
+
+
+class Callers:
+    """A thread for each entry VM that sends it requests, each on a new
+    connection and without retries. Answers: (time, vm, method, answer)."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.answers = []
+        self.stopped = threading.Event()
+        self.threads = [threading.Thread(target=self.run, args=(vm,))
+                        for vm in fleet.vms for _ in range(2)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, vm):
+        count = 0
+        while not self.stopped.wait(0.05):
+            count += 1
+            method = "POST" if count % 10 < 3 else "GET"
+            path = "/filings/1" if method == "POST" else "/forms/1"
+            at = time.monotonic()
+            answer = vm.request(method, path, b"x" if method == "POST" else
+                                None, key=str(count % 40),
+                                deadline_ms=TIMEOUT_MS)
+            self.answers.append((at, vm, method, answer))
+
+    def stop(self):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+
+    def count(self, vms, begin, end):
+        """Requests sent in the time, and those that were served."""
+        sent = [answer.status for at, vm, _, answer in list(self.answers)
+                if vm in vms and begin <= at < end]
+        return len(sent), sent.count(200)
+
+
+class CutEntryVms(unittest.TestCase):
+    def check_runs(self, fleet, callers):
+        """No request that must not be repeated ran twice, and none ran that
+        was refused as not run."""
+        runs = fleet.find_runs()
+        for _, _, method, answer in callers.answers:
+            if method == "POST":
+                self.assertLessEqual(runs.get(answer.id, 0), 1)
+            if answer.status in (408, 421, 429, 503):
+                self.assertNotIn(answer.id, runs)
+
+    def check_cut(self, count, mode):
+        """Cuts off the first entry VMs, and checks what callers of all of
+        them get from BOUND_S on, and when the cut has healed."""
+        with CutFleet() as fleet:
+            fleet.start()
+            cut, others = fleet.vms[:count], fleet.vms[count:]
+            callers = Callers(fleet)
+            try:
+                wait_for(lambda: len(callers.answers) > 100, "a first load")
+                fleet.cut(cut, mode)
+                begin = time.monotonic() + BOUND_S
+                end = begin + MEASURED_S
+                time.sleep(BOUND_S + MEASURED_S)
+                fleet.heal(cut)
+                healed = time.monotonic() + BOUND_S
+                time.sleep(BOUND_S + 1)
+            finally:
+                callers.stop()
+            last = time.monotonic()
+            self.check_runs(fleet, callers)
+            for vms, since, until in ((cut, begin, end), (others, begin, end),
+                                      (cut, healed, last),
+                                      (others, healed, last)):
+                sent, served = callers.count(vms, since, until)
+                self.assertGreater(sent, 0)
+                self.assertEqual(served, sent)
+            # After the cut requests go straight to the servers again.
+            for vm in cut:
+                lines = vm.find_lines("request", outcome="answered")
+                self.assertEqual(lines[-1].get("via", ""), "")
+
+    # Guards against callers that get nothing from an entry VM that has lost
+    # its links to the servers, though others could serve them.
+    def test_an_entry_vm_without_links_to_servers_serves_its_callers(self):
+        self.check_cut(1, "silent")
+
+    # Guards against the same where a caller's own failure domain has no entry
+    # VM left that reaches a server.
+    def test_a_failure_domain_without_links_to_servers_serves_callers(self):
+        self.check_cut(2, "reset")
+
+    # Guards against callers that get nothing as the first entry VMs asked are
+    # cut off too.
+    def test_all_but_one_entry_vm_without_links_serve_their_callers(self):
+        self.check_cut(5, "silent")
+
+    # Guards against requests that fail as new connections are refused, while
+    # the open ones still work.
+    def test_an_entry_vm_whose_new_connections_are_refused_serves(self):
+        self.check_cut(1, "refuse")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/standins/cut_links.c
@@ -0,0 +1,129 @@
+/* cut_links - preloaded into an entry VM by tests: cuts its links to some
+ * ports of 127.0.0.1, while all others keep theirs.
+ *
+ * The file named by SAS_CUT_LINKS holds one line, "MODE HOLE PORT...", read at
+ * each call; a missing file cuts nothing. The modes:
+ *
+ *   silent   connects go to HOLE, a port that completes none; bytes written to
+ *            open connections vanish
+ *   reset    connects are refused; a write ends its connection
+ *   refuse   connects are refused; open connections live on
+ */
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+struct cut {
+    char mode[16]; /* empty: none */
+    int hole;
+};
+
+static int (*real_connect)(int, const struct sockaddr *, socklen_t);
+static ssize_t (*real_write)(int, const void *, size_t);
+static ssize_t (*real_writev)(int, const struct iovec *, int);
+
+__attribute__((constructor)) static void
+find_real(void)
+{
+    *(void **)&real_connect = dlsym(RTLD_NEXT, "connect");
+    *(void **)&real_write = dlsym(RTLD_NEXT, "write");
+    *(void **)&real_writev = dlsym(RTLD_NEXT, "writev");
+}
+
+/* The cut that an address is behind. */
+static struct cut
+find_cut(const struct sockaddr *address)
+{
+    struct cut none = {"", 0};
+    struct cut cut = none;
+    const struct sockaddr_in *ipv4 = (const struct sockaddr_in *)address;
+    const char *path = getenv("SAS_CUT_LINKS");
+    if (path == NULL || address->sa_family != AF_INET ||
+        ipv4->sin_addr.s_addr != htonl(INADDR_LOOPBACK)) {
+        return none;
+    }
+    FILE *file = fopen(path, "re");
+    if (file == NULL) {
+        return none;
+    }
+    int port = 0;
+    bool found = false;
+    if (fscanf(file, "%15s %d", cut.mode, &cut.hole) == 2) {
+        while (!found && fscanf(file, "%d", &port) == 1) {
+            found = port == ntohs(ipv4->sin_port);
+        }
+    }
+    fclose(file);
+    return found ? cut : none;
+}
+
+static struct cut
+find_cut_of(int fd)
+{
+    struct sockaddr_storage peer = {0};
+    socklen_t size = sizeof(peer);
+    int saved = errno;
+    struct cut cut = {"", 0};
+    if (getpeername(fd, (struct sockaddr *)&peer, &size) == 0) {
+        cut = find_cut((struct sockaddr *)&peer);
+    }
+    errno = saved;
+    return cut;
+}
+
+int
+connect(int fd, const struct sockaddr *address, socklen_t size)
+{
+    struct cut cut = find_cut(address);
+    if (cut.mode[0] == '\0') {
+        return real_connect(fd, address, size);
+    }
+    if (strcmp(cut.mode, "silent") != 0) {
+        errno = ECONNREFUSED;
+        return -1;
+    }
+    struct sockaddr_in hole = {
+        .sin_family = AF_INET,
+        .sin_port = htons((unsigned short)cut.hole),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    return real_connect(fd, (struct sockaddr *)&hole, sizeof(hole));
+}
+
+/* Whether bytes written to a connection vanish. */
+static bool
+is_swallowed(int fd)
+{
+    struct cut cut = find_cut_of(fd);
+    if (strcmp(cut.mode, "reset") == 0) {
+        shutdown(fd, SHUT_RDWR);
+        return true;
+    }
+    return strcmp(cut.mode, "silent") == 0;
+}
+
+ssize_t
+write(int fd, const void *bytes, size_t size)
+{
+    return is_swallowed(fd) ? (ssize_t)size : real_write(fd, bytes, size);
+}
+
+ssize_t
+writev(int fd, const struct iovec *parts, int count)
+{
+    if (!is_swallowed(fd)) {
+        return real_writev(fd, parts, count);
+    }
+    ssize_t size = 0;
+    for (int i = 0; i < count; i++) {
+        size += (ssize_t)parts[i].iov_len;
+    }
+    return size;
+}
