A connection that never opened uses no retry of the shared budget

Cause: each attempt after the first drew on the budget of retries, also when no server can have got the one before it. The budget exists so that servers don't get each request several times (the rule counts arrivals). Now a retry is acquired once a server has got, or may have got, an attempt, and kept until the next one is sent. Attempts stay limited by MAX_TRIED and the time.

Evidence: test_a_connection_that_never_opened_uses_no_retry, red before (AssertionError: 503 in the list), green now. Ruled out: that the budget was spent on real arrivals (the log's attempts all have sent=false).

--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -116,6 +116,13 @@
                  &call->listener);
 }
 
+static void
+note_arrival(struct relay_call *call)
+{
+    call->arrivals++;
+    call->has_retry = false;
+}
+
 static void
 end_attempt(struct relay_call *call, bool answered)
 {
@@ -422,6 +429,7 @@
     struct sas_fleet_server *server =
         SasFleet_GetServer(relay->options.fleet, call->server);
     end_attempt(call, true);
+    note_arrival(call);
     if (reusable) {
         SasPool_Release(pooled, call->keep_alive_ms);
     }
@@ -537,6 +545,7 @@
         return;
     }
     call->attempts++;
+    note_arrival(call);
     note_lost(call);
     retry_or_fail(call, "connection lost");
 }
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -99,6 +99,8 @@
     int tried[SasRelay_MAX_TRIED];
     int tried_count;
     int attempts;         /* that a server ran, or may have run */
+    int arrivals;         /* attempts that a server got, or may have got */
+    bool has_retry;       /* acquired for the next one that is sent */
     bool has_fingerprint; /* it has been computed */
     struct sas_fingerprint fingerprint;
     bool steering_checked;
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -134,7 +134,12 @@
         call->tried_count >= SasRelay_MAX_TRIED) {
         return "no attempts left";
     }
-    return acquire_retry(call, now_ms) ? NULL : "no repeats left";
+    /* What no server can have got is no retry. */
+    if (call->arrivals == 0 || call->has_retry) {
+        return NULL;
+    }
+    call->has_retry = acquire_retry(call, now_ms);
+    return call->has_retry ? NULL : "no repeats left";
 }
 
 static void
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -49,6 +49,25 @@
             done = vm.find_lines("request", outcome="answered", route="forms")
             self.assertEqual(done[0]["peer"], "d1")
 
+    def test_a_connection_that_never_opened_uses_no_retry(self):
+        """Guards against requests that are refused as the retries are used
+        up, though no server has got them yet."""
+        with Fleet(vms=("a",), bounds={"budget-ratio": 0.0,
+                                       "budget-burst": 0}) as fleet, \
+                socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))  # bound without listening
+            fleet.add_worker("d1")
+            for name in ("d2", "d3"):
+                fleet.add_worker(name, port=closed.getsockname()[1])
+            fleet.start()
+            vm = fleet.vms[0]
+            statuses = [vm.request(method, path, key=str(i)).status
+                        for i in range(10) for method, path in
+                        (("GET", "/forms/1"), ("POST", "/filings/1"))]
+            self.assertEqual(statuses, [200] * 20)
+            self.assertTrue(vm.find_lines("attempt.failed", sent=False))
+            self.assertEqual(vm.find_lines("retry"), [])
+
     def test_without_a_configuration_answers_are_503(self):
         """Guards against a 404, which callers treat as final, by an entry VM
         that has just started and has no configuration."""
