What fails while the path is in doubt doesn't count against the servers

Cause: one belief for two facts. An ejection, a 'restart' (a server that refused connections and takes them again is cold) and a grey failure were noted against the server, and reported to all, for what had failed on this entry VM's path. Now they are noted here at once, as before, and reported when a sign shows that the path works (an answer of another server, mostly within 100 ms; else a probe). If the path turns out to be lost they are forgotten.

--- a/packages/core/include/sas/path.h
+++ b/packages/core/include/sas/path.h
@@ -10,6 +10,8 @@
  * or only its connection dead. It makes the path doubtful, and probes decide.
  *
  * A lost path says nothing about the servers: another entry VM may reach them.
+ * So what fails while the path is in doubt doesn't count against its server
+ * until a sign shows that the path works.
  *
  * Times are monotonic milliseconds. One struct per service and process;
  * initially all zero.
@@ -57,6 +59,10 @@
  * server is reached; also true while the path is lost. */
 bool SasPath_IsFailing(const struct sas_path *path, int64_t now_ms);
 
+/* Whether something has failed since the last sign that a server is reached.
+ */
+bool SasPath_IsInDoubt(const struct sas_path *path);
+
 /* Whether a probe is due: the path is lost or in doubt. Begins its interval.
  */
 bool SasPath_TakeProbe(struct sas_path *path, int64_t now_ms);
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -148,6 +148,9 @@
 void SasTraffic_ApplyPeerReport(struct sas_fleet *fleet, int slot,
                                 int64_t left_ms, bool prober, int64_t now_ms);
 
+/* The failures that ejected the server here were none of its own. */
+void SasTraffic_ForgetFailures(struct sas_fleet *fleet, int slot);
+
 /* Another entry VM is the prober of this ejected server: wait for its report.
  */
 void SasTraffic_AwaitPeerReport(struct sas_fleet *fleet, int slot);
--- a/packages/core/src/path.c
+++ b/packages/core/src/path.c
@@ -56,11 +56,16 @@
                           now_ms - path->failing_since >= SasPath_LOST_MS);
 }
 
+bool
+SasPath_IsInDoubt(const struct sas_path *path)
+{
+    return path->lost || path->unanswered || path->failing_since > 0;
+}
+
 bool
 SasPath_TakeProbe(struct sas_path *path, int64_t now_ms)
 {
-    bool doubtful = path->lost || path->unanswered || path->failing_since > 0;
-    if (!doubtful ||
+    if (!SasPath_IsInDoubt(path) ||
         (path->probed_at > 0 && now_ms - path->probed_at < SasPath_PROBE_MS)) {
         return false;
     }
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -261,6 +261,17 @@
     }
 }
 
+void
+SasTraffic_ForgetFailures(struct sas_fleet *fleet, int slot)
+{
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
+    traffic->ejected = false;
+    traffic->ejected_until = 0;
+    traffic->refused_connections = false;
+    traffic->failures = 0;
+    traffic->timeouts = 0;
+}
+
 void
 SasTraffic_AwaitPeerReport(struct sas_fleet *fleet, int slot)
 {
--- a/packages/core/tests/test_path.c
+++ b/packages/core/tests/test_path.c
@@ -91,10 +91,12 @@
         SasPath_NoteUnanswered(&path);
     }
     assert_false(path.lost);
+    assert_true(SasPath_IsInDoubt(&path));
     assert_true(SasPath_TakeProbe(&path, 1000));
     assert_false(SasPath_TakeProbe(&path, 1000 + SasPath_PROBE_MS - 1));
     assert_true(SasPath_TakeProbe(&path, 1000 + SasPath_PROBE_MS));
     SasPath_NoteReached(&path);
+    assert_false(SasPath_IsInDoubt(&path));
     assert_false(SasPath_TakeProbe(&path, 9000));
 }
 
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -570,6 +570,7 @@
             SasRelay_Now(call->relay) + AVOID_IDLE_MS;
     }
     else {
+        note_path(call, failure);
         note_failure(call, failure->sent);
     }
     SasLog_WriteFields(SasLog_WARN, "attempt.failed", call->server_id,
@@ -578,7 +579,6 @@
                        failure->begun, "rest_ms",
                        (json_int_t)call->conn_idle_ms, "at",
                        failure->error.step, "cause", failure->error.text);
-    note_path(call, failure);
     if (!failure->sent) {
         call->unsent++;
         SasRelay_Choose(call);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -42,6 +42,12 @@
     struct sas_path path;
 };
 
+/* What failed at a server while the path to it was in doubt. */
+struct unconfirmed {
+    bool ejected;
+    int failed; /* requests */
+};
+
 /* State of the server at a slot of the fleet table. */
 struct slot_state {
     uint32_t generation;
@@ -49,6 +55,7 @@
     int64_t cold_until_ms;        /* assumed; the row may state another time */
     struct sas_grey_failure grey_failure;
     struct sas_server_limit limit; /* that its answers name */
+    struct unconfirmed unconfirmed;
 };
 
 struct route_state { /* of a route by name, across configurations */
@@ -195,6 +202,11 @@
 void SasRelay_ReportChange(struct sas_relay *relay, int slot,
                            enum sas_traffic_change change, const char *cause);
 
+/* What failed at the servers of the service while the path was in doubt:
+ * counts against them, or is forgotten, as the path had failed. */
+void SasRelay_ConfirmFailures(struct sas_relay *relay, int service);
+void SasRelay_ForgetFailures(struct sas_relay *relay, int service);
+
 /* The server is slow while its row is stale: treats it as cold. */
 void SasRelay_AssumeCold(struct sas_relay *relay, int slot);
 
--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -38,8 +38,14 @@
 void
 SasRelay_NoteReached(struct sas_relay *relay, int service, const char *cause)
 {
-    if (SasPath_NoteReached(&SasRelay_GetService(relay, service)->path)) {
+    struct sas_path *path = &SasRelay_GetService(relay, service)->path;
+    bool was_in_doubt = SasPath_IsInDoubt(path);
+    if (SasPath_NoteReached(path)) {
         log_path(relay, service, cause);
+        SasRelay_ForgetFailures(relay, service);
+    }
+    else if (was_in_doubt) {
+        SasRelay_ConfirmFailures(relay, service);
     }
 }
 
@@ -52,6 +58,7 @@
                                 count_servers(relay, service), began_at,
                                 SasRelay_Now(relay))) {
         log_path(relay, service, "no connection to several servers");
+        SasRelay_ForgetFailures(relay, service);
     }
 }
 
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -5,6 +5,8 @@
 
 #include "sas/log.h"
 
+static void report_failures(struct sas_relay *relay, int slot, int failed);
+
 static bool
 is_prober(const struct sas_relay *relay, int slot)
 {
@@ -57,42 +59,130 @@
     }
 }
 
-void
-SasRelay_ReportChange(struct sas_relay *relay, int slot,
-                      enum sas_traffic_change change, const char *cause)
+static bool
+is_path_in_doubt(struct sas_relay *relay, int slot)
 {
-    if (change == SAS_TRAFFIC_SAME) {
-        return;
+    int service = SasFleet_At(relay->options.fleet, slot)->service;
+    return SasPath_IsInDoubt(&SasRelay_GetService(relay, service)->path);
+}
+
+/* Tells the other entry VMs that the server is ejected for left_ms. */
+static void
+report_ejection(struct sas_relay *relay, int slot, int64_t left_ms)
+{
+    struct sas_fleet *fleet = relay->options.fleet;
+    struct sas_mesh_ejection ejection = {
+        .server_hash = SasFleet_At(fleet, slot)->hash,
+        .left_ms = left_ms,
+    };
+    SasMesh_ReportEjection(relay->options.mesh, &ejection,
+                           SasFleet_GetServerRegion(fleet, slot));
+    if (!is_prober(relay, slot)) {
+        SasTraffic_AwaitPeerReport(fleet, slot);
     }
-    struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
-    const struct sas_server_traffic *traffic = &server->traffic;
-    bool ejected = change == SAS_TRAFFIC_EJECTED;
-    struct sas_metrics *metrics = relay->options.metrics;
-    int counter = SasMetrics_RegisterCounter(
-        metrics, "sas_servers_tripped_total", "cause",
-        ejected ? cause : "well again", "Backend servers given up, by cause");
-    SasMetrics_Add(metrics, counter, 1);
+}
+
+static void
+report_recovery(struct sas_relay *relay, int slot)
+{
+    struct sas_fleet *fleet = relay->options.fleet;
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     struct sas_mesh_ejection ejection = {
         .server_hash = server->hash,
-        .left_ms = ejected ? traffic->ejection_ms : 0,
-        .restarted = !ejected && traffic->refused_connections,
+        .restarted = server->traffic.refused_connections,
     };
     if (ejection.restarted) {
         assume_cold(relay, slot);
     }
-    SasMesh_ReportEjection(
-        relay->options.mesh, &ejection,
-        SasFleet_GetServerRegion(relay->options.fleet, slot));
-    if (ejected && !is_prober(relay, slot)) {
-        SasTraffic_AwaitPeerReport(relay->options.fleet, slot);
-    }
+    SasMesh_ReportEjection(relay->options.mesh, &ejection,
+                           SasFleet_GetServerRegion(fleet, slot));
+}
+
+static void
+log_change(struct sas_relay *relay, int slot, bool ejected, const char *cause)
+{
+    const struct sas_fleet_server *server =
+        SasFleet_At(relay->options.fleet, slot);
+    const struct sas_server_traffic *traffic = &server->traffic;
+    struct sas_metrics *metrics = relay->options.metrics;
+    int counter = SasMetrics_RegisterCounter(
+        metrics, "sas_servers_tripped_total", "cause",
+        ejected ? cause : "well again", "Backend servers given up, by cause");
+    SasMetrics_Add(metrics, counter, 1);
     SasLog_WriteFields(
         SasLog_WARN, ejected ? "server.tripped" : "server.well",
-        server->facts.id, "{s:s, s:i, s:i, s:f}", "cause",
+        server->facts.id, "{s:s, s:i, s:i, s:f, s:b}", "cause",
         ejected ? cause : "its trial", "for_ms",
         ejected ? (int)traffic->ejection_ms : 0, "in_flight",
         traffic->in_flight, "pace_ms",
-        SasTraffic_GetServiceTimeMs(relay->options.fleet, server->service));
+        SasTraffic_GetServiceTimeMs(relay->options.fleet, server->service),
+        "path_in_doubt", is_path_in_doubt(relay, slot));
+}
+
+/* While the path is in doubt, an ejection is reported once a sign shows that
+ * the path works: one entry VM that reaches no server must not take them from
+ * the others. */
+void
+SasRelay_ReportChange(struct sas_relay *relay, int slot,
+                      enum sas_traffic_change change, const char *cause)
+{
+    if (change == SAS_TRAFFIC_SAME) {
+        return;
+    }
+    log_change(relay, slot, change == SAS_TRAFFIC_EJECTED, cause);
+    if (change != SAS_TRAFFIC_EJECTED) {
+        report_recovery(relay, slot);
+    }
+    else if (is_path_in_doubt(relay, slot)) {
+        SasRelay_GetSlot(relay, slot)->unconfirmed.ejected = true;
+    }
+    else {
+        report_ejection(
+            relay, slot,
+            SasFleet_At(relay->options.fleet, slot)->traffic.ejection_ms);
+    }
+}
+
+static void
+confirm_server(struct sas_relay *relay, int slot)
+{
+    struct slot_state *state = SasRelay_GetSlot(relay, slot);
+    const struct unconfirmed confirmed = state->unconfirmed;
+    state->unconfirmed = (struct unconfirmed){0};
+    const struct sas_server_traffic *traffic =
+        &SasFleet_At(relay->options.fleet, slot)->traffic;
+    int64_t left_ms = traffic->ejected_until - SasRelay_Now(relay);
+    if (confirmed.ejected && traffic->ejected && left_ms > 0) {
+        report_ejection(relay, slot, left_ms);
+    }
+    if (confirmed.failed > 0) {
+        report_failures(relay, slot, confirmed.failed);
+    }
+}
+
+void
+SasRelay_ConfirmFailures(struct sas_relay *relay, int service)
+{
+    const GArray *servers =
+        SasFleet_GetService(relay->options.fleet, service)->servers;
+    for (guint i = 0; i < servers->len; i++) {
+        confirm_server(relay, g_array_index(servers, int, i));
+    }
+}
+
+void
+SasRelay_ForgetFailures(struct sas_relay *relay, int service)
+{
+    const GArray *servers =
+        SasFleet_GetService(relay->options.fleet, service)->servers;
+    for (guint i = 0; i < servers->len; i++) {
+        int slot = g_array_index(servers, int, i);
+        struct slot_state *state = SasRelay_GetSlot(relay, slot);
+        if (state->unconfirmed.ejected) {
+            SasTraffic_ForgetFailures(relay->options.fleet, slot);
+        }
+        state->unconfirmed = (struct unconfirmed){0};
+    }
 }
 
 /* Without this line a server that is ejected here though nothing failed here
@@ -201,13 +291,13 @@
                                 SasRelay_Now(relay));
 }
 
-void
-SasRelay_NoteFailed(struct sas_relay *relay, int slot)
+static void
+report_failures(struct sas_relay *relay, int slot, int failed)
 {
     struct slot_state *state = SasRelay_GetSlot(relay, slot);
     struct sas_mesh_failure_report report = {
         .server_hash = SasFleet_At(relay->options.fleet, slot)->hash,
-        .failed = 1,
+        .failed = failed,
         .answered = SasGreyFailure_TakeUnreported(&state->grey_failure,
                                                   SasRelay_Now(relay)),
     };
@@ -220,6 +310,16 @@
         SasFleet_GetServerRegion(relay->options.fleet, slot));
 }
 
+void
+SasRelay_NoteFailed(struct sas_relay *relay, int slot)
+{
+    if (is_path_in_doubt(relay, slot)) {
+        SasRelay_GetSlot(relay, slot)->unconfirmed.failed++;
+        return;
+    }
+    report_failures(relay, slot, 1);
+}
+
 static void
 on_failure_report(struct sas_mesh_listener *listener,
                   const struct sas_mesh_failure_report *report)
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -126,6 +126,13 @@
         return len(sent), [each for each in sent if each[3] != 200]
 
 
+def find_reported(fleet):
+    """Servers that an entry VM was told are ejected."""
+    return [(vm.name, line["peer"]) for vm in fleet.vms
+            for line in vm.find_lines("server.reported")
+            if line["for_ms"] > 0]
+
+
 class CutEntryVms(unittest.TestCase):
     def check_runs(self, fleet, callers):
         """No request that must not be repeated ran twice, and none ran that
@@ -163,6 +170,8 @@
                 sent, unserved = callers.find_unserved(vms, since, until)
                 self.assertGreater(sent, 0)
                 self.assertEqual(unserved, [])
+            # What failed on the path is not put down to the servers.
+            self.assertEqual(find_reported(fleet), [])
             # After the cut requests go straight to the servers again.
             for vm in cut:
                 lines = vm.find_lines("request", outcome="answered")
@@ -188,6 +197,24 @@
     def test_an_entry_vm_whose_new_connections_are_refused_serves(self):
         self.check_cut(1, "refuse")
 
+    # Guards against servers that have failed and go on getting requests from
+    # the other entry VMs, since the one that noticed didn't report it.
+    def test_a_server_that_fails_is_still_reported(self):
+        with CutFleet(vms=("a", "b")) as fleet:
+            fleet.start()
+            vm, other = fleet.vms
+            for i in range(40):
+                vm.request(key=str(i))
+            fleet.cut([vm], "reset", [fleet.workers["d0"]])
+
+            def is_reported():
+                for i in range(20):
+                    vm.request(key=str(i))
+                return (other.name, "d0") in find_reported(fleet)
+            wait_for(is_reported, "a report of d0")
+            self.assertEqual({server for _, server in find_reported(fleet)},
+                             {"d0"})
+
 
 if __name__ == "__main__":
     unittest.main()
