Entry VMs announce that they reach no server of a service

What callers saw: with five of six entry VMs cut off, 504 for 2 or 3 requests later than 3 s after the cut. Cause: a request asked three others that are cut off too, one after the other (each says so at once), and then took its own path, which hangs. With 82 of 83 cut off hardly any request would find the one. An entry VM that loses its path now says so to all, again each second, and others don't send it requests for that service; they forget it after 3 s. Nothing is added to a message while there is nothing to say. Weighed: asking more than three (a round trip each, and 82 asked again every two seconds).

--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -201,6 +201,24 @@
     }
 }
 
+uint64_t
+SasMesh_HashService(const char *name)
+{
+    return XXH3_64bits(name, strlen(name));
+}
+
+void
+SasMesh_SetLostPaths(struct sas_mesh *mesh, const uint64_t *service_hashes,
+                     int count)
+{
+    struct vm *own = SasMesh_GetVm(mesh, OWN_ID);
+    own->lost_path_count = MIN(count, SAS_MESH_MAX_LOST_PATHS);
+    for (int i = 0; i < own->lost_path_count; i++) {
+        own->lost_paths[i] = service_hashes[i];
+    }
+    SasMesh_Broadcast(mesh);
+}
+
 void
 SasMesh_Leave(struct sas_mesh *mesh)
 {
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -214,6 +214,15 @@
 SasMesh_GetSendersByCapacity(const struct sas_mesh *mesh, uint64_t server_hash,
                              int region);
 
+/* Services of which this entry VM reaches no server. SetLostPaths announces
+ * them to all members, also when they are the same as before: call it at each
+ * change and once a second while there are any. Others forget them after
+ * SasMesh_LOST_PATH_MS. */
+#define SasMesh_LOST_PATH_MS 3000
+uint64_t SasMesh_HashService(const char *name);
+void SasMesh_SetLostPaths(struct sas_mesh *mesh,
+                          const uint64_t *service_hashes, int count);
+
 /* An entry VM that requests of callers can be sent through. */
 struct sas_mesh_peer {
     int member_id;
@@ -222,12 +231,13 @@
     uint64_t incarnation;
 };
 
-/* PickPeerFor picks a live member for a request: of the own zone if there is
- * one, else of the own region, else any; more often those of high capacity.
+/* PickPeerFor picks a live member for a request to a service: of the own zone
+ * if there is one, else of the own region, else any; more often those of high
+ * capacity. One that reaches no server of the service itself isn't picked.
  * allowed_regions: a bit for each region that may get the request; 0: all.
  * False if there is none. AvoidPeer: this member isn't picked until then. */
-bool SasMesh_PickPeerFor(struct sas_mesh *mesh, uint64_t allowed_regions,
-                         struct sas_mesh_peer *peer);
+bool SasMesh_PickPeerFor(struct sas_mesh *mesh, uint64_t service_hash,
+                         uint64_t allowed_regions, struct sas_mesh_peer *peer);
 void SasMesh_AvoidPeer(struct sas_mesh *mesh, int member_id, int64_t until_ms);
 
 /* The leader of the own failure domain: the live entry VM with the highest
--- a/packages/gateway/src/mesh_gossip.c
+++ b/packages/gateway/src/mesh_gossip.c
@@ -408,6 +408,25 @@
     return count;
 }
 
+/* Nothing is sent of them while there are none. */
+static bool
+encode_lost_paths(struct sas_mesh *mesh, XDR *xdr)
+{
+    struct vm *own = SasMesh_GetVm(mesh, OWN_ID);
+    if (own->lost_path_count == 0) {
+        return true;
+    }
+    u_quad_t hashes[SAS_MESH_MAX_LOST_PATHS];
+    for (int i = 0; i < own->lost_path_count; i++) {
+        hashes[i] = own->lost_paths[i];
+    }
+    sas_mesh_lost_paths paths = {
+        .service_hashes = {.service_hashes_len = (u_int)own->lost_path_count,
+                           .service_hashes_val = hashes},
+    };
+    return xdr_sas_mesh_lost_paths(xdr, &paths);
+}
+
 /* Fills in the sender, signs and sends. */
 static void
 send_with_records(struct sas_mesh *mesh, const struct vm *vm,
@@ -432,7 +451,7 @@
     XDR xdr;
     xdrmem_create(&xdr, bytes, sizeof(bytes) - SasProto_MAC_SIZE, XDR_ENCODE);
     if (xdr_sas_mesh_message(&xdr, message) &&
-        xdr_sas_mesh_trailer(&xdr, trailer)) {
+        xdr_sas_mesh_trailer(&xdr, trailer) && encode_lost_paths(mesh, &xdr)) {
         unsigned size = sign(mesh, bytes, xdr_getpos(&xdr));
         uv_buf_t buffer = uv_buf_init(bytes, size);
         /* If the socket's buffer is full the datagram is lost, as it may be
@@ -677,9 +696,22 @@
     mesh->listener->on_digest_mismatch(mesh->listener, member_id);
 }
 
+static void
+apply_lost_paths(struct sas_mesh *mesh, int member_id,
+                 const sas_mesh_lost_paths *paths)
+{
+    struct vm *vm = SasMesh_GetVm(mesh, member_id);
+    vm->lost_path_count = (int)paths->service_hashes.service_hashes_len;
+    vm->lost_heard_at = SasMesh_Now(mesh);
+    for (int i = 0; i < vm->lost_path_count; i++) {
+        vm->lost_paths[i] = paths->service_hashes.service_hashes_val[i];
+    }
+}
+
 static void
 apply_message(struct sas_mesh *mesh, const sas_mesh_message *message,
-              const sas_mesh_trailer *trailer)
+              const sas_mesh_trailer *trailer,
+              const sas_mesh_lost_paths *paths)
 {
     struct sas_mesh_facts facts = {
         .caller.port = (int)message->sender.caller_port,
@@ -709,6 +741,7 @@
     notify_listener(mesh, message);
     apply_changes(mesh, &message->sender, &facts.peer);
     apply_records(mesh, trailer);
+    apply_lost_paths(mesh, member_id, paths);
     compare_records(mesh, member_id, message, trailer);
     if (message->wants_reply && is_join(message)) {
         SasMesh_SendUpdates(mesh, SasMesh_GetVm(mesh, member_id), JOIN_UPDATES,
@@ -722,9 +755,11 @@
 
 /* Older versions send no trailer. */
 static bool
-decode_trailer(XDR *xdr, unsigned size, sas_mesh_trailer *trailer)
+decode_trailer(XDR *xdr, unsigned size, sas_mesh_trailer *trailer,
+               sas_mesh_lost_paths *paths)
 {
-    return xdr_getpos(xdr) == size || xdr_sas_mesh_trailer(xdr, trailer);
+    return (xdr_getpos(xdr) == size || xdr_sas_mesh_trailer(xdr, trailer)) &&
+           (xdr_getpos(xdr) == size || xdr_sas_mesh_lost_paths(xdr, paths));
 }
 
 static void
@@ -738,6 +773,7 @@
     }
     sas_mesh_message message = {0};
     sas_mesh_trailer trailer = {0};
+    sas_mesh_lost_paths paths = {0};
     unsigned size = verify(mesh, data->base, (unsigned)count);
     if (size == 0) {
         SasLog_Write(SasLog_WARN, "mesh.refuse", "",
@@ -747,14 +783,14 @@
     XDR xdr;
     xdrmem_create(&xdr, data->base, size, XDR_DECODE);
     bool decoded = xdr_sas_mesh_message(&xdr, &message) &&
-                   decode_trailer(&xdr, size, &trailer);
+                   decode_trailer(&xdr, size, &trailer, &paths);
     if (decoded && message.format == SAS_MESH_FORMAT &&
         !is_fresh(mesh, &message)) {
         SasLog_Write(SasLog_WARN, "mesh.refuse", message.sender.name,
                      "a datagram is too old, or a clock is wrong");
     }
     else if (decoded && message.format == SAS_MESH_FORMAT) {
-        apply_message(mesh, &message, &trailer);
+        apply_message(mesh, &message, &trailer, &paths);
     }
     else {
         SasLog_Write(SasLog_WARN, "mesh.decode", "",
@@ -763,4 +799,5 @@
     xdr_destroy(&xdr);
     xdr_free((xdrproc_t)xdr_sas_mesh_message, (char *)&message);
     xdr_free((xdrproc_t)xdr_sas_mesh_trailer, (char *)&trailer);
+    xdr_free((xdrproc_t)xdr_sas_mesh_lost_paths, (char *)&paths);
 }
--- a/packages/gateway/src/mesh_internal.h
+++ b/packages/gateway/src/mesh_internal.h
@@ -25,6 +25,10 @@
     enum sas_member_state logged_state; /* state in the last log line */
     int64_t mismatch_at; /* last handled mismatch of records; 0: none */
     int64_t avoid_until; /* not sent requests until then */
+    /* Services of which it reaches no server, by its last message. */
+    uint64_t lost_paths[SAS_MESH_MAX_LOST_PATHS];
+    int lost_path_count;
+    int64_t lost_heard_at;
 };
 
 struct sas_mesh {
--- a/packages/gateway/src/mesh_ranking.c
+++ b/packages/gateway/src/mesh_ranking.c
@@ -158,20 +158,37 @@
                                                                          : 2;
 }
 
+static bool
+has_lost_path(const struct sas_mesh *mesh, int member_id,
+              uint64_t service_hash)
+{
+    const struct vm *vm = SasMesh_GetVm(mesh, member_id);
+    if (SasMesh_Now(mesh) - vm->lost_heard_at > SasMesh_LOST_PATH_MS) {
+        return false;
+    }
+    for (int i = 0; i < vm->lost_path_count; i++) {
+        if (vm->lost_paths[i] == service_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 may_get_requests(const struct sas_mesh *mesh, int member_id,
-                 uint64_t allowed_regions)
+                 uint64_t service_hash, uint64_t allowed_regions)
 {
     int region = SasMesh_GetRegion(mesh, member_id);
     return (allowed_regions == 0 ||
             (allowed_regions & (UINT64_C(1) << region)) != 0) &&
            SasMesh_IsLive(mesh, member_id) &&
+           !has_lost_path(mesh, member_id, service_hash) &&
            SasMesh_Now(mesh) >= SasMesh_GetVm(mesh, member_id)->avoid_until;
 }
 
 bool
-SasMesh_PickPeerFor(struct sas_mesh *mesh, uint64_t allowed_regions,
-                    struct sas_mesh_peer *peer)
+SasMesh_PickPeerFor(struct sas_mesh *mesh, uint64_t service_hash,
+                    uint64_t allowed_regions, struct sas_mesh_peer *peer)
 {
     int picked = SasModel_NONE;
     int nearest = G_MAXINT;
@@ -180,7 +197,8 @@
          member_id++) {
         int distance = get_distance(mesh, member_id);
         if (distance > nearest ||
-            !may_get_requests(mesh, member_id, allowed_regions)) {
+            !may_get_requests(mesh, member_id, service_hash,
+                              allowed_regions)) {
             continue;
         }
         if (distance < nearest) {
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -76,6 +76,7 @@
     struct sas_poison_requests *poison_requests;
     struct sas_cached_objects *objects;
     GPtrArray *path_probes; /* struct path_probe *, in flight */
+    int64_t announced_at;   /* lost paths, to the other entry VMs */
     bool rows_stale;        /* of servers, which may be cold without notice */
     int end_counters[SAS_HTTP_CLOSE_COUNT]; /* metrics of connections */
     GQueue calls; /* struct relay_call *, by their links */
--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -4,8 +4,12 @@
 
 #include <jansson.h>
 
+#include "sas/generated/mesh.h"
 #include "sas/log.h"
 
+/* Between two announcements of lost paths: one of them may get lost. */
+#define ANNOUNCE_MS 1000
+
 struct path_probe {
     struct sas_pool_probe probe;
     struct sas_relay *relay;
@@ -35,6 +39,23 @@
         (json_int_t)(path->lost ? now_ms - path->failing_since : 0));
 }
 
+/* Others then send this entry VM no requests that they can't serve. */
+static void
+announce_lost_paths(struct sas_relay *relay)
+{
+    uint64_t hashes[SAS_MESH_MAX_LOST_PATHS];
+    int count = 0;
+    for (guint service = 0; service < relay->services->len; service++) {
+        const struct service_state *state = relay->services->pdata[service];
+        if (state->path.lost && count < SAS_MESH_MAX_LOST_PATHS) {
+            hashes[count++] = SasMesh_HashService(
+                SasFleet_GetService(relay->options.fleet, (int)service)->name);
+        }
+    }
+    relay->announced_at = count > 0 ? SasRelay_Now(relay) : 0;
+    SasMesh_SetLostPaths(relay->options.mesh, hashes, count);
+}
+
 void
 SasRelay_NoteReached(struct sas_relay *relay, int service, const char *cause)
 {
@@ -42,6 +63,7 @@
     bool was_in_doubt = SasPath_IsInDoubt(path);
     if (SasPath_NoteReached(path)) {
         log_path(relay, service, cause);
+        announce_lost_paths(relay);
         SasRelay_ForgetFailures(relay, service);
     }
     else if (was_in_doubt) {
@@ -58,6 +80,7 @@
                                 count_servers(relay, service), began_at,
                                 SasRelay_Now(relay))) {
         log_path(relay, service, "no connection to several servers");
+        announce_lost_paths(relay);
         SasRelay_ForgetFailures(relay, service);
     }
 }
@@ -113,6 +136,10 @@
 SasRelay_Sweep(struct sas_relay *relay)
 {
     int64_t now_ms = SasRelay_Now(relay);
+    if (relay->announced_at > 0 &&
+        now_ms - relay->announced_at >= ANNOUNCE_MS) {
+        announce_lost_paths(relay);
+    }
     for (guint service = 0; service < relay->services->len; service++) {
         struct service_state *state = relay->services->pdata[service];
         if (SasPath_TakeProbe(&state->path, now_ms)) {
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -79,8 +79,10 @@
 SasRelay_SendVia(struct relay_call *call)
 {
     struct sas_relay *relay = call->relay;
-    if (!SasMesh_PickPeerFor(relay->options.mesh, call->route->allowed_regions,
-                             &call->peer)) {
+    uint64_t service_hash = SasMesh_HashService(
+        SasFleet_GetService(relay->options.fleet, call->service)->name);
+    if (!SasMesh_PickPeerFor(relay->options.mesh, service_hash,
+                             call->route->allowed_regions, &call->peer)) {
         return false;
     }
     int64_t left_ms = call->deadline_at - SasRelay_Now(relay);
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -606,6 +606,47 @@
     stop(f);
 }
 
+static bool
+picks_only(struct fixture *f, int from, int expected)
+{
+    uint64_t desk = SasMesh_HashService("desk");
+    for (int i = 0; i < 20; i++) {
+        struct sas_mesh_peer peer = {0};
+        if (!SasMesh_PickPeerFor(f->meshes[from], desk, 0, &peer) ||
+            peer.name[3] != '0' + expected) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A request that is sent through others that reach no server either is refused
+ * though one more entry VM could serve it. */
+static void
+test_requests_go_through_the_nearest_that_reaches_servers(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    uint64_t desk = SasMesh_HashService("desk");
+    uint64_t other = SasMesh_HashService("other");
+    assert_true(picks_only(f, 0, 1));
+    SasMesh_SetLostPaths(f->meshes[1], &desk, 1);
+    SPIN_UNTIL(f, picks_only(f, 0, 2));
+    SasMesh_SetLostPaths(f->meshes[2], &desk, 1);
+    SPIN_UNTIL(f, picks_only(f, 0, 3));
+    struct sas_mesh_peer peer = {0};
+    assert_true(SasMesh_PickPeerFor(f->meshes[0], other, 0, &peer));
+    assert_string_equal(peer.name, "vm-1");
+    SasMesh_SetLostPaths(f->meshes[1], NULL, 0);
+    SPIN_UNTIL(f, picks_only(f, 0, 1));
+    uint64_t west = UINT64_C(1) << get_region(f, "west");
+    assert_true(SasMesh_PickPeerFor(f->meshes[0], desk, west, &peer));
+    assert_string_equal(peer.name, "vm-3");
+    SasMesh_AvoidPeer(f->meshes[0], peer.member_id, INT64_MAX);
+    assert_false(SasMesh_PickPeerFor(f->meshes[0], desk, west, &peer));
+    stop(f);
+}
+
 int
 main(void)
 {
@@ -622,6 +663,8 @@
         cmocka_unit_test(test_vm_restarted_with_clock_set_back_is_live),
         cmocka_unit_test(test_messages_signed_with_another_key_are_ignored),
         cmocka_unit_test(test_changes_are_announced_to_all),
+        cmocka_unit_test(
+            test_requests_go_through_the_nearest_that_reaches_servers),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -11,6 +11,7 @@
 const SAS_MESH_MAX_POISON_REPORTS = 8;
 const SAS_MESH_MAX_FAILURE_REPORTS = 8;
 const SAS_MESH_MAX_TABLES = 4;
+const SAS_MESH_MAX_LOST_PATHS = 8;
 const SAS_MESH_MAX_TEXT = 47; /* bytes of a string */
 
 /* Describes the sender; enough for a receiver to add it as a new member. */
@@ -87,6 +88,12 @@
     sas_mesh_wire_crash_record crash_records<SAS_MESH_MAX_POISON_REPORTS>;
 };
 
+/* Follows the trailer while the sender reaches no server of some services; an
+ * older process stops reading before it. */
+struct sas_mesh_lost_paths {
+    unsigned hyper service_hashes<SAS_MESH_MAX_LOST_PATHS>; /* of names */
+};
+
 /* With a shared key, SasProto_MAC_SIZE bytes of HMAC-SHA-256 over message and
  * trailer end the datagram. */
 struct sas_mesh_message {
