A connection that a cut resets is no evidence of a crash

What callers would see: a harmless request refused ('quarantined') by all entry VMs for a minute, after its connections were reset by cuts of one entry VM's links. Cause, the same as of the failures that were put down to servers: a probe that can't connect was taken for a crash of the server, though the path had gone.

--- a/packages/gateway/src/poison_requests.c
+++ b/packages/gateway/src/poison_requests.c
@@ -42,7 +42,9 @@
     struct sas_mesh *mesh;
     struct sas_metrics *metrics;
     struct sas_quarantine quarantine;
-    GPtrArray *crash_probes; /* struct crash_probe * */
+    GPtrArray *crash_probes;                   /* struct crash_probe * */
+    bool (*in_doubt)(void *data, int service); /* NULL: never */
+    void *in_doubt_data;
 };
 
 /* A request whose connection was lost, while a probe finds out whether its
@@ -53,6 +55,8 @@
     struct sas_fingerprint fingerprint;
     uint64_t crash;
     bool isolated;
+    bool failed; /* the probe has; waits for the path */
+    int service;
     char server_id[SasFleet_ID_SIZE];
 };
 
@@ -353,22 +357,75 @@
 
 /* Events of this entry VM. */
 
+static void
+note_crash(struct sas_poison_requests *poison,
+           const struct crash_probe *crash_probe)
+{
+    struct sas_mesh_poison_update update = {
+        .fingerprint = crash_probe->fingerprint,
+        .crash = crash_probe->crash,
+        .isolated = crash_probe->isolated,
+    };
+    apply_own(poison, &update, "crash", crash_probe->server_id);
+}
+
 static void
 on_probed(struct sas_pool_probe *probe, bool accepts_connections)
 {
     struct crash_probe *crash_probe = (struct crash_probe *)probe;
     struct sas_poison_requests *poison = crash_probe->poison;
-    if (!accepts_connections) {
-        struct sas_mesh_poison_update update = {
-            .fingerprint = crash_probe->fingerprint,
-            .crash = crash_probe->crash,
-            .isolated = crash_probe->isolated,
-        };
-        apply_own(poison, &update, "crash", crash_probe->server_id);
+    crash_probe->failed = !accepts_connections;
+    if (crash_probe->failed && poison->in_doubt != NULL &&
+        poison->in_doubt(poison->in_doubt_data, crash_probe->service)) {
+        return;
+    }
+    if (crash_probe->failed) {
+        note_crash(poison, crash_probe);
     }
     g_ptr_array_remove_fast(poison->crash_probes, crash_probe);
 }
 
+void
+SasPoisonRequests_SetDoubt(struct sas_poison_requests *poison,
+                           bool (*in_doubt)(void *data, int service),
+                           void *data)
+{
+    poison->in_doubt = in_doubt;
+    poison->in_doubt_data = data;
+}
+
+/* After a short cut the server accepts connections again, and a crashed one
+ * does not yet. */
+void
+SasPoisonRequests_Confirm(struct sas_poison_requests *poison, int service)
+{
+    for (guint i = poison->crash_probes->len; i > 0; i--) {
+        struct crash_probe *crash_probe = poison->crash_probes->pdata[i - 1];
+        if (!crash_probe->failed || crash_probe->service != service) {
+            continue;
+        }
+        int slot = SasFleet_FindServer(poison->fleet, crash_probe->server_id);
+        if (slot == SasModel_NONE) {
+            g_ptr_array_remove_index_fast(poison->crash_probes, i - 1);
+            continue;
+        }
+        crash_probe->failed = false;
+        SasPool_Probe(poison->pool, slot, &crash_probe->probe);
+    }
+}
+
+void
+SasPoisonRequests_Forget(struct sas_poison_requests *poison, int service)
+{
+    for (guint i = poison->crash_probes->len; i > 0; i--) {
+        const struct crash_probe *crash_probe =
+            poison->crash_probes->pdata[i - 1];
+        if (crash_probe->failed && crash_probe->service == service) {
+            g_ptr_array_remove_index_fast(poison->crash_probes, i - 1);
+        }
+    }
+}
+
 void
 SasPoisonRequests_NoteLost(struct sas_poison_requests *poison,
                            struct sas_fingerprint fingerprint, int slot,
@@ -384,6 +441,7 @@
     crash_probe->fingerprint = fingerprint;
     crash_probe->crash = SasQuarantine_HashCrash(facts->id, born, 0);
     crash_probe->isolated = isolated;
+    crash_probe->service = SasFleet_At(poison->fleet, slot)->service;
     g_strlcpy(crash_probe->server_id, facts->id,
               sizeof(crash_probe->server_id));
     g_ptr_array_add(poison->crash_probes, crash_probe);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -238,6 +238,8 @@
                           const char *cause);
 void SasRelay_NoteUnreachable(struct sas_relay *relay, int service,
                               uint64_t server_hash, int64_t began_at);
+/* relay: a struct sas_relay. */
+bool SasRelay_IsPathInDoubt(void *relay, int service);
 
 /* relay_via.c: SendVia returns false if no other entry VM can be asked.
  * ReadRelayed reads what another entry VM states of its request; false if it
--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -39,6 +39,19 @@
         (json_int_t)(path->lost ? now_ms - path->failing_since : 0));
 }
 
+static void
+forget_failures(struct sas_relay *relay, int service)
+{
+    SasRelay_ForgetFailures(relay, service);
+    SasPoisonRequests_Forget(relay->poison_requests, service);
+}
+
+bool
+SasRelay_IsPathInDoubt(void *relay, int service)
+{
+    return SasPath_IsInDoubt(&SasRelay_GetService(relay, service)->path);
+}
+
 /* Others then send this entry VM no requests that they can't serve. */
 static void
 announce_lost_paths(struct sas_relay *relay)
@@ -64,10 +77,11 @@
     if (SasPath_NoteReached(path)) {
         log_path(relay, service, cause);
         announce_lost_paths(relay);
-        SasRelay_ForgetFailures(relay, service);
+        forget_failures(relay, service);
     }
     else if (was_in_doubt) {
         SasRelay_ConfirmFailures(relay, service);
+        SasPoisonRequests_Confirm(relay->poison_requests, service);
     }
 }
 
@@ -81,7 +95,7 @@
                                 SasRelay_Now(relay))) {
         log_path(relay, service, "no connection to several servers");
         announce_lost_paths(relay);
-        SasRelay_ForgetFailures(relay, service);
+        forget_failures(relay, service);
     }
 }
 
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -62,8 +62,8 @@
 static bool
 is_path_in_doubt(struct sas_relay *relay, int slot)
 {
-    int service = SasFleet_At(relay->options.fleet, slot)->service;
-    return SasPath_IsInDoubt(&SasRelay_GetService(relay, service)->path);
+    return SasRelay_IsPathInDoubt(
+        relay, SasFleet_At(relay->options.fleet, slot)->service);
 }
 
 /* Tells the other entry VMs that the server is ejected for left_ms. */
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -197,6 +197,26 @@
     def test_an_entry_vm_whose_new_connections_are_refused_serves(self):
         self.check_cut(1, "refuse")
 
+    # Guards against a harmless request that all entry VMs refuse for a minute:
+    # it was on connections that a cut has reset, and was suspected of having
+    # crashed the servers.
+    def test_requests_on_connections_that_a_cut_resets_are_not_suspected(self):
+        with CutFleet(vms=("a", "b")) as fleet:
+            fleet.start()
+            vm = fleet.vms[0]
+            for attempt in range(8):
+                for i in range(20):
+                    vm.request(path="/forms/2", key=str(i))
+                fleet.cut([vm], "reset")
+                vm.request("POST", "/filings/9", b"x", key=str(attempt))
+                fleet.heal([vm])
+                wait_for(lambda: vm.request(path="/forms/2").status == 200,
+                         "the links")
+            for each in fleet.vms:
+                self.assertEqual(each.find_lines("suspect"), [])
+                self.assertEqual(
+                    each.request("POST", "/filings/9", b"x").status, 200)
+
     # Guards against servers that have failed and go on getting requests from
     # the other entry VMs, since the one that noticed didn't report it.
     def test_a_server_that_fails_is_still_reported(self):
