Lookups leave out entry VMs that reach no server, while others nearby do

One that has reached no server of a service for a second is left out, if a quarter of the zone or the region stays; else its callers are better served by it, through another entry VM, than by a region farther away.

test_gossip, test_lookups_leave_out_who_reaches_no_server, and the e2e test of lookups: both need what this commit adds (before, nothing but liveness counts); green. Ruled out: the health check. An entry VM that serves through others is ready, and a callers' address stays known for three times its TTL anyway.

--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -211,14 +211,25 @@
 SasMesh_SetLostPaths(struct sas_mesh *mesh, const uint64_t *service_hashes,
                      int count)
 {
-    struct vm *own = SasMesh_GetVm(mesh, OWN_ID);
-    own->lost_path_count = MIN(count, SAS_MESH_MAX_LOST_PATHS);
-    for (int i = 0; i < own->lost_path_count; i++) {
-        own->lost_paths[i] = service_hashes[i];
-    }
+    SasMesh_ApplyLostPaths(mesh, OWN_ID, service_hashes, count);
     SasMesh_Broadcast(mesh);
 }
 
+void
+SasMesh_ApplyLostPaths(struct sas_mesh *mesh, int member_id,
+                       const uint64_t *service_hashes, int count)
+{
+    struct vm *vm = SasMesh_GetVm(mesh, member_id);
+    if (vm->lost_path_count == 0) {
+        vm->lost_since = SasMesh_Now(mesh);
+    }
+    vm->lost_path_count = MIN(count, SAS_MESH_MAX_LOST_PATHS);
+    vm->lost_heard_at = SasMesh_Now(mesh);
+    for (int i = 0; i < vm->lost_path_count; i++) {
+        vm->lost_paths[i] = service_hashes[i];
+    }
+}
+
 void
 SasMesh_Leave(struct sas_mesh *mesh)
 {
--- a/packages/gateway/src/mesh_gossip.c
+++ b/packages/gateway/src/mesh_gossip.c
@@ -700,12 +700,12 @@
 apply_lost_paths(struct sas_mesh *mesh, int member_id,
                  const sas_mesh_lost_paths *paths)
 {
-    struct vm *vm = SasMesh_GetVm(mesh, member_id);
-    vm->lost_path_count = (int)paths->service_hashes.service_hashes_len;
-    vm->lost_heard_at = SasMesh_Now(mesh);
-    for (int i = 0; i < vm->lost_path_count; i++) {
-        vm->lost_paths[i] = paths->service_hashes.service_hashes_val[i];
+    uint64_t hashes[SAS_MESH_MAX_LOST_PATHS];
+    int count = (int)paths->service_hashes.service_hashes_len;
+    for (int i = 0; i < count; i++) {
+        hashes[i] = paths->service_hashes.service_hashes_val[i];
     }
+    SasMesh_ApplyLostPaths(mesh, member_id, hashes, count);
 }
 
 static void
--- a/packages/gateway/src/mesh_internal.h
+++ b/packages/gateway/src/mesh_internal.h
@@ -29,6 +29,7 @@
     uint64_t lost_paths[SAS_MESH_MAX_LOST_PATHS];
     int lost_path_count;
     int64_t lost_heard_at;
+    int64_t lost_since; /* while there are any */
 };
 
 struct sas_mesh {
@@ -64,6 +65,10 @@
  * known or its address can't be parsed. */
 int SasMesh_LearnVm(struct sas_mesh *mesh, const struct sas_mesh_facts *facts);
 
+/* Updates the lost paths of a member. */
+void SasMesh_ApplyLostPaths(struct sas_mesh *mesh, int member_id,
+                            const uint64_t *service_hashes, int count);
+
 /* mesh_ranking.c */
 /* The member that ranks first for the hash by rendezvous hashing, among the
  * live ones of a region or (NONE) of all; SasModel_NONE if none is live. */
--- a/packages/gateway/src/mesh_lookup.c
+++ b/packages/gateway/src/mesh_lookup.c
@@ -9,6 +9,10 @@
  * Later they count as removed. */
 #define RECENT_MEMBER_MS 600000
 
+/* Lookups leave out an entry VM that has reached no server of some service for
+ * this time: a path that is back at once moves no callers. */
+#define CUT_OFF_MS 1000
+
 /* Where a lookup's addresses are taken from. */
 enum scope {
     ZONE,
@@ -21,6 +25,7 @@
 struct place {
     int zone;
     int region;
+    bool with_cut_off; /* also those that reach no server of a service */
 };
 
 static bool
@@ -42,10 +47,22 @@
 }
 
 static bool
-is_eligible(const struct sas_mesh *mesh, int member_id)
+is_cut_off(const struct sas_mesh *mesh, int member_id)
+{
+    const struct vm *vm = SasMesh_GetVm(mesh, member_id);
+    int64_t now_ms = SasMesh_Now(mesh);
+    return vm->lost_path_count > 0 &&
+           now_ms - vm->lost_heard_at <= SasMesh_LOST_PATH_MS &&
+           now_ms - vm->lost_since >= CUT_OFF_MS;
+}
+
+static bool
+is_eligible(const struct sas_mesh *mesh, int member_id,
+            const struct place *place)
 {
     return !SasMesh_GetVm(mesh, member_id)->withdrawn &&
-           SasMesh_IsLive(mesh, member_id);
+           SasMesh_IsLive(mesh, member_id) &&
+           (place->with_cut_off || !is_cut_off(mesh, member_id));
 }
 
 static int
@@ -56,7 +73,7 @@
     g_autoptr(GArray) capacities = g_array_new(FALSE, FALSE, sizeof(double));
     for (int member_id = 0; member_id < (int)mesh->vms->len; member_id++) {
         if (is_within(mesh, member_id, place) &&
-            is_eligible(mesh, member_id)) {
+            is_eligible(mesh, member_id, place)) {
             g_array_append_val(member_ids, member_id);
             g_array_append_val(capacities,
                                SasMesh_GetVm(mesh, member_id)->facts.capacity);
@@ -86,7 +103,7 @@
         }
         double capacity = SasMesh_GetVm(mesh, member_id)->facts.capacity;
         total += capacity;
-        remaining += is_eligible(mesh, member_id) ? capacity : 0;
+        remaining += is_eligible(mesh, member_id, place) ? capacity : 0;
     }
     return total > 0 ? remaining / total : 0;
 }
@@ -131,13 +148,20 @@
     if (zone != SasModel_NONE) {
         region = SasFleet_GetZone(mesh->fleet, zone)->region;
     }
-    const struct place places[SCOPES] = {
-        [ZONE] = {zone, region},
-        [REGION] = {SasModel_NONE, region},
-        [ALL] = {SasModel_NONE, SasModel_NONE},
+    struct place places[SCOPES] = {
+        [ZONE] = {zone, region, false},
+        [REGION] = {SasModel_NONE, region, false},
+        [ALL] = {SasModel_NONE, SasModel_NONE, true},
     };
     double remaining[SCOPES];
     enum scope scope = pick_scope(mesh, places, remaining);
+    if (scope == ALL) {
+        /* Those that are cut off serve through others. That is as good as to
+         * send callers to another region, and spreads the load. */
+        places[ZONE].with_cut_off = true;
+        places[REGION].with_cut_off = true;
+        scope = pick_scope(mesh, places, remaining);
+    }
     if (zone != SasModel_NONE) {
         log_scope(mesh, zone, scope, remaining[ZONE]);
     }
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -606,6 +606,49 @@
     stop(f);
 }
 
+static bool
+names(struct fixture *f, int from, const int *expected, int count)
+{
+    struct sas_address addresses[VMS];
+    int named = SasMesh_Lookup(f->meshes[from], 0, 0, addresses, VMS);
+    bool same = named == count;
+    for (int i = 0; same && i < count; i++) {
+        same = addresses[i].port == 8000 + expected[i];
+    }
+    return same;
+}
+
+/* Callers of a failure domain whose entry VMs reach no server go on being sent
+ * there though others in the region serve them without a detour. */
+static void
+test_lookups_leave_out_who_reaches_no_server(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    uint64_t desk = SasMesh_HashService("desk");
+    const int both[] = {0, 1};
+    const int one[] = {0};
+    const int next[] = {2};
+    SPIN_UNTIL(f, names(f, 3, both, 2));
+    SasMesh_SetLostPaths(f->meshes[1], &desk, 1);
+    SPIN_UNTIL(f, names(f, 3, one, 1));
+    SPIN_UNTIL(f, names(f, 1, one, 1));
+    SasMesh_SetLostPaths(f->meshes[0], &desk, 1);
+    SasMesh_SetLostPaths(f->meshes[1], &desk, 1);
+    SPIN_UNTIL(f, names(f, 3, next, 1));
+    /* None in the region reaches servers: its own ones serve through others.
+     */
+    for (int i = 0; i < 3; i++) {
+        SasMesh_SetLostPaths(f->meshes[i], &desk, 1);
+    }
+    SPIN_UNTIL(f, names(f, 3, both, 2));
+    SasMesh_SetLostPaths(f->meshes[0], NULL, 0);
+    SPIN_UNTIL(f, names(f, 3, one, 1));
+    SasMesh_SetLostPaths(f->meshes[1], NULL, 0);
+    SPIN_UNTIL(f, names(f, 3, both, 2));
+    stop(f);
+}
+
 static bool
 picks_only(struct fixture *f, int from, int expected)
 {
@@ -663,6 +706,7 @@
         cmocka_unit_test(test_vm_restarted_with_clock_set_back_is_live),
         cmocka_unit_test(test_messages_signed_with_another_key_are_ignored),
         cmocka_unit_test(test_changes_are_announced_to_all),
+        cmocka_unit_test(test_lookups_leave_out_who_reaches_no_server),
         cmocka_unit_test(
             test_requests_go_through_the_nearest_that_reaches_servers),
     };
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -197,6 +197,34 @@
     def test_an_entry_vm_whose_new_connections_are_refused_serves(self):
         self.check_cut(1, "refuse")
 
+    # Guards against callers that go on being sent to entry VMs that reach no
+    # server, and against lookups without an address when none does.
+    def test_lookups_leave_out_entry_vms_without_links_to_servers(self):
+        with CutFleet() as fleet:
+            fleet.start()
+
+            def name(vms):
+                return {"%s:%d" % vm.address() for vm in vms}
+
+            def is_named(vms):
+                for vm in fleet.vms[:2]:
+                    vm.request(deadline_ms=500)
+                return all(set(vm.lookup("a")) == name(vms)
+                           for vm in fleet.vms)
+            a, b, east = fleet.vms[:2], fleet.vms[2:4], fleet.vms[:4]
+            wait_for(lambda: is_named(a), "those of the zone")
+            fleet.cut(a, "reset")
+            wait_for(lambda: is_named(b), "those of the region")
+            fleet.heal(a)
+            wait_for(lambda: is_named(a), "those of the zone again")
+            fleet.cut(east, "reset")
+            for vm in east:
+                wait_for(lambda vm=vm: vm.request(deadline_ms=500) and
+                         vm.find_lines("path.lost"), "a lost path")
+            time.sleep(2)
+            wait_for(lambda: is_named(a), "those of the zone, though cut off")
+            self.assertEqual(a[0].request().status, 200)
+
     # Guards against a harmless request that all entry VMs refuse for a minute:
     # it was on connections that a cut has reset, and was suspected of having
     # crashed the servers.
