A crash is told from cut links by probes of other servers, at once

Now two more servers are probed beside the one that may have crashed. If one of them accepts a connection and that server, probed again, doesn't, it has crashed: two round trips instead of one. With all links cut none accepts one, after a short cut all do.

--- a/packages/gateway/src/poison_requests.c
+++ b/packages/gateway/src/poison_requests.c
@@ -42,12 +42,19 @@
     struct sas_mesh *mesh;
     struct sas_metrics *metrics;
     struct sas_quarantine quarantine;
-    GPtrArray *crash_probes;                   /* struct crash_probe * */
-    bool (*in_doubt)(void *data, int service); /* NULL: never */
-    void *in_doubt_data;
+    GPtrArray *crash_probes; /* struct crash_probe * */
 };
 
-/* A request whose connection was lost, while a probe finds out whether its
+/* Servers that are probed beside the one that may have crashed, to find out
+ * whether this entry VM's links to the servers work. */
+#define CONTROLS 2
+
+struct control {
+    struct sas_pool_probe probe;
+    struct crash_probe *crash_probe;
+};
+
+/* A request whose connection was lost, while probes find out whether its
  * server has crashed. */
 struct crash_probe {
     struct sas_pool_probe probe;
@@ -55,9 +62,16 @@
     struct sas_fingerprint fingerprint;
     uint64_t crash;
     bool isolated;
-    bool failed; /* the probe has; waits for the path */
-    int service;
+    struct sas_server_ref server;
     char server_id[SasFleet_ID_SIZE];
+    struct control controls[CONTROLS];
+    int control_count;
+    int pending;       /* probes without a result */
+    bool ended;        /* the probe of the server is */
+    bool counted;      /* the crash is */
+    bool failed;       /* the server accepts no connection */
+    bool links_work;   /* a control does */
+    bool was_repeated; /* the probe of the server, since they do */
 };
 
 struct sas_poison_requests *
@@ -358,72 +372,101 @@
 /* Events of this entry VM. */
 
 static void
-note_crash(struct sas_poison_requests *poison,
-           const struct crash_probe *crash_probe)
+note_crash(struct crash_probe *crash_probe)
 {
     struct sas_mesh_poison_update update = {
         .fingerprint = crash_probe->fingerprint,
         .crash = crash_probe->crash,
         .isolated = crash_probe->isolated,
     };
-    apply_own(poison, &update, "crash", crash_probe->server_id);
+    crash_probe->counted = true;
+    apply_own(crash_probe->poison, &update, "crash", crash_probe->server_id);
 }
 
 static void
-on_probed(struct sas_pool_probe *probe, bool accepts_connections)
+repeat_probe(struct crash_probe *crash_probe)
 {
-    struct crash_probe *crash_probe = (struct crash_probe *)probe;
     struct sas_poison_requests *poison = crash_probe->poison;
-    crash_probe->failed = !accepts_connections;
-    if (crash_probe->failed && poison->in_doubt != NULL &&
-        poison->in_doubt(poison->in_doubt_data, crash_probe->service)) {
+    if (SasFleet_GetServer(poison->fleet, crash_probe->server) == NULL) {
         return;
     }
-    if (crash_probe->failed) {
-        note_crash(poison, crash_probe);
-    }
-    g_ptr_array_remove_fast(poison->crash_probes, crash_probe);
+    crash_probe->was_repeated = true;
+    crash_probe->ended = false;
+    crash_probe->pending++;
+    SasPool_Probe(poison->pool, crash_probe->server.slot, &crash_probe->probe);
 }
 
-void
-SasPoisonRequests_SetDoubt(struct sas_poison_requests *poison,
-                           bool (*in_doubt)(void *data, int service),
-                           void *data)
+/* While this entry VM's links to the servers are cut, no server accepts a
+ * connection, and after a short cut all do again. So a crash is one if a
+ * control accepts a connection, and the server still doesn't after it. */
+static void
+decide(struct crash_probe *crash_probe)
 {
-    poison->in_doubt = in_doubt;
-    poison->in_doubt_data = data;
+    if (!crash_probe->ended || !crash_probe->failed || crash_probe->counted) {
+        return;
+    }
+    if (crash_probe->was_repeated || crash_probe->control_count == 0) {
+        note_crash(crash_probe);
+    }
+    else if (crash_probe->links_work) {
+        repeat_probe(crash_probe);
+    }
 }
 
-/* After a short cut the server accepts connections again, and a crashed one
- * does not yet. */
-void
-SasPoisonRequests_Confirm(struct sas_poison_requests *poison, int service)
+/* A probe has a result. */
+static void
+end_one(struct crash_probe *crash_probe)
 {
-    for (guint i = poison->crash_probes->len; i > 0; i--) {
-        struct crash_probe *crash_probe = poison->crash_probes->pdata[i - 1];
-        if (!crash_probe->failed || crash_probe->service != service) {
-            continue;
-        }
-        int slot = SasFleet_FindServer(poison->fleet, crash_probe->server_id);
-        if (slot == SasModel_NONE) {
-            g_ptr_array_remove_index_fast(poison->crash_probes, i - 1);
-            continue;
-        }
-        crash_probe->failed = false;
-        SasPool_Probe(poison->pool, slot, &crash_probe->probe);
+    crash_probe->pending--;
+    decide(crash_probe);
+    if (crash_probe->pending == 0) {
+        g_ptr_array_remove_fast(crash_probe->poison->crash_probes,
+                                crash_probe);
     }
 }
 
-void
-SasPoisonRequests_Forget(struct sas_poison_requests *poison, int service)
+static void
+on_probed(struct sas_pool_probe *probe, bool accepts_connections)
 {
-    for (guint i = poison->crash_probes->len; i > 0; i--) {
-        const struct crash_probe *crash_probe =
-            poison->crash_probes->pdata[i - 1];
-        if (crash_probe->failed && crash_probe->service == service) {
-            g_ptr_array_remove_index_fast(poison->crash_probes, i - 1);
-        }
+    struct crash_probe *crash_probe = (struct crash_probe *)probe;
+    crash_probe->failed = !accepts_connections;
+    crash_probe->ended = true;
+    end_one(crash_probe);
+}
+
+static void
+on_control(struct sas_pool_probe *probe, bool accepts_connections)
+{
+    struct crash_probe *crash_probe = ((struct control *)probe)->crash_probe;
+    crash_probe->links_work |= accepts_connections;
+    end_one(crash_probe);
+}
+
+/* The servers that follow it in the service's list. */
+static void
+probe_controls(struct crash_probe *crash_probe)
+{
+    struct sas_poison_requests *poison = crash_probe->poison;
+    int slot = crash_probe->server.slot;
+    const GArray *servers =
+        SasFleet_GetService(poison->fleet,
+                            SasFleet_At(poison->fleet, slot)->service)
+            ->servers;
+    guint own = 0;
+    while (own < servers->len && g_array_index(servers, int, own) != slot) {
+        own++;
+    }
+    for (guint i = 1; i < servers->len && i <= CONTROLS; i++) {
+        struct control *control =
+            &crash_probe->controls[crash_probe->control_count++];
+        control->probe.on_probed = on_control;
+        control->probe.without_hold = true;
+        control->crash_probe = crash_probe;
+        SasPool_Probe(poison->pool,
+                      g_array_index(servers, int, (own + i) % servers->len),
+                      &control->probe);
     }
+    crash_probe->pending += crash_probe->control_count;
 }
 
 void
@@ -441,11 +484,13 @@
     crash_probe->fingerprint = fingerprint;
     crash_probe->crash = SasQuarantine_HashCrash(facts->id, born, 0);
     crash_probe->isolated = isolated;
-    crash_probe->service = SasFleet_At(poison->fleet, slot)->service;
+    crash_probe->server = SasFleet_GetRef(poison->fleet, slot);
+    crash_probe->pending = 1;
     g_strlcpy(crash_probe->server_id, facts->id,
               sizeof(crash_probe->server_id));
     g_ptr_array_add(poison->crash_probes, crash_probe);
     SasPool_Probe(poison->pool, slot, &crash_probe->probe);
+    probe_controls(crash_probe);
 }
 
 void
--- a/packages/gateway/src/poison_requests.h
+++ b/packages/gateway/src/poison_requests.h
@@ -6,10 +6,9 @@
  * request doesn't prove a crash: the reset may come from the network, or only
  * the answer may be lost. So a probe opens a new connection: if the server
  * accepts none it has crashed, and every request that ran there is a suspected
- * poison request. sas/quarantine.h counts the crashes. While this entry VM may
- * have lost its path to the servers (sas/path.h), a probe that fails proves
- * nothing: it is repeated once a sign shows that the path works, and forgotten
- * if the path is lost.
+ * poison request. sas/quarantine.h counts the crashes. That the server
+ * accepts no connection proves nothing while this entry VM's links to servers
+ * are cut, so two more servers are probed as well.
  *
  * After one crash a request is still sent normally: of all the requests on a
  * crashed server at most one is to blame. After two crashes it only runs
@@ -41,16 +40,6 @@
                                                   struct sas_mesh *mesh,
                                                   struct sas_metrics *metrics);
 
-/* What has happened to the path to a service's servers. Confirm: a sign shows
- * that it works, Forget: it is lost. in_doubt tells whether to wait for
- * either.
- */
-void SasPoisonRequests_SetDoubt(struct sas_poison_requests *poison,
-                                bool (*in_doubt)(void *data, int service),
-                                void *data);
-void SasPoisonRequests_Confirm(struct sas_poison_requests *poison,
-                               int service);
-void SasPoisonRequests_Forget(struct sas_poison_requests *poison, int service);
 void SasPoisonRequests_Free(struct sas_poison_requests *poison);
 
 /* False while no request is suspected, which is nearly always: no fingerprint
--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define PROBE_CHECK_MS 50
+
 struct sas_pooled {
     struct sas_http_conn_listener owner;
     struct sas_pool *pool;
@@ -19,7 +21,9 @@
     struct sas_fleet_listener listener;
     uv_loop_t *loop;
     struct sas_fleet *fleet;
-    GPtrArray *by_slot; /* GPtrArray of struct sas_pooled, oldest first */
+    GPtrArray *by_slot;      /* GPtrArray of struct sas_pooled, oldest first */
+    uv_timer_t *probe_timer; /* runs while there are probes */
+    int probe_count;
 };
 
 static void
@@ -29,15 +33,28 @@
     struct sas_pooled *pooled = (struct sas_pooled *)owner;
     GPtrArray *list = pooled->pool->by_slot->pdata[pooled->server.slot];
     g_ptr_array_remove(list, pooled);
+    struct sas_pool *pool = pooled->pool;
     struct sas_pool_probe *probe = pooled->probe;
     g_free(pooled);
     if (probe != NULL) {
+        pool->probe_count--;
         probe->on_probed(probe, false);
     }
 }
 
+static void
+end_probe(struct sas_pooled *pooled)
+{
+    struct sas_pool_probe *probe = pooled->probe;
+    pooled->probe = NULL;
+    pooled->pool->probe_count--;
+    SasPool_Release(pooled, 0);
+    probe->on_probed(probe, true);
+}
+
 /* A middlebox may accept the connection in the server's place and close it at
- * once. So a probe only succeeds if the connection stays open, see sweep_one.
+ * once. So a probe only succeeds if the connection stays open, see
+ * on_probe_timer.
  */
 static void
 on_opened(struct sas_http_conn_listener *owner, struct sas_http_conn *conn)
@@ -45,15 +62,9 @@
     (void)conn;
     struct sas_pooled *pooled = (struct sas_pooled *)owner;
     pooled->opened_at = (int64_t)uv_now(pooled->pool->loop);
-}
-
-static void
-end_probe(struct sas_pooled *pooled)
-{
-    struct sas_pool_probe *probe = pooled->probe;
-    pooled->probe = NULL;
-    SasPool_Release(pooled, 0);
-    probe->on_probed(probe, true);
+    if (pooled->probe != NULL && pooled->probe->without_hold) {
+        end_probe(pooled);
+    }
 }
 
 /* Connections with a request on them stay open: a leaving server still answers
@@ -88,10 +99,19 @@
     pool->loop = loop;
     pool->fleet = fleet;
     pool->by_slot = g_ptr_array_new_with_free_func(free_list);
+    pool->probe_timer = g_new0(uv_timer_t, 1);
+    uv_timer_init(loop, pool->probe_timer);
+    pool->probe_timer->data = pool;
     SasFleet_AddListener(fleet, &pool->listener);
     return pool;
 }
 
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
 void
 SasPool_Free(struct sas_pool *pool)
 {
@@ -104,6 +124,7 @@
         }
     }
     g_ptr_array_free(pool->by_slot, TRUE);
+    uv_close((uv_handle_t *)pool->probe_timer, on_timer_closed);
     g_free(pool);
 }
 
@@ -166,12 +187,43 @@
     return pooled;
 }
 
+/* Ends the probes whose connection has stayed open. */
+static void
+end_probes(struct sas_pool *pool, GPtrArray *list)
+{
+    int64_t now_ms = (int64_t)uv_now(pool->loop);
+    for (guint i = list->len; i > 0; i--) {
+        struct sas_pooled *pooled = list->pdata[i - 1];
+        if (pooled->probe != NULL && pooled->opened_at > 0 &&
+            now_ms - pooled->opened_at >= SasPool_PROBE_HOLD_MS) {
+            end_probe(pooled);
+        }
+    }
+}
+
+static void
+on_probe_timer(uv_timer_t *timer)
+{
+    struct sas_pool *pool = timer->data;
+    for (guint slot = 0; slot < pool->by_slot->len; slot++) {
+        end_probes(pool, pool->by_slot->pdata[slot]);
+    }
+    if (pool->probe_count == 0) {
+        uv_timer_stop(timer);
+    }
+}
+
 void
 SasPool_Probe(struct sas_pool *pool, int slot, struct sas_pool_probe *probe)
 {
     struct sas_pooled *pooled = open_new(pool, slot);
     pooled->probe = probe;
     g_ptr_array_add(get_list(pool, slot), pooled);
+    pool->probe_count++;
+    if (!uv_is_active((uv_handle_t *)pool->probe_timer)) {
+        uv_timer_start(pool->probe_timer, on_probe_timer, PROBE_CHECK_MS,
+                       PROBE_CHECK_MS);
+    }
 }
 
 int64_t
@@ -211,13 +263,6 @@
 static void
 sweep_one(struct sas_pooled *pooled, int64_t now_ms)
 {
-    if (pooled->probe != NULL) {
-        if (pooled->opened_at > 0 &&
-            now_ms - pooled->opened_at >= SasPool_PROBE_HOLD_MS) {
-            end_probe(pooled);
-        }
-        return;
-    }
     if (pooled->idle && now_ms - pooled->idle_since >= pooled->idle_limit_ms) {
         SasHttp_Close(pooled->conn);
     }
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -56,13 +56,14 @@
  */
 struct sas_pool_probe {
     void (*on_probed)(struct sas_pool_probe *probe, bool accepts_connections);
+    bool without_hold; /* the connection need not stay open */
 };
 
 void SasPool_Probe(struct sas_pool *pool, int slot,
                    struct sas_pool_probe *probe);
 
-/* Closes connections that have been idle for too long and ends probes; call it
- * about twice a second. */
+/* Closes connections that have been idle for too long; call it about twice a
+ * second. */
 void SasPool_Sweep(struct sas_pool *pool);
 
 #endif
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -45,8 +45,6 @@
     relay->poison_requests =
         SasPoisonRequests_New(options->loop, options->fleet, options->pool,
                               options->mesh, options->metrics);
-    SasPoisonRequests_SetDoubt(relay->poison_requests, SasRelay_IsPathInDoubt,
-                               relay);
     SasRelay_Subscribe(relay);
     relay->objects = SasCachedObjects_New();
     relay->path_probes = g_ptr_array_new_with_free_func(g_free);
--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -39,13 +39,6 @@
         (json_int_t)(path->lost ? now_ms - path->failing_since : 0));
 }
 
-static void
-forget_failures(struct sas_relay *relay, int service)
-{
-    SasRelay_ForgetFailures(relay, service);
-    SasPoisonRequests_Forget(relay->poison_requests, service);
-}
-
 bool
 SasRelay_IsPathInDoubt(void *relay, int service)
 {
@@ -77,11 +70,10 @@
     if (SasPath_NoteReached(path)) {
         log_path(relay, service, cause);
         announce_lost_paths(relay);
-        forget_failures(relay, service);
+        SasRelay_ForgetFailures(relay, service);
     }
     else if (was_in_doubt) {
         SasRelay_ConfirmFailures(relay, service);
-        SasPoisonRequests_Confirm(relay->poison_requests, service);
     }
 }
 
@@ -95,7 +87,7 @@
                                 SasRelay_Now(relay))) {
         log_path(relay, service, "no connection to several servers");
         announce_lost_paths(relay);
-        forget_failures(relay, service);
+        SasRelay_ForgetFailures(relay, service);
     }
 }
 
