Servers that refuse one entry VM's new connections are checked before they are reported

Cause: an answer on an open connection was taken as a sign that the path works, and so as proof that the servers that refuse have failed.

--- a/packages/core/include/sas/path.h
+++ b/packages/core/include/sas/path.h
@@ -2,16 +2,17 @@
  *
  * A connection that can't be opened means that the server has failed, or that
  * the path to it has. From one place both look the same. So the path counts as
- * lost when several servers can't be reached, for a while, and nothing shows
- * that any server of the service still is. Answers and probe connections that
- * open show that; one of them restores the path at once.
+ * lost when several servers can't be reached, for a while, and no server of
+ * the service answers meanwhile. An answer, or a probe connection that opens,
+ * restores it at once.
  *
  * A request that gets no answer doesn't lose the path: the server may be slow,
  * or only its connection dead. It makes the path doubtful, and probes decide.
  *
  * A lost path says nothing about the servers: another entry VM may reach them.
  * So what fails while the path is in doubt doesn't count against its server
- * until a sign shows that the path works.
+ * until the path is known to work. Where connections fail, only one that opens
+ * later shows that: open ones may live on while new ones are refused.
  *
  * Times are monotonic milliseconds. One struct per service and process;
  * initially all zero.
@@ -35,17 +36,19 @@
 
 struct sas_path {
     bool lost;
-    bool unanswered;       /* a request got no answer since the last sign */
+    bool unanswered;       /* a request got no answer since the last one */
     int64_t failing_since; /* begin of the first connection that failed since
-                              the last sign; 0: none has */
-    uint64_t failed[SasPath_LOST_SERVERS]; /* hashes of different servers */
+                              one has opened; 0: none has */
+    int64_t silent_since;  /* the same since the last answer; 0: none has */
+    uint64_t failed[SasPath_LOST_SERVERS]; /* hashes of different servers,
+                                              since the last answer */
     int failed_count;
     int64_t probed_at; /* 0: never */
 };
 
-/* A server of the service answered, or a probe connection to it opened. True
- * if that restores the path. */
-bool SasPath_NoteReached(struct sas_path *path);
+/* A server of the service answered on a connection that began to open at
+ * began_at, or accepted a probe connection. True if that restores the path. */
+bool SasPath_NoteReached(struct sas_path *path, int64_t began_at);
 
 /* A request that was sent got no answer. */
 void SasPath_NoteUnanswered(struct sas_path *path);
@@ -55,12 +58,11 @@
 bool SasPath_NoteUnreachable(struct sas_path *path, uint64_t server_hash,
                              int servers, int64_t began_at, int64_t now_ms);
 
-/* Whether connections fail and nothing has shown for SasPath_LOST_MS that a
- * server is reached; also true while the path is lost. */
+/* Whether connections fail and no server has answered for SasPath_LOST_MS;
+ * also true while the path is lost. */
 bool SasPath_IsFailing(const struct sas_path *path, int64_t now_ms);
 
-/* Whether something has failed since the last sign that a server is reached.
- */
+/* Whether the path may be lost, by what has failed. */
 bool SasPath_IsInDoubt(const struct sas_path *path);
 
 /* Whether a probe is due: the path is lost or in doubt. Begins its interval.
--- a/packages/core/src/path.c
+++ b/packages/core/src/path.c
@@ -1,15 +1,18 @@
 #include "sas/path.h"
 
 #include <glib.h>
-#include <string.h>
 
 bool
-SasPath_NoteReached(struct sas_path *path)
+SasPath_NoteReached(struct sas_path *path, int64_t began_at)
 {
     bool restored = path->lost;
-    int64_t probed_at = path->probed_at;
-    memset(path, 0, sizeof(*path));
-    path->probed_at = probed_at;
+    path->lost = false;
+    path->unanswered = false;
+    path->silent_since = 0;
+    path->failed_count = 0;
+    if (began_at >= path->failing_since) {
+        path->failing_since = 0;
+    }
     return restored;
 }
 
@@ -32,16 +35,22 @@
     }
 }
 
+/* The earlier of a begin that is already known (0: none) and another one. */
+static int64_t
+get_first(int64_t known, int64_t began_at)
+{
+    return known > 0 ? MIN(known, began_at) : MAX(began_at, 1);
+}
+
 bool
 SasPath_NoteUnreachable(struct sas_path *path, uint64_t server_hash,
                         int servers, int64_t began_at, int64_t now_ms)
 {
-    if (path->failing_since == 0 || began_at < path->failing_since) {
-        path->failing_since = MAX(began_at, 1);
-    }
+    path->failing_since = get_first(path->failing_since, began_at);
+    path->silent_since = get_first(path->silent_since, began_at);
     add_failed(path, server_hash);
     bool lost = path->failed_count >= MIN(SasPath_LOST_SERVERS, servers) &&
-                now_ms - path->failing_since >= SasPath_LOST_MS;
+                SasPath_IsFailing(path, now_ms);
     if (path->lost || !lost) {
         return false;
     }
@@ -52,8 +61,8 @@
 bool
 SasPath_IsFailing(const struct sas_path *path, int64_t now_ms)
 {
-    return path->lost || (path->failing_since > 0 &&
-                          now_ms - path->failing_since >= SasPath_LOST_MS);
+    return path->lost || (path->silent_since > 0 &&
+                          now_ms - path->silent_since >= SasPath_LOST_MS);
 }
 
 bool
--- a/packages/core/tests/test_path.c
+++ b/packages/core/tests/test_path.c
@@ -39,7 +39,7 @@
         assert_false(
             fail_connect(&path, (int)(now_ms / 100) % 4, now_ms, REFUSED_MS));
         if (now_ms % 300 == 0) {
-            assert_false(SasPath_NoteReached(&path));
+            assert_false(SasPath_NoteReached(&path, 500));
         }
     }
 }
@@ -54,7 +54,7 @@
     assert_true(fail_connect(&path, 1, 1010, HANG_MS));
     assert_false(fail_connect(&path, 2, 1020, HANG_MS));
     assert_true(path.lost);
-    assert_true(SasPath_NoteReached(&path));
+    assert_true(SasPath_NoteReached(&path, 1500));
     assert_false(path.lost);
     assert_false(SasPath_IsFailing(&path, 2000));
 }
@@ -95,11 +95,28 @@
     assert_true(SasPath_TakeProbe(&path, 1000));
     assert_false(SasPath_TakeProbe(&path, 1000 + SasPath_PROBE_MS - 1));
     assert_true(SasPath_TakeProbe(&path, 1000 + SasPath_PROBE_MS));
-    SasPath_NoteReached(&path);
+    SasPath_NoteReached(&path, 500);
     assert_false(SasPath_IsInDoubt(&path));
     assert_false(SasPath_TakeProbe(&path, 9000));
 }
 
+/* An entry VM whose new connections are refused must not have others take the
+ * servers for dead, as those that are open still answer. */
+static void
+test_an_answer_on_an_old_connection_leaves_refusals_in_doubt(void **state)
+{
+    (void)state;
+    struct sas_path path = {0};
+    fail_connect(&path, 0, 1000, REFUSED_MS);
+    assert_false(SasPath_NoteReached(&path, 900));
+    assert_true(SasPath_IsInDoubt(&path));
+    fail_connect(&path, 1, 1200, REFUSED_MS);
+    assert_false(path.lost);
+    assert_false(SasPath_IsFailing(&path, 1300));
+    SasPath_NoteReached(&path, 1250);
+    assert_false(SasPath_IsInDoubt(&path));
+}
+
 int
 main(void)
 {
@@ -111,6 +128,8 @@
         cmocka_unit_test(test_refusals_within_a_moment_do_not_lose_the_path),
         cmocka_unit_test(test_the_only_server_may_lose_the_path),
         cmocka_unit_test(test_requests_without_an_answer_are_probed_only),
+        cmocka_unit_test(
+            test_an_answer_on_an_old_connection_leaves_refusals_in_doubt),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -120,6 +120,7 @@
     call->pooled =
         SasPool_Acquire(relay->options.pool, slot, get_max_idle(call, now_ms));
     call->conn_idle_ms = SasPool_GetIdleMs(call->pooled);
+    call->conn_opened_at = SasHttp_GetOpenedAt(SasPool_GetConn(call->pooled));
     SasHttp_Send(SasPool_GetConn(call->pooled), &request, left_ms,
                  &call->listener);
 }
@@ -445,7 +446,7 @@
         SasFleet_GetServer(relay->options.fleet, call->server);
     end_attempt(call, true);
     SasRelay_NoteArrival(call);
-    SasRelay_NoteReached(relay, call->service, "an answer");
+    SasRelay_NoteAnswerOn(relay, call->service, call->conn_opened_at);
     if (reusable) {
         SasPool_Release(pooled, call->keep_alive_ms);
     }
@@ -541,12 +542,12 @@
         return;
     }
     if (failure->sent) {
-        SasPath_NoteUnanswered(
-            &SasRelay_GetService(relay, call->service)->path);
+        SasRelay_NoteNoAnswer(relay, call->service,
+                              failure->error.code != SAS_ETIMEOUT);
         return;
     }
-    SasRelay_NoteUnreachable(relay, call->service, server->hash,
-                             call->sent_at);
+    SasRelay_NoteNoConnection(relay, call->service, server->hash,
+                              call->sent_at);
 }
 
 static void
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -75,9 +75,10 @@
     GHashTable *routes;  /* struct route_state by route name */
     struct sas_poison_requests *poison_requests;
     struct sas_cached_objects *objects;
-    GPtrArray *path_probes; /* struct path_probe *, in flight */
-    int64_t announced_at;   /* lost paths, to the other entry VMs */
-    bool rows_stale;        /* of servers, which may be cold without notice */
+    GPtrArray *path_probes;     /* struct path_probe *, in flight */
+    GPtrArray *ejection_checks; /* struct ejection_check *, in flight */
+    int64_t announced_at;       /* lost paths, to the other entry VMs */
+    bool rows_stale; /* of servers, which may be cold without notice */
     int end_counters[SAS_HTTP_CLOSE_COUNT]; /* metrics of connections */
     GQueue calls; /* struct relay_call *, by their links */
     struct sas_shutdown_plan stop;
@@ -138,7 +139,8 @@
 
     /* the current attempt */
     struct sas_pooled *pooled;
-    int64_t conn_idle_ms; /* idle time of its connection; 0: new */
+    int64_t conn_idle_ms;   /* idle time of its connection; 0: new */
+    int64_t conn_opened_at; /* when that began to open */
     struct sas_server_ref server;
     char server_id[SasFleet_ID_SIZE];
     char server_zone[SasModel_NAME_SIZE];
@@ -203,8 +205,8 @@
 void SasRelay_ReportChange(struct sas_relay *relay, int slot,
                            enum sas_traffic_change change, const char *cause);
 
-/* What failed at the servers of the service while the path was in doubt:
- * counts against them, or is forgotten, as the path had failed. */
+/* What failed at the servers of the service while the path was in doubt: the
+ * path works, so each is checked; or it was lost, and all is forgotten. */
 void SasRelay_ConfirmFailures(struct sas_relay *relay, int service);
 void SasRelay_ForgetFailures(struct sas_relay *relay, int service);
 
@@ -232,14 +234,15 @@
 void SasRelay_OnBody(struct sas_http_listener *listener, const char *data,
                      size_t size);
 
-/* relay_path.c: signs that servers of the service are reached, or are not.
- * Sweep begins probes; call it about twice a second. */
-void SasRelay_NoteReached(struct sas_relay *relay, int service,
-                          const char *cause);
-void SasRelay_NoteUnreachable(struct sas_relay *relay, int service,
-                              uint64_t server_hash, int64_t began_at);
-/* relay: a struct sas_relay. */
-bool SasRelay_IsPathInDoubt(void *relay, int service);
+/* relay_path.c: what shows that servers of the service are reached, or are
+ * not. opened_at: when the answer's connection began to open. */
+void SasRelay_NoteAnswerOn(struct sas_relay *relay, int service,
+                           int64_t opened_at);
+void SasRelay_NoteNoConnection(struct sas_relay *relay, int service,
+                               uint64_t server_hash, int64_t began_at);
+void SasRelay_NoteNoAnswer(struct sas_relay *relay, int service,
+                           bool connection_lost);
+bool SasRelay_IsPathInDoubt(struct sas_relay *relay, int service);
 
 /* relay_via.c: SendVia returns false if no other entry VM can be asked.
  * ReadRelayed reads what another entry VM states of its request; false if it
--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -18,6 +18,8 @@
     int64_t began_at;
 };
 
+static void probe_service(struct sas_relay *relay, int service);
+
 static int
 count_servers(const struct sas_relay *relay, int service)
 {
@@ -36,11 +38,11 @@
         SasFleet_GetService(relay->options.fleet, service)->name,
         "{s:s, s:i, s:I}", "cause", cause, "servers",
         count_servers(relay, service), "failing_ms",
-        (json_int_t)(path->lost ? now_ms - path->failing_since : 0));
+        (json_int_t)(path->lost ? now_ms - path->silent_since : 0));
 }
 
 bool
-SasRelay_IsPathInDoubt(void *relay, int service)
+SasRelay_IsPathInDoubt(struct sas_relay *relay, int service)
 {
     return SasPath_IsInDoubt(&SasRelay_GetService(relay, service)->path);
 }
@@ -62,24 +64,42 @@
     SasMesh_SetLostPaths(relay->options.mesh, hashes, count);
 }
 
-void
-SasRelay_NoteReached(struct sas_relay *relay, int service, const char *cause)
+/* The path works again, or is known to have worked all the while. */
+static void
+end_doubt(struct sas_relay *relay, int service, bool restored,
+          const char *cause)
 {
-    struct sas_path *path = &SasRelay_GetService(relay, service)->path;
-    bool was_in_doubt = SasPath_IsInDoubt(path);
-    if (SasPath_NoteReached(path)) {
+    if (restored) {
         log_path(relay, service, cause);
         announce_lost_paths(relay);
         SasRelay_ForgetFailures(relay, service);
     }
-    else if (was_in_doubt) {
+    else if (!SasRelay_IsPathInDoubt(relay, service)) {
         SasRelay_ConfirmFailures(relay, service);
     }
 }
 
+static void
+note_reached(struct sas_relay *relay, int service, int64_t began_at,
+             const char *cause)
+{
+    struct sas_path *path = &SasRelay_GetService(relay, service)->path;
+    bool was_in_doubt = SasPath_IsInDoubt(path);
+    bool restored = SasPath_NoteReached(path, began_at);
+    if (was_in_doubt) {
+        end_doubt(relay, service, restored, cause);
+    }
+}
+
 void
-SasRelay_NoteUnreachable(struct sas_relay *relay, int service,
-                         uint64_t server_hash, int64_t began_at)
+SasRelay_NoteAnswerOn(struct sas_relay *relay, int service, int64_t opened_at)
+{
+    note_reached(relay, service, opened_at, "an answer");
+}
+
+static void
+note_unreachable(struct sas_relay *relay, int service, uint64_t server_hash,
+                 int64_t began_at)
 {
     struct sas_path *path = &SasRelay_GetService(relay, service)->path;
     if (SasPath_NoteUnreachable(path, server_hash,
@@ -91,17 +111,36 @@
     }
 }
 
+void
+SasRelay_NoteNoConnection(struct sas_relay *relay, int service,
+                          uint64_t server_hash, int64_t began_at)
+{
+    note_unreachable(relay, service, server_hash, began_at);
+    probe_service(relay, service);
+}
+
+void
+SasRelay_NoteNoAnswer(struct sas_relay *relay, int service,
+                      bool connection_lost)
+{
+    SasPath_NoteUnanswered(&SasRelay_GetService(relay, service)->path);
+    if (connection_lost) {
+        probe_service(relay, service);
+    }
+}
+
 static void
 on_probed(struct sas_pool_probe *pool_probe, bool accepts_connections)
 {
     struct path_probe *probe = (struct path_probe *)pool_probe;
     struct sas_relay *relay = probe->relay;
     if (accepts_connections) {
-        SasRelay_NoteReached(relay, probe->service, "a probe connection");
+        note_reached(relay, probe->service, probe->began_at,
+                     "a probe connection");
     }
     else {
-        SasRelay_NoteUnreachable(relay, probe->service, probe->server_hash,
-                                 probe->began_at);
+        note_unreachable(relay, probe->service, probe->server_hash,
+                         probe->began_at);
     }
     g_ptr_array_remove_fast(relay->path_probes, probe);
 }
@@ -124,6 +163,10 @@
 static void
 probe_service(struct sas_relay *relay, int service)
 {
+    struct sas_path *path = &SasRelay_GetService(relay, service)->path;
+    if (!SasPath_TakeProbe(path, SasRelay_Now(relay))) {
+        return;
+    }
     const GArray *servers =
         SasFleet_GetService(relay->options.fleet, service)->servers;
     if (servers->len == 0) {
@@ -147,9 +190,6 @@
         announce_lost_paths(relay);
     }
     for (guint service = 0; service < relay->services->len; service++) {
-        struct service_state *state = relay->services->pdata[service];
-        if (SasPath_TakeProbe(&state->path, now_ms)) {
-            probe_service(relay, (int)service);
-        }
+        probe_service(relay, (int)service);
     }
 }
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -119,9 +119,9 @@
         "path_in_doubt", is_path_in_doubt(relay, slot));
 }
 
-/* While the path is in doubt, an ejection is reported once a sign shows that
- * the path works: one entry VM that reaches no server must not take them from
- * the others. */
+/* An ejection that was made while the path was in doubt is reported once the
+ * path works and the server still accepts no connection: one entry VM that
+ * reaches no server must not take them from the others. */
 void
 SasRelay_ReportChange(struct sas_relay *relay, int slot,
                       enum sas_traffic_change change, const char *cause)
@@ -143,20 +143,69 @@
     }
 }
 
+/* Whether the server of an ejection that was made in doubt accepts connections
+ * now that the path works: then it was the path that had failed. */
+struct ejection_check {
+    struct sas_pool_probe probe;
+    struct sas_relay *relay;
+    struct sas_server_ref server;
+};
+
 static void
-confirm_server(struct sas_relay *relay, int slot)
+end_check(struct sas_relay *relay, int slot, bool accepts_connections)
 {
-    struct slot_state *state = SasRelay_GetSlot(relay, slot);
-    const struct unconfirmed confirmed = state->unconfirmed;
-    state->unconfirmed = (struct unconfirmed){0};
+    struct unconfirmed *unconfirmed =
+        &SasRelay_GetSlot(relay, slot)->unconfirmed;
+    if (!unconfirmed->ejected) {
+        return; /* forgotten meanwhile */
+    }
+    unconfirmed->ejected = false;
+    if (accepts_connections) {
+        SasTraffic_ForgetFailures(relay->options.fleet, slot);
+        return;
+    }
     const struct sas_server_traffic *traffic =
         &SasFleet_At(relay->options.fleet, slot)->traffic;
     int64_t left_ms = traffic->ejected_until - SasRelay_Now(relay);
-    if (confirmed.ejected && traffic->ejected && left_ms > 0) {
+    if (traffic->ejected && left_ms > 0) {
         report_ejection(relay, slot, left_ms);
     }
-    if (confirmed.failed > 0) {
-        report_failures(relay, slot, confirmed.failed);
+}
+
+static void
+on_checked(struct sas_pool_probe *probe, bool accepts_connections)
+{
+    struct ejection_check *check = (struct ejection_check *)probe;
+    struct sas_relay *relay = check->relay;
+    if (SasFleet_GetServer(relay->options.fleet, check->server) != NULL) {
+        end_check(relay, check->server.slot, accepts_connections);
+    }
+    g_ptr_array_remove_fast(relay->ejection_checks, check);
+}
+
+static void
+check_ejection(struct sas_relay *relay, int slot)
+{
+    struct ejection_check *check = g_new0(struct ejection_check, 1);
+    check->probe.on_probed = on_checked;
+    check->relay = relay;
+    check->server = SasFleet_GetRef(relay->options.fleet, slot);
+    g_ptr_array_add(relay->ejection_checks, check);
+    SasPool_Probe(relay->options.pool, slot, &check->probe);
+}
+
+static void
+confirm_server(struct sas_relay *relay, int slot)
+{
+    struct unconfirmed *unconfirmed =
+        &SasRelay_GetSlot(relay, slot)->unconfirmed;
+    int failed = unconfirmed->failed;
+    unconfirmed->failed = 0;
+    if (unconfirmed->ejected) {
+        check_ejection(relay, slot);
+    }
+    if (failed > 0) {
+        report_failures(relay, slot, failed);
     }
 }
 
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -405,7 +405,9 @@
                 for m, p in (("POST", "/filings/1"), ("GET", "/forms/9"))]
             for thread in threads:
                 thread.start()
-            wait_for(lambda: len(fleet.find_runs()) >= 2, "both requests")
+            wait_for(lambda: {"/filings/1", "/forms/9"} <= {
+                each.target for worker in fleet.workers.values()
+                for each in worker.ran if not each.ended_at}, "both to run")
             fleet.vms[1].stop()
             for worker in fleet.workers.values():
                 worker.held.set()
