Who reaches no server probes none for the others

The same cause elsewhere: the prober of a server, the coordinator of a request that crashes servers and the counter of grey failures are picked by hash among those that live, so it may be one that is cut off from the servers. Then a server that is well again is used by all at once after a longer wait, in place of one probe request by the prober. Entry VMs that announce a lost path are left out; where all of a region have, each is a prober, as if none lived. test_gossip, test_who_reaches_no_server_is_no_prober: needs the change (before, only liveness counts).

--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -215,6 +215,14 @@
     SasMesh_Broadcast(mesh);
 }
 
+bool
+SasMesh_HasLostPaths(const struct sas_mesh *mesh, int member_id)
+{
+    const struct vm *vm = SasMesh_GetVm(mesh, member_id);
+    return vm->lost_path_count > 0 &&
+           SasMesh_Now(mesh) - vm->lost_heard_at <= SasMesh_LOST_PATH_MS;
+}
+
 void
 SasMesh_ApplyLostPaths(struct sas_mesh *mesh, int member_id,
                        const uint64_t *service_hashes, int count)
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -186,9 +186,10 @@
                         const struct sas_quarantine_entry *entry, int i);
 
 /* Whether this entry VM is the server's prober: it ranks first for the server
- * among the live ones of the server's region. The prober alone sends the probe
- * request to a half-open server; if each entry VM did, each would risk a
- * request. If the region has no live entry VM, every other one is a prober. */
+ * among the live ones of the server's region that have lost no path to
+ * servers. The prober alone sends the probe request to a half-open server; if
+ * each entry VM did, each would risk a request. If the region has no live
+ * entry VM, every other one is a prober. */
 bool SasMesh_IsProber(const struct sas_mesh *mesh, uint64_t server_hash,
                       int region);
 
--- a/packages/gateway/src/mesh_internal.h
+++ b/packages/gateway/src/mesh_internal.h
@@ -69,9 +69,14 @@
 void SasMesh_ApplyLostPaths(struct sas_mesh *mesh, int member_id,
                             const uint64_t *service_hashes, int count);
 
+/* Whether the member reaches no server of some service, as it has said
+ * recently. */
+bool SasMesh_HasLostPaths(const struct sas_mesh *mesh, int member_id);
+
 /* mesh_ranking.c */
 /* The member that ranks first for the hash by rendezvous hashing, among the
- * live ones of a region or (NONE) of all; SasModel_NONE if none is live. */
+ * live ones of a region or (NONE) of all that have lost no path; SasModel_NONE
+ * if there is none. */
 int SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region);
 /* The leader of a failure domain; NONE if it has no live member. */
 int SasMesh_FindZoneLeader(const struct sas_mesh *mesh, int zone);
--- a/packages/gateway/src/mesh_lookup.c
+++ b/packages/gateway/src/mesh_lookup.c
@@ -50,10 +50,8 @@
 is_cut_off(const struct sas_mesh *mesh, int member_id)
 {
     const struct vm *vm = SasMesh_GetVm(mesh, member_id);
-    int64_t now_ms = SasMesh_Now(mesh);
-    return vm->lost_path_count > 0 &&
-           now_ms - vm->lost_heard_at <= SasMesh_LOST_PATH_MS &&
-           now_ms - vm->lost_since >= CUT_OFF_MS;
+    return SasMesh_HasLostPaths(mesh, member_id) &&
+           SasMesh_Now(mesh) - vm->lost_since >= CUT_OFF_MS;
 }
 
 static bool
--- a/packages/gateway/src/mesh_ranking.c
+++ b/packages/gateway/src/mesh_ranking.c
@@ -72,7 +72,8 @@
          member_id++) {
         bool counts = region == SasModel_NONE ||
                       SasMesh_GetRegion(mesh, member_id) == region;
-        if (!counts || !SasMesh_IsLive(mesh, member_id)) {
+        if (!counts || !SasMesh_IsLive(mesh, member_id) ||
+            SasMesh_HasLostPaths(mesh, member_id)) {
             continue;
         }
         if (first == SasModel_NONE ||
@@ -163,15 +164,11 @@
               uint64_t service_hash)
 {
     const struct vm *vm = SasMesh_GetVm(mesh, member_id);
-    if (SasMesh_Now(mesh) - vm->lost_heard_at > SasMesh_LOST_PATH_MS) {
-        return false;
-    }
+    bool lost = false;
     for (int i = 0; i < vm->lost_path_count; i++) {
-        if (vm->lost_paths[i] == service_hash) {
-            return true;
-        }
+        lost = lost || vm->lost_paths[i] == service_hash;
     }
-    return false;
+    return lost && SasMesh_HasLostPaths(mesh, member_id);
 }
 
 static bool
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -649,6 +649,42 @@
     stop(f);
 }
 
+static int
+count_probers(const struct fixture *f, uint64_t server_hash)
+{
+    int count = 0;
+    for (int i = 0; i < VMS; i++) {
+        count +=
+            SasMesh_IsProber(f->meshes[i], server_hash, get_region(f, "east"))
+                ? 1
+                : 0;
+    }
+    return count;
+}
+
+/* A server that has recovered stays ejected since the one entry VM that would
+ * probe it for all reaches no server. */
+static void
+test_who_reaches_no_server_is_no_prober(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    uint64_t desk = SasMesh_HashService("desk");
+    int east = get_region(f, "east");
+    uint64_t server = 1;
+    while (!SasMesh_IsProber(f->meshes[0], server, east)) {
+        server++;
+    }
+    assert_int_equal(count_probers(f, server), 1);
+    SasMesh_SetLostPaths(f->meshes[0], &desk, 1);
+    SPIN_UNTIL(f, count_probers(f, server) == 1 &&
+                      !SasMesh_IsProber(f->meshes[0], server, east));
+    SasMesh_SetLostPaths(f->meshes[0], NULL, 0);
+    SPIN_UNTIL(f, count_probers(f, server) == 1 &&
+                      SasMesh_IsProber(f->meshes[0], server, east));
+    stop(f);
+}
+
 static bool
 picks_only(struct fixture *f, int from, int expected)
 {
@@ -707,6 +743,7 @@
         cmocka_unit_test(test_messages_signed_with_another_key_are_ignored),
         cmocka_unit_test(test_changes_are_announced_to_all),
         cmocka_unit_test(test_lookups_leave_out_who_reaches_no_server),
+        cmocka_unit_test(test_who_reaches_no_server_is_no_prober),
         cmocka_unit_test(
             test_requests_go_through_the_nearest_that_reaches_servers),
     };
