--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -96,6 +96,7 @@
     int64_t now_ms = SasRelay_Now(relay);
     int64_t left_ms = call->deadline_at - now_ms;
     SasRelay_ClearAnswer(call);
+    call->peer.name[0] = '\0';
     call->server = SasFleet_GetRef(relay->options.fleet, slot);
     SasRelay_NoteServer(call, slot, now_ms);
     call->sent_at = now_ms;
