A path without servers is not lost

With the rows of all servers of a service gone nothing could restore a lost path: no server is left to probe or to answer. The entry VM would go on asking others, and be left out of lookups, until a server of that service answers it.

--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -170,6 +170,7 @@
     const GArray *servers =
         SasFleet_GetService(relay->options.fleet, service)->servers;
     if (servers->len == 0) {
+        note_reached(relay, service, SasRelay_Now(relay), "no server is left");
         return;
     }
     guint first = (guint)g_rand_int_range(relay->options.random, 0,
