--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -4,17 +4,16 @@
 
 import argparse
 import http.client
-import os
 import random
 import socket
 import sys
 import threading
 import unittest
 
-from entry_harness import (BOUNDS, BUILD, Fleet, SEAL, format_request, signal, time,
+from cut_links import LinkCutter, MODES
+from entry_harness import (BOUNDS, Fleet, SEAL, format_request, signal, time,
                            wait_for)
 
-CUT_LINKS = os.path.join(BUILD, "lib", "libsas_cut_links.so")
 MEASURED_S = 2
 SERVED = 10  # requests in a row that show that an entry VM serves
 ROUNDS = 6   # of drawn changes
@@ -23,66 +22,37 @@
 TIMEOUT_MS = 1500
 
 
-class Hole:
-    """A port whose queue of new connections is full: none is completed."""
-
-    def __init__(self):
-        self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
-        self.listener.listen(0)
-        self.port = self.listener.getsockname()[1]
-        self.fillers = []
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self.fillers.append(filler)
-
-    def close(self):
-        for each in self.fillers + [self.listener]:
-            each.close()
-
-
 class CutFleet(Fleet):
     """Entry VMs of three failure domains whose links can be cut, and nine
     servers of one service."""
 
     def __init__(self, vms=ZONES):
         super().__init__(vms=vms, configured=False, first_start=True)
-        self.hole = Hole()
+        self.cutter = LinkCutter(self.folder)
         self.configure([
             self.route("forms", "/forms/", "safe", **{
                 "timeout-ms": TIMEOUT_MS}),
             self.route("filings", "/filings/", "unsafe", **{
                 "timeout-ms": TIMEOUT_MS})])
         for vm in self.vms:
-            vm.environment = {
-                "LD_PRELOAD": CUT_LINKS, "SAS_CUT_LINKS": self.cut_path(vm),
-                "ASAN_OPTIONS": "verify_asan_link_order=0"}
+            self.cutter.prepare(vm)
         for i in range(9):
             self.add_worker("d%d" % i, zone="abc"[i % 3]).work_s = 0.02
 
     def __exit__(self, *error):
         super().__exit__(*error)
-        self.hole.close()
-
-    def cut_path(self, vm):
-        return os.path.join(self.folder, vm.name + ".cut")
+        self.cutter.close()
 
     def cut(self, vms, mode, workers=None):
         """Cuts the links of the entry VMs to the servers, by default to all
         of them."""
         workers = workers or list(self.workers.values())
-        ports = " ".join(str(worker.port) for worker in workers)
         for vm in vms:
-            path = self.cut_path(vm)
-            with open(path + ".new", "w") as file:
-                file.write("%s %d %s\n" % (mode, self.hole.port, ports))
-            os.rename(path + ".new", path)
+            self.cutter.cut(vm, mode, [worker.port for worker in workers])
 
     def heal(self, vms):
         for vm in vms:
-            os.remove(self.cut_path(vm))
+            self.cutter.heal(vm)
 
     def find_runs(self):
         """How often each request ran, by its id."""
@@ -428,7 +398,7 @@
     def draw_cut(self, fleet, random_, vm):
         zone = random_.choice((None, None, "a", "b", "c"))
         mode = random_.choice(("reset", "refuse") if zone else
-                              ("silent", "reset", "refuse"))
+                              MODES)
         workers = [worker for i, worker in
                    enumerate(fleet.workers.values())
                    if zone is None or "abc"[i % 3] == zone]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,6 +51,7 @@
 
 from entry_harness import (Fleet, block_signals, exchange,  # noqa: E402
                            signal, wait_for)
+from cut_links import LinkCutter, MODES  # noqa: E402
 from callers import (Caller, GRACE_S, KeepAliveCaller,  # noqa: E402
                      LARGE, LONG, NOT_RUN, NewConnectionCaller, POISON,
                      Pipeliner, SlowReader, describe, explain_loss,
@@ -84,6 +85,7 @@
         zones = "abc"
         self.fleet = Fleet(vms=[zones[i % 3] for i in range(vms)])
         self.proxies = {}
+        self.cutter = LinkCutter(self.fleet.folder)
         self.attempts = []
         self.finished = False
         self.events = []
@@ -126,6 +128,7 @@
         for vm in self.fleet.vms:
             proxy = self.proxies["store-" + vm.name] = Proxy(vm.store_port)
             vm.store_port = proxy.port
+            self.cutter.prepare(vm)
             vm.environment["SASSAFRASSILL_OPERATOR_TOKEN"] = TOKEN
             if self.seed % 2:
                 vm.environment["SASSAFRASSILL_PEER_KEY"] = \
@@ -154,6 +157,24 @@
         if mode in ("silent", "deaf"):
             proxy.reset()
 
+    def cut_links(self):
+        """An entry VM loses its links to all servers, or to one service's."""
+        vm = self.rng.choice(self.fleet.vms)
+        mode = self.rng.choice(MODES)
+        service = self.rng.choice((None, "desk", "vault"))
+        with self.lock:
+            if getattr(vm, "is_cut", False):
+                return
+            vm.is_cut = True
+        self.log("cut %s from %s %s" % (vm.name, service or "all", mode))
+        self.cutter.cut(vm, mode, [
+            proxy.port for name, proxy in self.proxies.items()
+            if self.services.get(name) == service or
+            (service is None and name in self.services)])
+        time.sleep(self.rng.uniform(0.3, 5))
+        self.cutter.heal(vm)
+        vm.is_cut = False
+
     def disrupt_store(self):
         store = self.fleet.store
         what = self.rng.choice(("busy", "silent", "reset", "slow", "compact",
@@ -372,10 +393,11 @@
 
     PLANNED = ("change_config", "hup_vm", "evacuate", "put_sheet",
                "leave_server")
-    FAULTS = ("disrupt_link", "disrupt_link", "disrupt_store", "kill_vm",
-              "pause_vm", "stop_vm", "replace_server", "break_answers",
-              "slow_server", "change_config", "hup_vm", "evacuate",
-              "put_sheet", "put_sheet", "poison")
+    FAULTS = ("disrupt_link", "disrupt_link", "cut_links", "cut_links",
+              "disrupt_store", "kill_vm", "pause_vm", "stop_vm",
+              "replace_server", "break_answers", "slow_server",
+              "change_config", "hup_vm", "evacuate", "put_sheet", "put_sheet",
+              "poison")
     PLANNED_WORK = ("stop_vm", "stop_vm", "stop_vm", "hup_vm", "change_config",
                     "change_config", "evacuate", "leave_server", "put_sheet")
 
@@ -574,6 +596,7 @@
                 self.finished = True
                 for proxy in self.proxies.values():
                     proxy.stop()
+                self.cutter.close()
             if found:
                 self.keep_logs()
             return found
