--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -196,6 +196,30 @@
     def test_an_entry_vm_whose_new_connections_are_refused_serves(self):
         self.check_cut(1, "refuse")
 
+    # Guards against open connections that go silent for good, while new ones
+    # work: each may cost one request, not each request that is sent on it,
+    # and neither the path nor a server counts as lost by them.
+    def test_a_connection_that_goes_silent_costs_one_request_at_most(self):
+        with CutFleet() as fleet:
+            fleet.start()
+            callers = Callers(fleet)
+            try:
+                callers.wait_served(fleet.vms)
+                began = time.monotonic()
+                silent = sum(len(worker.connections)
+                             for worker in fleet.workers.values())
+                fleet.cut(fleet.vms, "stale")
+                callers.wait_served(fleet.vms)
+                time.sleep(MEASURED_S)
+            finally:
+                callers.stop()
+            check_runs(self, fleet, callers.answers)
+            self.assertLessEqual(
+                len(callers.find_unserved(fleet.vms, began)), silent)
+            for vm in fleet.vms:
+                self.assertEqual(vm.find_lines("path.lost"), [])
+            self.assertEqual(find_reported(fleet), [])
+
     # Guards against callers that go on being sent to entry VMs that reach no
     # server, and against lookups without an address when none does.
     def test_lookups_leave_out_entry_vms_without_links_to_servers(self):
--- a/tests/standins/cut_links.c
+++ b/tests/standins/cut_links.c
@@ -8,6 +8,8 @@
  *            open connections vanish
  *   reset    connects are refused, and open connections end
  *   refuse   connects are refused; open connections live on
+ *   stale    bytes written to connections that are open now vanish for good,
+ *            also once the file is gone; new ones work
  */
 #include <arpa/inet.h>
 #include <dlfcn.h>
@@ -91,7 +93,7 @@
 connect(int fd, const struct sockaddr *address, socklen_t size)
 {
     struct cut cut = find_cut(address);
-    if (cut.mode[0] == '\0') {
+    if (cut.mode[0] == '\0' || strcmp(cut.mode, "stale") == 0) {
         return real_connect(fd, address, size);
     }
     if (strcmp(cut.mode, "silent") != 0) {
@@ -106,10 +108,30 @@
     return real_connect(fd, (struct sockaddr *)&hole, sizeof(hole));
 }
 
+/* Inodes of the sockets that are stale; 0: none. */
+static ino_t stale[MAX_DESCRIPTORS];
+
+static ino_t
+get_inode(int fd)
+{
+    struct stat status = {0};
+    return fstat(fd, &status) == 0 ? status.st_ino : 0;
+}
+
+static bool
+is_stale(int fd)
+{
+    return fd >= 0 && fd < MAX_DESCRIPTORS && stale[fd] != 0 &&
+           stale[fd] == get_inode(fd);
+}
+
 /* Whether bytes written to a connection vanish. */
 static bool
 is_swallowed(int fd)
 {
+    if (is_stale(fd)) {
+        return true;
+    }
     struct cut cut = find_cut_of(fd);
     if (strcmp(cut.mode, "reset") == 0) {
         shutdown(fd, SHUT_RDWR);
@@ -137,9 +159,10 @@
     return size;
 }
 
-/* Ends the open connections that a cut has reset, once for each file. */
+/* Ends the open connections that a cut has reset, or makes them stale, once
+ * for each file. */
 static void
-reset_connections(void)
+change_connections(void)
 {
     static ino_t seen;
     const char *path = getenv("SAS_CUT_LINKS");
@@ -151,9 +174,13 @@
     bool changed = file.st_ino != 0 && file.st_ino != seen;
     seen = file.st_ino;
     for (int fd = 0; changed && fd < MAX_DESCRIPTORS; fd++) {
-        if (strcmp(find_cut_of(fd).mode, "reset") == 0) {
+        struct cut cut = find_cut_of(fd);
+        if (strcmp(cut.mode, "reset") == 0) {
             shutdown(fd, SHUT_RDWR);
         }
+        if (strcmp(cut.mode, "stale") == 0) {
+            stale[fd] = get_inode(fd);
+        }
     }
     errno = saved;
 }
@@ -161,7 +188,7 @@
 int
 epoll_wait(int fd, struct epoll_event *events, int max, int timeout_ms)
 {
-    reset_connections();
+    change_connections();
     return real_epoll_wait(fd, events, max, timeout_ms);
 }
 
@@ -169,6 +196,6 @@
 epoll_pwait(int fd, struct epoll_event *events, int max, int timeout_ms,
             const sigset_t *mask)
 {
-    reset_connections();
+    change_connections();
     return real_epoll_pwait(fd, events, max, timeout_ms, mask);
 }
