Test: connections that go silent are counted where they do

By reading: the test counted the open connections before the cut, and one that opens before the process sees the cut goes silent too; this race itself was not caught in a run. The preloaded object now tells how many it has made silent. The bound is the same, one request each.

--- a/tests/e2e/cut_links.py
+++ b/tests/e2e/cut_links.py
@@ -57,5 +57,14 @@
                                        " ".join(str(port) for port in ports)))
         os.rename(path + ".new", path)
 
+    def count_stale(self, vm):
+        """How many connections the mode stale has made silent; None: not yet
+        known."""
+        try:
+            with open(self.get_path(vm) + ".stale") as file:
+                return int(file.read())
+        except FileNotFoundError:
+            return None
+
     def heal(self, vm):
         os.remove(self.get_path(vm))
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -212,9 +212,12 @@
             try:
                 callers.wait_served(fleet.vms)
                 began = time.monotonic()
-                silent = sum(len(worker.connections)
-                             for worker in fleet.workers.values())
                 fleet.cut(fleet.vms, "stale")
+                wait_for(lambda: None not in [
+                    fleet.cutter.count_stale(vm) for vm in fleet.vms],
+                         "all to have silent connections")
+                silent = sum(fleet.cutter.count_stale(vm)
+                             for vm in fleet.vms)
                 callers.wait_served(fleet.vms)
                 time.sleep(MEASURED_S)
             finally:
--- a/tests/standins/cut_links.c
+++ b/tests/standins/cut_links.c
@@ -9,7 +9,8 @@
  *   reset    connects are refused, and open connections end
  *   refuse   connects are refused; open connections live on
  *   stale    bytes written to connections that are open now vanish for good,
- *            also once the file is gone; new ones work
+ *            also once the file is gone; new ones work. Their number is
+ *            written to the file with ".stale" after its name
  */
 #include <arpa/inet.h>
 #include <dlfcn.h>
@@ -159,6 +160,21 @@
     return size;
 }
 
+static void
+write_count(const char *path, int count)
+{
+    char name[4096];
+    char temporary[4096];
+    snprintf(name, sizeof(name), "%s.stale", path);
+    snprintf(temporary, sizeof(temporary), "%s.stale.new", path);
+    FILE *file = fopen(temporary, "we");
+    if (file != NULL) {
+        fprintf(file, "%d\n", count);
+        fclose(file);
+        rename(temporary, name);
+    }
+}
+
 /* Ends the open connections that a cut has reset, or makes them stale, once
  * for each file. */
 static void
@@ -173,6 +189,7 @@
     }
     bool changed = file.st_ino != 0 && file.st_ino != seen;
     seen = file.st_ino;
+    int count = 0;
     for (int fd = 0; changed && fd < MAX_DESCRIPTORS; fd++) {
         struct cut cut = find_cut_of(fd);
         if (strcmp(cut.mode, "reset") == 0) {
@@ -180,8 +197,12 @@
         }
         if (strcmp(cut.mode, "stale") == 0) {
             stale[fd] = get_inode(fd);
+            count++;
         }
     }
+    if (changed) {
+        write_count(path, count);
+    }
     errno = saved;
 }
 
