--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -124,15 +124,21 @@
 }
 
 static void
-recover(struct sas_server_traffic *traffic)
+end_ejection(struct sas_server_traffic *traffic)
 {
     traffic->ejected = false;
     traffic->ejected_until = 0;
-    traffic->peer_ejected_until = 0;
     traffic->failures = 0;
     traffic->timeouts = 0;
 }
 
+static void
+recover(struct sas_server_traffic *traffic)
+{
+    end_ejection(traffic);
+    traffic->peer_ejected_until = 0;
+}
+
 /* Expected time of a request, queue included, in multiples of its service
  * time. */
 static double
@@ -265,11 +271,8 @@
 SasTraffic_ForgetFailures(struct sas_fleet *fleet, int slot)
 {
     struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
-    traffic->ejected = false;
-    traffic->ejected_until = 0;
+    end_ejection(traffic);
     traffic->refused_connections = false;
-    traffic->failures = 0;
-    traffic->timeouts = 0;
 }
 
 void
