Lost paths are sent and applied without copies

The wire's type and the table's are one; two loops copied between them. No behaviour; test_gossip, e2e_cut_entry_vms green.

--- a/packages/gateway/src/mesh.c
+++ b/packages/gateway/src/mesh.c
@@ -225,7 +225,7 @@
 
 void
 SasMesh_ApplyLostPaths(struct sas_mesh *mesh, int member_id,
-                       const uint64_t *service_hashes, int count)
+                       const u_quad_t *service_hashes, int count)
 {
     struct vm *vm = SasMesh_GetVm(mesh, member_id);
     if (vm->lost_path_count == 0) {
--- a/packages/gateway/src/mesh_gossip.c
+++ b/packages/gateway/src/mesh_gossip.c
@@ -416,13 +416,9 @@
     if (own->lost_path_count == 0) {
         return true;
     }
-    u_quad_t hashes[SAS_MESH_MAX_LOST_PATHS];
-    for (int i = 0; i < own->lost_path_count; i++) {
-        hashes[i] = own->lost_paths[i];
-    }
     sas_mesh_lost_paths paths = {
         .service_hashes = {.service_hashes_len = (u_int)own->lost_path_count,
-                           .service_hashes_val = hashes},
+                           .service_hashes_val = own->lost_paths},
     };
     return xdr_sas_mesh_lost_paths(xdr, &paths);
 }
@@ -696,18 +692,6 @@
     mesh->listener->on_digest_mismatch(mesh->listener, member_id);
 }
 
-static void
-apply_lost_paths(struct sas_mesh *mesh, int member_id,
-                 const sas_mesh_lost_paths *paths)
-{
-    uint64_t hashes[SAS_MESH_MAX_LOST_PATHS];
-    int count = (int)paths->service_hashes.service_hashes_len;
-    for (int i = 0; i < count; i++) {
-        hashes[i] = paths->service_hashes.service_hashes_val[i];
-    }
-    SasMesh_ApplyLostPaths(mesh, member_id, hashes, count);
-}
-
 static void
 apply_message(struct sas_mesh *mesh, const sas_mesh_message *message,
               const sas_mesh_trailer *trailer,
@@ -741,7 +725,9 @@
     notify_listener(mesh, message);
     apply_changes(mesh, &message->sender, &facts.peer);
     apply_records(mesh, trailer);
-    apply_lost_paths(mesh, member_id, paths);
+    SasMesh_ApplyLostPaths(mesh, member_id,
+                           paths->service_hashes.service_hashes_val,
+                           (int)paths->service_hashes.service_hashes_len);
     compare_records(mesh, member_id, message, trailer);
     if (message->wants_reply && is_join(message)) {
         SasMesh_SendUpdates(mesh, SasMesh_GetVm(mesh, member_id), JOIN_UPDATES,
--- a/packages/gateway/src/mesh_internal.h
+++ b/packages/gateway/src/mesh_internal.h
@@ -26,7 +26,7 @@
     int64_t mismatch_at; /* last handled mismatch of records; 0: none */
     int64_t avoid_until; /* not sent requests until then */
     /* Services of which it reaches no server, by its last message. */
-    uint64_t lost_paths[SAS_MESH_MAX_LOST_PATHS];
+    u_quad_t lost_paths[SAS_MESH_MAX_LOST_PATHS];
     int lost_path_count;
     int64_t lost_heard_at;
     int64_t lost_since; /* while there are any */
@@ -67,7 +67,7 @@
 
 /* Updates the lost paths of a member. */
 void SasMesh_ApplyLostPaths(struct sas_mesh *mesh, int member_id,
-                            const uint64_t *service_hashes, int count);
+                            const u_quad_t *service_hashes, int count);
 
 /* Whether the member reaches no server of some service, as it has said
  * recently. */
--- a/packages/gateway/src/mesh_ranking.c
+++ b/packages/gateway/src/mesh_ranking.c
@@ -189,7 +189,7 @@
 {
     int picked = SasModel_NONE;
     int nearest = G_MAXINT;
-    double capacity = 0;
+    double total = 0; /* of the nearest ones so far */
     for (int member_id = OWN_ID + 1; member_id < (int)mesh->vms->len;
          member_id++) {
         int distance = get_distance(mesh, member_id);
@@ -200,11 +200,11 @@
         }
         if (distance < nearest) {
             nearest = distance;
-            capacity = 0;
+            total = 0;
         }
-        double own = MAX(SasMesh_GetVm(mesh, member_id)->facts.capacity, 1);
-        capacity += own;
-        if (g_rand_double(mesh->random) * capacity <= own) {
+        double weight = MAX(SasMesh_GetVm(mesh, member_id)->facts.capacity, 1);
+        total += weight;
+        if (g_rand_double(mesh->random) * total <= weight) {
             picked = member_id;
         }
     }
