Relay: one function each to build a request, to fail a call, and to refuse with a verdict

Requests through another entry VM had built the same request and ended failed calls by the same lines as attempts at servers; a refusal's verdict depended on what had been stored before.

--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -104,9 +104,7 @@
     while (!g_queue_is_empty(&relay->calls)) {
         struct relay_call *call = relay->calls.head->data;
         SasRelay_Cancel(call);
-        if (!SasRelay_DeliverFallback(call)) {
-            SasRelay_Fail(call, "given up", 502);
-        }
+        SasRelay_FailUnlessAnswered(call, "given up", 502);
     }
 }
 
@@ -253,23 +251,14 @@
     free_call(call);
 }
 
-void
-SasRelay_RefuseElsewhere(struct relay_call *call, const char *outcome)
-{
-    call->verdict = RELAY_ELSEWHERE;
-    SasRelay_Refuse(call, outcome, SasRelay_RETRY_ELSEWHERE_MS);
-}
-
-void
-SasRelay_Refuse(struct relay_call *call, const char *outcome,
-                int64_t retry_after_ms)
+static void
+refuse(struct relay_call *call, const char *outcome, int64_t retry_after_ms,
+       enum relay_verdict verdict)
 {
     char seconds[32];
     snprintf(seconds, sizeof(seconds), "%.3f",
              (double)retry_after_ms / 1000.0);
-    if (call->verdict != RELAY_ELSEWHERE) {
-        call->verdict = RELAY_REFUSED;
-    }
+    call->verdict = verdict;
     struct sas_http_header header = {"Retry-After", seconds};
     struct sas_http_reply reply = {
         .status = 503,
@@ -280,6 +269,19 @@
     SasRelay_Finish(call, outcome, &reply);
 }
 
+void
+SasRelay_Refuse(struct relay_call *call, const char *outcome,
+                int64_t retry_after_ms)
+{
+    refuse(call, outcome, retry_after_ms, RELAY_REFUSED);
+}
+
+void
+SasRelay_RefuseElsewhere(struct relay_call *call, const char *outcome)
+{
+    refuse(call, outcome, SasRelay_RETRY_ELSEWHERE_MS, RELAY_ELSEWHERE);
+}
+
 void
 SasRelay_Fail(struct relay_call *call, const char *outcome, int status)
 {
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -58,6 +58,21 @@
     return count;
 }
 
+struct sas_http_request
+SasRelay_MakeRequest(const struct relay_call *call,
+                     const struct sas_http_header *headers, int count)
+{
+    struct sas_http_request request = {
+        .method = SasHttpExchange_GetMethod(call->exchange),
+        .target = SasHttpExchange_GetTarget(call->exchange),
+        .host = SasHttpExchange_FindHeader(call->exchange, "Host"),
+        .headers = headers,
+        .header_count = count,
+    };
+    request.body = SasHttpExchange_GetBody(call->exchange, &request.body_size);
+    return request;
+}
+
 /* The caller's header fields with the attempt's deadline and target. */
 static int
 fill_headers(const struct relay_call *call, struct sas_http_header *headers,
@@ -109,14 +124,9 @@
     struct sas_http_header headers[SasHttp_MAX_HEADERS + 4];
     char left[24];
     snprintf(left, sizeof(left), "%d", (int)left_ms);
-    struct sas_http_request request = {
-        .method = SasHttpExchange_GetMethod(call->exchange),
-        .target = SasHttpExchange_GetTarget(call->exchange),
-        .host = SasHttpExchange_FindHeader(call->exchange, "Host"),
-        .headers = headers,
-        .header_count = fill_headers(call, headers, left),
-    };
-    request.body = SasHttpExchange_GetBody(call->exchange, &request.body_size);
+    int count = fill_headers(call, headers, left);
+    struct sas_http_request request =
+        SasRelay_MakeRequest(call, headers, count);
     call->listener.vtable = &listener_vtable;
     call->pooled =
         SasPool_Acquire(relay->options.pool, slot, get_max_idle(call, now_ms));
@@ -374,6 +384,15 @@
     return true;
 }
 
+void
+SasRelay_FailUnlessAnswered(struct relay_call *call, const char *outcome,
+                            int status)
+{
+    if (!SasRelay_DeliverFallback(call)) {
+        SasRelay_Fail(call, outcome, status);
+    }
+}
+
 void
 SasRelay_RetryOrFail(struct relay_call *call, const char *outcome)
 {
@@ -561,9 +580,7 @@
         call->attempts++;
         note_path(call, failure);
         note_result(call, true);
-        if (!SasRelay_DeliverFallback(call)) {
-            SasRelay_Fail(call, "timed out", 504);
-        }
+        SasRelay_FailUnlessAnswered(call, "timed out", 504);
         return;
     }
     call->retry_same_server = was_dropped_idle(call, failure);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -221,11 +221,19 @@
 void SasRelay_Send(struct relay_call *call, int slot);
 void SasRelay_Cancel(struct relay_call *call);
 void SasRelay_ClearAnswer(struct relay_call *call);
+/* FailUnlessAnswered delivers a server's error that was held back, or fails
+ * the call. */
 bool SasRelay_DeliverFallback(struct relay_call *call);
+void SasRelay_FailUnlessAnswered(struct relay_call *call, const char *outcome,
+                                 int status);
 void SasRelay_Deliver(struct relay_call *call);
 void SasRelay_NoteArrival(struct relay_call *call);
 /* The request may have run: retries it if it is safe, fails it otherwise. */
 void SasRelay_RetryOrFail(struct relay_call *call, const char *outcome);
+/* The caller's request with these header fields. */
+struct sas_http_request
+SasRelay_MakeRequest(const struct relay_call *call,
+                     const struct sas_http_header *headers, int count);
 /* Copies the caller's header fields that are passed on; returns how many. */
 int SasRelay_CopyHeaders(const struct relay_call *call,
                          struct sas_http_header *headers);
--- a/packages/gateway/src/relay_path.c
+++ b/packages/gateway/src/relay_path.c
@@ -28,10 +28,9 @@
 }
 
 static void
-log_path(const struct sas_relay *relay, int service, const char *cause)
+log_path(struct sas_relay *relay, int service, const char *cause)
 {
-    const struct sas_path *path =
-        &((struct service_state *)relay->services->pdata[service])->path;
+    const struct sas_path *path = &SasRelay_GetService(relay, service)->path;
     int64_t now_ms = SasRelay_Now(relay);
     SasLog_WriteFields(
         SasLog_WARN, path->lost ? "path.lost" : "path.back",
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -99,14 +99,8 @@
         (struct sas_http_header){relay->options.wire->deadline_ms, left};
     headers[count++] = (struct sas_http_header){CONFIG_HEADER, config};
     headers[count++] = (struct sas_http_header){ATTEMPTS_HEADER, attempts};
-    struct sas_http_request request = {
-        .method = SasHttpExchange_GetMethod(call->exchange),
-        .target = SasHttpExchange_GetTarget(call->exchange),
-        .host = SasHttpExchange_FindHeader(call->exchange, "Host"),
-        .headers = headers,
-        .header_count = count,
-    };
-    request.body = SasHttpExchange_GetBody(call->exchange, &request.body_size);
+    struct sas_http_request request =
+        SasRelay_MakeRequest(call, headers, count);
     SasRelay_ClearAnswer(call);
     call->peers_asked++;
     call->sent_at = SasRelay_Now(relay);
@@ -204,9 +198,7 @@
                              get_retry_after(call));
         return;
     case RELAY_FAILED:
-        if (!SasRelay_DeliverFallback(call)) {
-            SasRelay_Fail(call, "failed at another", call->status);
-        }
+        SasRelay_FailUnlessAnswered(call, "failed at another", call->status);
         return;
     case RELAY_ELSEWHERE:
         ask_next(call, "it can't serve");
@@ -245,9 +237,7 @@
     call->attempts++;
     SasRelay_NoteArrival(call);
     if (failure->error.code == SAS_ETIMEOUT) {
-        if (!SasRelay_DeliverFallback(call)) {
-            SasRelay_Fail(call, "timed out", 504);
-        }
+        SasRelay_FailUnlessAnswered(call, "timed out", 504);
         return;
     }
     SasMesh_AvoidPeer(call->relay->options.mesh, call->peer.member_id,
