Servers that one entry VM can't reach stay in use at the others, and warm

A cut from some servers loses no path, so what does for lost paths isn't asked.

Change: a report says that connections are refused (the flag that only recoveries had). Who gets it applies it, as before, and opens a connection of its own: if the server accepts it, the report is undone here, and the later recovery is no restart. One entry VM (the prober, or the next one where the prober reports) answers the reporter, who then knows that the server hasn't restarted. Where a process's own connections were refused, another's recovery only makes it try one again: it doesn't send requests into the same cut. An older process that gets the flag takes the server for cold.

Ruled out: a recent answer that outweighs a report for longer (it would also outweigh that of a crash); reports believed only after the check (silent crashes would be told 400 ms later).

--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -267,6 +267,17 @@
     }
 }
 
+void
+SasTraffic_UndoPeerReport(struct sas_fleet *fleet, int slot,
+                          const struct sas_server_traffic *before)
+{
+    struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
+    traffic->peer_ejected_until = before->peer_ejected_until;
+    if (traffic->ejected && !before->ejected) {
+        end_ejection(traffic);
+    }
+}
+
 void
 SasTraffic_ForgetFailures(struct sas_fleet *fleet, int slot)
 {
--- a/packages/core/tests/test_traffic.c
+++ b/packages/core/tests/test_traffic.c
@@ -266,6 +266,33 @@
     SasFleet_Free(fleet);
 }
 
+/* Guards against servers that stay ejected after one entry VM's report was
+ * found wrong, and against an undone report that ends another ejection. */
+static void
+test_an_undone_peer_report_leaves_what_was_before(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    for (int slot = 0; slot < 2; slot++) {
+        bool prober = slot == 0;
+        struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        struct sas_server_traffic before = server->traffic;
+        SasTraffic_ApplyPeerReport(fleet, slot, 1500, prober, 1000);
+        assert_true(SasTraffic_IsEjected(server, 1100));
+        SasTraffic_UndoPeerReport(fleet, slot, &before);
+        assert_false(SasTraffic_IsEjected(server, 1100));
+
+        SasTraffic_ApplyPeerReport(fleet, slot, 1500, prober, 2000);
+        before = server->traffic;
+        SasTraffic_ApplyPeerReport(fleet, slot, 6000, prober, 2100);
+        SasTraffic_UndoPeerReport(fleet, slot, &before);
+        assert_true(SasTraffic_IsEjected(server, 3499));
+        assert_false(
+            SasTraffic_IsEjected(server, 2000 + 1500 + PROBE_RESULT_MS));
+    }
+    SasFleet_Free(fleet);
+}
+
 /* When each of nine entry VMs probed the slow servers by itself, a tenth of
  * all requests were probes. So only the prober probes; the others wait for its
  * report, and use the server again when none comes. */
@@ -323,6 +350,7 @@
         cmocka_unit_test(test_at_most_half_of_a_service_is_ejected),
         cmocka_unit_test(test_resets_count_less_than_refused_connections),
         cmocka_unit_test(test_a_recent_answer_outweighs_a_peer_report),
+        cmocka_unit_test(test_an_undone_peer_report_leaves_what_was_before),
         cmocka_unit_test(test_only_the_prober_probes),
         cmocka_unit_test(test_wait_grows_with_the_queue),
     };
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -38,8 +38,10 @@
 struct sas_mesh_ejection {
     uint64_t server_hash;
     int64_t left_ms;
-    bool restarted;    /* recovered after it had refused connections */
+    /* That is why it is ejected; or it was, and the server has restarted. */
+    bool refused_connections;
     bool grey_failure; /* not ejected, but fails part of its requests */
+    int reporter;      /* member that sent the report; set by the receiver */
 };
 
 /* Report that a request ran on a backend server when it crashed, or that it
@@ -193,6 +195,12 @@
 bool SasMesh_IsProber(const struct sas_mesh *mesh, uint64_t server_hash,
                       int region);
 
+/* Whether this entry VM answers that member's report on a server that it can't
+ * reach, if the server is reached from here: the server's prober does, or the
+ * next one where the member is the prober. */
+bool SasMesh_AnswersReport(const struct sas_mesh *mesh, uint64_t server_hash,
+                           int region, int reporter);
+
 /* Number of entry VMs of a region that may be sending to one of its servers,
  * and this one's rank among them, from 0, for limits that they share.
  *
--- a/packages/gateway/src/mesh_gossip.c
+++ b/packages/gateway/src/mesh_gossip.c
@@ -236,7 +236,7 @@
     sas_mesh_wire_ejection row = {
         .server_hash = ejection->server_hash,
         .left_ms = (u_int)ejection->left_ms,
-        .restarted = ejection->restarted,
+        .refused_connections = ejection->refused_connections,
         .grey = ejection->grey_failure,
     };
     sas_mesh_message message = {
@@ -546,7 +546,8 @@
 }
 
 static void
-notify_listener(struct sas_mesh *mesh, const sas_mesh_message *message)
+notify_listener(struct sas_mesh *mesh, int sender,
+                const sas_mesh_message *message)
 {
     for (u_int i = 0; i < message->ejections.ejections_len; i++) {
         const sas_mesh_wire_ejection *row =
@@ -554,8 +555,9 @@
         struct sas_mesh_ejection ejection = {
             .server_hash = row->server_hash,
             .left_ms = row->left_ms,
-            .restarted = row->restarted,
+            .refused_connections = row->refused_connections,
             .grey_failure = row->grey,
+            .reporter = sender,
         };
         mesh->listener->on_ejection(mesh->listener, &ejection);
     }
@@ -722,7 +724,7 @@
     SasPing_Remove(&mesh->pings, member_id);
     SasMembership_NoteDirect(&mesh->table, member_id, facts.incarnation,
                              SasMesh_Now(mesh));
-    notify_listener(mesh, message);
+    notify_listener(mesh, member_id, message);
     apply_changes(mesh, &message->sender, &facts.peer);
     apply_records(mesh, trailer);
     SasMesh_ApplyLostPaths(mesh, member_id,
--- a/packages/gateway/src/mesh_ranking.c
+++ b/packages/gateway/src/mesh_ranking.c
@@ -64,15 +64,18 @@
     return rank_senders(mesh, server_hash, region, score_by_capacity);
 }
 
-int
-SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region)
+/* The first one but that member; SasModel_NONE: of all. */
+static int
+find_first_but(const struct sas_mesh *mesh, uint64_t hash, int region,
+               int except)
 {
     int first = SasModel_NONE;
     for (int member_id = OWN_ID; member_id < (int)mesh->vms->len;
          member_id++) {
         bool counts = region == SasModel_NONE ||
                       SasMesh_GetRegion(mesh, member_id) == region;
-        if (!counts || !SasMesh_IsLive(mesh, member_id) ||
+        if (!counts || member_id == except ||
+            !SasMesh_IsLive(mesh, member_id) ||
             SasMesh_HasLostPaths(mesh, member_id)) {
             continue;
         }
@@ -84,6 +87,12 @@
     return first;
 }
 
+int
+SasMesh_FindFirst(const struct sas_mesh *mesh, uint64_t hash, int region)
+{
+    return find_first_but(mesh, hash, region, SasModel_NONE);
+}
+
 bool
 SasMesh_IsFirst(const struct sas_mesh *mesh, uint64_t hash)
 {
@@ -97,6 +106,17 @@
     return first == OWN_ID || first == SasModel_NONE;
 }
 
+bool
+SasMesh_AnswersReport(const struct sas_mesh *mesh, uint64_t server_hash,
+                      int region, int reporter)
+{
+    int first = find_first_but(mesh, server_hash, region, reporter);
+    if (first == SasModel_NONE) {
+        first = find_first_but(mesh, server_hash, SasModel_NONE, reporter);
+    }
+    return first == OWN_ID;
+}
+
 static bool
 leads_before(const struct vm *one, const struct vm *other)
 {
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -49,6 +49,8 @@
     relay->objects = SasCachedObjects_New();
     relay->path_probes = g_ptr_array_new_with_free_func(g_free);
     relay->ejection_checks = g_ptr_array_new_with_free_func(g_free);
+    relay->report_checks = g_ptr_array_new_with_free_func(g_free);
+    relay->recovery_checks = g_ptr_array_new_with_free_func(g_free);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
     relay->routes =
@@ -63,6 +65,8 @@
     SasCachedObjects_Free(relay->objects);
     g_ptr_array_free(relay->path_probes, TRUE);
     g_ptr_array_free(relay->ejection_checks, TRUE);
+    g_ptr_array_free(relay->report_checks, TRUE);
+    g_ptr_array_free(relay->recovery_checks, TRUE);
     g_ptr_array_free(relay->services, TRUE);
     g_ptr_array_free(relay->slots, TRUE);
     g_hash_table_destroy(relay->routes);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -56,6 +56,10 @@
     struct sas_grey_failure grey_failure;
     struct sas_server_limit limit; /* that its answers name */
     struct unconfirmed unconfirmed;
+    bool refused_here; /* ejected, as it refuses this process's connections */
+    /* It accepted one when another entry VM reported that it refuses its own.
+     */
+    bool reached;
 };
 
 struct route_state { /* of a route by name, across configurations */
@@ -77,6 +81,8 @@
     struct sas_cached_objects *objects;
     GPtrArray *path_probes;     /* struct path_probe *, in flight */
     GPtrArray *ejection_checks; /* struct ejection_check *, in flight */
+    GPtrArray *report_checks;   /* struct report_check *, in flight */
+    GPtrArray *recovery_checks; /* struct recovery_check *, in flight */
     int64_t announced_at;       /* lost paths, to the other entry VMs */
     bool rows_stale; /* of servers, which may be cold without notice */
     int end_counters[SAS_HTTP_CLOSE_COUNT]; /* metrics of connections */
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -71,9 +71,11 @@
 report_ejection(struct sas_relay *relay, int slot, int64_t left_ms)
 {
     struct sas_fleet *fleet = relay->options.fleet;
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     struct sas_mesh_ejection ejection = {
-        .server_hash = SasFleet_At(fleet, slot)->hash,
+        .server_hash = server->hash,
         .left_ms = left_ms,
+        .refused_connections = server->traffic.refused_connections,
     };
     SasMesh_ReportEjection(relay->options.mesh, &ejection,
                            SasFleet_GetServerRegion(fleet, slot));
@@ -89,9 +91,9 @@
     const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     struct sas_mesh_ejection ejection = {
         .server_hash = server->hash,
-        .restarted = server->traffic.refused_connections,
+        .refused_connections = server->traffic.refused_connections,
     };
-    if (ejection.restarted) {
+    if (ejection.refused_connections) {
         assume_cold(relay, slot);
     }
     SasMesh_ReportEjection(relay->options.mesh, &ejection,
@@ -130,11 +132,16 @@
         return;
     }
     log_change(relay, slot, change == SAS_TRAFFIC_EJECTED, cause);
+    struct slot_state *state = SasRelay_GetSlot(relay, slot);
+    state->reached = false;
+    state->refused_here =
+        change == SAS_TRAFFIC_EJECTED &&
+        SasFleet_At(relay->options.fleet, slot)->traffic.refused_connections;
     if (change != SAS_TRAFFIC_EJECTED) {
         report_recovery(relay, slot);
     }
     else if (is_path_in_doubt(relay, slot)) {
-        SasRelay_GetSlot(relay, slot)->unconfirmed.ejected = true;
+        state->unconfirmed.ejected = true;
     }
     else {
         report_ejection(
@@ -161,6 +168,7 @@
     }
     unconfirmed->ejected = false;
     if (accepts_connections) {
+        SasRelay_GetSlot(relay, slot)->refused_here = false;
         SasTraffic_ForgetFailures(relay->options.fleet, slot);
         return;
     }
@@ -231,6 +239,7 @@
             SasTraffic_ForgetFailures(relay->options.fleet, slot);
         }
         state->unconfirmed = (struct unconfirmed){0};
+        state->refused_here = false;
     }
 }
 
@@ -250,6 +259,130 @@
                                              : -1));
 }
 
+/* Whether a server that another entry VM can't reach is reached from here:
+ * then the report is undone, and its recovery is no restart. */
+struct report_check {
+    struct sas_pool_probe probe;
+    struct sas_relay *relay;
+    struct sas_server_ref server;
+    int reporter;
+    struct sas_server_traffic before; /* the report was applied */
+};
+
+/* A report of a recovery, which tells the reporter that it is not the server
+ * that has failed. */
+static void
+answer_report(struct sas_relay *relay, int slot, int reporter)
+{
+    struct sas_fleet *fleet = relay->options.fleet;
+    uint64_t hash = SasFleet_At(fleet, slot)->hash;
+    int region = SasFleet_GetServerRegion(fleet, slot);
+    if (SasMesh_AnswersReport(relay->options.mesh, hash, region, reporter)) {
+        struct sas_mesh_ejection ejection = {.server_hash = hash};
+        SasMesh_ReportEjection(relay->options.mesh, &ejection, region);
+    }
+}
+
+static void
+on_report_checked(struct sas_pool_probe *probe, bool accepts_connections)
+{
+    struct report_check *check = (struct report_check *)probe;
+    struct sas_relay *relay = check->relay;
+    int slot = check->server.slot;
+    const struct sas_fleet_server *server =
+        SasFleet_GetServer(relay->options.fleet, check->server);
+    if (server != NULL && accepts_connections) {
+        SasRelay_GetSlot(relay, slot)->reached = true;
+        SasTraffic_UndoPeerReport(relay->options.fleet, slot, &check->before);
+        SasLog_Write(SasLog_INFO, "server.reached", server->facts.id,
+                     "it accepts a connection; a report is undone");
+        answer_report(relay, slot, check->reporter);
+    }
+    g_ptr_array_remove_fast(relay->report_checks, check);
+}
+
+static void
+check_report(struct sas_relay *relay, int slot, int reporter,
+             const struct sas_server_traffic *before)
+{
+    struct report_check *check = g_new0(struct report_check, 1);
+    check->probe.on_probed = on_report_checked;
+    check->probe.without_hold = true;
+    check->relay = relay;
+    check->server = SasFleet_GetRef(relay->options.fleet, slot);
+    check->reporter = reporter;
+    check->before = *before;
+    g_ptr_array_add(relay->report_checks, check);
+    SasPool_Probe(relay->options.pool, slot, &check->probe);
+}
+
+/* Whether a server that others reach again is reached from here too. */
+struct recovery_check {
+    struct sas_pool_probe probe;
+    struct sas_relay *relay;
+    struct sas_server_ref server;
+};
+
+static void
+on_recovery_checked(struct sas_pool_probe *probe, bool accepts_connections)
+{
+    struct recovery_check *check = (struct recovery_check *)probe;
+    struct sas_relay *relay = check->relay;
+    int slot = check->server.slot;
+    if (SasFleet_GetServer(relay->options.fleet, check->server) != NULL &&
+        accepts_connections) {
+        SasRelay_GetSlot(relay, slot)->refused_here = false;
+        SasTraffic_ApplyPeerReport(relay->options.fleet, slot, 0, false,
+                                   SasRelay_Now(relay));
+    }
+    g_ptr_array_remove_fast(relay->recovery_checks, check);
+}
+
+static void
+check_recovery(struct sas_relay *relay, int slot)
+{
+    struct recovery_check *check = g_new0(struct recovery_check, 1);
+    check->probe.on_probed = on_recovery_checked;
+    check->relay = relay;
+    check->server = SasFleet_GetRef(relay->options.fleet, slot);
+    g_ptr_array_add(relay->recovery_checks, check);
+    SasPool_Probe(relay->options.pool, slot, &check->probe);
+}
+
+/* Where this process's own connections were refused, they decide. */
+static void
+apply_recovery(struct sas_relay *relay, int slot,
+               const struct sas_mesh_ejection *ejection)
+{
+    struct slot_state *state = SasRelay_GetSlot(relay, slot);
+    struct sas_server_traffic *traffic =
+        &SasFleet_At(relay->options.fleet, slot)->traffic;
+    if (ejection->refused_connections && !state->reached) {
+        assume_cold(relay, slot);
+    }
+    if (!state->refused_here || !traffic->ejected) {
+        SasTraffic_ApplyPeerReport(relay->options.fleet, slot, 0, false,
+                                   SasRelay_Now(relay));
+        return;
+    }
+    traffic->refused_connections = ejection->refused_connections;
+    check_recovery(relay, slot);
+}
+
+static void
+apply_failure(struct sas_relay *relay, int slot,
+              const struct sas_mesh_ejection *ejection)
+{
+    struct sas_server_traffic before =
+        SasFleet_At(relay->options.fleet, slot)->traffic;
+    SasTraffic_ApplyPeerReport(relay->options.fleet, slot, ejection->left_ms,
+                               is_prober(relay, slot), SasRelay_Now(relay));
+    SasRelay_GetSlot(relay, slot)->reached = false;
+    if (ejection->refused_connections) {
+        check_report(relay, slot, ejection->reporter, &before);
+    }
+}
+
 /* Applies a peer's report; the prober forwards it to all if it changes the
  * server's state here. */
 static void
@@ -257,19 +390,19 @@
                const struct sas_mesh_ejection *ejection)
 {
     struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
-    bool prober = is_prober(relay, slot);
     bool was_ejected = server->traffic.ejected;
     if (ejection->grey_failure) {
         SasTraffic_NoteGrey(server, ejection->left_ms, SasRelay_Now(relay));
         return;
     }
-    SasTraffic_ApplyPeerReport(relay->options.fleet, slot, ejection->left_ms,
-                               prober, SasRelay_Now(relay));
-    if (ejection->restarted) {
-        assume_cold(relay, slot);
+    if (ejection->left_ms > 0) {
+        apply_failure(relay, slot, ejection);
+    }
+    else {
+        apply_recovery(relay, slot, ejection);
     }
     log_peer_report(server, ejection, SasRelay_Now(relay));
-    if (prober && was_ejected != server->traffic.ejected) {
+    if (is_prober(relay, slot) && was_ejected != server->traffic.ejected) {
         SasMesh_ReportEjection(
             relay->options.mesh, ejection,
             SasFleet_GetServerRegion(relay->options.fleet, slot));
--- a/packages/gateway/tests/test_gossip.c
+++ b/packages/gateway/tests/test_gossip.c
@@ -210,16 +210,24 @@
     stop_meshes(f, f->meshes, VMS - 1);
 }
 
-static bool
-find_view(const struct sas_mesh *mesh, const char *name,
-          struct sas_mesh_view *view)
+/* Fills in view. Returns the member; -1: there is none of the name. */
+static int
+find_member(const struct sas_mesh *mesh, const char *name,
+            struct sas_mesh_view *view)
 {
     for (int i = 0; SasMesh_GetView(mesh, i, view); i++) {
         if (strcmp(view->name, name) == 0) {
-            return true;
+            return i;
         }
     }
-    return false;
+    return -1;
+}
+
+static bool
+find_view(const struct sas_mesh *mesh, const char *name,
+          struct sas_mesh_view *view)
+{
+    return find_member(mesh, name, view) >= 0;
 }
 
 static void
@@ -356,6 +364,7 @@
     struct sas_mesh_ejection update = {
         .server_hash = SERVER_HASH,
         .left_ms = 1500,
+        .refused_connections = true,
     };
     struct sas_mesh_failure_report report = {SERVER_HASH, 1, 7};
     SasMesh_ReportFailures(f->meshes[VMS - 1], &report, region);
@@ -372,6 +381,7 @@
     for (int i = 0; i < VMS; i++) {
         SPIN_UNTIL(f, f->nodes[i].ejections == 1);
         assert_int_equal(f->nodes[i].last_ejection.left_ms, 1500);
+        assert_true(f->nodes[i].last_ejection.refused_connections);
     }
     stop(f);
 }
@@ -685,6 +695,38 @@
     stop(f);
 }
 
+/* Guards against an entry VM that is never told, or is told by all at once,
+ * that others reach the server that it has reported. */
+static void
+test_one_other_entry_vm_answers_a_report(void **state)
+{
+    (void)state;
+    struct fixture *f = start();
+    const char *regions[] = {"east", "west"};
+    for (int r = 0; r < 2; r++) {
+        int region = get_region(f, regions[r]);
+        for (int reporter = 0; reporter < VMS; reporter++) {
+            struct sas_mesh_view own;
+            SasMesh_GetView(f->meshes[reporter], 0, &own);
+            int answers = 0;
+            for (int i = 0; i < VMS; i++) {
+                struct sas_mesh_view view;
+                int member_id = find_member(f->meshes[i], own.name, &view);
+                bool answers_report = SasMesh_AnswersReport(
+                    f->meshes[i], SERVER_HASH, region, member_id);
+                assert_false(answers_report && i == reporter);
+                answers += answers_report ? 1 : 0;
+                if (SasMesh_IsProber(f->meshes[i], SERVER_HASH, region) &&
+                    i != reporter) {
+                    assert_true(answers_report);
+                }
+            }
+            assert_int_equal(answers, 1);
+        }
+    }
+    stop(f);
+}
+
 static bool
 picks_only(struct fixture *f, int from, int expected)
 {
@@ -744,6 +786,7 @@
         cmocka_unit_test(test_changes_are_announced_to_all),
         cmocka_unit_test(test_lookups_leave_out_who_reaches_no_server),
         cmocka_unit_test(test_who_reaches_no_server_is_no_prober),
+        cmocka_unit_test(test_one_other_entry_vm_answers_a_report),
         cmocka_unit_test(
             test_requests_go_through_the_nearest_that_reaches_servers),
     };
--- a/packages/proto/mesh.x
+++ b/packages/proto/mesh.x
@@ -46,8 +46,8 @@
 struct sas_mesh_wire_ejection {
     unsigned hyper server_hash;
     unsigned int left_ms;
-    bool restarted; /* recovered after it refused connections */
-    bool grey;      /* no ejection: a grey failure, marked for left_ms */
+    bool refused_connections; /* that is, or was, why it is ejected */
+    bool grey; /* no ejection: a grey failure, marked for left_ms */
 };
 
 /* A suspected poison request, by its fingerprint: it was running when a
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -146,6 +146,11 @@
             if line["for_ms"] > 0]
 
 
+def find_owners(vm, keys=30):
+    """The server that answers for each of the objects."""
+    return [vm.request(key=str(i)).body.split()[0] for i in range(keys)]
+
+
 class CutEntryVms(unittest.TestCase):
     def check_cut(self, count, mode):
         """Cuts off the first entry VMs, and checks what callers of all of
@@ -277,6 +282,40 @@
                 self.assertEqual(
                     each.request("POST", "/filings/9", b"x").status, 200)
 
+    # Guards against servers that other entry VMs eject, and that all take for
+    # newly started afterwards, since one entry VM can't reach them for a while.
+    def test_servers_that_one_entry_vm_cannot_reach_stay_in_use(self):
+        with CutFleet(vms=("a", "b")) as fleet:
+            fleet.start()
+            vm, other = fleet.vms
+            for worker in fleet.workers.values():
+                worker.work_s = 0.001
+            owners = wait_for(lambda: find_owners(vm) == find_owners(other) and
+                              find_owners(other), "the same owners")
+            cut = {"d0", "d3", "d6"}
+            time.sleep(1)  # a recent answer outweighs a report
+            fleet.cut([vm], "reset", [fleet.workers[name] for name in cut])
+
+            def is_reported():
+                find_owners(vm)
+                return cut == {server for name, server in find_reported(fleet)
+                               if name == other.name}
+            wait_for(is_reported, "reports of the servers")
+            wait_for(lambda: cut <= {line["peer"] for line in
+                                     other.find_lines("server.reached")},
+                     "connections to the servers")
+            for _ in range(5):
+                self.assertEqual(find_owners(other), owners)
+            fleet.heal([vm])
+            wait_for(lambda: find_owners(vm) and cut <= {
+                line["peer"] for line in vm.find_lines("server.well")},
+                     "the links")
+            for each in fleet.vms * 5:
+                self.assertEqual(find_owners(each), owners)
+            self.assertEqual([line["outcome"] for each in fleet.vms
+                              for line in each.find_lines("request")
+                              if line["status"] != 200], [])
+
     # Guards against servers that have failed and go on getting requests from
     # the other entry VMs, since the one that noticed didn't report it.
     def test_a_server_that_fails_is_still_reported(self):
