A request that finds no server here goes through another entry VM

Cause: a request goes through another entry VM once the path is lost (300 ms of it) or after two refused connections; with a single one, and no candidate left, it was refused. Now it goes through another one then too, if a connection was refused. Refusals for other reasons (owner full, cold servers alone) stay what they were: others share those.

--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -263,6 +263,9 @@
  * comes from none. AddVerdict fills in the header of the reply to it. */
 bool SasRelay_ShouldSendVia(const struct relay_call *call, int64_t now_ms);
 bool SasRelay_SendVia(struct relay_call *call);
+/* Where no server is left here: if one refused a connection, others may reach
+ * it. */
+bool SasRelay_SendLastVia(struct relay_call *call);
 bool SasRelay_IsInternalHeader(const char *name);
 bool SasRelay_IsRelayed(const struct sas_http_exchange *exchange);
 bool SasRelay_ReadRelayed(struct relay_call *call, int64_t *config_version);
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -455,5 +455,8 @@
         SasRelay_EndUnserved(call, "owner full", decision.retry_after_ms);
         return;
     }
+    if (SasRelay_SendLastVia(call)) {
+        return;
+    }
     SasRelay_EndUnserved(call, unusable.reason, unusable.retry_after_ms);
 }
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -63,10 +63,16 @@
 
 /* Sending. */
 
+static bool
+may_ask_another(const struct relay_call *call)
+{
+    return !call->relayed && call->peers_asked < MAX_PEERS;
+}
+
 bool
 SasRelay_ShouldSendVia(const struct relay_call *call, int64_t now_ms)
 {
-    if (call->relayed || call->peers_asked >= MAX_PEERS) {
+    if (!may_ask_another(call)) {
         return false;
     }
     const struct sas_path *path =
@@ -112,6 +118,13 @@
     return true;
 }
 
+bool
+SasRelay_SendLastVia(struct relay_call *call)
+{
+    return call->unsent > 0 && may_ask_another(call) &&
+           SasRelay_SendVia(call);
+}
+
 /* The reply. */
 
 static enum relay_verdict
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -376,6 +376,23 @@
             line = fleet.vms[1].find_lines("request", request=answer.id)[0]
             self.assertTrue(line["relayed"])
 
+    def test_the_first_request_that_no_server_here_gets_is_served(self):
+        """Guards against requests that are refused, as the only server that
+        is left refuses a connection and the path isn't lost yet."""
+        with CutFleet(vms=("a", "b")) as fleet:
+            only = fleet.add_worker("only", service="vault")
+            fleet.configure([fleet.route("scans", "/scans/", "safe", "vault")])
+            fleet.start()
+            vm = fleet.vms[0]
+            for each in fleet.vms:
+                wait_for(lambda each=each: each.request(path="/scans/1").status
+                         == 200, each.name + " to serve")
+            fleet.cut([vm], "reset", [only])
+            answer = vm.request(path="/scans/2")
+            self.assertEqual(answer.status, 200)
+            line = vm.find_lines("request", request=answer.id)[0]
+            self.assertEqual(line["via"], "vm-1")
+
     def test_it_is_refused_at_once_when_nobody_reaches_a_server(self):
         """Guards against requests that go round among entry VMs, or that are
         held, when no server can be reached by any of them."""
