A second report that is undone doesn't eject the server anew

Undone after the first, it ejected the server once more, for up to 2.5 s and more, though it is reached. Now an undone report never lengthens an ejection. test_two_peer_reports_are_undone_in_any_order: red with the old line (put back for the run), green now.

--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -148,8 +148,7 @@
 void SasTraffic_ApplyPeerReport(struct sas_fleet *fleet, int slot,
                                 int64_t left_ms, bool prober, int64_t now_ms);
 
-/* The last peer report was wrong. before: the server's state when it was
- * applied. */
+/* A peer report was wrong. before: the server's state when it was applied. */
 void SasTraffic_UndoPeerReport(struct sas_fleet *fleet, int slot,
                                const struct sas_server_traffic *before);
 
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -272,7 +272,8 @@
                           const struct sas_server_traffic *before)
 {
     struct sas_server_traffic *traffic = &SasFleet_At(fleet, slot)->traffic;
-    traffic->peer_ejected_until = before->peer_ejected_until;
+    traffic->peer_ejected_until =
+        MIN(traffic->peer_ejected_until, before->peer_ejected_until);
     if (traffic->ejected && !before->ejected) {
         end_ejection(traffic);
     }
--- a/packages/core/tests/test_traffic.c
+++ b/packages/core/tests/test_traffic.c
@@ -293,6 +293,30 @@
     SasFleet_Free(fleet);
 }
 
+/* Guards against a server that is ejected anew as the second of two reports is
+ * undone after the first. */
+static void
+test_two_peer_reports_are_undone_in_any_order(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = start();
+    for (int slot = 0; slot < 4; slot++) {
+        bool prober = slot < 2;
+        int first = slot % 2;
+        struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+        struct sas_server_traffic before[2];
+        for (int i = 0; i < 2; i++) {
+            before[i] = server->traffic;
+            SasTraffic_ApplyPeerReport(fleet, slot, 1500, prober,
+                                       1000 + 10 * i);
+        }
+        SasTraffic_UndoPeerReport(fleet, slot, &before[first]);
+        SasTraffic_UndoPeerReport(fleet, slot, &before[1 - first]);
+        assert_false(SasTraffic_IsEjected(server, 1100));
+    }
+    SasFleet_Free(fleet);
+}
+
 /* When each of nine entry VMs probed the slow servers by itself, a tenth of
  * all requests were probes. So only the prober probes; the others wait for its
  * report, and use the server again when none comes. */
@@ -351,6 +375,7 @@
         cmocka_unit_test(test_resets_count_less_than_refused_connections),
         cmocka_unit_test(test_a_recent_answer_outweighs_a_peer_report),
         cmocka_unit_test(test_an_undone_peer_report_leaves_what_was_before),
+        cmocka_unit_test(test_two_peer_reports_are_undone_in_any_order),
         cmocka_unit_test(test_only_the_prober_probes),
         cmocka_unit_test(test_wait_grows_with_the_queue),
     };
