--- a/packages/core/include/sas/poll_timeouts.h
+++ b/packages/core/include/sas/poll_timeouts.h
@@ -41,9 +41,9 @@
  * and a leader's rows as stale. */
 int64_t SasPollTimeouts_GetMaxAgeMs(const struct sas_poll_timeouts *timeouts);
 
-/* How long a poll anew, which doesn't wait for changes, may take to be answered
- * while the store's last answer is age_ms old: what is left of the greatest
- * age, at least half the time for a failover. */
+/* How long a poll anew, which doesn't wait for changes, may take to be
+ * answered while the store's last answer is age_ms old: what is left of the
+ * greatest age, at least half the time for a failover. */
 int64_t SasPollTimeouts_GetRepollMs(const struct sas_poll_timeouts *timeouts,
                                     int64_t age_ms);
 
--- a/packages/core/tests/test_poll_timeouts.c
+++ b/packages/core/tests/test_poll_timeouts.c
@@ -33,8 +33,7 @@
         SasPollTimeouts_Init(&timeouts, bound_ms);
         int64_t max_age_ms = SasPollTimeouts_GetMaxAgeMs(&timeouts);
         for (int64_t age_ms = 0; age_ms <= max_age_ms; age_ms++) {
-            int64_t repoll_ms =
-                SasPollTimeouts_GetRepollMs(&timeouts, age_ms);
+            int64_t repoll_ms = SasPollTimeouts_GetRepollMs(&timeouts, age_ms);
             assert_true(repoll_ms >= timeouts.failover_ms / 2);
             assert_true(age_ms + repoll_ms < bound_ms);
         }
--- a/packages/gateway/src/mesh.h
+++ b/packages/gateway/src/mesh.h
@@ -38,7 +38,7 @@
 struct sas_mesh_ejection {
     uint64_t server_hash;
     int64_t left_ms;
-    /* That is why it is ejected; or it was, and the server has restarted. */
+    /* Why it is ejected; or why it was, and it may have restarted since. */
     bool refused_connections;
     bool grey_failure; /* not ejected, but fails part of its requests */
     int reporter;      /* member that sent the report; set by the receiver */
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -48,9 +48,7 @@
     SasRelay_Subscribe(relay);
     relay->objects = SasCachedObjects_New();
     relay->path_probes = g_ptr_array_new_with_free_func(g_free);
-    relay->ejection_checks = g_ptr_array_new_with_free_func(g_free);
-    relay->report_checks = g_ptr_array_new_with_free_func(g_free);
-    relay->recovery_checks = g_ptr_array_new_with_free_func(g_free);
+    relay->server_checks = g_ptr_array_new_with_free_func(g_free);
     relay->services = g_ptr_array_new_with_free_func(g_free);
     relay->slots = g_ptr_array_new_with_free_func(g_free);
     relay->routes =
@@ -64,9 +62,7 @@
     SasPoisonRequests_Free(relay->poison_requests);
     SasCachedObjects_Free(relay->objects);
     g_ptr_array_free(relay->path_probes, TRUE);
-    g_ptr_array_free(relay->ejection_checks, TRUE);
-    g_ptr_array_free(relay->report_checks, TRUE);
-    g_ptr_array_free(relay->recovery_checks, TRUE);
+    g_ptr_array_free(relay->server_checks, TRUE);
     g_ptr_array_free(relay->services, TRUE);
     g_ptr_array_free(relay->slots, TRUE);
     g_hash_table_destroy(relay->routes);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -57,9 +57,7 @@
     struct sas_server_limit limit; /* that its answers name */
     struct unconfirmed unconfirmed;
     bool refused_here; /* ejected, as it refuses this process's connections */
-    /* It accepted one when another entry VM reported that it refuses its own.
-     */
-    bool reached;
+    bool reached; /* accepted one after a report that it refuses another's */
 };
 
 struct route_state { /* of a route by name, across configurations */
@@ -79,11 +77,9 @@
     GHashTable *routes;  /* struct route_state by route name */
     struct sas_poison_requests *poison_requests;
     struct sas_cached_objects *objects;
-    GPtrArray *path_probes;     /* struct path_probe *, in flight */
-    GPtrArray *ejection_checks; /* struct ejection_check *, in flight */
-    GPtrArray *report_checks;   /* struct report_check *, in flight */
-    GPtrArray *recovery_checks; /* struct recovery_check *, in flight */
-    int64_t announced_at;       /* lost paths, to the other entry VMs */
+    GPtrArray *path_probes;   /* struct path_probe *, in flight */
+    GPtrArray *server_checks; /* struct server_check *, in flight */
+    int64_t announced_at;     /* lost paths, to the other entry VMs */
     bool rows_stale; /* of servers, which may be cold without notice */
     int end_counters[SAS_HTTP_CLOSE_COUNT]; /* metrics of connections */
     GQueue calls; /* struct relay_call *, by their links */
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -150,17 +150,58 @@
     }
 }
 
-/* Whether the server of an ejection that was made in doubt accepts connections
- * now that the path works: then it was the path that had failed. */
-struct ejection_check {
+/* Whether a server accepts a connection, where what another entry VM says of
+ * it, or what failed here, doesn't tell. */
+struct server_check {
     struct sas_pool_probe probe;
     struct sas_relay *relay;
     struct sas_server_ref server;
+    void (*on_end)(struct server_check *check, int slot,
+                   bool accepts_connections);
+    /* of a report */
+    int reporter;
+    struct sas_server_traffic before; /* it was applied */
 };
 
 static void
-end_check(struct sas_relay *relay, int slot, bool accepts_connections)
+on_checked(struct sas_pool_probe *probe, bool accepts_connections)
+{
+    struct server_check *check = (struct server_check *)probe;
+    struct sas_relay *relay = check->relay;
+    if (SasFleet_GetServer(relay->options.fleet, check->server) != NULL) {
+        check->on_end(check, check->server.slot, accepts_connections);
+    }
+    g_ptr_array_remove_fast(relay->server_checks, check);
+}
+
+static struct server_check *
+new_check(struct sas_relay *relay, int slot,
+          void (*on_end)(struct server_check *check, int slot,
+                         bool accepts_connections))
+{
+    struct server_check *check = g_new0(struct server_check, 1);
+    check->probe.on_probed = on_checked;
+    check->relay = relay;
+    check->server = SasFleet_GetRef(relay->options.fleet, slot);
+    check->on_end = on_end;
+    g_ptr_array_add(relay->server_checks, check);
+    return check;
+}
+
+static void
+start_check(struct server_check *check)
 {
+    SasPool_Probe(check->relay->options.pool, check->server.slot,
+                  &check->probe);
+}
+
+/* The server of an ejection that was made in doubt, now that the path works:
+ * if it accepts connections it was the path that had failed. */
+static void
+on_ejection_checked(struct server_check *check, int slot,
+                    bool accepts_connections)
+{
+    struct sas_relay *relay = check->relay;
     struct unconfirmed *unconfirmed =
         &SasRelay_GetSlot(relay, slot)->unconfirmed;
     if (!unconfirmed->ejected) {
@@ -180,28 +221,6 @@
     }
 }
 
-static void
-on_checked(struct sas_pool_probe *probe, bool accepts_connections)
-{
-    struct ejection_check *check = (struct ejection_check *)probe;
-    struct sas_relay *relay = check->relay;
-    if (SasFleet_GetServer(relay->options.fleet, check->server) != NULL) {
-        end_check(relay, check->server.slot, accepts_connections);
-    }
-    g_ptr_array_remove_fast(relay->ejection_checks, check);
-}
-
-static void
-check_ejection(struct sas_relay *relay, int slot)
-{
-    struct ejection_check *check = g_new0(struct ejection_check, 1);
-    check->probe.on_probed = on_checked;
-    check->relay = relay;
-    check->server = SasFleet_GetRef(relay->options.fleet, slot);
-    g_ptr_array_add(relay->ejection_checks, check);
-    SasPool_Probe(relay->options.pool, slot, &check->probe);
-}
-
 static void
 confirm_server(struct sas_relay *relay, int slot)
 {
@@ -210,7 +229,7 @@
     int failed = unconfirmed->failed;
     unconfirmed->failed = 0;
     if (unconfirmed->ejected) {
-        check_ejection(relay, slot);
+        start_check(new_check(relay, slot, on_ejection_checked));
     }
     if (failed > 0) {
         report_failures(relay, slot, failed);
@@ -259,16 +278,6 @@
                                              : -1));
 }
 
-/* Whether a server that another entry VM can't reach is reached from here:
- * then the report is undone, and its recovery is no restart. */
-struct report_check {
-    struct sas_pool_probe probe;
-    struct sas_relay *relay;
-    struct sas_server_ref server;
-    int reporter;
-    struct sas_server_traffic before; /* the report was applied */
-};
-
 /* A report of a recovery, which tells the reporter that it is not the server
  * that has failed. */
 static void
@@ -283,70 +292,46 @@
     }
 }
 
+/* Another entry VM can't reach the server: if it is reached from here, the
+ * report is undone, and its recovery is no restart. */
 static void
-on_report_checked(struct sas_pool_probe *probe, bool accepts_connections)
+on_report_checked(struct server_check *check, int slot,
+                  bool accepts_connections)
 {
-    struct report_check *check = (struct report_check *)probe;
     struct sas_relay *relay = check->relay;
-    int slot = check->server.slot;
-    const struct sas_fleet_server *server =
-        SasFleet_GetServer(relay->options.fleet, check->server);
-    if (server != NULL && accepts_connections) {
-        SasRelay_GetSlot(relay, slot)->reached = true;
-        SasTraffic_UndoPeerReport(relay->options.fleet, slot, &check->before);
-        SasLog_Write(SasLog_INFO, "server.reached", server->facts.id,
-                     "it accepts a connection; a report is undone");
-        answer_report(relay, slot, check->reporter);
+    if (!accepts_connections) {
+        return;
     }
-    g_ptr_array_remove_fast(relay->report_checks, check);
+    SasRelay_GetSlot(relay, slot)->reached = true;
+    SasTraffic_UndoPeerReport(relay->options.fleet, slot, &check->before);
+    SasLog_Write(SasLog_INFO, "server.reached",
+                 SasFleet_At(relay->options.fleet, slot)->facts.id,
+                 "it accepts a connection; a report is undone");
+    answer_report(relay, slot, check->reporter);
 }
 
 static void
 check_report(struct sas_relay *relay, int slot, int reporter,
              const struct sas_server_traffic *before)
 {
-    struct report_check *check = g_new0(struct report_check, 1);
-    check->probe.on_probed = on_report_checked;
+    struct server_check *check = new_check(relay, slot, on_report_checked);
     check->probe.without_hold = true;
-    check->relay = relay;
-    check->server = SasFleet_GetRef(relay->options.fleet, slot);
     check->reporter = reporter;
     check->before = *before;
-    g_ptr_array_add(relay->report_checks, check);
-    SasPool_Probe(relay->options.pool, slot, &check->probe);
+    start_check(check);
 }
 
-/* Whether a server that others reach again is reached from here too. */
-struct recovery_check {
-    struct sas_pool_probe probe;
-    struct sas_relay *relay;
-    struct sas_server_ref server;
-};
-
+/* Others reach the server again, or have reached it all the while. */
 static void
-on_recovery_checked(struct sas_pool_probe *probe, bool accepts_connections)
+on_recovery_checked(struct server_check *check, int slot,
+                    bool accepts_connections)
 {
-    struct recovery_check *check = (struct recovery_check *)probe;
     struct sas_relay *relay = check->relay;
-    int slot = check->server.slot;
-    if (SasFleet_GetServer(relay->options.fleet, check->server) != NULL &&
-        accepts_connections) {
+    if (accepts_connections) {
         SasRelay_GetSlot(relay, slot)->refused_here = false;
         SasTraffic_ApplyPeerReport(relay->options.fleet, slot, 0, false,
                                    SasRelay_Now(relay));
     }
-    g_ptr_array_remove_fast(relay->recovery_checks, check);
-}
-
-static void
-check_recovery(struct sas_relay *relay, int slot)
-{
-    struct recovery_check *check = g_new0(struct recovery_check, 1);
-    check->probe.on_probed = on_recovery_checked;
-    check->relay = relay;
-    check->server = SasFleet_GetRef(relay->options.fleet, slot);
-    g_ptr_array_add(relay->recovery_checks, check);
-    SasPool_Probe(relay->options.pool, slot, &check->probe);
 }
 
 /* Where this process's own connections were refused, they decide. */
@@ -366,7 +351,7 @@
         return;
     }
     traffic->refused_connections = ejection->refused_connections;
-    check_recovery(relay, slot);
+    start_check(new_check(relay, slot, on_recovery_checked));
 }
 
 static void
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -121,8 +121,7 @@
 bool
 SasRelay_SendLastVia(struct relay_call *call)
 {
-    return call->unsent > 0 && may_ask_another(call) &&
-           SasRelay_SendVia(call);
+    return call->unsent > 0 && may_ask_another(call) && SasRelay_SendVia(call);
 }
 
 /* The reply. */
