--- a/packages/gateway/src/poison_requests.h
+++ b/packages/gateway/src/poison_requests.h
@@ -39,7 +39,6 @@
                                                   struct sas_pool *pool,
                                                   struct sas_mesh *mesh,
                                                   struct sas_metrics *metrics);
-
 void SasPoisonRequests_Free(struct sas_poison_requests *poison);
 
 /* False while no request is suspected, which is nearly always: no fingerprint
--- a/packages/gateway/src/relay_peers.c
+++ b/packages/gateway/src/relay_peers.c
@@ -66,19 +66,29 @@
         relay, SasFleet_At(relay->options.fleet, slot)->service);
 }
 
-/* Tells the other entry VMs that the server is ejected for left_ms. */
+/* Tells the other entry VMs of the server. */
+static void
+send_report(struct sas_relay *relay, int slot,
+            const struct sas_mesh_ejection *report)
+{
+    const struct sas_fleet *fleet = relay->options.fleet;
+    struct sas_mesh_ejection ejection = *report;
+    ejection.server_hash = SasFleet_At(fleet, slot)->hash;
+    SasMesh_ReportEjection(relay->options.mesh, &ejection,
+                           SasFleet_GetServerRegion(fleet, slot));
+}
+
+/* Tells them that it is ejected for left_ms. */
 static void
 report_ejection(struct sas_relay *relay, int slot, int64_t left_ms)
 {
     struct sas_fleet *fleet = relay->options.fleet;
-    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     struct sas_mesh_ejection ejection = {
-        .server_hash = server->hash,
         .left_ms = left_ms,
-        .refused_connections = server->traffic.refused_connections,
+        .refused_connections =
+            SasFleet_At(fleet, slot)->traffic.refused_connections,
     };
-    SasMesh_ReportEjection(relay->options.mesh, &ejection,
-                           SasFleet_GetServerRegion(fleet, slot));
+    send_report(relay, slot, &ejection);
     if (!is_prober(relay, slot)) {
         SasTraffic_AwaitPeerReport(fleet, slot);
     }
@@ -87,17 +97,14 @@
 static void
 report_recovery(struct sas_relay *relay, int slot)
 {
-    struct sas_fleet *fleet = relay->options.fleet;
-    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
     struct sas_mesh_ejection ejection = {
-        .server_hash = server->hash,
-        .refused_connections = server->traffic.refused_connections,
+        .refused_connections = SasFleet_At(relay->options.fleet, slot)
+                                   ->traffic.refused_connections,
     };
     if (ejection.refused_connections) {
         assume_cold(relay, slot);
     }
-    SasMesh_ReportEjection(relay->options.mesh, &ejection,
-                           SasFleet_GetServerRegion(fleet, slot));
+    send_report(relay, slot, &ejection);
 }
 
 static void
@@ -283,12 +290,11 @@
 static void
 answer_report(struct sas_relay *relay, int slot, int reporter)
 {
-    struct sas_fleet *fleet = relay->options.fleet;
-    uint64_t hash = SasFleet_At(fleet, slot)->hash;
-    int region = SasFleet_GetServerRegion(fleet, slot);
-    if (SasMesh_AnswersReport(relay->options.mesh, hash, region, reporter)) {
-        struct sas_mesh_ejection ejection = {.server_hash = hash};
-        SasMesh_ReportEjection(relay->options.mesh, &ejection, region);
+    const struct sas_fleet *fleet = relay->options.fleet;
+    if (SasMesh_AnswersReport(
+            relay->options.mesh, SasFleet_At(fleet, slot)->hash,
+            SasFleet_GetServerRegion(fleet, slot), reporter)) {
+        send_report(relay, slot, &(struct sas_mesh_ejection){.left_ms = 0});
     }
 }
 
@@ -388,9 +394,7 @@
     }
     log_peer_report(server, ejection, SasRelay_Now(relay));
     if (is_prober(relay, slot) && was_ejected != server->traffic.ejected) {
-        SasMesh_ReportEjection(
-            relay->options.mesh, ejection,
-            SasFleet_GetServerRegion(relay->options.fleet, slot));
+        send_report(relay, slot, ejection);
     }
 }
 
@@ -438,14 +442,11 @@
     }
     struct sas_fleet_server *server = SasFleet_At(relay->options.fleet, slot);
     struct sas_mesh_ejection ejection = {
-        .server_hash = server->hash,
         .left_ms = SasGreyFailure_MARK_MS,
         .grey_failure = true,
     };
     SasTraffic_NoteGrey(server, ejection.left_ms, now_ms);
-    SasMesh_ReportEjection(
-        relay->options.mesh, &ejection,
-        SasFleet_GetServerRegion(relay->options.fleet, slot));
+    send_report(relay, slot, &ejection);
     SasLog_WriteFields(SasLog_WARN, "server.grey", server->facts.id,
                        "{s:i, s:s}", "for_ms", (int)ejection.left_ms, "cause",
                        "fails part of its requests");
