The log says which servers leave, which ask for rest, and how weights were kept

Cause: of what a server says in its answers neither Server-Leaving nor the Retry-After of a refusal was decoded, so no line could tell a server that had said so from one whose header was lost on the way, nor a server that asks for rest from a full one; and no line said what the parts of a split had got.

No decision reads any of it yet.

Ruled out: taking 421 for the named server's word; it comes from another one that has the address now.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -22,9 +22,12 @@
 
 #include "sas/limits.h"
 #include "sas/model.h"
+#include "sas/server_notice.h"
 #include "sas/service_time.h"
 
 #define SasFleet_MAX_ZONES 64
+/* Notices that are kept of servers whose rows are missing. */
+#define SasFleet_MAX_ABSENT_NOTICES 1024
 #define SasFleet_ID_SIZE 201 /* a key of the store, with the final NUL */
 
 /* The failure domains and their regions; fixed for a process. */
@@ -80,7 +83,9 @@
     bool withdrawn; /* taken out by the operators' sheet */
     int service;
     int zone;
-    uint64_t hash; /* of the id, for rendezvous hashing */
+    uint64_t hash;  /* of the id, for rendezvous hashing */
+    uint64_t start; /* of its process: id, place, address, start time */
+    struct sas_server_notice notice;
     struct sas_server_facts facts;
     struct sas_server_traffic traffic;
 };
@@ -185,6 +190,10 @@
                        const struct sas_server_facts *facts);
 bool SasFleet_RemoveServer(struct sas_fleet *fleet, const char *id);
 bool SasFleet_SetEvacuated(struct sas_fleet *fleet, int zone, bool evacuated);
+/* What the process of this start has said of itself, also while its row is
+ * missing: a row that lapsed in an outage comes back. */
+struct sas_server_notice *SasFleet_GetNotice(struct sas_fleet *fleet,
+                                             uint64_t start);
 /* An operator's order: the server at the slot gets no new requests. */
 void SasFleet_SetWithdrawn(struct sas_fleet *fleet, int slot, bool withdrawn);
 
--- a/packages/core/include/sas/split.h
+++ b/packages/core/include/sas/split.h
@@ -29,21 +29,34 @@
 #define SasSplit_DECAY 0.995
 
 struct sas_split {
-    int count; /* of the parts that were sent to; 0: nothing is counted */
+    int count;      /* of the parts that were sent to; 0: nothing is counted */
+    uint32_t epoch; /* counts the changes of the parts and weights */
     struct sas_route_part parts[SasSplit_MAX_PARTS];
     double sent[SasSplit_MAX_PARTS]; /* decaying counts of requests */
+    int picked[SasSplit_MAX_PARTS];  /* requests under these weights */
+    int refused[SasSplit_MAX_PARTS]; /* of these, not run */
 };
 
 /* The part of a route that gets a request, by index. */
 struct sas_split_pick {
     int part;
+    uint32_t epoch;
     bool by_hash; /* the part of the object's hash; false: another one */
 };
 
+/* Whether what is counted is of the route's parts and weights; with false the
+ * next pick begins anew. */
+bool SasSplit_IsCurrent(const struct sas_split *split,
+                        const struct sas_route *route);
+
 /* Picks the part for a request for the object with this key, and counts the
  * request. */
 struct sas_split_pick SasSplit_Pick(struct sas_split *split,
                                     const struct sas_route *route,
                                     uint64_t key, GRand *random);
 
+/* The request of this pick was refused and has not run. */
+void SasSplit_NoteRefused(struct sas_split *split,
+                          const struct sas_split_pick *pick);
+
 #endif
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -13,6 +13,7 @@
     GPtrArray *servers; /* struct sas_fleet_server *, by slot */
     GArray *free_slots; /* int */
     GHashTable *server_by_id;
+    GHashTable *absent_notices; /* struct sas_server_notice by start */
     struct sas_fleet_config *config;
     GPtrArray *listeners;
 };
@@ -32,6 +33,8 @@
     fleet->free_slots = g_array_new(FALSE, FALSE, sizeof(int));
     fleet->server_by_id =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    fleet->absent_notices =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     fleet->listeners = g_ptr_array_new();
     return fleet;
 }
@@ -43,6 +46,7 @@
         return;
     }
     g_hash_table_destroy(fleet->server_by_id);
+    g_hash_table_destroy(fleet->absent_notices);
     g_hash_table_destroy(fleet->service_by_name);
     g_ptr_array_free(fleet->servers, TRUE);
     g_ptr_array_free(fleet->services, TRUE);
@@ -203,6 +207,67 @@
            strcmp(a->zone, b->zone) == 0;
 }
 
+static uint64_t
+hash_start(const struct sas_server_facts *facts)
+{
+    g_autofree char *text =
+        g_strdup_printf("%s %s %s %s %d %" G_GINT64_FORMAT, facts->id,
+                        facts->service, facts->zone, facts->address.ip,
+                        facts->address.port, facts->started_at);
+    return XXH3_64bits(text, strlen(text));
+}
+
+/* Of a process whose row is missing. */
+static struct sas_server_notice *
+get_absent_notice(struct sas_fleet *fleet, uint64_t start)
+{
+    struct sas_server_notice *notice =
+        g_hash_table_lookup(fleet->absent_notices, &start);
+    if (notice == NULL) {
+        if (g_hash_table_size(fleet->absent_notices) >=
+            SasFleet_MAX_ABSENT_NOTICES) {
+            g_hash_table_remove_all(fleet->absent_notices);
+        }
+        notice = g_new0(struct sas_server_notice, 1);
+        g_hash_table_insert(fleet->absent_notices,
+                            g_memdup2(&start, sizeof(start)), notice);
+    }
+    return notice;
+}
+
+struct sas_server_notice *
+SasFleet_GetNotice(struct sas_fleet *fleet, uint64_t start)
+{
+    for (guint slot = 0; slot < fleet->servers->len; slot++) {
+        struct sas_fleet_server *server = fleet->servers->pdata[slot];
+        if (server->present && server->start == start) {
+            return &server->notice;
+        }
+    }
+    return get_absent_notice(fleet, start);
+}
+
+/* Without a start time a new process under the same id can't be told from the
+ * one before, which may have been leaving. */
+static void
+take_absent_notice(struct sas_fleet *fleet, struct sas_fleet_server *server)
+{
+    const struct sas_server_notice *notice =
+        g_hash_table_lookup(fleet->absent_notices, &server->start);
+    if (notice != NULL && server->facts.started_at != 0) {
+        server->notice = *notice;
+        g_hash_table_remove(fleet->absent_notices, &server->start);
+    }
+}
+
+static void
+keep_notice(struct sas_fleet *fleet, const struct sas_fleet_server *server)
+{
+    if (server->notice.leaving || server->notice.paused) {
+        *get_absent_notice(fleet, server->start) = server->notice;
+    }
+}
+
 int
 SasFleet_PutServer(struct sas_fleet *fleet,
                    const struct sas_server_facts *facts)
@@ -228,6 +293,8 @@
     server->zone = zone;
     server->hash = XXH3_64bits(facts->id, strlen(facts->id));
     server->facts = *facts;
+    server->start = hash_start(facts);
+    take_absent_notice(fleet, server);
     g_hash_table_insert(fleet->server_by_id, g_strdup(facts->id),
                         GINT_TO_POINTER(slot + 1));
     add_to_service(fleet, slot);
@@ -246,6 +313,7 @@
     remove_from_service(fleet, slot);
     g_hash_table_remove(fleet->server_by_id, id);
     struct sas_fleet_server *server = fleet->servers->pdata[slot];
+    keep_notice(fleet, server);
     uint32_t generation = server->generation + 1;
     memset(server, 0, sizeof(*server));
     server->generation = generation;
--- a/packages/core/src/split.c
+++ b/packages/core/src/split.c
@@ -25,11 +25,26 @@
     return true;
 }
 
+static int
+count_parts(const struct sas_route *route)
+{
+    return (int)MIN(route->parts->len, SasSplit_MAX_PARTS);
+}
+
+bool
+SasSplit_IsCurrent(const struct sas_split *split,
+                   const struct sas_route *route)
+{
+    return has_same_parts(split, route, count_parts(route));
+}
+
 static void
 restart_count(struct sas_split *split, const struct sas_route *route,
               int count)
 {
+    uint32_t epoch = split->epoch + 1;
     memset(split, 0, sizeof(*split));
+    split->epoch = epoch;
     split->count = count;
     for (int i = 0; i < count; i++) {
         split->parts[i] = *get_part(route, i);
@@ -104,12 +119,12 @@
 SasSplit_Pick(struct sas_split *split, const struct sas_route *route,
               uint64_t key, GRand *random)
 {
-    int count = (int)MIN(route->parts->len, SasSplit_MAX_PARTS);
+    int count = count_parts(route);
     if (!has_same_parts(split, route, count)) {
         restart_count(split, route, count);
     }
     if (count == 1) {
-        return (struct sas_split_pick){.part = 0, .by_hash = true};
+        return (struct sas_split_pick){.epoch = split->epoch, .by_hash = true};
     }
     double next = 1;
     for (int i = 0; i < count; i++) {
@@ -123,5 +138,19 @@
                    ? hashed
                    : draw_behind(split, deficits, random);
     split->sent[part] += 1;
-    return (struct sas_split_pick){.part = part, .by_hash = part == hashed};
+    split->picked[part]++;
+    return (struct sas_split_pick){
+        .part = part,
+        .epoch = split->epoch,
+        .by_hash = part == hashed,
+    };
+}
+
+void
+SasSplit_NoteRefused(struct sas_split *split,
+                     const struct sas_split_pick *pick)
+{
+    if (pick->epoch == split->epoch && pick->part < split->count) {
+        split->refused[pick->part]++;
+    }
 }
--- a/packages/gateway/include/sas/entry.h
+++ b/packages/gateway/include/sas/entry.h
@@ -65,8 +65,10 @@
     const char *load;   /* running,waiting,slots */
     const char *limit;  /* requests/s that the server takes from all */
     const char *limit_alias; /* another name of it; NULL: none */
-    const char *not_run;     /* the server has not run the request */
-    const char *cold_ms;     /* how long a server stays cold */
+    const char *leaving;     /* 1: the server is about to stop */
+    const char *leaving_alias;
+    const char *not_run; /* the server has not run the request */
+    const char *cold_ms; /* how long a server stays cold */
     const char *ready_path;
     const char *lookup_path;
     const char *lookup_zone; /* query parameters */
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -273,6 +273,10 @@
 SasRelay_Refuse(struct relay_call *call, const char *outcome,
                 int64_t retry_after_ms)
 {
+    if (call->split_by != NULL) { /* a service was picked */
+        SasSplit_NoteRefused(&SasRelay_GetRouteState(call)->split,
+                             &call->split_pick);
+    }
     refuse(call, outcome, retry_after_ms, RELAY_REFUSED);
 }
 
@@ -323,12 +327,35 @@
 
 /* The service. */
 
+/* How the weights were kept that end with this configuration. */
+static void
+log_split_end(const struct relay_call *call, const struct sas_split *split)
+{
+    json_t *parts = json_array();
+    for (int i = 0; i < split->count; i++) {
+        const struct sas_fleet_service *service = SasFleet_GetService(
+            call->relay->options.fleet, split->parts[i].service);
+        json_array_append_new(
+            parts, json_pack("{s:s, s:f, s:i, s:i}", "service", service->name,
+                             "weight", split->parts[i].weight, "picked",
+                             split->picked[i], "refused", split->refused[i]));
+    }
+    SasLog_WriteFields(SasLog_INFO, "split.end", "", "{s:s, s:I, s:o}",
+                       "route", call->route->name, "config",
+                       (json_int_t)call->config->version, "parts", parts);
+}
+
 static int
 pick_service(struct relay_call *call)
 {
-    struct sas_split_pick pick =
-        SasSplit_Pick(&SasRelay_GetRouteState(call)->split, call->route,
-                      call->key, call->relay->options.random);
+    struct sas_split *split = &SasRelay_GetRouteState(call)->split;
+    if (split->count > 1 && SasLog_IsEnabled(SasLog_INFO) &&
+        !SasSplit_IsCurrent(split, call->route)) {
+        log_split_end(call, split);
+    }
+    struct sas_split_pick pick = SasSplit_Pick(split, call->route, call->key,
+                                               call->relay->options.random);
+    call->split_pick = pick;
     call->split_by = call->route->parts->len == 1 ? ""
                      : pick.by_hash               ? "hash"
                                                   : "weights";
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -113,6 +113,7 @@
     SasRelay_ClearAnswer(call);
     call->peer.name[0] = '\0';
     call->server = SasFleet_GetRef(relay->options.fleet, slot);
+    call->server_start = server->start;
     SasRelay_NoteServer(call, slot, now_ms);
     call->sent_at = now_ms;
     call->tried[call->tried_count++] = slot;
@@ -120,6 +121,7 @@
     struct slot_state *state = SasRelay_GetSlot(relay, slot);
     SasWindow_Add(&state->cold_sends, 1, now_ms);
     SasServerLimit_NoteSent(&state->limit, now_ms);
+    SasServerNotice_NoteSent(&server->notice, now_ms);
 
     struct sas_http_header headers[SasHttp_MAX_HEADERS + 4];
     char left[24];
@@ -177,6 +179,8 @@
     call->sealed = false;
     call->limit_per_s = -1;
     call->names_limit = false;
+    call->says_leaving = false;
+    call->pause_ms = 0;
     call->not_run = false;
     call->unusable = false;
     call->keep_alive_ms = 0;
@@ -291,6 +295,7 @@
     for (int i = 0; i < header_count; i++) {
         SasRelay_ApplyHeader(call, &headers[i]);
     }
+    SasRelay_ReadNotice(call, headers, header_count);
 }
 
 void
@@ -470,6 +475,7 @@
     if (reusable) {
         SasPool_Release(pooled, call->keep_alive_ms);
     }
+    SasRelay_NoteNotice(call);
     bool not_run = call->not_run || call->status == 421;
     call->retry_same_server =
         call->not_run && call->status != 421 && server != NULL &&
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -117,6 +117,7 @@
     /* What picked the service of a split route: "hash", of the object, or
      * "weights"; "" for other routes, NULL before the pick. */
     const char *split_by;
+    struct sas_split_pick split_pick;
     bool keyed; /* the route is sticky and the caller has named the object */
     char request_id[64];
     int64_t began_at;
@@ -144,6 +145,7 @@
     int64_t conn_idle_ms;   /* idle time of its connection; 0: new */
     int64_t conn_opened_at; /* when that began to open */
     struct sas_server_ref server;
+    uint64_t server_start; /* of the server's process */
     char server_id[SasFleet_ID_SIZE];
     char server_zone[SasModel_NAME_SIZE];
     int64_t sent_at;
@@ -162,6 +164,8 @@
     bool sealed;
     double limit_per_s; /* that it names; -1: none that can be read */
     bool names_limit;
+    bool says_leaving;
+    int64_t pause_ms; /* that a refusal asks for; 0: none */
     bool not_run;
     struct relay_call_answer fallback; /* a server's error, held back while
                                           another server is tried */
@@ -202,6 +206,12 @@
 int64_t SasRelay_GetLimitWaitMs(struct sas_relay *relay, int slot,
                                 int64_t now_ms);
 
+/* relay_notice.c: what a server says of itself. ReadNotice reads it from the
+ * head of its answer, NoteNotice applies what the call's answer has said. */
+void SasRelay_ReadNotice(struct relay_call *call,
+                         const struct sas_http_header *headers, int count);
+void SasRelay_NoteNotice(struct relay_call *call);
+
 /* relay_peers.c */
 void SasRelay_Subscribe(struct sas_relay *relay);
 void SasRelay_ReportChange(struct sas_relay *relay, int slot,
--- /dev/null
+++ b/packages/gateway/src/relay_notice.c
@@ -0,0 +1,110 @@
+/* What a backend server says of itself in its answers: that it is leaving, and
+ * that it wants no requests for a while. */
+#include "relay_call.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+#include "sas/log.h"
+
+#define PAUSE_HEADER "Retry-After"
+
+static const char *
+find_leaving(const struct sas_entry_wire *wire,
+             const struct sas_http_header *headers, int count)
+{
+    const char *text = SasHttp_FindHeader(headers, count, wire->leaving);
+    return text != NULL || wire->leaving_alias == NULL
+               ? text
+               : SasHttp_FindHeader(headers, count, wire->leaving_alias);
+}
+
+static void
+read_leaving(struct relay_call *call, const char *text)
+{
+    call->says_leaving = strcmp(text, "1") == 0;
+    if (!call->says_leaving && strcmp(text, "0") != 0) {
+        SasLog_Write(SasLog_WARN, "server.leaving", call->server_id,
+                     "\"%.40s\" is neither 0 nor 1", text);
+    }
+}
+
+/* A server that asks for a pause of unknown length has asked for one. */
+static void
+read_pause(struct relay_call *call, const char *text)
+{
+    call->pause_ms = SasServerNotice_ParsePause(text);
+    if (call->pause_ms < 0) {
+        call->pause_ms = SasServerNotice_DEFAULT_PAUSE_MS;
+        SasLog_Write(SasLog_WARN, "server.rest", call->server_id,
+                     "\"%.40s\" is not a number of seconds", text);
+    }
+}
+
+void
+SasRelay_ReadNotice(struct relay_call *call,
+                    const struct sas_http_header *headers, int count)
+{
+    const char *leaving =
+        find_leaving(call->relay->options.wire, headers, count);
+    if (leaving != NULL) {
+        read_leaving(call, leaving);
+    }
+    const char *pause = SasHttp_FindHeader(headers, count, PAUSE_HEADER);
+    if (pause != NULL && (call->status == 503 || call->status == 429)) {
+        read_pause(call, pause);
+    }
+}
+
+static void
+log_pause(const struct relay_call *call, bool begins)
+{
+    SasLog_WriteFields(SasLog_INFO, "server.rest", call->server_id,
+                       "{s:s, s:I}", "request", call->request_id, "for_ms",
+                       (json_int_t)(begins ? call->pause_ms : 0));
+}
+
+static void
+note_leaving(const struct relay_call *call, struct sas_server_notice *notice)
+{
+    if (SasServerNotice_SetLeaving(notice)) {
+        const struct sas_fleet_server *server =
+            SasFleet_GetServer(call->relay->options.fleet, call->server);
+        SasLog_WriteFields(SasLog_INFO, "server.leaving", call->server_id,
+                           "{s:s, s:b, s:b}", "request", call->request_id,
+                           "listed", server != NULL, "draining",
+                           server != NULL && server->facts.draining);
+    }
+}
+
+void
+SasRelay_NoteNotice(struct relay_call *call)
+{
+    if (call->status == 421) {
+        return; /* of the server that has the address now */
+    }
+    struct sas_relay *relay = call->relay;
+    struct sas_fleet_server *server =
+        SasFleet_GetServer(relay->options.fleet, call->server);
+    bool says_nothing = !call->says_leaving && call->pause_ms == 0;
+    if (server == NULL && says_nothing) {
+        return;
+    }
+    struct sas_server_notice *notice =
+        server != NULL
+            ? &server->notice
+            : SasFleet_GetNotice(relay->options.fleet, call->server_start);
+    int64_t now_ms = SasRelay_Now(relay);
+    if (call->says_leaving) {
+        note_leaving(call, notice);
+    }
+    if (call->pause_ms > 0) {
+        if (SasServerNotice_NotePause(notice, call->pause_ms, now_ms)) {
+            log_pause(call, true);
+        }
+    }
+    else if (SasServerNotice_NoteAnswer(notice, now_ms)) {
+        log_pause(call, false);
+    }
+}
