Tests, failing: servers that leave or rest by their answers; weights beside a short part

What callers see: none of it directly for a leaving server; one that asks for rest refuses a quarter of all callers while others idle; a part of a split with little room gives half of what it refuses to the other part.

--- a/packages/core/tests/test_split.c
+++ b/packages/core/tests/test_split.c
@@ -207,6 +207,128 @@
     assert_int_equal(off, 0);
 }
 
+/* Callers that are refused come back once, as requests of their own, at any
+ * entry VM. */
+#define COMEBACK_TURNS 40 /* requests of others until then, at most */
+#define SETTLE_TURNS 400  /* requests after a change that aren't counted */
+#define TURNS 4000
+#define ROOM_TURNS 30 /* requests that a part with room can take at once */
+
+struct comeback {
+    int object;
+    int due; /* turn; 0: none */
+};
+
+/* A deployment in which one part has less room than its weight asks for. */
+struct short_play {
+    struct deployment d;
+    const struct sas_route *route;
+    int short_part;
+    double room;   /* of the short part, as a share of what it should get */
+    double tokens; /* requests that it takes now */
+    struct comeback comebacks[COMEBACK_TURNS];
+    int turn;
+    int refused;
+    int ran[SasSplit_MAX_PARTS];
+    int ran_count;
+    double worst;
+};
+
+static double
+get_weight(const struct short_play *play, int part)
+{
+    return g_array_index(play->route->parts, struct sas_route_part, part)
+        .weight;
+}
+
+static void
+count_run(struct short_play *play, int part)
+{
+    if (play->turn < SETTLE_TURNS) {
+        return;
+    }
+    play->ran[part]++;
+    if (++play->ran_count < WINDOW) {
+        return;
+    }
+    for (guint i = 0; i < play->route->parts->len; i++) {
+        double share = (double)play->ran[i] / WINDOW;
+        play->worst = MAX(play->worst, fabs(share - get_weight(play, (int)i)));
+    }
+    memset(play->ran, 0, sizeof(play->ran));
+    play->ran_count = 0;
+}
+
+/* Sends a request; false if it was refused. */
+static bool
+try_request(struct short_play *play, int object)
+{
+    struct deployment *d = &play->d;
+    int vm = draw(d, draw(d, 10) == 0 ? d->vms : d->large_vms);
+    struct sas_split_pick pick = SasSplit_Pick(&d->splits[vm], play->route,
+                                               hash_object(object), d->random);
+    if (pick.part == play->short_part && play->tokens < 1) {
+        SasSplit_NoteRefused(&d->splits[vm], &pick);
+        return false;
+    }
+    play->tokens -= pick.part == play->short_part ? 1 : 0;
+    count_run(play, pick.part);
+    return true;
+}
+
+static void
+play_turn(struct short_play *play)
+{
+    struct deployment *d = &play->d;
+    double rate = play->room * get_weight(play, play->short_part);
+    play->tokens = MIN(play->tokens + rate, 1 + rate * ROOM_TURNS);
+    struct comeback *back = &play->comebacks[play->turn % COMEBACK_TURNS];
+    if (back->due > 0 && !try_request(play, back->object)) {
+        play->refused++;
+    }
+    back->due = 0;
+    int object = d->uneven && draw(d, 2) == 0 ? 0 : draw(d, d->objects);
+    if (!try_request(play, object)) {
+        int due = play->turn + 1 + draw(d, COMEBACK_TURNS - 1);
+        play->comebacks[due % COMEBACK_TURNS] =
+            (struct comeback){.object = object, .due = due};
+    }
+    play->turn++;
+}
+
+/* Callers whose part had no room came back, were given to the other part, and
+ * the part with room got three quarters where its weight says half. */
+static void
+test_what_a_short_part_refuses_does_not_move_to_the_others(void **state)
+{
+    (void)state;
+    int off = 0;
+    for (guint32 seed = 1; seed <= DRAWS; seed++) {
+        struct short_play *play = g_new0(struct short_play, 1);
+        play->d.random = g_rand_new_with_seed(seed);
+        draw_deployment(&play->d);
+        struct sas_fleet_config *config = draw_config(&play->d);
+        play->route = config->routes->pdata[0];
+        play->short_part = draw(&play->d, (int)play->route->parts->len);
+        play->room = 0.25 + 0.75 * g_rand_double(play->d.random);
+        while (play->turn < TURNS) {
+            play_turn(play);
+        }
+        if (play->worst > MAX_OFF) {
+            print_message("seed %u, %d entry VMs, weight %.2f, room for "
+                          "%.2f: off by %.2f\n",
+                          seed, play->d.vms,
+                          get_weight(play, play->short_part), play->room,
+                          play->worst);
+            off++;
+        }
+        SasFleetConfig_Unref(config);
+        g_rand_free(play->d.random);
+        g_free(play);
+    }
+    assert_int_equal(off, 0);
+}
+
 int
 main(void)
 {
@@ -216,6 +338,8 @@
         cmocka_unit_test(test_a_single_part_gets_all),
         cmocka_unit_test(
             test_shares_of_all_entry_vms_follow_each_change_of_the_weights),
+        cmocka_unit_test(
+            test_what_a_short_part_refuses_does_not_move_to_the_others),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -11,6 +11,9 @@
     pads         such bytes by target, in place of pad
     forget_s     a connection idle for longer is reset by its next request
     held         threading.Event: running requests wait until it is set
+    leaving      all answers say that the server is leaving
+    rest         None, or the Retry-After, a text, of the 503 with which all
+                 requests are refused
     poison       targets whose requests crash the server when they start: it
                  resets all connections and accepts none for down_s
     faults       list of faults; each request for this server consumes the
@@ -52,6 +55,15 @@
         self.ended_at = None  # end of the run, before the answer is sent
 
 
+class Notice:
+    """What an answer to the request has said: a rest, or leaving."""
+
+    def __init__(self, headers, rest):
+        self.at = time.monotonic()
+        self.headers = headers
+        self.rest = rest  # None: leaving
+
+
 class Worker:
     def __init__(self, name, slots=3):
         self.name = name
@@ -66,6 +78,10 @@
         self.held.set()
         self.faults = []
         self.limit = None  # requests/s that it names in its answers
+        self.leaving = False
+        self.rest = None
+        self.heard = []      # Request, all that were addressed to this server
+        self.said = []       # Notice, with its answers
         self.poison = set()
         self.down_s = 0.5
         self.crashes = 0
@@ -177,12 +193,16 @@
             reader.read(int(headers.get("content-length", 0)))
             return True
         body = reader.read(int(headers.get("content-length", 0)))
-        if fault == "shed":
-            self.answer(connection, 503, b"", headers, not_run=True)
-            return True
         request = Request(method, target, headers, body)
+        rest = self.rest
         with self.lock:
-            self.ran.append(request)
+            self.heard.append(request)
+            if fault != "shed" and rest is None:
+                self.ran.append(request)
+        if fault == "shed" or rest is not None:
+            self.answer(connection, 503, b"", headers, not_run=True,
+                        rest=rest)
+            return True
         if target in self.poison:
             self.crash()
             return False
@@ -227,7 +247,7 @@
         return True
 
     def answer(self, connection, status, body, headers, sealed=False,
-               not_run=False):
+               not_run=False, rest=None):
         lines = ["HTTP/1.1 %d Answer" % status,
                  "Content-Length: %d" % len(body),
                  "%s: %s" % (ID, headers.get(ID.lower(), "")),
@@ -235,6 +255,12 @@
                  (self.running, self.slot_count)]
         if self.limit is not None:
             lines.append("X-Sassafrassill-Server-Limit: %s" % self.limit)
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
+            self.said.append(Notice(headers, None))
+        if rest is not None:
+            lines.append("Retry-After: %s" % rest)
+            self.said.append(Notice(headers, rest))
         if sealed:
             lines.append("%s: s-%s" % (SEAL, self.name))
         if not_run:
