A server that says in an answer that it leaves gets no more requests here

Callers saw nothing of it: the server served on until its row said so, 12.8 s after its answer had.

Change: SasFleet_AcceptsRequests, the one place that is asked, also goes by what the server's process has said (core/server_notice). That holds for the process: a row that still says ready, vanishes in an outage or comes back unreadable and whole again changes nothing; another start time ends it.

Ruled out: a row that overwrites it (there was no such state), requests on their way (the rate is constant for 12 s).

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -237,8 +237,8 @@
 int SasFleet_FindServer(const struct sas_fleet *fleet, const char *id);
 int SasFleet_GetServerRegion(const struct sas_fleet *fleet, int slot);
 
-/* Whether the server may get new requests: present, not draining or withdrawn,
- * its zone not evacuated. */
+/* Whether the server may get new requests: present, not draining by its row,
+ * leaving by its answers or withdrawn, its zone not evacuated. */
 bool SasFleet_AcceptsRequests(const struct sas_fleet *fleet, int slot);
 
 #endif
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -635,6 +635,7 @@
 SasFleet_AcceptsRequests(const struct sas_fleet *fleet, int slot)
 {
     const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-    return server != NULL && !server->facts.draining && !server->withdrawn &&
+    return server != NULL && !server->facts.draining &&
+           !server->notice.leaving && !server->withdrawn &&
            !fleet->zones[server->zone].evacuated;
 }
--- a/packages/core/tests/test_fleet.c
+++ b/packages/core/tests/test_fleet.c
@@ -149,6 +149,52 @@
 /* Guards against requests that follow outdated routes: a late answer of the
  * store, or a peer that is behind, brings an older configuration after a newer
  * one. */
+static void
+expect_use(struct sas_fleet *fleet, const struct sas_server_facts *facts,
+           bool used)
+{
+    int slot = SasFleet_PutServer(fleet, facts);
+    assert_int_equal(SasFleet_AcceptsRequests(fleet, slot), used);
+}
+
+/* Guards against a leaving server that is used again, since its row says
+ * "ready", or was gone and is back; and against one that was started again and
+ * is not used. */
+static void
+test_what_a_server_has_said_holds_for_its_process(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct sas_server_facts facts = make_facts("s", "desk", "a");
+    int slot = SasFleet_PutServer(fleet, &facts);
+    uint64_t start = SasFleet_At(fleet, slot)->start;
+    SasServerNotice_SetLeaving(SasFleet_GetNotice(fleet, start));
+    expect_use(fleet, &facts, false);
+    SasFleet_RemoveServer(fleet, "s");
+    expect_use(fleet, &facts, false);
+
+    struct sas_server_facts next = facts;
+    next.started_at = 2;
+    expect_use(fleet, &next, true);
+    /* An old row of the process before. */
+    expect_use(fleet, &facts, false);
+    SasFleet_Free(fleet);
+}
+
+static void
+test_an_answer_that_comes_after_its_row_is_gone_counts(void **state)
+{
+    (void)state;
+    struct sas_fleet *fleet = new_fleet();
+    struct sas_server_facts facts = make_facts("s", "desk", "a");
+    int slot = SasFleet_PutServer(fleet, &facts);
+    uint64_t start = SasFleet_At(fleet, slot)->start;
+    SasFleet_RemoveServer(fleet, "s");
+    SasServerNotice_SetLeaving(SasFleet_GetNotice(fleet, start));
+    expect_use(fleet, &facts, false);
+    SasFleet_Free(fleet);
+}
+
 static void
 test_older_configuration_is_refused(void **state)
 {
@@ -232,6 +278,9 @@
         cmocka_unit_test(test_old_reference_to_a_reused_slot_is_invalid),
         cmocka_unit_test(test_server_in_an_unknown_zone_is_refused),
         cmocka_unit_test(test_evacuated_zone_gets_no_requests),
+        cmocka_unit_test(test_what_a_server_has_said_holds_for_its_process),
+        cmocka_unit_test(
+            test_an_answer_that_comes_after_its_row_is_gone_counts),
         cmocka_unit_test(test_older_configuration_is_refused),
         cmocka_unit_test(test_longest_prefix_of_the_host_wins),
         cmocka_unit_test(
--- a/packages/gateway/src/view.c
+++ b/packages/gateway/src/view.c
@@ -19,7 +19,7 @@
 get_state(const struct sas_fleet *fleet, int slot, int64_t now_ms)
 {
     const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
-    if (server->facts.draining) {
+    if (server->facts.draining || server->notice.leaving) {
         return "draining";
     }
     if (!SasFleet_AcceptsRequests(fleet, slot)) {
