An answer that came through another entry VM says that its server leaves

What callers would see: after a cut an entry VM sends a server requests that has said, in an answer which this entry VM passed on, that it leaves.

Cause: the other entry VM of the hop had noted it, this one got a header that names no server.

Change: the answer to the entry VM names the start of the leaving server's process, the same number at all; it is noted as one's own. It isn't passed on to callers, and stays with an answer that is held back while another server is tried.

--- a/packages/core/include/sas/fleet.h
+++ b/packages/core/include/sas/fleet.h
@@ -235,6 +235,7 @@
                                             struct sas_server_ref ref);
 struct sas_server_ref SasFleet_GetRef(const struct sas_fleet *fleet, int slot);
 int SasFleet_FindServer(const struct sas_fleet *fleet, const char *id);
+int SasFleet_FindStart(const struct sas_fleet *fleet, uint64_t start);
 int SasFleet_GetServerRegion(const struct sas_fleet *fleet, int slot);
 
 /* Whether the server may get new requests: present, not draining by its row,
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -238,11 +238,9 @@
 struct sas_server_notice *
 SasFleet_GetNotice(struct sas_fleet *fleet, uint64_t start)
 {
-    for (guint slot = 0; slot < fleet->servers->len; slot++) {
-        struct sas_fleet_server *server = fleet->servers->pdata[slot];
-        if (server->present && server->start == start) {
-            return &server->notice;
-        }
+    int slot = SasFleet_FindStart(fleet, start);
+    if (slot != SasModel_NONE) {
+        return &SasFleet_At(fleet, slot)->notice;
     }
     return get_absent_notice(fleet, start);
 }
@@ -624,6 +622,18 @@
     return value == NULL ? SasModel_NONE : GPOINTER_TO_INT(value) - 1;
 }
 
+int
+SasFleet_FindStart(const struct sas_fleet *fleet, uint64_t start)
+{
+    for (guint slot = 0; slot < fleet->servers->len; slot++) {
+        const struct sas_fleet_server *server = fleet->servers->pdata[slot];
+        if (server->present && server->start == start) {
+            return (int)slot;
+        }
+    }
+    return SasModel_NONE;
+}
+
 int
 SasFleet_GetServerRegion(const struct sas_fleet *fleet, int slot)
 {
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -207,10 +207,12 @@
                                 int64_t now_ms);
 
 /* relay_notice.c: what a server says of itself. ReadNotice reads it from the
- * head of its answer, NoteNotice applies what the call's answer has said. */
+ * head of its answer, NoteNotice applies what the call's answer has said.
+ * NoteLeaving: the server of the call's answer is leaving. */
 void SasRelay_ReadNotice(struct relay_call *call,
                          const struct sas_http_header *headers, int count);
 void SasRelay_NoteNotice(struct relay_call *call);
+void SasRelay_NoteLeaving(struct relay_call *call);
 
 /* relay_peers.c */
 void SasRelay_Subscribe(struct sas_relay *relay);
@@ -277,5 +279,7 @@
 bool SasRelay_ReadRelayed(struct relay_call *call, int64_t *config_version);
 void SasRelay_AddVerdict(const struct relay_call *call,
                          struct sas_http_header *header);
+/* Adds to an answer for another entry VM that its server is leaving. */
+void SasRelay_AddLeaving(struct relay_call *call);
 
 #endif
--- a/packages/gateway/src/relay_notice.c
+++ b/packages/gateway/src/relay_notice.c
@@ -65,46 +65,62 @@
                        (json_int_t)(begins ? call->pause_ms : 0));
 }
 
+/* The server's row may be missing, here or at the moment. */
 static void
-note_leaving(const struct relay_call *call, struct sas_server_notice *notice)
+log_leaving(const struct relay_call *call)
 {
-    if (SasServerNotice_SetLeaving(notice)) {
-        const struct sas_fleet_server *server =
-            SasFleet_GetServer(call->relay->options.fleet, call->server);
-        SasLog_WriteFields(SasLog_INFO, "server.leaving", call->server_id,
-                           "{s:s, s:b, s:b}", "request", call->request_id,
-                           "listed", server != NULL, "draining",
-                           server != NULL && server->facts.draining);
-    }
+    const struct sas_fleet *fleet = call->relay->options.fleet;
+    int slot = SasFleet_FindStart(fleet, call->server_start);
+    const struct sas_server_facts *facts =
+        slot != SasModel_NONE ? &SasFleet_At(fleet, slot)->facts : NULL;
+    SasLog_WriteFields(SasLog_INFO, "server.leaving",
+                       facts != NULL ? facts->id : "", "{s:s, s:b, s:b, s:s}",
+                       "request", call->request_id, "listed", facts != NULL,
+                       "draining", facts != NULL && facts->draining, "via",
+                       call->peer.name);
 }
 
 void
-SasRelay_NoteNotice(struct relay_call *call)
+SasRelay_NoteLeaving(struct relay_call *call)
 {
-    if (call->status == 421) {
-        return; /* of the server that has the address now */
+    if (SasServerNotice_SetLeaving(SasFleet_GetNotice(
+            call->relay->options.fleet, call->server_start))) {
+        log_leaving(call);
     }
-    struct sas_relay *relay = call->relay;
-    struct sas_fleet_server *server =
-        SasFleet_GetServer(relay->options.fleet, call->server);
-    bool says_nothing = !call->says_leaving && call->pause_ms == 0;
-    if (server == NULL && says_nothing) {
-        return;
+    if (call->relayed) {
+        SasRelay_AddLeaving(call);
     }
-    struct sas_server_notice *notice =
-        server != NULL
-            ? &server->notice
-            : SasFleet_GetNotice(relay->options.fleet, call->server_start);
+}
+
+static void
+note_pause(const struct relay_call *call)
+{
+    struct sas_relay *relay = call->relay;
     int64_t now_ms = SasRelay_Now(relay);
-    if (call->says_leaving) {
-        note_leaving(call, notice);
-    }
     if (call->pause_ms > 0) {
+        struct sas_server_notice *notice =
+            SasFleet_GetNotice(relay->options.fleet, call->server_start);
         if (SasServerNotice_NotePause(notice, call->pause_ms, now_ms)) {
             log_pause(call, true);
         }
+        return;
     }
-    else if (SasServerNotice_NoteAnswer(notice, now_ms)) {
+    struct sas_fleet_server *server =
+        SasFleet_GetServer(relay->options.fleet, call->server);
+    if (server != NULL &&
+        SasServerNotice_NoteAnswer(&server->notice, now_ms)) {
         log_pause(call, false);
     }
 }
+
+void
+SasRelay_NoteNotice(struct relay_call *call)
+{
+    if (call->status == 421) {
+        return; /* of the server that has the address now */
+    }
+    if (call->says_leaving) {
+        SasRelay_NoteLeaving(call);
+    }
+    note_pause(call);
+}
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -24,6 +24,7 @@
 #define CONFIG_HEADER PREFIX "Config"     /* version in force at the sender */
 #define ATTEMPTS_HEADER PREFIX "Attempts" /* that may have run */
 #define VERDICT_HEADER PREFIX "Verdict"
+#define LEAVING_HEADER PREFIX "Leaving" /* start of the server's process */
 
 /* Entry VMs that are asked to serve a request, one after the other. */
 #define MAX_PEERS 3
@@ -137,6 +138,15 @@
     return RELAY_NONE;
 }
 
+/* The answer comes from a server that is leaving. This entry VM passes it on,
+ * and must not send the server anything either once its own path works. */
+static void
+read_leaving_start(struct relay_call *call, const char *text)
+{
+    call->server_start = g_ascii_strtoull(text, NULL, 16);
+    call->says_leaving = call->server_start != 0;
+}
+
 static void
 on_head(struct sas_http_listener *listener, int status,
         const struct sas_http_header *headers, int header_count)
@@ -149,6 +159,9 @@
         if (strcasecmp(headers[i].name, VERDICT_HEADER) == 0) {
             call->verdict = read_verdict(headers[i].value);
         }
+        else if (strcasecmp(headers[i].name, LEAVING_HEADER) == 0) {
+            read_leaving_start(call, headers[i].value);
+        }
         else {
             SasRelay_ApplyHeader(call, &headers[i]);
         }
@@ -231,6 +244,9 @@
         SasPeerPool_Release(call->peer_conn);
     }
     call->peer_conn = NULL;
+    if (call->says_leaving) {
+        SasRelay_NoteLeaving(call);
+    }
     count_verdict(call, verdict_names[call->verdict]);
     apply_verdict(call, whole);
 }
@@ -267,6 +283,15 @@
     header->value = verdict_names[call->verdict];
 }
 
+void
+SasRelay_AddLeaving(struct relay_call *call)
+{
+    g_ptr_array_add(call->answer_headers, g_strdup(LEAVING_HEADER));
+    g_ptr_array_add(
+        call->answer_headers,
+        g_strdup_printf("%" G_GINT64_MODIFIER "x", call->server_start));
+}
+
 bool
 SasRelay_ReadRelayed(struct relay_call *call, int64_t *config_version)
 {
