A server that asks for rest gets nothing from this entry VM until it is over

Cause: nothing read the Retry-After of a server's 503. Such a refusal counts as one of a full server, and a server that refuses everything reports load 0: it looked idle, kept its objects, got each of their requests up to three times within a millisecond, and each refusal used a retry until none was left.

Change: the pause that a refusal asks for is kept for the server's process (core/server_notice); until its end the server isn't available, as if it were ejected, but it isn't reported to the others and counts as no failure. With no server available for that reason callers are refused at once, and told when the first pause ends.

--- a/packages/core/include/sas/owner.h
+++ b/packages/core/include/sas/owner.h
@@ -42,7 +42,7 @@
 
 /* Fills slots with the object's servers, the owner first, and returns their
  * number: at most max and SasOwner_MAX_CANDIDATES. Only servers in allowed
- * regions that are open (SasFleet_AcceptsRequests) and not ejected. */
+ * regions that are available (SasTraffic_IsAvailable). */
 int SasOwner_Rank(const struct sas_fleet *fleet,
                   const struct sas_owner_query *query, int64_t now_ms,
                   int *slots, int max);
--- a/packages/core/include/sas/traffic.h
+++ b/packages/core/include/sas/traffic.h
@@ -171,6 +171,11 @@
 bool SasTraffic_IsEjected(const struct sas_fleet_server *server,
                           int64_t now_ms);
 
+/* Whether a new request may be sent to the server: it accepts requests, is not
+ * ejected, and has asked for no pause. */
+bool SasTraffic_IsAvailable(const struct sas_fleet *fleet, int slot,
+                            int64_t now_ms);
+
 /* The service time of an uncached object of the service. */
 double SasTraffic_GetServiceTimeMs(const struct sas_fleet *fleet, int service);
 
--- a/packages/core/src/owner.c
+++ b/packages/core/src/owner.c
@@ -41,8 +41,7 @@
 is_allowed(const struct sas_fleet *fleet, const struct sas_owner_query *query,
            int slot, int64_t now_ms)
 {
-    if (!SasFleet_AcceptsRequests(fleet, slot) ||
-        SasTraffic_IsEjected(SasFleet_At(fleet, slot), now_ms)) {
+    if (!SasTraffic_IsAvailable(fleet, slot, now_ms)) {
         return false;
     }
     int region = SasFleet_GetServerRegion(fleet, slot);
@@ -51,9 +50,10 @@
 }
 
 /* Sums the execution slots of the service's servers that requests may go to,
- * by region. Ejected servers don't count, or the few healthy ones of a region
- * would get all of its objects and queue them. Entry VMs report ejections to
- * each other, so their sums agree. */
+ * by region. Ejected and paused servers don't count, or the few others of a
+ * region would get all of its objects and queue them. Entry VMs report
+ * ejections to each other, so their sums agree; pauses are asked of most of
+ * them at about the same time. */
 static double
 sum_slots(const struct sas_fleet *fleet, const struct sas_owner_query *query,
           int64_t now_ms, double *by_region)
--- a/packages/core/src/traffic.c
+++ b/packages/core/src/traffic.c
@@ -323,6 +323,17 @@
     return now_ms < traffic->ejected_until || traffic->in_flight > 0;
 }
 
+bool
+SasTraffic_IsAvailable(const struct sas_fleet *fleet, int slot, int64_t now_ms)
+{
+    if (!SasFleet_AcceptsRequests(fleet, slot)) {
+        return false;
+    }
+    const struct sas_fleet_server *server = SasFleet_At(fleet, slot);
+    return !SasTraffic_IsEjected(server, now_ms) &&
+           SasServerNotice_GetWaitMs(&server->notice, now_ms) == 0;
+}
+
 double
 SasTraffic_EstimateLoad(const struct sas_fleet *fleet, int slot,
                         int64_t now_ms)
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -478,8 +478,8 @@
     SasRelay_NoteNotice(call);
     bool not_run = call->not_run || call->status == 421;
     call->retry_same_server =
-        call->not_run && call->status != 421 && server != NULL &&
-        SasTraffic_FoundSlot(server, call->load_when_sent);
+        call->not_run && call->status != 421 && call->pause_ms == 0 &&
+        server != NULL && SasTraffic_FoundSlot(server, call->load_when_sent);
     if (server != NULL) {
         SasTraffic_NoteReport(relay->options.fleet, call->server.slot,
                               &call->report, now_ms);
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -13,10 +13,15 @@
 #define SPURIOUS_REFUSAL_RETRY_MS 30
 #define MAX_SPURIOUS_REFUSALS 3
 
-/* Longest Retry-After for a server's named limit: another entry VM, to which
- * the caller may come back, may send to the server before this one. */
+/* Longest Retry-After for a server's named limit or pause: another entry VM,
+ * to which the caller may come back, may send to the server before this one.
+ */
 #define MAX_LIMIT_RETRY_MS 1000
 
+/* Callers that wait for the end of a pause come back spread over this part of
+ * their Retry-After. */
+#define PAUSE_SPREAD 0.25
+
 /* Servers' rows that were confirmed longer ago are stale. The longest poll of
  * the store, and the way via a leader, take up to 3.3 s. */
 #define STALE_ROWS_MS 3500
@@ -301,6 +306,28 @@
     int64_t retry_after_ms;
 };
 
+/* Of a service none of whose servers is available, where some have asked for a
+ * pause. */
+static struct refusal
+refuse_paused(const struct relay_call *call, int64_t wait_ms)
+{
+    wait_ms = MIN(wait_ms, MAX_LIMIT_RETRY_MS);
+    double spread = PAUSE_SPREAD * g_rand_double(call->relay->options.random);
+    return (struct refusal){
+        .reason = "server resting",
+        .retry_after_ms = wait_ms + (int64_t)((double)wait_ms * spread),
+    };
+}
+
+static struct refusal
+get_unavailable_refusal(const struct relay_call *call, int64_t now_ms)
+{
+    int64_t wait_ms = SasRelay_GetPauseLeftMs(call, now_ms);
+    return wait_ms > 0
+               ? refuse_paused(call, wait_ms)
+               : (struct refusal){"no server", SasRelay_RETRY_AFTER_MS};
+}
+
 /* Leaves out the servers that were tried, are too cold, or have got as much as
  * they take. If one is left out for what passes, that is the refusal. */
 static int
@@ -427,7 +454,9 @@
     int slots[SasOwner_MAX_CANDIDATES];
     int count =
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
-    struct refusal unusable = {"no server", SasRelay_RETRY_AFTER_MS};
+    struct refusal unusable =
+        count == 0 ? get_unavailable_refusal(call, now_ms)
+                   : (struct refusal){"no server", SasRelay_RETRY_AFTER_MS};
     count = filter_usable(call, slots, count, now_ms, &unusable);
     count = avoid_unresponsive(call, slots, count, now_ms);
     count = avoid_grey_failure(call, slots, count, now_ms);
--- a/packages/gateway/src/relay_notice.c
+++ b/packages/gateway/src/relay_notice.c
@@ -124,3 +124,26 @@
     }
     note_pause(call);
 }
+
+int64_t
+SasRelay_GetPauseLeftMs(const struct relay_call *call, int64_t now_ms)
+{
+    const struct sas_fleet *fleet = call->relay->options.fleet;
+    const GArray *servers = SasFleet_GetService(fleet, call->service)->servers;
+    uint64_t allowed = call->route->allowed_regions;
+    int64_t least = 0;
+    for (guint i = 0; i < servers->len; i++) {
+        int slot = g_array_index(servers, int, i);
+        int region = SasFleet_GetServerRegion(fleet, slot);
+        if (!SasFleet_AcceptsRequests(fleet, slot) ||
+            (allowed != 0 && (allowed >> region & 1) == 0)) {
+            continue;
+        }
+        int64_t wait_ms = SasServerNotice_GetWaitMs(
+            &SasFleet_At(fleet, slot)->notice, now_ms);
+        if (wait_ms > 0 && (least == 0 || wait_ms < least)) {
+            least = wait_ms;
+        }
+    }
+    return least;
+}
--- a/packages/gateway/src/view.c
+++ b/packages/gateway/src/view.c
@@ -28,6 +28,9 @@
     if (SasTraffic_IsEjected(server, now_ms)) {
         return "shunned";
     }
+    if (SasServerNotice_GetWaitMs(&server->notice, now_ms) > 0) {
+        return "resting";
+    }
     return server->facts.cold_until_ms > now_ms ? "cold" : "ready";
 }
 
