A request through another entry VM keeps the service that was picked for it

What operators would see: shares of a split route that are off while an entry VM has lost its links to the servers.

Cause: the entry VM that served the request for the other picked its part anew, by its own counts, and counted it; the one where the caller came in had counted another part.

Change: the hop names the service; it is used if the route may go there at the other entry VM too. Without it, or with another configuration, it picks.

Figures: test_a_request_through_another_entry_vm_keeps_its_service, red before ('vault' != 'desk'), green; one run each.

--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -496,7 +496,10 @@
         return;
     }
     find_object(call);
-    call->service = pick_service(call);
+    call->service = SasRelay_FindRelayedService(call);
+    if (call->service == SasModel_NONE) {
+        call->service = pick_service(call);
+    }
     if (!call->relayed) { /* the sender has counted it */
         SasRetryBudget_NoteRequest(
             &SasRelay_GetService(relay, call->service)->retries,
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -280,6 +280,9 @@
 bool SasRelay_IsInternalHeader(const char *name);
 bool SasRelay_IsRelayed(const struct sas_http_exchange *exchange);
 bool SasRelay_ReadRelayed(struct relay_call *call, int64_t *config_version);
+/* The service that the sender has picked for a request from another entry VM,
+ * if its route may go there here too; else SasModel_NONE. */
+int SasRelay_FindRelayedService(const struct relay_call *call);
 void SasRelay_AddVerdict(const struct relay_call *call,
                          struct sas_http_header *header);
 /* Adds to an answer for another entry VM that its server is leaving. */
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -23,6 +23,7 @@
 #define PREFIX "Sas-Relay-"
 #define CONFIG_HEADER PREFIX "Config"     /* version in force at the sender */
 #define ATTEMPTS_HEADER PREFIX "Attempts" /* that may have run */
+#define SERVICE_HEADER PREFIX "Service"   /* that the sender has picked */
 #define VERDICT_HEADER PREFIX "Verdict"
 #define LEAVING_HEADER PREFIX "Leaving" /* start of the server's process */
 
@@ -86,8 +87,9 @@
 SasRelay_SendVia(struct relay_call *call)
 {
     struct sas_relay *relay = call->relay;
-    uint64_t service_hash = SasMesh_HashService(
-        SasFleet_GetService(relay->options.fleet, call->service)->name);
+    const char *service =
+        SasFleet_GetService(relay->options.fleet, call->service)->name;
+    uint64_t service_hash = SasMesh_HashService(service);
     if (!SasMesh_PickPeerFor(relay->options.mesh, service_hash,
                              call->route->allowed_regions, &call->peer)) {
         return false;
@@ -106,6 +108,7 @@
         (struct sas_http_header){relay->options.wire->deadline_ms, left};
     headers[count++] = (struct sas_http_header){CONFIG_HEADER, config};
     headers[count++] = (struct sas_http_header){ATTEMPTS_HEADER, attempts};
+    headers[count++] = (struct sas_http_header){SERVICE_HEADER, service};
     struct sas_http_request request =
         SasRelay_MakeRequest(call, headers, count);
     SasRelay_ClearAnswer(call);
@@ -309,6 +312,23 @@
     return true;
 }
 
+int
+SasRelay_FindRelayedService(const struct relay_call *call)
+{
+    const char *name =
+        SasHttpExchange_FindHeader(call->exchange, SERVICE_HEADER);
+    int service = call->relayed && name != NULL
+                      ? SasFleet_FindService(call->relay->options.fleet, name)
+                      : SasModel_NONE;
+    for (guint i = 0; i < call->route->parts->len; i++) {
+        if (g_array_index(call->route->parts, struct sas_route_part, i)
+                .service == service) {
+            return service;
+        }
+    }
+    return SasModel_NONE;
+}
+
 bool
 SasRelay_IsRelayed(const struct sas_http_exchange *exchange)
 {
--- a/tests/e2e/test_split_room.py
+++ b/tests/e2e/test_split_room.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from entry_harness import Fleet, time
+from cut_links import LinkCutter
+from entry_harness import Fleet, time, wait_for
 from test_server_notices import ZONES, Callers
 
 MAX_OFF = 0.2
@@ -15,8 +16,11 @@
 class SplitFleet(Fleet):
     """desk has room for all; vault for less than half of its share."""
 
-    def __init__(self):
+    def __init__(self, cuts=False):
         super().__init__(vms=ZONES, configured=False, first_start=True)
+        self.cutter = LinkCutter(self.folder) if cuts else None
+        for vm in self.vms if cuts else ():
+            self.cutter.prepare(vm)
         parts = [{"service": "desk", "weight": 0.5},
                  {"service": "vault", "weight": 0.5}]
         self.configure([
@@ -29,6 +33,11 @@
             worker.work_s = 0.25
             worker.sheds = True
 
+    def __exit__(self, *error):
+        super().__exit__(*error)
+        if self.cutter is not None:
+            self.cutter.close()
+
     def send(self, vm, key, method="GET"):
         path = "/filings/1" if method == "POST" else "/forms/1"
         return vm.request(method, path, b"x" if method == "POST" else None,
@@ -62,5 +71,29 @@
             self.assertGreater(share, 0.5 - MAX_OFF)
 
 
+    # Guards against a request that goes through another entry VM and is given
+    # to the other service there: the shares of those that come in here are off.
+    def test_a_request_through_another_entry_vm_keeps_its_service(self):
+        with SplitFleet(cuts=True) as fleet:
+            fleet.start()
+            vm = fleet.vms[0]
+            fleet.cutter.cut(vm, "reset",
+                             [w.port for w in fleet.workers.values()])
+            wait_for(lambda: fleet.send(vm, 1) and
+                     len(vm.find_lines("path.lost")) == 2,
+                     "both paths to be lost")
+            for key in range(60):
+                fleet.send(vm, key)
+            picked = {line["request"]: line["service"]
+                      for line in vm.find_lines("request", outcome="answered")
+                      if line["via"]}
+            self.assertGreater(len(picked), 30)
+            for other in fleet.vms[1:]:
+                for line in other.find_lines("request", outcome="answered"):
+                    self.assertEqual(line["service"],
+                                     picked.get(line["request"],
+                                                line["service"]))
+
+
 if __name__ == "__main__":
     unittest.main()
