Cuts of links to servers are part of the test fleet; the soak's servers say what they do

Three test fleets prepared the cuts of their entry VMs by themselves; now one does. The soak's servers say in their answers that they leave, before or after their rows do, and refuse everything for a while and ask for rest.

--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -20,6 +20,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 
+from cut_links import LinkCutter  # noqa: E402
 from harness import BUILD, exchange, wait_until  # noqa: E402
 from rows import RowStore  # noqa: E402
 from workers import ID, SEAL, Worker  # noqa: E402
@@ -168,11 +169,12 @@
     """Entry VMs with a store; add_worker adds backend servers.
 
     vms: zone of each entry VM; first_start: the whole system starts for the
-    first time; bounds: overrides of BOUNDS.
+    first time; bounds: overrides of BOUNDS; cuts: links of entry VMs to
+    servers can be cut.
     """
 
     def __init__(self, vms=("a", "b"), configured=True, first_start=False,
-                 bounds=None):
+                 bounds=None, cuts=False):
         self.first_start = first_start
         self.bounds = ["%s=%s" % pair
                        for pair in {**BOUNDS, **(bounds or {})}.items()]
@@ -187,6 +189,9 @@
         network = "127.%d.%d." % (1 + pid // 250 % 250, pid % 250)
         self.vms = [EntryVm(self, "vm-%d" % i, zone, network + str(i + 1))
                     for i, zone in enumerate(vms)]
+        self.cutter = LinkCutter(self.folder) if cuts else None
+        for vm in self.vms if cuts else ():
+            self.cutter.prepare(vm)
         if configured:
             self.configure()
 
@@ -205,6 +210,8 @@
         for worker in self.workers.values():
             worker.stop()
         self.store.stop()
+        if self.cutter is not None:
+            self.cutter.close()
         self.directory.cleanup()
 
     def start(self):
@@ -214,6 +221,17 @@
                    "all entry VMs ready")
         return self
 
+    def cut(self, vms, mode, workers=None):
+        """Cuts the links of the entry VMs to the servers, by default to all
+        of them."""
+        workers = workers or list(self.workers.values())
+        for vm in vms:
+            self.cutter.cut(vm, mode, [worker.port for worker in workers])
+
+    def heal(self, vms):
+        for vm in vms:
+            self.cutter.heal(vm)
+
     # Configuration.
 
     def configure(self, routes=None, version=None, idle_s=15):
--- a/tests/e2e/test_cut_entry_vms.py
+++ b/tests/e2e/test_cut_entry_vms.py
@@ -10,7 +10,7 @@
 import threading
 import unittest
 
-from cut_links import LinkCutter, MODES
+from cut_links import MODES
 from entry_harness import (BOUNDS, Fleet, SEAL, format_request, signal, time,
                            wait_for)
 
@@ -30,33 +30,16 @@
     servers of one service."""
 
     def __init__(self, vms=ZONES):
-        super().__init__(vms=vms, configured=False, first_start=True)
-        self.cutter = LinkCutter(self.folder)
+        super().__init__(vms=vms, configured=False, first_start=True,
+                         cuts=True)
         self.configure([
             self.route("forms", "/forms/", "safe", **{
                 "timeout-ms": TIMEOUT_MS}),
             self.route("filings", "/filings/", "unsafe", **{
                 "timeout-ms": TIMEOUT_MS})])
-        for vm in self.vms:
-            self.cutter.prepare(vm)
         for i in range(9):
             self.add_worker("d%d" % i, zone="abc"[i % 3]).work_s = 0.02
 
-    def __exit__(self, *error):
-        super().__exit__(*error)
-        self.cutter.close()
-
-    def cut(self, vms, mode, workers=None):
-        """Cuts the links of the entry VMs to the servers, by default to all
-        of them."""
-        workers = workers or list(self.workers.values())
-        for vm in vms:
-            self.cutter.cut(vm, mode, [worker.port for worker in workers])
-
-    def heal(self, vms):
-        for vm in vms:
-            self.cutter.heal(vm)
-
     def find_runs(self):
         """How often each request ran, by its id."""
         runs = {}
--- a/tests/e2e/test_server_notices.py
+++ b/tests/e2e/test_server_notices.py
@@ -9,7 +9,6 @@
 import threading
 import unittest
 
-from cut_links import LinkCutter
 from entry_harness import BOUNDS, Fleet, signal, time, wait_for
 
 ZONES = ("a", "a", "b", "b", "c", "c")
@@ -28,19 +27,11 @@
     """Nine servers of one service. Requests name their entry VM."""
 
     def __init__(self, vms=ZONES, cuts=False):
-        super().__init__(vms=vms, first_start=True)
-        self.cutter = LinkCutter(self.folder) if cuts else None
-        for vm in self.vms if cuts else ():
-            self.cutter.prepare(vm)
+        super().__init__(vms=vms, first_start=True, cuts=cuts)
         for i in range(9):
             self.add_worker("d%d" % i, zone="abc"[i % 3]).work_s = 0.02
         self.started_at = {vm.name: 0.0 for vm in self.vms}
 
-    def __exit__(self, *error):
-        super().__exit__(*error)
-        if self.cutter is not None:
-            self.cutter.close()
-
     def send(self, vm, key, method="GET"):
         path = "/filings/1" if method == "POST" else "/forms/1"
         return vm.request(method, path, b"x" if method == "POST" else None,
@@ -224,8 +215,7 @@
             fleet.start()
             vm = fleet.vms[0]
             worker = fleet.workers["d0"]
-            fleet.cutter.cut(vm, "reset",
-                             [w.port for w in fleet.workers.values()])
+            fleet.cut([vm], "reset")
             wait_for(lambda: fleet.send(vm, 1) and
                      vm.find_lines("path.lost"), "the path to be lost")
             worker.leaving = True
@@ -234,7 +224,7 @@
                 return any(fleet.send(vm, key).body.startswith(b"d0")
                            for key in range(40))
             wait_for(is_told, "an answer of d0")
-            fleet.cutter.heal(vm)
+            fleet.heal([vm])
             wait_for(lambda: vm.find_lines("path.back"), "the path")
             before = len(worker.heard)
             for key in range(200):
--- a/tests/e2e/test_split_room.py
+++ b/tests/e2e/test_split_room.py
@@ -4,7 +4,6 @@
 
 import unittest
 
-from cut_links import LinkCutter
 from entry_harness import Fleet, time, wait_for
 from test_server_notices import ZONES, Callers
 
@@ -17,10 +16,8 @@
     """desk has room for all; vault for less than half of its share."""
 
     def __init__(self, cuts=False):
-        super().__init__(vms=ZONES, configured=False, first_start=True)
-        self.cutter = LinkCutter(self.folder) if cuts else None
-        for vm in self.vms if cuts else ():
-            self.cutter.prepare(vm)
+        super().__init__(vms=ZONES, configured=False, first_start=True,
+                         cuts=cuts)
         parts = [{"service": "desk", "weight": 0.5},
                  {"service": "vault", "weight": 0.5}]
         self.configure([
@@ -33,11 +30,6 @@
             worker.work_s = 0.25
             worker.sheds = True
 
-    def __exit__(self, *error):
-        super().__exit__(*error)
-        if self.cutter is not None:
-            self.cutter.close()
-
     def send(self, vm, key, method="GET"):
         path = "/filings/1" if method == "POST" else "/forms/1"
         return vm.request(method, path, b"x" if method == "POST" else None,
@@ -77,8 +69,7 @@
         with SplitFleet(cuts=True) as fleet:
             fleet.start()
             vm = fleet.vms[0]
-            fleet.cutter.cut(vm, "reset",
-                             [w.port for w in fleet.workers.values()])
+            fleet.cut([vm], "reset")
             wait_for(lambda: fleet.send(vm, 1) and
                      len(vm.find_lines("path.lost")) == 2,
                      "both paths to be lost")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,7 +51,7 @@
 
 from entry_harness import (Fleet, block_signals, exchange,  # noqa: E402
                            signal, wait_for)
-from cut_links import LinkCutter, MODES  # noqa: E402
+from cut_links import MODES  # noqa: E402
 from callers import (Caller, GRACE_S, KeepAliveCaller,  # noqa: E402
                      LARGE, LONG, NOT_RUN, NewConnectionCaller, POISON,
                      Pipeliner, SlowReader, describe, explain_loss,
@@ -83,9 +83,9 @@
         self.seconds = seconds
         self.rng = random.Random(seed)
         zones = "abc"
-        self.fleet = Fleet(vms=[zones[i % 3] for i in range(vms)])
+        self.fleet = Fleet(vms=[zones[i % 3] for i in range(vms)], cuts=True)
         self.proxies = {}
-        self.cutter = LinkCutter(self.fleet.folder)
+        self.cutter = self.fleet.cutter
         self.attempts = []
         self.finished = False
         self.events = []
@@ -128,7 +128,6 @@
         for vm in self.fleet.vms:
             proxy = self.proxies["store-" + vm.name] = Proxy(vm.store_port)
             vm.store_port = proxy.port
-            self.cutter.prepare(vm)
             vm.environment["SASSAFRASSILL_OPERATOR_TOKEN"] = TOKEN
             if self.seed % 2:
                 vm.environment["SASSAFRASSILL_PEER_KEY"] = \
@@ -314,10 +313,12 @@
         self.log("replace " + name)
         zone = "abc"[int(name[1]) % 3]
         if self.rng.random() < 0.5:
+            worker.leaving = True
             self.add_server(name, service, zone, state="draining",
                             **{"seq-no": 5})
             time.sleep(self.rng.uniform(0.5, 3))
         self.fleet.store.remove("servers", name)
+        worker.leaving = False
         with self.lock:
             self.generation += 1
             generation = self.generation
@@ -336,15 +337,20 @@
         self.add_server(name, service, zone, born=generation + 1)
 
     def leave_server(self):
-        """A server drains, its row is removed, and it starts again."""
+        """A server drains, its row is removed, and it starts again. Its
+        answers may say so before its row does."""
         name = self.rng.choice(sorted(self.services))
         self.log("leave " + name)
         service, zone = self.services[name], "abc"[int(name[1]) % 3]
+        worker = self.fleet.workers[name]
+        worker.leaving = True
+        time.sleep(self.rng.choice((0, self.rng.uniform(0, 3))))
         self.add_server(name, service, zone, state="draining",
                         **{"seq-no": 5})
         time.sleep(self.rng.uniform(0.5, 3))
         self.fleet.store.remove("servers", name)
         time.sleep(self.rng.uniform(0, 1))
+        worker.leaving = False
         with self.lock:
             self.generation += 1
             born = self.generation + 1
@@ -359,6 +365,18 @@
         worker.faults.extend([what] * self.rng.randrange(1, 12))
         time.sleep(1)
 
+    def rest_servers(self):
+        """Servers refuse all requests for a while and ask for rest."""
+        names = self.rng.sample(sorted(self.services),
+                                self.rng.randrange(1, 4))
+        self.log("rest " + " ".join(names))
+        for name in names:
+            self.fleet.workers[name].rest = self.rng.choice(
+                ("0.1", "1", "3", "soon"))
+        time.sleep(self.rng.uniform(0.2, 4))
+        for name in names:
+            self.fleet.workers[name].rest = None
+
     def slow_server(self):
         worker = self.fleet.workers[self.rng.choice(sorted(self.services))]
         self.log(worker.name + " slow")
@@ -396,6 +414,7 @@
     FAULTS = ("disrupt_link", "disrupt_link", "cut_links", "cut_links",
               "disrupt_store", "kill_vm", "pause_vm", "stop_vm",
               "replace_server", "break_answers", "slow_server",
+              "rest_servers",
               "change_config", "hup_vm", "evacuate", "put_sheet", "put_sheet",
               "poison")
     PLANNED_WORK = ("stop_vm", "stop_vm", "stop_vm", "hup_vm", "change_config",
@@ -596,7 +615,6 @@
                 self.finished = True
                 for proxy in self.proxies.values():
                     proxy.stop()
-                self.cutter.close()
             if found:
                 self.keep_logs()
             return found
