--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -495,9 +495,9 @@
     return best;
 }
 
-/* Looks up each prefix of the path that ends with a slash, longest first. With
- * hundreds of routes, a linear search took most of the time of all decisions
- * on a request (tools/bench_routes.c). */
+/* Looks up each prefix of the path that ends with a slash, longest first: with
+ * hundreds of routes, a linear search would take most of the time of a
+ * decision. */
 const struct sas_route *
 SasFleetConfig_FindRoute(const struct sas_fleet_config *config,
                          const char *host, const char *target)
