A crash gets an id that no node is known to have dismissed

What callers would see (standalone mode): a poison request that crashes more servers than it may, four where three are the bound.

Cause: the id of a crash held how often this node had dismissed one of that incarnation. A node that had dismissed none gave a real crash the id that another node had dismissed, and by the merge that crash counted as dismissed.

Change: the id is the first of the incarnation that is neither dismissed nor cleared as far as this node knows; the count of one node alone is gone.

The property test named crashes by the old rule itself; it asks the product now. Its bounds, rules and settings are as before.

--- a/packages/core/include/sas/quarantine.h
+++ b/packages/core/include/sas/quarantine.h
@@ -74,11 +74,15 @@
                                                  const void *body,
                                                  size_t size);
 
-/* resets: how often this node dismissed a crash of that incarnation, so that a
- * later crash that this node sees has another id than the dismissed ones. */
 uint64_t SasQuarantine_HashCrash(const char *backend, const char *incarnation,
                                  int resets);
 
+/* The id of a crash of that incarnation that is seen now: the first one that
+ * is neither dismissed nor cleared, by any node as far as this one knows. */
+uint64_t SasQuarantine_ChooseCrash(struct sas_quarantine *q,
+                                   const char *backend,
+                                   const char *incarnation, int64_t now_ms);
+
 /* Reports. */
 
 void SasQuarantine_Init(struct sas_quarantine *q);
--- a/packages/core/src/quarantine.c
+++ b/packages/core/src/quarantine.c
@@ -43,6 +43,35 @@
     return id == 0 ? 1 : id;
 }
 
+/* Whether the crash was cleared for any request. */
+static bool
+is_cleared(const struct sas_quarantine *q, uint64_t crash)
+{
+    for (int i = 0; i < q->count; i++) {
+        for (int j = 0; j < q->entries[i].crash_count; j++) {
+            const struct sas_crash *known = &q->entries[i].crashes[j];
+            if (known->id == crash && known->cleared) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+uint64_t
+SasQuarantine_ChooseCrash(struct sas_quarantine *q, const char *backend,
+                          const char *incarnation, int64_t now_ms)
+{
+    drop_expired(q, now_ms);
+    int resets = 0;
+    uint64_t crash = SasQuarantine_HashCrash(backend, incarnation, resets);
+    while (is_dismissed(q, crash) || is_cleared(q, crash)) {
+        resets++;
+        crash = SasQuarantine_HashCrash(backend, incarnation, resets);
+    }
+    return crash;
+}
+
 void
 SasQuarantine_Init(struct sas_quarantine *q)
 {
--- a/packages/core/tests/budget_shim.c
+++ b/packages/core/tests/budget_shim.c
@@ -183,6 +183,17 @@
     return g_new0(struct sas_quarantine, 1);
 }
 
+uint64_t
+SasShim_ChooseCrash(struct sas_quarantine *q, int server, int incarnation,
+                    int64_t now_ms)
+{
+    char name[16];
+    char start[16];
+    g_snprintf(name, sizeof(name), "d%d", server);
+    g_snprintf(start, sizeof(start), "%d", incarnation);
+    return SasQuarantine_ChooseCrash(q, name, start, now_ms);
+}
+
 void
 SasShim_Suspect(struct sas_quarantine *q, uint64_t fingerprint, uint64_t crash,
                 bool isolated, int64_t now_ms)
--- a/packages/core/tests/property_quarantine.py
+++ b/packages/core/tests/property_quarantine.py
@@ -17,6 +17,7 @@
 new = declare(lib, PTR, "SasShim_NewQuarantine")
 free = declare(lib, None, "SasShim_Free", PTR)
 suspect = declare(lib, None, "SasShim_Suspect", PTR, U64, U64, BOOL, I64)
+choose_crash = declare(lib, U64, "SasShim_ChooseCrash", PTR, INT, INT, I64)
 clear = declare(lib, None, "SasShim_Clear", PTR, U64, I64)
 void = declare(lib, None, "SasQuarantine_Dismiss", PTR, U64, I64)
 check = declare(lib, INT, "SasShim_Check", PTR, U64, I64)
@@ -42,7 +43,6 @@
         self.nodes = [new() for _ in range(NODES)]
         self.running = [[] for _ in range(SERVERS)]  # (node, request, alone)
         self.incarnations = [0] * SERVERS
-        self.resets = {}   # (node, server, incarnation) -> voided
         self.probes = []   # (node, server, incarnation, crash)
 
     def teardown(self):
@@ -61,9 +61,8 @@
                 merge_all(a, b, self.now)
 
     def crash_name(self, node, server):
-        incarnation = self.incarnations[server]
-        resets = self.resets.get((node, server, incarnation), 0)
-        return 1 + server + 100 * incarnation + 10000 * resets
+        return choose_crash(self.nodes[node], server,
+                            self.incarnations[server], self.now)
 
     def lose(self, server, nodes):
         """These nodes lose their connections to the server."""
@@ -122,8 +121,6 @@
             pick % len(self.probes))
         if self.incarnations[server] == incarnation:
             void(self.nodes[node], crash, self.now)
-            key = (node, server, incarnation)
-            self.resets[key] = self.resets.get(key, 0) + 1
         self.merged()
 
     @rule(a=nodes, b=nodes)
--- a/packages/core/tests/test_quarantine.c
+++ b/packages/core/tests/test_quarantine.c
@@ -105,6 +105,31 @@
     assert_int_equal(check(harmless, 5), SAS_QUARANTINE_ALLOW);
 }
 
+/* Guards against a poison request that goes on crashing servers: one node had
+ * dismissed a lost connection, and the crash that another one saw later got
+ * the dismissed one's id. */
+static void
+test_a_crash_has_another_id_than_what_any_node_has_dismissed(void **state)
+{
+    (void)state;
+    static struct sas_quarantine other;
+    struct sas_fingerprint poison = {4, 4};
+    struct sas_quarantine_entry report;
+    SasQuarantine_Init(&q);
+    SasQuarantine_Init(&other);
+    uint64_t reset = SasQuarantine_ChooseCrash(&q, "d1", "i1", 0);
+    assert_true(SasQuarantine_ChooseCrash(&other, "d1", "i1", 0) == reset);
+    SasQuarantine_Suspect(&q, poison, reset, false, 0);
+    SasQuarantine_Dismiss(&q, reset, 1);
+    assert_true(SasQuarantine_Export(&q, 0, 2, &report));
+    SasQuarantine_Merge(&other, &report, 2);
+    uint64_t crash = SasQuarantine_ChooseCrash(&other, "d1", "i1", 3);
+    assert_true(crash != reset);
+    assert_true(SasQuarantine_ChooseCrash(&q, "d1", "i1", 3) == crash);
+    SasQuarantine_Suspect(&other, poison, crash, false, 3);
+    assert_int_equal(SasQuarantine_CountCrashes(&other, poison, 3), 1);
+}
+
 static void
 test_full_table_keeps_the_quarantined(void **state)
 {
@@ -129,6 +154,8 @@
         cmocka_unit_test(test_second_crash_in_isolated_run_quarantines),
         cmocka_unit_test(test_completed_run_ends_the_quarantine),
         cmocka_unit_test(test_connection_reset_does_not_quarantine),
+        cmocka_unit_test(
+            test_a_crash_has_another_id_than_what_any_node_has_dismissed),
         cmocka_unit_test(test_full_table_keeps_the_quarantined),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/node/src/poison_guard.c
+++ b/packages/node/src/poison_guard.c
@@ -10,8 +10,7 @@
 
 struct backend_row {
     char incarnation[SasModel_NAME_SIZE]; /* in its last probe answer */
-    int resets; /* lost connections of this incarnation without a crash */
-    uint64_t unconfirmed_crash; /* awaits a probe; 0: none */
+    uint64_t unconfirmed_crash;           /* awaits a probe; 0: none */
     int64_t lost_at;
 };
 
@@ -92,7 +91,7 @@
     const char *name = guard->model->backends[backend].name;
     int64_t now = get_now(guard);
     uint64_t crash =
-        SasQuarantine_HashCrash(name, row->incarnation, row->resets);
+        SasQuarantine_ChooseCrash(&guard->core, name, row->incarnation, now);
     SasQuarantine_Suspect(&guard->core, fingerprint, crash, isolated, now);
     SasMetrics_Add(guard->metrics, guard->suspected_counter, 1);
     SasLog_Write(SasLog_WARN, "guard.suspect", name,
@@ -124,7 +123,6 @@
     bool same = strcmp(row->incarnation, report->incarnation) == 0;
     if (row->unconfirmed_crash != 0 && report->asked_at >= row->lost_at) {
         if (same) {
-            row->resets++;
             SasQuarantine_Dismiss(&guard->core, row->unconfirmed_crash,
                                   get_now(guard));
             SasMetrics_Add(guard->metrics, guard->dismissed_counter, 1);
@@ -135,7 +133,6 @@
     if (!same) {
         g_strlcpy(row->incarnation, report->incarnation,
                   sizeof(row->incarnation));
-        row->resets = 0;
     }
 }
 
