--- a/packages/core/include/sas/split.h
+++ b/packages/core/include/sas/split.h
@@ -14,11 +14,11 @@
  *
  * A part may be short of room, so that some of its requests are refused. Their
  * callers come back as new requests, mostly at other entry VMs, and are picked
- * for anew; by that the other parts would get what doesn't fit. So a part
- * whose share of what has run is too far below its weight gets all requests
- * until it is not, and the others refuse none but get fewer. A part that
- * refuses nearly all is out of order rather than short of room: nothing waits
- * for it.
+ * for anew; by that the other parts would get what doesn't fit. So a part that
+ * refuses, and whose share of what has run is too far below its weight, gets
+ * all requests until it is not: what it has no room for is refused, and the
+ * others get less. A part that refuses nearly everything is out of order
+ * rather than short of room, and the others don't wait for it.
  */
 #ifndef SAS_SPLIT_H
 #define SAS_SPLIT_H
--- a/packages/gateway/src/relay_choose.c
+++ b/packages/gateway/src/relay_choose.c
@@ -454,9 +454,10 @@
     int slots[SasOwner_MAX_CANDIDATES];
     int count =
         SasOwner_Rank(fleet, &query, now_ms, slots, SasOwner_MAX_CANDIDATES);
-    struct refusal unusable =
-        count == 0 ? get_unavailable_refusal(call, now_ms)
-                   : (struct refusal){"no server", SasRelay_RETRY_AFTER_MS};
+    struct refusal unusable = {"no server", SasRelay_RETRY_AFTER_MS};
+    if (count == 0) {
+        unusable = get_unavailable_refusal(call, now_ms);
+    }
     count = filter_usable(call, slots, count, now_ms, &unusable);
     count = avoid_unresponsive(call, slots, count, now_ms);
     count = avoid_grey_failure(call, slots, count, now_ms);
