What a server says of itself is applied without a call back into the relay

relay_notice.c called relay_via.c and relay.c, which call it: one more file in the ring of relay files. The time is passed in now, and relay_attempt.c adds the field for another entry VM.

--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -475,7 +475,10 @@
     if (reusable) {
         SasPool_Release(pooled, call->keep_alive_ms);
     }
-    SasRelay_NoteNotice(call);
+    SasRelay_NoteNotice(call, now_ms);
+    if (call->says_leaving && call->relayed && call->status != 421) {
+        SasRelay_AddLeaving(call);
+    }
     bool not_run = call->not_run || call->status == 421;
     call->retry_same_server =
         call->not_run && call->status != 421 && call->pause_ms == 0 &&
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -211,8 +211,8 @@
  * NoteLeaving: the server of the call's answer is leaving. */
 void SasRelay_ReadNotice(struct relay_call *call,
                          const struct sas_http_header *headers, int count);
-void SasRelay_NoteNotice(struct relay_call *call);
-void SasRelay_NoteLeaving(struct relay_call *call);
+void SasRelay_NoteNotice(const struct relay_call *call, int64_t now_ms);
+void SasRelay_NoteLeaving(const struct relay_call *call);
 /* Time until the first of the servers that the request may go to is past the
  * pause that it has asked for; 0: none has. */
 int64_t SasRelay_GetPauseLeftMs(const struct relay_call *call, int64_t now_ms);
--- a/packages/gateway/src/relay_notice.c
+++ b/packages/gateway/src/relay_notice.c
@@ -81,22 +81,18 @@
 }
 
 void
-SasRelay_NoteLeaving(struct relay_call *call)
+SasRelay_NoteLeaving(const struct relay_call *call)
 {
     if (SasServerNotice_SetLeaving(SasFleet_GetNotice(
             call->relay->options.fleet, call->server_start))) {
         log_leaving(call);
     }
-    if (call->relayed) {
-        SasRelay_AddLeaving(call);
-    }
 }
 
 static void
-note_pause(const struct relay_call *call)
+note_pause(const struct relay_call *call, int64_t now_ms)
 {
     struct sas_relay *relay = call->relay;
-    int64_t now_ms = SasRelay_Now(relay);
     if (call->pause_ms > 0) {
         struct sas_server_notice *notice =
             SasFleet_GetNotice(relay->options.fleet, call->server_start);
@@ -114,7 +110,7 @@
 }
 
 void
-SasRelay_NoteNotice(struct relay_call *call)
+SasRelay_NoteNotice(const struct relay_call *call, int64_t now_ms)
 {
     if (call->status == 421) {
         return; /* of the server that has the address now */
@@ -122,7 +118,7 @@
     if (call->says_leaving) {
         SasRelay_NoteLeaving(call);
     }
-    note_pause(call);
+    note_pause(call, now_ms);
 }
 
 int64_t
