--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -233,7 +233,7 @@
         self.taken = 0    # requests that run or wait
         self.running = 0
         self.runs = []    # ids, in the order of their start
-        self.abandoned = []  # (id, seconds of work after the close)
+        self.spans = []   # id, start and end of each run
         self.sequence = 0
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.port = self.listener.getsockname()[1]
@@ -316,10 +316,12 @@
                 self.runs.append(request.id)
             self.record.write("server %s runs %s %s %s", self.name,
                               request.method, request.target, request.id)
+            began = time.monotonic()
             left = self.work(conn)
             with self.lock:
                 self.running -= 1
                 self.taken -= 1
+                self.spans.append((request.id, began, time.monotonic()))
         if left:
             self.record.write("server %s drops %s: its connection closed",
                               self.name, request.id)
