--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 
 from fleet import Clients, Fleet, SEAL, route, trouble  # noqa: E402
 
-LENGTH_S = 60
+LENGTH_S = 90
 ROUND_S = 9.0
 # No more than the largest doses of the site file: refusals of 0.55 for 8.5 s,
 # second answers of 0.03 at 0.6 of the servers for 5 s. With fewer refusals
@@ -47,25 +47,27 @@
 
 
 def judge(fleet, clients):
-    """Returns the number of broken rules, and records them."""
-    broken = 0
+    """Returns how often TWICE was broken; also records breaks of REFUSED."""
+    twice = 0
+    refused = 0
     for request_id, count in fleet.count_runs().items():
         if count > 1:
             fleet.record.say("TWICE: %s ran %d times", request_id, count)
-            broken += 1
+            twice += 1
         answer = clients.answers.get(request_id)
         if answer is not None and answer.status in PROMISES:
             fleet.record.say("REFUSED: %s was answered %d and has run",
                              request_id, answer.status)
-            broken += 1
+            refused += 1
     good = [a for a in clients.answers.values()
             if a is not None and a.status == 200 and SEAL.lower() in
             a.headers]
-    fleet.record.say("%d requests sent, %d answered with success, %d rules "
-                     "broken", len(clients.sent), len(good), broken)
+    fleet.record.say("%d requests sent, %d answered with success; %d ran "
+                     "twice, %d were refused and ran", len(clients.sent),
+                     len(good), twice, refused)
     if not good:
         raise RuntimeError("no request was served")
-    return broken
+    return twice
 
 
 def main():
