A connection to a server carries a request's id once

Cause: an answer was told by the request's id alone, though two attempts of a request have the same. A server refuses a request, it is sent once more on the same connection, and there the second copy of the refusal comes first. Beside it a refusal without an id was taken by any request: the 400 of a request without id, sent twice, did the same.

Why this works: what tells an answer is a fact of the connection. An answer must name the id of its request; a request without one closes its connection, as nothing tells its answers apart.

The stand-in server refuses requests without an id, as the pages say, and sends second copies when later requests arrive.

--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "sas/carried_ids.h"
+
 #define PROBE_CHECK_MS 50
 
 struct sas_pooled {
@@ -9,6 +11,8 @@
     struct sas_pool *pool;
     struct sas_http_conn *conn;
     struct sas_server_ref server;
+    struct sas_carried_ids carried;
+    bool unidentified; /* its request has no id */
     bool idle;
     int64_t idle_since;
     int64_t idle_limit_ms;
@@ -35,6 +39,7 @@
     g_ptr_array_remove(list, pooled);
     struct sas_pool *pool = pooled->pool;
     struct sas_pool_probe *probe = pooled->probe;
+    SasCarriedIds_Close(&pooled->carried);
     g_free(pooled);
     if (probe != NULL) {
         pool->probe_count--;
@@ -129,8 +134,8 @@
 }
 
 static struct sas_pooled *
-find_idle(GPtrArray *list, struct sas_server_ref server, int64_t now_ms,
-          int64_t max_idle_ms)
+find_idle(GPtrArray *list, struct sas_server_ref server,
+          const char *request_id, int64_t now_ms, int64_t max_idle_ms)
 {
     /* The most recently used one, so that surplus ones reach their idle limit
      * and are closed. */
@@ -138,6 +143,7 @@
         struct sas_pooled *pooled = list->pdata[i - 1];
         if (pooled->idle && pooled->server.generation == server.generation &&
             now_ms - pooled->idle_since <= max_idle_ms &&
+            !SasCarriedIds_Has(&pooled->carried, request_id, now_ms) &&
             SasHttp_IsIdle(pooled->conn)) {
             g_ptr_array_remove_index(list, i - 1);
             return pooled;
@@ -170,12 +176,14 @@
 }
 
 struct sas_pooled *
-SasPool_Acquire(struct sas_pool *pool, int slot, int64_t max_idle_ms)
+SasPool_Acquire(struct sas_pool *pool, int slot, const char *request_id,
+                int64_t max_idle_ms)
 {
     GPtrArray *list = get_list(pool, slot);
     struct sas_server_ref server = SasFleet_GetRef(pool->fleet, slot);
     int64_t now_ms = (int64_t)uv_now(pool->loop);
-    struct sas_pooled *pooled = find_idle(list, server, now_ms, max_idle_ms);
+    struct sas_pooled *pooled =
+        find_idle(list, server, request_id, now_ms, max_idle_ms);
     if (pooled != NULL) {
         pooled->was_idle_ms = now_ms - pooled->idle_since;
     }
@@ -183,6 +191,8 @@
         pooled = open_new(pool, slot);
     }
     pooled->idle = false;
+    pooled->unidentified = request_id[0] == '\0';
+    SasCarriedIds_Note(&pooled->carried, request_id, now_ms);
     g_ptr_array_add(list, pooled);
     return pooled;
 }
@@ -242,7 +252,8 @@
 SasPool_Release(struct sas_pooled *pooled, int64_t keep_alive_ms)
 {
     struct sas_pool *pool = pooled->pool;
-    if (SasFleet_GetServer(pool->fleet, pooled->server) == NULL) {
+    if (SasFleet_GetServer(pool->fleet, pooled->server) == NULL ||
+        pooled->unidentified) {
         SasHttp_Close(pooled->conn);
         return;
     }
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -5,6 +5,11 @@
  * when it closes. The pool closes an idle connection shortly before its server
  * would: if a request crosses the server's close, nobody can tell whether it
  * ran.
+ *
+ * It also sees to it that the request's id tells its answer from all others on
+ * the connection (see sas/carried_ids.h). An answer without an id can't be
+ * told from another one; so a connection that has carried a request without an
+ * id is not used again.
  */
 #ifndef SAS_POOL_H
 #define SAS_POOL_H
@@ -32,8 +37,10 @@
 #define SasPool_TRUSTED_IDLE_MS 250
 
 /* A connection for one request to the server at the slot of the fleet table:
- * the latest one that has been idle for at most max_idle_ms, or a new one. */
+ * the latest one that has been idle for at most max_idle_ms and hasn't carried
+ * the id, or a new one. request_id: "" if the request has none. */
 struct sas_pooled *SasPool_Acquire(struct sas_pool *pool, int slot,
+                                   const char *request_id,
                                    int64_t max_idle_ms);
 
 /* How long it had been idle when it was acquired; 0: it was new. */
@@ -42,7 +49,7 @@
 
 /* After a whole answer. keep_alive_ms is the server's timeout for idle
  * connections, 0 if it states none. Closes the connection if the server has
- * left the fleet. */
+ * left the fleet, or the request had no id. */
 void SasPool_Release(struct sas_pooled *pooled, int64_t keep_alive_ms);
 
 /* Closes it, along with the request on it. */
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -130,8 +130,8 @@
     struct sas_http_request request =
         SasRelay_MakeRequest(call, headers, count);
     call->listener.vtable = &listener_vtable;
-    call->pooled =
-        SasPool_Acquire(relay->options.pool, slot, get_max_idle(call, now_ms));
+    call->pooled = SasPool_Acquire(relay->options.pool, slot, call->request_id,
+                                   get_max_idle(call, now_ms));
     call->conn_idle_ms = SasPool_GetIdleMs(call->pooled);
     call->conn_opened_at = SasHttp_GetOpenedAt(SasPool_GetConn(call->pooled));
     SasHttp_Send(SasPool_GetConn(call->pooled), &request, left_ms,
@@ -276,13 +276,11 @@
     const struct sas_entry_wire *wire = call->relay->options.wire;
     const char *id =
         SasHttp_FindHeader(headers, header_count, wire->request_id);
-    /* A duplicate answer to an earlier request may arrive first. Its request
-     * id differs; without this check a caller could get another's data. A
-     * server that refuses a request may omit the id. */
-    bool refused = SasHttp_FindHeader(headers, header_count, wire->not_run) ||
-                   status == 421;
-    if ((id != NULL && strcmp(id, call->request_id) != 0) ||
-        (id == NULL && !refused && call->request_id[0] != '\0')) {
+    /* A second answer to an earlier request may arrive first, and a caller
+     * could get another's data, or an attempt the refusal of the one before
+     * it. The connection carries an id once, and only a request without one is
+     * answered without. */
+    if (strcmp(id != NULL ? id : "", call->request_id) != 0) {
         SasHttp_SkipAnswer(SasPool_GetConn(call->pooled));
         SasLog_WriteFields(SasLog_WARN, "attempt.stray", call->server_id,
                            "{s:s, s:s, s:s}", "request", call->request_id,
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -1,7 +1,7 @@
 """Stand-ins for backend servers as the users' platform describes them.
 
-A `Worker` listens on a loopback port, rejects requests addressed to another
-server (421), runs the others in its slots and seals the answers of those.
+A `Worker` listens on a loopback port, rejects requests without an id (400) or
+addressed to another server (421), runs the others in its slots and seals the answers of those.
 It runs on threads of the test's own process and records what it ran.
 Behaviour is set by attributes:
 
@@ -17,9 +17,13 @@
                  requests are refused
     poison       targets whose requests crash the server when they start: it
                  resets all connections and accepts none for down_s
+    copies       called with the status of each answer: None, or the number of
+                 requests that arrive on the connection, after the next one,
+                 before a second copy of the answer is sent
     faults       list of faults; each request for this server consumes the
                  first one:
                  "shed"       503, not executed
+                 "busy"       429, not executed
                  "cut"        runs, then closes without an answer
                  "late-extra" answers, and 100 ms later sends an unsolicited
                               second answer
@@ -78,6 +82,9 @@
         self.held = threading.Event()
         self.held.set()
         self.faults = []
+        self.copies = lambda status: None
+        self.late = {}       # connection -> [requests to wait for, bytes]
+        self.copied = 0      # second copies that were sent
         self.limit = None  # requests/s that it names in its answers
         self.sheds = False
         self.leaving = False
@@ -177,10 +184,26 @@
         finally:
             with self.lock:
                 self.connections.discard(connection)
+                self.late.pop(connection, None)
             connection.close()
 
+    def send_copies(self, connection):
+        """A request has arrived: sends the copies that are due."""
+        late = self.late.get(connection, [])
+        for copy in list(late):
+            copy[0] -= 1
+            if copy[0] < 0:
+                late.remove(copy)
+                self.copied += 1
+                connection.sendall(copy[1])
+
     def handle(self, connection, reader, method, target, headers):
         """Serves one request; false if the connection is to be closed."""
+        self.send_copies(connection)
+        if ID.lower() not in headers:
+            reader.read(int(headers.get("content-length", 0)))
+            self.answer(connection, 400, b"", headers, not_run=True)
+            return True
         if headers.get("x-sassafrassill-target-instance") != self.name:
             reader.read(int(headers.get("content-length", 0)))
             self.refused.append(headers.get(ID.lower(), ""))
@@ -201,11 +224,12 @@
             self.heard.append(request)
             if self.sheds and self.running >= self.slot_count:
                 fault = "shed"
-            if fault != "shed" and rest is None:
+            refused = fault in ("shed", "busy") or rest is not None
+            if not refused:
                 self.ran.append(request)
-        if fault == "shed" or rest is not None:
-            self.answer(connection, 503, b"", headers, not_run=True,
-                        rest=rest)
+        if refused:
+            self.answer(connection, 429 if fault == "busy" else 503, b"",
+                        headers, not_run=True, rest=rest)
             return True
         if target in self.poison:
             self.crash()
@@ -254,9 +278,10 @@
                not_run=False, rest=None):
         lines = ["HTTP/1.1 %d Answer" % status,
                  "Content-Length: %d" % len(body),
-                 "%s: %s" % (ID, headers.get(ID.lower(), "")),
                  "X-Sassafrassill-Server-Load: %d,0,%d" %
                  (self.running, self.slot_count)]
+        if ID.lower() in headers:
+            lines.append("%s: %s" % (ID, headers[ID.lower()]))
         if self.limit is not None:
             lines.append("X-Sassafrassill-Server-Limit: %s" % self.limit)
         if self.leaving:
@@ -269,4 +294,8 @@
             lines.append("%s: s-%s" % (SEAL, self.name))
         if not_run:
             lines.append("X-Sassafrassill-Not-Executed: 1")
-        connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        text = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        connection.sendall(text)
+        wait_for = self.copies(status)
+        if wait_for is not None:
+            self.late.setdefault(connection, []).append([wait_for, text])
