A request that is given up is reset, not closed in order

Cause: a connection with a request on it was closed in order when the request was given up. The kernel then goes on sending what the peer hasn't acknowledged; what a cut held up arrived after the cut.

The socket is set to reset from the connect on, and only a connection whose answer has ended is closed in order; so the kernel resets too when the process is killed.

Ruled out: an entry VM that hasn't heard of the evacuation, and a second one that sends it late (the trace names the caller's own, which had ended the request 6 s before).

The stand-in server takes a reset for its caller's leaving, as it took an orderly close. The soak's proxy moves to the stand-ins.

--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -4,6 +4,10 @@
  * time, without pipelining. Bytes after the end of an answer close the
  * connection, so that they can't be taken for a part of the next answer.
  *
+ * A connection that closes before the answer has ended is reset: the peer gets
+ * nothing more of a request that was given up. That holds also if the process
+ * is killed.
+ *
  * An answer is whole only if its length or its last chunk shows it. A
  * close-delimited answer (RFC 9112, 6.3) ends with whole == false.
  */
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -84,6 +84,20 @@
     }
 }
 
+/* With it set, a close resets the connection and drops what the peer hasn't
+ * acknowledged, also the close by the kernel when the process ends. In an
+ * orderly close the kernel goes on sending: a request that a broken link has
+ * held up would arrive and run long after its caller has got 504. */
+static void
+set_reset_on_close(const uv_tcp_t *tcp, bool reset)
+{
+    uv_os_fd_t fd;
+    struct linger linger = {.l_onoff = reset, .l_linger = 0};
+    if (uv_fileno((const uv_handle_t *)tcp, &fd) == 0) {
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    }
+}
+
 struct sas_http_conn *
 SasHttp_Connect(uv_loop_t *loop, const struct sas_address *address,
                 int64_t connect_timeout_ms,
@@ -117,6 +131,7 @@
     }
     uv_tcp_nodelay(&conn->tcp, 1);
     set_unacked_limit(&conn->tcp);
+    set_reset_on_close(&conn->tcp, true);
     return conn;
 }
 
@@ -139,6 +154,9 @@
     if (conn->state == CONN_CLOSING) {
         return;
     }
+    if (conn->state == CONN_IDLE) {
+        set_reset_on_close(&conn->tcp, false);
+    }
     conn->state = CONN_CLOSING;
     conn->listener = NULL;
     uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
@@ -380,15 +398,15 @@
     uv_timer_stop(&conn->timer);
     reusable = reusable && whole && !conn->writing &&
                http_should_keep_alive(&conn->parser);
-    if (reusable) {
-        /* The listener may have paused reading during the last bytes; the next
-         * request on this connection would never get its answer. */
-        if (conn->paused) {
-            SasHttp_Resume(conn);
-        }
+    /* The listener may have paused reading during the last bytes; the next
+     * request on this connection would never get its answer. */
+    if (reusable && conn->paused) {
+        SasHttp_Resume(conn);
+    }
+    if (!conn->writing) {
         conn->state = CONN_IDLE;
     }
-    else {
+    if (!reusable) {
         SasHttp_Close(conn);
     }
     listener->vtable->on_end(listener, whole, reusable);
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -2,11 +2,17 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "sas/http.h"
 
+#define LARGE_BODY (8 * 1024 * 1024) /* more than sockets hold */
+#define GIVE_UP_MS 50
+
 /* A server that accepts one connection and answers every read from it with
  * fixed bytes; close_after closes it after the first answer. */
 struct server {
@@ -433,6 +439,135 @@
     assert_int_equal(error.code, SAS_EUNAVAILABLE);
 }
 
+/* A server that accepts connections and reads nothing: what is sent to it is
+ * held up. */
+static int
+listen_unread(struct sas_address *address)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET};
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(at);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(bind(fd, (struct sockaddr *)&at, size), 0);
+    assert_int_equal(listen(fd, 8), 0);
+    getsockname(fd, (struct sockaddr *)&at, &size);
+    g_strlcpy(address->ip, "127.0.0.1", sizeof(address->ip));
+    address->port = ntohs(at.sin_port);
+    return fd;
+}
+
+/* Reads to the end of a connection; returns the error it ends with, 0 if it
+ * was closed in order. */
+static int
+read_to_end(int listener)
+{
+    static char bytes[65536];
+    int fd = accept(listener, NULL, NULL);
+    assert_true(fd >= 0);
+    ssize_t count = 1;
+    while (count > 0) {
+        count = recv(fd, bytes, sizeof(bytes), 0);
+    }
+    int cause = count < 0 ? errno : 0;
+    close(fd);
+    close(listener);
+    return cause;
+}
+
+/* Sends a large request that the server doesn't read. on_sent gets the
+ * connection as soon as a part of it may have gone out; NULL: the request is
+ * given up by its timeout. Returns what the server sees at the end. */
+static int
+give_up(void (*on_sent)(struct sas_http_conn *conn))
+{
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    struct sas_address address;
+    int listener = listen_unread(&address);
+    struct server none = {.conn.data = NULL};
+    uv_tcp_init(&loop, &none.listener);
+    struct client client = {
+        .listener.vtable = &client_vtable,
+        .owner.on_closed = client_closed,
+        .server = &none,
+        .body = g_string_new(NULL),
+    };
+    g_autofree char *body = g_malloc0(LARGE_BODY);
+    struct sas_http_request request = {.method = "POST",
+                                       .target = "/",
+                                       .body = body,
+                                       .body_size = LARGE_BODY};
+    client.conn = SasHttp_Connect(&loop, &address, 5000, &client.owner);
+    SasHttp_Send(client.conn, &request, GIVE_UP_MS, &client.listener);
+    uv_run(&loop, UV_RUN_ONCE);
+    if (on_sent != NULL) {
+        on_sent(client.conn);
+        stop_server(&none);
+    }
+    uv_run(&loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&loop), 0);
+    assert_int_equal(client.closes, 1);
+    g_string_free(client.body, TRUE);
+    return read_to_end(listener);
+}
+
+/* Guards against a request that runs after its caller has got 504: a broken
+ * link holds it up, and the kernel delivers it after an orderly close. */
+static void
+test_a_request_that_times_out_is_reset(void **state)
+{
+    (void)state;
+    assert_int_equal(give_up(NULL), ECONNRESET);
+}
+
+/* The same where the caller has left, or another server has answered. */
+static void
+test_a_request_that_is_dropped_is_reset(void **state)
+{
+    (void)state;
+    assert_int_equal(give_up(SasHttp_Close), ECONNRESET);
+}
+
+/* Guards against servers that see resets of connections on which nothing is
+ * pending. */
+static void
+test_a_connection_whose_request_was_answered_closes_in_order(void **state)
+{
+    (void)state;
+    static const struct sas_http_listener_vtable vtable = {
+        client_head, client_body, client_end_keep_open, client_fail};
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 0\r\n\r\n";
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    struct sas_address address;
+    int listener = listen_unread(&address);
+    struct client client = {
+        .listener.vtable = &vtable,
+        .owner.on_closed = client_closed,
+        .body = g_string_new(NULL),
+    };
+    struct sas_http_request request = {.method = "GET", .target = "/"};
+    client.conn = SasHttp_Connect(&loop, &address, 5000, &client.owner);
+    SasHttp_Send(client.conn, &request, 5000, &client.listener);
+    uv_run(&loop, UV_RUN_ONCE);
+    int fd = accept(listener, NULL, NULL);
+    char bytes[4096];
+    assert_true(recv(fd, bytes, sizeof(bytes), 0) > 0);
+    assert_int_equal(send(fd, answer, strlen(answer), 0), strlen(answer));
+    while (client.ends + client.fails == 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    assert_true(client.reusable);
+    SasHttp_Close(client.conn);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&loop), 0);
+    assert_int_equal(recv(fd, bytes, sizeof(bytes), 0), 0);
+    close(fd);
+    close(listener);
+    g_string_free(client.body, TRUE);
+}
+
 int
 main(void)
 {
@@ -447,6 +582,10 @@
         cmocka_unit_test(test_a_paused_answer_leaves_the_connection_readable),
         cmocka_unit_test(test_a_connection_closed_by_its_server_is_not_idle),
         cmocka_unit_test(test_refused_connection_sent_nothing),
+        cmocka_unit_test(test_a_request_that_times_out_is_reset),
+        cmocka_unit_test(test_a_request_that_is_dropped_is_reset),
+        cmocka_unit_test(
+            test_a_connection_whose_request_was_answered_closes_in_order),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -22,6 +22,7 @@
 
 from cut_links import LinkCutter  # noqa: E402
 from harness import BUILD, exchange, wait_until  # noqa: E402
+from proxy import Proxy  # noqa: E402
 from rows import RowStore  # noqa: E402
 from workers import ID, SEAL, Worker  # noqa: E402
 
@@ -300,6 +301,6 @@
     return wait_until(condition, what, limit_s)
 
 
-__all__ = ["BUILD", "Fleet", "HOST", "ID", "SEAL", "exchange",
+__all__ = ["BUILD", "Fleet", "HOST", "ID", "Proxy", "SEAL", "exchange",
            "format_request", "block_signals", "signal", "socket", "time",
            "wait_for"]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -62,6 +62,8 @@
 CALLERS = [Caller] * 6 + [Pipeliner] * 3 + \
     [SlowReader] * 2 + [KeepAliveCaller] * 3 + [NewConnectionCaller] * 2
 TARGET_HEADER = "x-sassafrassill-target-instance"
+LATE_S = 0.5  # after a request's end nothing of it may begin
+SERVER_SLACK_S = 0.5  # how late a server may note a request
 STOP_CLEAR_S = 4  # without unplanned faults, before and after a stop
 # Crashes that a poison request may cause after the third: attempts in flight
 # at other entry VMs, and a coordinator that died with its counts.
@@ -142,7 +144,8 @@
 
     def disrupt_link(self):
         name = self.rng.choice(sorted(self.proxies))
-        mode = self.rng.choice(("delay", "silent", "deaf", "refuse", "reset"))
+        mode = self.rng.choice(("delay", "silent", "deaf", "refuse", "reset",
+                                "held"))
         self.log("link %s %s" % (name, mode))
         proxy = self.proxies[name]
         if mode == "reset":
@@ -486,6 +489,17 @@
                     yield "%s %s ran at %s" % (attempt.path, attempt.id,
                                                service)
 
+    def check_late_runs(self):
+        """Nothing of a request begins after its caller has left or has its
+        answer."""
+        runs = self.collect_runs()
+        for attempt in self.attempts:
+            for request in runs.get(attempt.id, []):
+                late_s = request.at - attempt.ended_at
+                if attempt.ended_at and late_s > LATE_S + SERVER_SLACK_S:
+                    yield "%s %s began %.3f s after its end" % (
+                        attempt.path, attempt.id, late_s)
+
     def check_versions(self):
         """Versions of configurations and of sheets rise in each process."""
         for vm in self.fleet.vms:
@@ -566,6 +580,7 @@
     def check(self):
         found = []
         for check in (self.check_answers, self.check_runs,
+                      self.check_late_runs,
                       self.check_versions, self.check_sheets,
                       self.check_poison, self.check_stops,
                       self.check_losses, self.check_exits):
--- a/tests/soak/proxy.py
+++ b/tests/standins/proxy.py
@@ -5,6 +5,8 @@
     ""         relays bytes
     "delay"    relays bytes after delay_s
     "silent"   keeps connections open and relays nothing in either direction
+    "held"     the same, as a link that is cut: a connection that its sender
+               resets meanwhile loses what was held up
     "deaf"     relays what the client sends and holds back the answers
     "refuse"   closes new connections at once
 `reset()` resets all connections.
@@ -92,10 +94,12 @@
         for number in sockets:
             poller.register(number, select.POLLIN)
         while not self.stopped:
-            for number, _ in poller.poll(50):
+            for number, events in poller.poll(50):
                 source = sockets[number]
                 peer = server if source is client else client
-                if self.mode == "silent" or (self.mode == "deaf" and
+                if self.mode == "held" and events & select.POLLERR:
+                    raise ConnectionResetError
+                if self.mode in ("silent", "held") or (self.mode == "deaf" and
                                              source is server):
                     time.sleep(0.02)
                     continue
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -248,6 +248,9 @@
                         return False
                 except BlockingIOError:
                     pass
+                except ConnectionResetError:
+                    self.left.append(request.id)
+                    return False
                 finally:
                     connection.setblocking(True)
             self.running -= 1
