Reading goes on while a caller's requests wait

Cause: with 32 pending requests the connection was not read, and its end is only seen by reading. The limit on what is started also decided what is noticed.

Why this works: reading never stops. Beyond 32 pending, bytes are kept unparsed with the time at which they were read, up to 512 kB a connection and the limit of all request bodies; what exceeds that is refused with 503 after the answers before it, and discarded, so the end is seen behind that too.

Ruled out: that cancelling stops halfway (nothing was cancelled); servers that don't notice (they do with 31). Tried: POLLRDHUP while reading is stopped, not seen while the peer's last bytes don't fit into the socket.

--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -2,8 +2,8 @@
  *
  * Pipelined requests are passed to the handler as soon as each is complete, so
  * that they run concurrently; their answers are sent in the order of the
- * requests. Reading continues while requests run, so that a caller that closes
- * its connection is noticed at once.
+ * requests. Reading continues while requests run or wait, so that a caller
+ * that closes its connection is noticed at once, whatever it has sent before.
  *
  * An exchange is one request, with its whole body in memory, and its answer.
  * It belongs to the handler from on_request until SasHttpExchange_Reply or
@@ -13,8 +13,8 @@
  * The server itself answers requests that it can't pass on, and closes their
  * connection: 400 (malformed), 408 (the head took longer than
  * header_timeout_ms), 413 (body_bytes exceeded), 431 (header_bytes or
- * SasHttp_MAX_HEADERS exceeded) and 503 with Retry-After: 1 (bodies_bytes
- * exceeded).
+ * SasHttp_MAX_HEADERS exceeded) and 503 with Retry-After: 1 (bodies_bytes or
+ * SasHttpServer_MAX_AHEAD exceeded).
  *
  * Times are milliseconds of the loop's clock. The idle and header timeouts are
  * checked every 250 ms.
@@ -32,18 +32,22 @@
 #include "sas/http_head.h"
 #include "sas/model.h"
 
-/* Reading from a connection pauses while it has this many exchanges; the rest
- * of its bytes wait in the socket. Checked after each read of up to 64 kB, so
- * short pipelined requests may exceed it. */
+/* While a connection has this many exchanges, further requests wait; they are
+ * read, so that the caller's leaving is seen behind them. Checked after each
+ * read of up to 64 kB, so short pipelined requests may exceed it. */
 #define SasHttpServer_MAX_PIPELINE 32
 
+/* Memory of the requests that wait on a connection, bytes: over 1,000 small
+ * ones. */
+#define SasHttpServer_MAX_AHEAD (512 * 1024)
+
 struct sas_http_server;
 struct sas_http_exchange;
 
 struct sas_http_server_limits {
     size_t header_bytes; /* of the target; also of all names and values */
     size_t body_bytes;   /* of one request */
-    size_t bodies_bytes; /* of all requests in memory */
+    size_t bodies_bytes; /* of all requests in memory, read ahead or not */
     /* From the first byte of a request to the end of its head. */
     int64_t header_timeout_ms;
     /* Between two requests, or while the caller reads nothing of an answer;
@@ -141,7 +145,7 @@
                                        const char *name);
 const char *SasHttpExchange_GetBody(const struct sas_http_exchange *e,
                                     size_t *size);
-/* When the first byte of the request was read. */
+/* When the first byte of the request was read from the socket. */
 int64_t SasHttpExchange_GetReceivedAt(const struct sas_http_exchange *e);
 
 /* A pointer of the handler's own, initially NULL. */
--- a/packages/net/src/http_exchange.c
+++ b/packages/net/src/http_exchange.c
@@ -114,7 +114,7 @@
 {
     struct sas_http_exchange *e = g_new0(struct sas_http_exchange, 1);
     e->connection = c;
-    e->began_at = (int64_t)uv_now(c->server->loop);
+    e->began_at = c->read_at;
     e->target = g_string_new(NULL);
     e->body = g_string_new(NULL);
     SasHttpHead_Init(&e->head);
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -42,6 +42,19 @@
     }
 }
 
+void
+SasHttpServer_OnResume(uv_idle_t *resume)
+{
+    struct sas_http_server *server = resume->data;
+    uv_idle_stop(resume);
+    struct sas_http_server_conn *c = server->connections;
+    while (c != NULL) {
+        struct sas_http_server_conn *next = c->next;
+        SasHttpServerConn_Resume(c);
+        c = next;
+    }
+}
+
 static void
 on_server_handle_closed(uv_handle_t *handle)
 {
@@ -72,8 +85,10 @@
     uv_tcp_init(loop, &server->listener);
     uv_timer_init(loop, &server->sweep);
     server->listener.data = server;
+    uv_idle_init(loop, &server->resume);
     server->sweep.data = server;
-    server->open_handles = 2;
+    server->resume.data = server;
+    server->open_handles = 3;
     int rc = uv_tcp_bind(&server->listener, (struct sockaddr *)&storage, 0);
     if (rc == 0) {
         rc = uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
@@ -100,6 +115,7 @@
     }
     uv_close((uv_handle_t *)&server->listener, on_server_handle_closed);
     uv_close((uv_handle_t *)&server->sweep, on_server_handle_closed);
+    uv_close((uv_handle_t *)&server->resume, on_server_handle_closed);
 }
 
 int
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -62,14 +62,19 @@
     g_free(write);
 }
 
+static bool
+is_full(const struct sas_http_server_conn *c)
+{
+    return c->pending >= SasHttpServer_MAX_PIPELINE;
+}
+
+/* Requests that wait are parsed in the loop's next iteration: the caller of
+ * SasHttpExchange_Reply must not get requests before it returns. */
 static void
-resume_reading(struct sas_http_server_conn *c)
+schedule_resume(struct sas_http_server_conn *c)
 {
-    if (c->paused && c->pending < SasHttpServer_MAX_PIPELINE) {
-        c->paused = false;
-        c->head_since = (int64_t)uv_now(c->server->loop);
-        uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
-    }
+    c->head_since = (int64_t)uv_now(c->server->loop);
+    uv_idle_start(&c->server->resume, SasHttpServer_OnResume);
 }
 
 /* While draining, the answer to the last request closes the connection. If
@@ -79,8 +84,8 @@
 is_closing_answer(const struct sas_http_exchange *e)
 {
     const struct sas_http_server_conn *c = e->connection;
-    return !e->keep_alive ||
-           (c->server->draining && e->next == NULL && c->reading == NULL);
+    return !e->keep_alive || (c->server->draining && e->next == NULL &&
+                              c->reading == NULL && c->ahead.size == 0);
 }
 
 static void
@@ -107,6 +112,7 @@
     if (!is_answer_ready(c)) {
         return;
     }
+    bool was_full = is_full(c);
     struct write *write = g_new0(struct write, 1);
     write->connection = c;
     write->bytes = g_string_new(NULL);
@@ -129,7 +135,9 @@
         SasHttpServerConn_Close(c, SAS_HTTP_CLOSE_CALLER);
         return;
     }
-    resume_reading(c);
+    if (was_full && !is_full(c)) {
+        schedule_resume(c);
+    }
 }
 
 /* Connections. */
@@ -185,7 +193,8 @@
     struct sas_http_close_stats close_stats = {
         .end = end,
         .unsent_bytes = c->caller_closed ? 0 : count_unsent(c),
-        .unread_bytes = end == SAS_HTTP_CLOSE_CALLER ? 0 : count_unread(c),
+        .unread_bytes =
+            end == SAS_HTTP_CLOSE_CALLER ? 0 : count_unread(c) + c->ahead.size,
         .idle_ms = (int64_t)uv_now(c->server->loop) - c->active_at,
     };
     for (struct sas_http_exchange *e = c->first; e != NULL; e = e->next) {
@@ -194,6 +203,13 @@
     handler->on_closed(handler, &close_stats);
 }
 
+static void
+clear_ahead(struct sas_http_server_conn *c)
+{
+    c->server->body_bytes -= c->ahead.size;
+    SasReadAhead_Clear(&c->ahead);
+}
+
 /* Frees all exchanges; reports those that the handler hasn't answered. */
 static void
 abandon_exchanges(struct sas_http_server_conn *c,
@@ -229,6 +245,7 @@
     }
     server->connection_count--;
     report_close(c, end);
+    clear_ahead(c);
     abandon_exchanges(c, end);
     uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
 }
@@ -262,8 +279,9 @@
 bool
 SasHttpServerConn_IsBusy(const struct sas_http_server_conn *c)
 {
-    return c->first != NULL || c->state != CONNECTION_OPEN ||
-           count_unsent(c) > 0 || count_unread(c) > 0;
+    return c->first != NULL || c->ahead.size > 0 ||
+           c->state != CONNECTION_OPEN || count_unsent(c) > 0 ||
+           count_unread(c) > 0;
 }
 
 /* The idle timeout of the current state; 0: no limit. */
@@ -290,7 +308,8 @@
 static bool
 has_head_timed_out(const struct sas_http_server_conn *c, int64_t now_ms)
 {
-    return c->reading != NULL && c->reading->method == NULL && !c->paused &&
+    return c->reading != NULL && c->reading->method == NULL && !is_full(c) &&
+           c->ahead.size == 0 &&
            now_ms - c->head_since > c->server->limits.header_timeout_ms;
 }
 
@@ -363,8 +382,10 @@
 }
 
 static void
-parse(struct sas_http_server_conn *c, const char *data, size_t size)
+parse(struct sas_http_server_conn *c, const char *data, size_t size,
+      int64_t read_at)
 {
+    c->read_at = read_at;
     c->parsing = true;
     size_t used =
         http_parser_execute(&c->parser, get_parser_settings(), data, size);
@@ -377,6 +398,56 @@
     SasHttpServerConn_Flush(c);
 }
 
+/* A request that has begun to arrive is read to its end. */
+static bool
+may_parse(const struct sas_http_server_conn *c)
+{
+    return c->state == CONNECTION_OPEN && (!is_full(c) || c->reading != NULL);
+}
+
+/* Reading never stops while requests wait: only so is the end of the
+ * connection seen behind them. What is too much is refused instead. */
+static void
+read_ahead(struct sas_http_server_conn *c, const char *data, size_t size)
+{
+    struct sas_http_server *server = c->server;
+    if (c->ahead.size + size > SasHttpServer_MAX_AHEAD ||
+        server->body_bytes + size > server->limits.bodies_bytes) {
+        c->overflowed = true;
+    }
+    if (c->overflowed) {
+        return;
+    }
+    size_t before = c->ahead.size;
+    SasReadAhead_Append(&c->ahead, data, size, c->active_at);
+    server->body_bytes += c->ahead.size - before;
+}
+
+static void
+parse_next_piece(struct sas_http_server_conn *c)
+{
+    size_t before = c->ahead.size;
+    struct sas_read_ahead_piece *piece = SasReadAhead_Take(&c->ahead);
+    c->server->body_bytes -= before - c->ahead.size;
+    parse(c, (const char *)piece->bytes->data, piece->bytes->len,
+          piece->read_at);
+    SasReadAhead_FreePiece(piece);
+}
+
+void
+SasHttpServerConn_Resume(struct sas_http_server_conn *c)
+{
+    while (may_parse(c) && c->ahead.size > 0) {
+        parse_next_piece(c);
+    }
+    if (may_parse(c) && c->overflowed) {
+        refuse_request(c, 503);
+    }
+    if (c->state != CONNECTION_OPEN) {
+        clear_ahead(c); /* after the last request: discarded */
+    }
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
@@ -395,11 +466,11 @@
         return; /* after the last request: discarded */
     }
     c->active_at = (int64_t)uv_now(stream->loop);
-    parse(c, data->base, (size_t)count);
-    if (c->state == CONNECTION_OPEN &&
-        c->pending >= SasHttpServer_MAX_PIPELINE) {
-        c->paused = true;
-        uv_read_stop(stream);
+    if (may_parse(c) && c->ahead.size == 0 && !c->overflowed) {
+        parse(c, data->base, (size_t)count, c->active_at);
+    }
+    else {
+        read_ahead(c, data->base, (size_t)count);
     }
 }
 
@@ -410,7 +481,7 @@
 {
     struct sas_http_server_conn *c = parser->data;
     c->reading = SasHttpExchange_New(c);
-    c->head_since = c->reading->began_at;
+    c->head_since = (int64_t)uv_now(c->server->loop);
     c->error_status = 0;
     return 0;
 }
--- a/packages/net/src/http_server_conn.h
+++ b/packages/net/src/http_server_conn.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <http_parser.h>
 
+#include "read_ahead.h"
 #include "sas/http_server.h"
 
 enum connection_state {
@@ -43,15 +44,18 @@
     struct sas_http_exchange *first; /* oldest whose answer isn't sent */
     struct sas_http_exchange *last;
     struct sas_http_exchange *reading; /* the one being received, or NULL */
-    int64_t head_since; /* its head began to arrive, or reading resumed */
+    int64_t head_since; /* its head began to be parsed, or parsing resumed */
+    int64_t read_at;    /* when the bytes being parsed were read */
     int pending;        /* exchanges from first to last */
+    struct sas_read_ahead ahead; /* while too many are pending */
     int64_t active_at;
     size_t last_unsent; /* unsent bytes at the last check of send progress */
     enum connection_state state;
     uv_shutdown_t shutdown;
     bool caller_closed; /* end of stream; acknowledgements may be missing */
     bool parsing;     /* a buffer is being parsed; answers wait for its end */
-    bool paused;      /* reading, as too many exchanges are pending */
+    bool overflowed;  /* more was sent than is read ahead; it is discarded, and
+                         the request at its start refused */
     int error_status; /* for the request that can't be read, or 0 */
 };
 
@@ -59,24 +63,32 @@
     uv_loop_t *loop;
     uv_tcp_t listener;
     uv_timer_t sweep;
+    uv_idle_t resume; /* active while a connection may parse what it has read
+                         ahead */
     struct sas_http_server_limits limits;
     struct sas_http_handler *handler;
     struct sas_http_server_conn *connections;
     int connection_count;
     int exchange_count;
-    size_t body_bytes; /* request bodies in memory */
+    size_t body_bytes; /* in memory: request bodies, and what was read ahead */
     bool draining;
     bool closed;
     int64_t drain_idle_ms;
     int open_handles;
 };
 
+/* Resumes all connections; called by the handle of that name. */
+void SasHttpServer_OnResume(uv_idle_t *resume);
+
 /* Accepts a connection from the listener's queue. */
 void SasHttpServerConn_Accept(struct sas_http_server *server);
 
 /* Enforces the idle and header timeouts; called periodically. */
 void SasHttpServerConn_Sweep(struct sas_http_server_conn *c, int64_t now_ms);
 
+/* Parses what was read ahead, as far as few enough requests are pending. */
+void SasHttpServerConn_Resume(struct sas_http_server_conn *c);
+
 /* True if work on it is unfinished, see SasHttpServer_CountBusyConnections. */
 bool SasHttpServerConn_IsBusy(const struct sas_http_server_conn *c);
 
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -7,6 +7,7 @@
 
 #include "http_fixture.h"
 
+#define FILL_SIZE (32 * 1024)            /* bytes, at once */
 #define WINDOW 4096                      /* bytes */
 #define KERNEL_BODY ((size_t)100 * 1024) /* fits into a socket buffer */
 
@@ -64,6 +65,131 @@
     stop(f);
 }
 
+/* Sends a number of small requests, a piece of a further one and a number of
+ * large reads of more, then leaves. Expects that all that began is abandoned
+ * within two checks of the timeouts, and that nothing begins later. */
+static void
+leave_with(int requests, int reads, void (*leave)(struct fixture *f))
+{
+    struct fixture *f = start(1000);
+    for (int i = 0; i < requests; i++) {
+        write_text(f, "GET / HTTP/1.1\r\n\r\n");
+    }
+    write_and_run(f, "GET /last HTT");
+    int began = f->held_count;
+    assert_int_equal(began, requests);
+    g_autofree char *fill = g_strnfill(FILL_SIZE, 'x');
+    uv_buf_t buffer = uv_buf_init(fill, FILL_SIZE);
+    for (int i = 0; i < reads; i++) {
+        uv_try_write((uv_stream_t *)&f->client, &buffer, 1);
+        run_loop(f);
+    }
+    leave(f);
+    run_loop(f);
+    g_usleep(TWO_SWEEPS_US);
+    run_loop(f);
+    assert_int_equal(f->held_count, began);
+    assert_int_equal(f->abandoned, began);
+    assert_int_equal(SasHttpServer_CountPending(f->server), 0);
+    assert_int_equal(SasHttpServer_CountConnections(f->server), 0);
+    stop(f);
+}
+
+static void
+leave_in_order(struct fixture *f)
+{
+    uv_close((uv_handle_t *)&f->client, NULL);
+}
+
+static void
+leave_by_reset(struct fixture *f)
+{
+    uv_tcp_close_reset(&f->client, NULL);
+}
+
+/* Guards against servers that work on for a caller that has left: the end of
+ * its connection wasn't read behind many pending requests. */
+static void
+test_a_caller_that_leaves_with_many_pending_is_noticed(void **state)
+{
+    (void)state;
+    leave_with(SasHttpServer_MAX_PIPELINE - 1, 0, leave_in_order);
+    leave_with(SasHttpServer_MAX_PIPELINE + 8, 0, leave_in_order);
+    leave_with(SasHttpServer_MAX_PIPELINE + 8, 0, leave_by_reset);
+    leave_with(SasHttpServer_MAX_PIPELINE + 8, 3, leave_in_order);
+    leave_with(SasHttpServer_MAX_PIPELINE + 8, 3, leave_by_reset);
+}
+
+/* The same behind more than is read ahead. */
+static void
+test_a_caller_that_leaves_behind_unread_bytes_is_noticed(void **state)
+{
+    (void)state;
+    int reads = SasHttpServer_MAX_AHEAD / FILL_SIZE + 1;
+    leave_with(SasHttpServer_MAX_PIPELINE + 8, reads, leave_in_order);
+    leave_with(SasHttpServer_MAX_PIPELINE + 8, reads, leave_by_reset);
+}
+
+/* Guards against requests that wait behind many others and are forgotten, or
+ * get the time limit anew that their caller has been waiting for. */
+static void
+test_requests_that_wait_begin_in_turn(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    for (int i = 0; i < SasHttpServer_MAX_PIPELINE; i++) {
+        write_text(f, "GET /first HTTP/1.1\r\n\r\n");
+    }
+    run_loop(f);
+    write_and_run(f, "GET /a HTTP/1.1\r\n\r\nGET /b HT");
+    int64_t read_at = (int64_t)uv_now(&f->loop);
+    g_usleep(TWO_SWEEPS_US);
+    write_and_run(f, "TP/1.1\r\n\r\n");
+    assert_int_equal(f->held_count, SasHttpServer_MAX_PIPELINE);
+    reply(f, 0, "");
+    assert_int_equal(f->held_count, SasHttpServer_MAX_PIPELINE + 2);
+    for (int i = 0; i < 2; i++) {
+        const struct sas_http_exchange *e =
+            f->held[SasHttpServer_MAX_PIPELINE + i];
+        assert_string_equal(SasHttpExchange_GetTarget(e),
+                            i == 0 ? "/a" : "/b");
+        assert_true(SasHttpExchange_GetReceivedAt(e) <= read_at);
+    }
+    for (int i = 1; i < SasHttpServer_MAX_PIPELINE + 2; i++) {
+        reply(f, i, "");
+    }
+    assert_int_equal(SasHttpServer_CountPending(f->server), 0);
+    assert_int_equal(f->end, 0);
+    stop(f);
+}
+
+/* Guards against memory that callers fill by sending on: what waits counts
+ * like request bodies, and what exceeds their limit is refused, after the
+ * answers of all requests before it. */
+static void
+test_what_is_too_much_to_wait_is_refused(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    for (int i = 0; i < SasHttpServer_MAX_PIPELINE; i++) {
+        write_text(f, "GET /first HTTP/1.1\r\n\r\n");
+    }
+    run_loop(f);
+    write_and_run(f, "GET /waits HTTP/1.1\r\n\r\n");
+    g_autofree char *fill = g_strnfill(FILL_SIZE, 'x');
+    write_and_run(f, fill);
+    for (int i = 0; i < SasHttpServer_MAX_PIPELINE + 1; i++) {
+        assert_null(strstr(f->received->str, " 503 "));
+        reply(f, i, "");
+    }
+    assert_int_equal(f->held_count, SasHttpServer_MAX_PIPELINE + 1);
+    assert_non_null(strstr(f->received->str, " 503 "));
+    run_until_end(f);
+    assert_int_equal(f->end, UV_EOF);
+    assert_int_equal(f->abandoned, 0);
+    stop(f);
+}
+
 static void
 expect_refusal(const char *text, const char *status)
 {
@@ -457,6 +583,12 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            test_a_caller_that_leaves_with_many_pending_is_noticed),
+        cmocka_unit_test(
+            test_a_caller_that_leaves_behind_unread_bytes_is_noticed),
+        cmocka_unit_test(test_requests_that_wait_begin_in_turn),
+        cmocka_unit_test(test_what_is_too_much_to_wait_is_refused),
         cmocka_unit_test(
             test_pipelined_requests_run_concurrently_and_answer_in_order),
         cmocka_unit_test(test_bodies_with_a_length_or_in_chunks_are_whole),
