Bytes without end are given up as no answer

Cause: an answer had one end, its framing, or the request's time limit. A body past 16 MB was marked unusable and read on; interim answers, and those of other requests, were skipped in any number; slow bytes reached no size limit.

It counts as run and failed, not as a lost connection: it is no sign of a crash.

--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -68,6 +68,7 @@
         .host = SasHttpExchange_FindHeader(call->exchange, "Host"),
         .headers = headers,
         .header_count = count,
+        .max_answer_bytes = SasRelay_MAX_ANSWER + SasHttp_MAX_HEADER_BYTES,
     };
     request.body = SasHttpExchange_GetBody(call->exchange, &request.body_size);
     return request;
@@ -296,6 +297,16 @@
     SasRelay_ReadNotice(call, headers, header_count);
 }
 
+/* What a server has sent is no answer, or too much of one. It may have run the
+ * request. */
+static void
+give_up_answer(struct relay_call *call)
+{
+    call->attempts++;
+    SasRelay_NoteArrival(call);
+    SasRelay_RetryOrFail(call, "spoiled answer");
+}
+
 void
 SasRelay_OnBody(struct sas_http_listener *listener, const char *data,
                 size_t size)
@@ -610,6 +621,10 @@
         SasRelay_Choose(call);
         return;
     }
+    if (failure->error.code == SAS_ECAPACITY) {
+        give_up_answer(call);
+        return;
+    }
     call->attempts++;
     SasRelay_NoteArrival(call);
     note_lost(call);
--- a/packages/net/include/sas/http.h
+++ b/packages/net/include/sas/http.h
@@ -43,8 +43,15 @@
      * limits the time to its first byte, and stall_timeout_ms every time
      * without new bytes after that. */
     int64_t stall_timeout_ms;
+    /* Not 0: fails with SAS_ECAPACITY if the answer, with all that comes
+     * before it, has more bytes, or gets nowhere (see sas/answer_pace.h). */
+    size_t max_answer_bytes;
 };
 
+/* Interim answers, and answers to other requests, that may come before a
+ * request's own where max_answer_bytes is set. */
+#define SasHttp_MAX_OTHER_ANSWERS 16
+
 /* Why a request failed and how far it had come. */
 struct sas_http_failure {
     struct sas_error error;
--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -10,6 +10,8 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "sas/answer_pace.h"
+
 #define READ_BUFFER_SIZE 65536
 
 enum conn_state {
@@ -39,6 +41,7 @@
     size_t out_body_size;
     int64_t request_timeout_ms;
     int64_t stall_timeout_ms;
+    size_t max_answer_bytes;
     int64_t answer_deadline_ms; /* with stall_timeout_ms, once the answer has
                                    begun */
     bool head_method;
@@ -52,6 +55,9 @@
     struct sas_http_head head;
     bool close_delimited; /* ends with the connection (RFC 9112, 6.3) */
     bool skipping;        /* the answer being read is another request's */
+    bool in_head;         /* its head isn't complete */
+    int other_answers;    /* that came before it */
+    struct sas_answer_pace pace;
     bool ended;
     bool stray;
 };
@@ -176,12 +182,16 @@
     conn->out_body_size = request->body_size;
     conn->request_timeout_ms = MAX(timeout_ms, 1);
     conn->stall_timeout_ms = request->stall_timeout_ms;
+    conn->max_answer_bytes = request->max_answer_bytes;
     conn->head_method = strcmp(request->method, "HEAD") == 0;
     conn->sent = false;
     conn->begun = false;
     conn->ended = false;
     conn->close_delimited = false;
     conn->skipping = false;
+    conn->in_head = true;
+    conn->other_answers = 0;
+    memset(&conn->pace, 0, sizeof(conn->pace));
     SasHttpHead_Reset(&conn->head);
     http_parser_init(&conn->parser, HTTP_RESPONSE);
     conn->parser.data = conn;
@@ -445,6 +455,35 @@
     }
 }
 
+static bool
+has_too_many_others(const struct sas_http_conn *conn)
+{
+    return conn->max_answer_bytes > 0 &&
+           conn->other_answers > SasHttp_MAX_OTHER_ANSWERS;
+}
+
+/* Bytes that are no answer may come without end: in a body or a head, in
+ * interim answers, in answers to other requests. Returns NULL, or what is
+ * wrong. */
+static const char *
+find_excess(struct sas_http_conn *conn, size_t size)
+{
+    if (conn->max_answer_bytes == 0) {
+        return NULL;
+    }
+    bool endless = SasAnswerPace_NoteBytes(&conn->pace, size, conn->in_head,
+                                           (int64_t)uv_now(conn->tcp.loop));
+    bool announced = !conn->in_head && conn->parser.flags & F_CONTENTLENGTH;
+    if (conn->pace.bytes > conn->max_answer_bytes ||
+        (announced && conn->parser.content_length > conn->max_answer_bytes)) {
+        return "the answer is too long";
+    }
+    if (has_too_many_others(conn)) {
+        return "too many other answers before it";
+    }
+    return endless ? "the answer gets nowhere" : NULL;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
@@ -478,7 +517,11 @@
         finish(conn, count > 0 && used == size);
         return;
     }
-    if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+    const char *excess = count > 0 ? find_excess(conn, size) : NULL;
+    if (excess != NULL) {
+        fail(conn, SAS_ECAPACITY, "http.answer", excess);
+    }
+    else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
         fail(conn, SAS_EIO, "http.parse",
              http_errno_description(HTTP_PARSER_ERRNO(&conn->parser)));
     }
@@ -523,6 +566,7 @@
                    parser->status_code == 304;
     conn->close_delimited = !no_body && !(parser->flags & F_CHUNKED) &&
                             !(parser->flags & F_CONTENTLENGTH);
+    conn->in_head = false;
     SasHttpHead_Finish(&conn->head);
     conn->listener->vtable->on_head(conn->listener, (int)parser->status_code,
                                     conn->head.fields, conn->head.count);
@@ -550,6 +594,11 @@
     if (parser->status_code / 100 == 1 || conn->skipping) {
         SasHttpHead_Reset(&conn->head);
         conn->skipping = false;
+        conn->in_head = true;
+        conn->other_answers++;
+        if (has_too_many_others(conn)) {
+            http_parser_pause(parser, 1);
+        }
         return 0;
     }
     conn->ended = true;
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -12,6 +12,7 @@
 
 #define LARGE_BODY (8 * 1024 * 1024) /* more than sockets hold */
 #define GIVE_UP_MS 50
+#define MAX_ANSWER 1000 /* bytes */
 
 /* A server that accepts one connection and answers every read from it with
  * fixed bytes; close_after closes it after the first answer. */
@@ -568,6 +569,58 @@
     g_string_free(client.body, TRUE);
 }
 
+static void
+expect_excess(const char *answer)
+{
+    struct server server = {.answer = answer};
+    struct sas_http_request request = {
+        .method = "GET", .target = "/", .max_answer_bytes = MAX_ANSWER};
+    struct client client = exchange_request(server, &request);
+    assert_int_equal(client.fails, 1);
+    assert_int_equal(client.failure.error.code, SAS_ECAPACITY);
+    g_string_free(client.body, TRUE);
+}
+
+/* Guards against bytes without end that hold a request to its time limit: a
+ * server in trouble sends them in a body, or as answers before the own one. */
+static void
+test_bytes_without_end_fail_the_request(void **state)
+{
+    (void)state;
+    g_autofree char *fill = g_strnfill(MAX_ANSWER, 'x');
+    g_autofree char *close_delimited =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\n%s", fill);
+    g_autofree char *chunked =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nx-test: 1\r\n"
+                        "transfer-encoding: chunked\r\n\r\n"
+                        "%x\r\n%s\r\n",
+                        MAX_ANSWER, fill);
+    g_autoptr(GString) interim = g_string_new(NULL);
+    for (int i = 0; i <= SasHttp_MAX_OTHER_ANSWERS; i++) {
+        g_string_append(interim, "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    expect_excess("HTTP/1.1 200 OK\r\nx-test: 1\r\n"
+                  "content-length: 5000\r\n\r\nhi");
+    expect_excess(close_delimited);
+    expect_excess(chunked);
+    expect_excess(interim->str);
+}
+
+/* Guards against a limit that fails what is within it. */
+static void
+test_an_answer_within_its_limit_is_whole(void **state)
+{
+    (void)state;
+    struct server server = {
+        .answer = "HTTP/1.1 100 Continue\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nx-test: 1\r\ncontent-length: 2\r\n\r\n"
+                  "hi"};
+    struct sas_http_request request = {
+        .method = "GET", .target = "/", .max_answer_bytes = MAX_ANSWER};
+    struct client client = exchange_request(server, &request);
+    expect(&client, 1, true, true, "hi");
+}
+
 int
 main(void)
 {
@@ -582,6 +635,8 @@
         cmocka_unit_test(test_a_paused_answer_leaves_the_connection_readable),
         cmocka_unit_test(test_a_connection_closed_by_its_server_is_not_idle),
         cmocka_unit_test(test_refused_connection_sent_nothing),
+        cmocka_unit_test(test_bytes_without_end_fail_the_request),
+        cmocka_unit_test(test_an_answer_within_its_limit_is_whole),
         cmocka_unit_test(test_a_request_that_times_out_is_reset),
         cmocka_unit_test(test_a_request_that_is_dropped_is_reset),
         cmocka_unit_test(
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -32,6 +32,9 @@
                  "early"      a final answer before the body is read
                  "unsealed"   a success without a seal
                  "error"      a 500 with a seal, after the run
+                 a key of ENDLESS: begins an answer, and sends bytes without
+                              end until the caller closes; with "slow " before
+                              it 1 kB every 20 ms
 """
 
 import socket
@@ -42,6 +45,38 @@
 SEAL = "X-Sassafrassill-Server-Seal"
 ID = "X-Sassafrassill-Attempt-Id"
 
+FILL = b"x" * 65536
+SLOW_BYTES = 1000
+SLOW_S = 0.02
+_HEAD = b"HTTP/1.1 200 OK\r\n"
+_LINE = b"X-%s: y\r\n" % FILL[:90]
+_INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+_CHUNKED = _HEAD + b"ID-LINETransfer-Encoding: chunked\r\n\r\n"
+# Bytes without end: how they begin, and what is repeated. ID-LINE stands for
+# the line of the request's id.
+ENDLESS = {
+    "body in chunks": (_CHUNKED, b"%x\r\n%s\r\n" % (900, FILL[:900])),
+    "body with a length": (_HEAD + b"ID-LINEContent-Length: %d\r\n\r\n" %
+                           2 ** 40, FILL),
+    "long body": (_HEAD + b"ID-LINEContent-Length: %d\r\n\r\n" %
+                  (15 << 20), FILL),
+    "body without a length": (_HEAD + b"ID-LINE\r\n", FILL),
+    "chunk extension": (_CHUNKED + b"1;", FILL),
+    "trailer": (_CHUNKED + b"0\r\n", _LINE),
+    "head line": (_HEAD + b"X: ", FILL),
+    "head lines": (_HEAD, _LINE),
+    "status line": (b"HTTP/1.1 200 ", FILL),
+    "interim answers": (b"", _INTERIM),
+    "interim head": (b"HTTP/1.1 100 Continue\r\nX: ", FILL),
+    "answers to others": (b"", _HEAD + ID.encode() +
+                          b": other\r\nContent-Length: 0\r\n\r\n"),
+    "body of another": (_HEAD + ID.encode() + b": other\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n",
+                        b"%x\r\n%s\r\n" % (900, FILL[:900])),
+    "no answer": (b"", FILL),
+}
+
+
 
 def reset(connection):
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
@@ -69,6 +104,15 @@
         self.rest = rest  # None: leaving
 
 
+class Endless:
+    """Bytes without end that the caller has ended."""
+
+    def __init__(self, kind, size, took_s):
+        self.kind = kind
+        self.size = size
+        self.took_s = took_s
+
+
 class Worker:
     def __init__(self, name, slots=3):
         self.name = name
@@ -90,6 +134,7 @@
         self.leaving = False
         self.rest = None
         self.heard = []      # Request, all that were addressed to this server
+        self.endless = []    # Endless, those that have ended
         self.said = []       # Notice, with its answers
         self.poison = set()
         self.down_s = 0.5
@@ -260,6 +305,9 @@
         body += b"." * self.pads.get(request.target, self.pad)
         if fault == "cut":
             return False
+        if fault.replace("slow ", "") in ENDLESS:
+            self.send_endless(connection, request, fault)
+            return False
         if fault in ("half", "unframed"):
             head = ("HTTP/1.1 200 OK\r\n%s: s-%s\r\n%s: %s\r\n\r\n" %
                     (SEAL, self.name, ID, request.id)).encode()
@@ -277,6 +325,25 @@
                         request.headers, sealed=True)
         return True
 
+    def send_endless(self, connection, request, kind):
+        began = time.monotonic()
+        first, unit = ENDLESS[kind.replace("slow ", "")]
+        first = first.replace(b"ID-LINE", b"%s: %s\r\n" % (
+            ID.encode(), request.id.encode()))
+        slow = kind.startswith("slow ")
+        unit *= (SLOW_BYTES if slow else len(FILL)) // len(unit) or 1
+        unit = unit[:SLOW_BYTES] if slow and len(set(unit)) == 1 else unit
+        size = 0
+        try:
+            connection.sendall(first)
+            while not self.stopped:
+                connection.sendall(unit)
+                size += len(unit)
+                time.sleep(SLOW_S if slow else 0)
+        except OSError:
+            pass  # the caller has closed the connection
+        self.endless.append(Endless(kind, size, time.monotonic() - began))
+
     def answer(self, connection, status, body, headers, sealed=False,
                not_run=False, rest=None):
         lines = ["HTTP/1.1 %d Answer" % status,
