All answers that are being read share an eighth of the memory

Callers would see: an entry VM that is ended over its limit of memory, with all their requests. Three servers that send long bodies without end, or many that send 15 MB each, filled it: each answer had a bound (16 MB) and all together none.

Why this works: before a buffer grows, the longest answers are given up until it fits, so usual answers of some kB are not affected. A given-up one counts as run and failed. The buffer is freed before the next attempt.

--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -18,6 +18,12 @@
 /* After such a reset, idle connections are avoided for this time. */
 #define AVOID_IDLE_MS 30000
 
+/* A longer buffer for bodies is freed before the next attempt, bytes. */
+#define KEPT_BODY 65536
+
+/* Part of the process's memory for answers that are being read. */
+#define ANSWERS_SHARE 0.125
+
 static void on_head(struct sas_http_listener *listener, int status,
                     const struct sas_http_header *headers, int header_count);
 static void on_end(struct sas_http_listener *listener, bool whole,
@@ -188,6 +194,10 @@
     call->report.running = -1;
     call->report.waiting = 0;
     g_ptr_array_set_size(call->answer_headers, 0);
+    if (call->answer_body->allocated_len > KEPT_BODY) {
+        g_string_free(call->answer_body, TRUE);
+        call->answer_body = g_string_new(NULL);
+    }
     g_string_truncate(call->answer_body, 0);
 }
 
@@ -307,15 +317,64 @@
     SasRelay_RetryOrFail(call, "spoiled answer");
 }
 
+static struct relay_call *
+find_largest(const struct sas_relay *relay, size_t *sum)
+{
+    struct relay_call *largest = NULL;
+    *sum = 0;
+    for (GList *link = relay->calls.head; link != NULL; link = link->next) {
+        struct relay_call *call = link->data;
+        size_t size = call->answer_body->allocated_len;
+        *sum += size;
+        if (largest == NULL || size > largest->answer_body->allocated_len) {
+            largest = call;
+        }
+    }
+    return largest;
+}
+
+/* Several servers in trouble may send long bodies at once. Before the buffer
+ * of the call grows, the longest ones are given up, so that usual answers are
+ * not affected. False if the call is among them. */
+static bool
+make_room(struct relay_call *call)
+{
+    struct sas_relay *relay = call->relay;
+    double limit =
+        (double)relay->options.settings->memory_bytes * ANSWERS_SHARE;
+    double growth = (double)call->answer_body->allocated_len;
+    size_t sum = 0;
+    struct relay_call *largest = find_largest(relay, &sum);
+    while (limit > 0 && (double)sum + growth > limit) {
+        bool is_own = largest == call;
+        SasLog_WriteFields(SasLog_WARN, "answers.memory", largest->server_id,
+                           "{s:s, s:I, s:I}", "request", largest->request_id,
+                           "bytes", (json_int_t)largest->answer_body->len,
+                           "all_bytes", (json_int_t)sum);
+        SasRelay_Cancel(largest);
+        give_up_answer(largest);
+        if (is_own) {
+            return false;
+        }
+        largest = find_largest(relay, &sum);
+    }
+    return true;
+}
+
 void
 SasRelay_OnBody(struct sas_http_listener *listener, const char *data,
                 size_t size)
 {
     struct relay_call *call = (struct relay_call *)listener;
-    if (call->answer_body->len + size > SasRelay_MAX_ANSWER) {
+    size_t needed = call->answer_body->len + size;
+    if (needed > SasRelay_MAX_ANSWER) {
         call->unusable = true;
         return;
     }
+    if (needed >= call->answer_body->allocated_len && needed > KEPT_BODY &&
+        !make_room(call)) {
+        return; /* the call may be gone */
+    }
     g_string_append_len(call->answer_body, data, (gssize)size);
 }
 
--- a/tests/e2e/test_endless_answers.py
+++ b/tests/e2e/test_endless_answers.py
@@ -58,6 +58,39 @@
             for i in range(2 * len(workers)):  # none is left out for long
                 vm.request(key=str(i))
 
+    def test_many_at_once_keep_the_memory(self):
+        """Guards against a process that ends over its limit of memory, as many
+        servers send long bodies at once."""
+        for kind in ("body in chunks", "long body", "head lines"):
+            with self.subTest(kind=kind), \
+                    Fleet(vms=("a",), first_start=True) as fleet:
+                workers = [fleet.add_worker("d%d" % i, slots=8)
+                           for i in range(6)]
+                fleet.start()
+                vm = fleet.vms[0]
+                self.assertEqual(vm.request().status, 200)
+                before = read_peak(vm)
+                for worker in workers:
+                    worker.faults = [kind] * 1000
+                self.load(vm, 24)
+                self.assertLess(read_peak(vm) - before, MAX_GROWTH)
+                for worker in workers:
+                    worker.faults = []
+                wait_for(lambda: vm.request().status == 200, "served again")
+
+    @staticmethod
+    def load(vm, callers):
+        def call(number):
+            for i in range(4):
+                vm.request("POST", "/filings/%d" % i, b"",
+                           key="%d-%d" % (number, i), deadline_ms=2000)
+        threads = [threading.Thread(target=call, args=(i,))
+                   for i in range(callers)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
     def test_a_long_answer_is_whole(self):
         """Guards against sound answers that are taken for endless ones."""
         with Fleet(vms=("a",)) as fleet:
