--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -19,8 +19,8 @@
 #include "sas/fleet.h"
 #include "sas/http.h"
 
-/* Longest idle time of a connection, also if its server states none. The
- * shortest that servers were seen to keep one is 10 s. */
+/* Longest idle time of a connection, also if its server states none: servers
+ * close idle ones after 10 s or more. */
 #define SasPool_IDLE_MS 8000
 
 /* Connect timeout. A connection to another region takes 50 ms. */
@@ -32,8 +32,8 @@
 struct sas_pool *SasPool_New(uv_loop_t *loop, struct sas_fleet *fleet);
 void SasPool_Free(struct sas_pool *pool);
 
-/* A connection that was idle for less than this counts as alive. Servers were
- * seen to drop idle ones without notice after 300 ms. */
+/* A connection that was idle for less than this counts as alive. Servers may
+ * drop idle ones without notice after 300 ms. */
 #define SasPool_TRUSTED_IDLE_MS 250
 
 /* A connection for one request to the server at the slot of the fleet table:
