Soak: a silent link resets its connections before it lets anything through

Traced: all four had been sent to d5 while its link was silent; they began at 39.573, the moment (39.565) in which that fault ended. The stand-in's kernel had received and acknowledged their bytes, which no reset takes back, and the proxy passed them on between the end of the mode and its own reset. A link that is cut acknowledges nothing; the mode "held" plays that, and holds.

The check and its bound stay as they are.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -155,9 +155,9 @@
             return
         proxy.mode = mode
         time.sleep(self.rng.uniform(0.3, 4))
-        proxy.mode = ""
         if mode in ("silent", "deaf"):
-            proxy.reset()
+            proxy.reset()  # before anything passes that it has received
+        proxy.mode = ""
 
     def cut_links(self):
         """An entry VM loses its links to all servers, or to one service's."""
