After a freeze, what callers have given up does not begin

Cause: bytes and the end of the connection behind them are read one after the other.

Why this works: when the process has not run for half a second, and for the quarter of a second in which what came meanwhile is accepted, each connection is asked for its end (poll, POLLRDHUP) before it is read.

--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -7,6 +7,7 @@
 
 #define LISTEN_BACKLOG 1024
 #define SWEEP_MS 250 /* between two checks of all timeouts */
+#define STALLED_MS (2 * SWEEP_MS)
 #define STEP "server.listen"
 
 const char *
@@ -29,15 +30,30 @@
     }
 }
 
+bool
+SasHttpServer_HasStalled(const struct sas_http_server *server)
+{
+    int64_t now_ms = (int64_t)uv_now(server->loop);
+    return now_ms - server->swept_at > STALLED_MS ||
+           now_ms < server->stalled_until;
+}
+
 static void
 on_sweep(uv_timer_t *timer)
 {
     struct sas_http_server *server = timer->data;
     int64_t now_ms = (int64_t)uv_now(server->loop);
+    bool stalled = now_ms - server->swept_at > STALLED_MS;
+    if (stalled) {
+        server->stalled_until = now_ms + SWEEP_MS;
+    }
+    server->swept_at = now_ms;
     struct sas_http_server_conn *c = server->connections;
     while (c != NULL) {
         struct sas_http_server_conn *next = c->next;
-        SasHttpServerConn_Sweep(c, now_ms);
+        if (!stalled || !SasHttpServerConn_CloseIfLeft(c)) {
+            SasHttpServerConn_Sweep(c, now_ms);
+        }
         c = next;
     }
 }
@@ -89,6 +105,7 @@
     server->sweep.data = server;
     server->resume.data = server;
     server->open_handles = 3;
+    server->swept_at = (int64_t)uv_now(loop);
     int rc = uv_tcp_bind(&server->listener, (struct sockaddr *)&storage, 0);
     if (rc == 0) {
         rc = uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -1,6 +1,7 @@
 #include "http_server_conn.h"
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -448,6 +449,27 @@
     }
 }
 
+static void
+close_left(struct sas_http_server_conn *c)
+{
+    SasHttpServerConn_Close(c, c->state == CONNECTION_LINGERING
+                                   ? SAS_HTTP_CLOSE_ANSWER
+                                   : SAS_HTTP_CLOSE_CALLER);
+}
+
+bool
+SasHttpServerConn_CloseIfLeft(struct sas_http_server_conn *c)
+{
+    struct pollfd entry = {.events = POLLRDHUP};
+    bool has_left = uv_fileno((const uv_handle_t *)&c->tcp, &entry.fd) == 0 &&
+                    poll(&entry, 1, 0) > 0 &&
+                    (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    if (has_left) {
+        close_left(c);
+    }
+    return has_left;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *data)
 {
@@ -455,11 +477,13 @@
     if (count == 0) {
         return;
     }
+    if (count > 0 && SasHttpServer_HasStalled(c->server) &&
+        SasHttpServerConn_CloseIfLeft(c)) {
+        return;
+    }
     if (count < 0) {
         c->caller_closed = count == UV_EOF;
-        SasHttpServerConn_Close(c, c->state == CONNECTION_LINGERING
-                                       ? SAS_HTTP_CLOSE_ANSWER
-                                       : SAS_HTTP_CLOSE_CALLER);
+        close_left(c);
         return;
     }
     if (c->state != CONNECTION_OPEN) {
--- a/packages/net/src/http_server_conn.h
+++ b/packages/net/src/http_server_conn.h
@@ -63,6 +63,8 @@
     uv_loop_t *loop;
     uv_tcp_t listener;
     uv_timer_t sweep;
+    int64_t swept_at;
+    int64_t stalled_until; /* connections that came in a stall are accepted */
     uv_idle_t resume; /* active while a connection may parse what it has read
                          ahead */
     struct sas_http_server_limits limits;
@@ -77,6 +79,11 @@
     int open_handles;
 };
 
+/* Whether the process has not run for a while: its sockets may hold requests
+ * whose callers have given up long ago, and each would begin before the end
+ * behind it is read. */
+bool SasHttpServer_HasStalled(const struct sas_http_server *server);
+
 /* Resumes all connections; called by the handle of that name. */
 void SasHttpServer_OnResume(uv_idle_t *resume);
 
@@ -95,6 +102,10 @@
 /* Sends the answers that no unanswered exchange precedes. */
 void SasHttpServerConn_Flush(struct sas_http_server_conn *c);
 
+/* Closes the connection if the caller has, also behind bytes that wait in the
+ * socket. True if it has. */
+bool SasHttpServerConn_CloseIfLeft(struct sas_http_server_conn *c);
+
 /* Closes the connection at once and abandons its exchanges. */
 void SasHttpServerConn_Close(struct sas_http_server_conn *c,
                              enum sas_http_close_reason end);
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -130,6 +130,40 @@
     leave_with(SasHttpServer_MAX_PIPELINE + 8, reads, leave_by_reset);
 }
 
+/* Guards against a process that was frozen and begins requests whose callers
+ * have given up meanwhile. */
+static void
+test_nothing_begins_after_a_stall_for_a_caller_that_has_left(void **state)
+{
+    (void)state;
+    void (*const leaves[])(struct fixture * f) = {leave_in_order,
+                                                  leave_by_reset};
+    for (size_t i = 0; i < G_N_ELEMENTS(leaves); i++) {
+        struct fixture *f = start(1000);
+        write_text(f, "GET / HTTP/1.1\r\n\r\n");
+        leaves[i](f);
+        g_usleep(TWO_SWEEPS_US); /* the loop doesn't run */
+        run_loop(f);
+        assert_int_equal(f->held_count, 0);
+        assert_int_equal(SasHttpServer_CountConnections(f->server), 0);
+        stop(f);
+    }
+}
+
+/* The same for one that still waits: it is served. */
+static void
+test_a_request_that_waited_out_a_stall_begins(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    write_text(f, "GET / HTTP/1.1\r\n\r\n");
+    g_usleep(TWO_SWEEPS_US); /* the loop doesn't run */
+    run_loop(f);
+    assert_int_equal(f->held_count, 1);
+    reply(f, 0, "");
+    stop(f);
+}
+
 /* Guards against requests that wait behind many others and are forgotten, or
  * get the time limit anew that their caller has been waiting for. */
 static void
@@ -587,6 +621,9 @@
             test_a_caller_that_leaves_with_many_pending_is_noticed),
         cmocka_unit_test(
             test_a_caller_that_leaves_behind_unread_bytes_is_noticed),
+        cmocka_unit_test(
+            test_nothing_begins_after_a_stall_for_a_caller_that_has_left),
+        cmocka_unit_test(test_a_request_that_waited_out_a_stall_begins),
         cmocka_unit_test(test_requests_that_wait_begin_in_turn),
         cmocka_unit_test(test_what_is_too_much_to_wait_is_refused),
         cmocka_unit_test(
--- a/tests/e2e/test_callers_leave.py
+++ b/tests/e2e/test_callers_leave.py
@@ -5,7 +5,8 @@
 import struct
 import unittest
 
-from entry_harness import Fleet, format_request, socket, time, wait_for
+from entry_harness import (Fleet, format_request, signal, socket, time,
+                           wait_for)
 
 LEAVES_AFTER_S = 0.2
 
@@ -81,6 +82,35 @@
         entry VM."""
         self.leave(40, leave_in_order, cut=True)
 
+    def test_a_process_that_was_frozen_begins_nothing_for_them(self):
+        """Guards against requests that begin when a frozen process wakes,
+        though their callers have left meanwhile, on kept connections and on
+        new ones."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            worker = fleet.add_worker("d1", slots=8)
+            fleet.start()
+            vm = fleet.vms[0]
+            for leave in (leave_in_order, leave_by_reset):
+                with self.subTest(leave=leave.__name__):
+                    self.freeze(vm, worker, leave)
+
+    def freeze(self, vm, worker, leave):
+        kept = [socket.create_connection(vm.address()) for _ in range(3)]
+        for caller in kept:
+            caller.sendall(format_request("/forms/1", "first"))
+            self.assertNotEqual(caller.recv(1000), b"")
+        vm.signal(signal.SIGSTOP)
+        fresh = [socket.create_connection(vm.address()) for _ in range(3)]
+        for caller in kept + fresh:
+            caller.sendall(format_request("/forms/1", "left"))
+        time.sleep(1)
+        for caller in kept + fresh:
+            leave(caller)
+        vm.signal(signal.SIGCONT)
+        self.assertEqual(vm.request().status, 200)
+        time.sleep(0.3)
+        self.assertNotIn("left", [r.id for r in worker.heard])
+
 
 if __name__ == "__main__":
     unittest.main()
