The log names each attempt at a server, its connection, and what was refused

attempt.refused: status, whether it names the request's id, the connection, the how manyth request on it, and when. attempt.stray, attempt.failed and request get conn and nth, attempt.stray its status too. Counters of refusals by status and of skipped answers by cause.

Bounded: one line a refusal, at most three a request, within the log's 200 lines/s.

e2e_late_answers: test_the_log_tells_the_attempts_of_a_request_apart.

--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -11,6 +11,7 @@
     struct sas_pool *pool;
     struct sas_http_conn *conn;
     struct sas_server_ref server;
+    struct sas_pooled_facts facts;
     struct sas_carried_ids carried;
     bool unidentified; /* its request has no id */
     bool idle;
@@ -28,6 +29,7 @@
     GPtrArray *by_slot;      /* GPtrArray of struct sas_pooled, oldest first */
     uv_timer_t *probe_timer; /* runs while there are probes */
     int probe_count;
+    int64_t opened_count;
 };
 
 static void
@@ -168,6 +170,7 @@
     pooled->owner.on_opened = on_opened;
     pooled->owner.on_closed = on_closed;
     pooled->pool = pool;
+    pooled->facts.number = ++pool->opened_count;
     pooled->server = SasFleet_GetRef(pool->fleet, slot);
     pooled->conn = SasHttp_Connect(
         pool->loop, &SasFleet_At(pool->fleet, slot)->facts.address,
@@ -191,6 +194,7 @@
         pooled = open_new(pool, slot);
     }
     pooled->idle = false;
+    pooled->facts.nth++;
     pooled->unidentified = request_id[0] == '\0';
     SasCarriedIds_Note(&pooled->carried, request_id, now_ms);
     g_ptr_array_add(list, pooled);
@@ -236,6 +240,12 @@
     }
 }
 
+struct sas_pooled_facts
+SasPool_GetFacts(const struct sas_pooled *pooled)
+{
+    return pooled->facts;
+}
+
 int64_t
 SasPool_GetIdleMs(const struct sas_pooled *pooled)
 {
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -43,6 +43,13 @@
                                    const char *request_id,
                                    int64_t max_idle_ms);
 
+/* What tells a connection from the others in the log. */
+struct sas_pooled_facts {
+    int64_t number; /* of the connection, in the order of their opening */
+    int nth;        /* of the request on it; the first is 1 */
+};
+struct sas_pooled_facts SasPool_GetFacts(const struct sas_pooled *pooled);
+
 /* How long it had been idle when it was acquired; 0: it was new. */
 int64_t SasPool_GetIdleMs(const struct sas_pooled *pooled);
 struct sas_http_conn *SasPool_GetConn(const struct sas_pooled *pooled);
--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -179,7 +179,7 @@
     SasLog_WriteFields(
         SasLog_INFO, SasLog_REQUEST_STEP, call->server_id,
         "{s:s, s:s, s:i, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f, s:I, s:b, "
-        "s:i, s:i, s:I, s:I, s:b, s:s, s:s, s:b}",
+        "s:i, s:i, s:I, s:I, s:b, s:s, s:s, s:b, s:I, s:i}",
         "request", call->request_id, "outcome", outcome, "status", status,
         "object", object, "route", routed ? call->route->name : "", "service",
         routed ? SasFleet_GetService(relay->options.fleet, call->service)->name
@@ -196,7 +196,8 @@
                                           : 0),
         "homes", routed && call->route->allowed_regions != 0, "split",
         call->split_by != NULL ? call->split_by : "", "via", call->peer.name,
-        "relayed", call->relayed);
+        "relayed", call->relayed, "conn", (json_int_t)call->conn.number, "nth",
+        call->conn.nth);
 }
 
 static void
--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -139,6 +139,7 @@
     call->listener.vtable = &listener_vtable;
     call->pooled = SasPool_Acquire(relay->options.pool, slot, call->request_id,
                                    get_max_idle(call, now_ms));
+    call->conn = SasPool_GetFacts(call->pooled);
     call->conn_idle_ms = SasPool_GetIdleMs(call->pooled);
     call->conn_opened_at = SasHttp_GetOpenedAt(SasPool_GetConn(call->pooled));
     SasHttp_Send(SasPool_GetConn(call->pooled), &request, left_ms,
@@ -183,6 +184,7 @@
 SasRelay_ClearAnswer(struct relay_call *call)
 {
     call->status = 0;
+    call->named = false;
     call->sealed = false;
     call->limit_per_s = -1;
     call->names_limit = false;
@@ -279,6 +281,49 @@
     }
 }
 
+static void
+count_answer(const struct relay_call *call, const char *name,
+             const char *label, const char *value, const char *help)
+{
+    struct sas_metrics *metrics = call->relay->options.metrics;
+    SasMetrics_Add(
+        metrics, SasMetrics_RegisterCounter(metrics, name, label, value, help),
+        1);
+}
+
+/* answer_to: the id that the answer names, or NULL. */
+static void
+note_skipped(const struct relay_call *call, const char *answer_to, int status)
+{
+    count_answer(call, "sas_skipped_answers_total", "cause",
+                 answer_to != NULL ? "another id" : "no id",
+                 "Answers of servers that belong to no request that waits");
+    SasLog_WriteFields(
+        SasLog_WARN, "attempt.stray", call->server_id,
+        "{s:s, s:s, s:s, s:i, s:I, s:i}", "request", call->request_id,
+        "answer_to", answer_to != NULL ? answer_to : "", "outcome",
+        "another request's answer is skipped", "status", status, "conn",
+        (json_int_t)call->conn.number, "nth", call->conn.nth);
+}
+
+/* The server states that it hasn't run the request. Two of these lines for one
+ * request on one connection, a round trip or less apart, are one refusal that
+ * came twice. */
+static void
+note_refused(const struct relay_call *call)
+{
+    char status[12];
+    snprintf(status, sizeof(status), "%d", call->status);
+    count_answer(call, "sas_server_refusals_total", "status", status,
+                 "Requests that servers have refused as not run");
+    SasLog_WriteFields(
+        SasLog_INFO, "attempt.refused", call->server_id,
+        "{s:s, s:i, s:b, s:I, s:i, s:I}", "request", call->request_id,
+        "status", call->status, "named", call->named, "conn",
+        (json_int_t)call->conn.number, "nth", call->conn.nth, "took_ms",
+        (json_int_t)(SasRelay_Now(call->relay) - call->sent_at));
+}
+
 static void
 on_head(struct sas_http_listener *listener, int status,
         const struct sas_http_header *headers, int header_count)
@@ -293,14 +338,12 @@
      * answered without. */
     if (strcmp(id != NULL ? id : "", call->request_id) != 0) {
         SasHttp_SkipAnswer(SasPool_GetConn(call->pooled));
-        SasLog_WriteFields(SasLog_WARN, "attempt.stray", call->server_id,
-                           "{s:s, s:s, s:s}", "request", call->request_id,
-                           "answer_to", id != NULL ? id : "", "outcome",
-                           "another request's answer is skipped");
+        note_skipped(call, id, status);
         return;
     }
     SasRelay_ClearAnswer(call);
     call->status = status;
+    call->named = id != NULL;
     for (int i = 0; i < header_count; i++) {
         SasRelay_ApplyHeader(call, &headers[i]);
     }
@@ -568,6 +611,7 @@
         }
     }
     if (not_run) {
+        note_refused(call);
         SasRelay_Choose(call);
         return;
     }
@@ -669,12 +713,13 @@
         note_path(call, failure);
         note_failure(call, failure->sent);
     }
-    SasLog_WriteFields(SasLog_WARN, "attempt.failed", call->server_id,
-                       "{s:s, s:b, s:b, s:I, s:s, s:s}", "request",
-                       call->request_id, "sent", failure->sent, "begun",
-                       failure->begun, "rest_ms",
-                       (json_int_t)call->conn_idle_ms, "at",
-                       failure->error.step, "cause", failure->error.text);
+    SasLog_WriteFields(
+        SasLog_WARN, "attempt.failed", call->server_id,
+        "{s:s, s:b, s:b, s:I, s:s, s:s, s:I, s:i}", "request",
+        call->request_id, "sent", failure->sent, "begun", failure->begun,
+        "rest_ms", (json_int_t)call->conn_idle_ms, "at", failure->error.step,
+        "cause", failure->error.text, "conn", (json_int_t)call->conn.number,
+        "nth", call->conn.nth);
     if (!failure->sent) {
         call->unsent++;
         SasRelay_Choose(call);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -15,6 +15,7 @@
 #include "sas/split.h"
 #include "sas/traffic.h"
 #include "poison_requests.h"
+#include "pool.h"
 
 #define SasRelay_MAX_TRIED 8
 
@@ -142,8 +143,9 @@
 
     /* the current attempt */
     struct sas_pooled *pooled;
-    int64_t conn_idle_ms;   /* idle time of its connection; 0: new */
-    int64_t conn_opened_at; /* when that began to open */
+    struct sas_pooled_facts conn; /* all 0: through another entry VM */
+    int64_t conn_idle_ms;         /* idle time of its connection; 0: new */
+    int64_t conn_opened_at;       /* when that began to open */
     struct sas_server_ref server;
     uint64_t server_start; /* of the server's process */
     char server_id[SasFleet_ID_SIZE];
@@ -161,6 +163,7 @@
     GPtrArray *answer_headers; /* char *, alternating names and values */
     GString *answer_body;
     struct sas_traffic_report report;
+    bool named; /* it names the request's id */
     bool sealed;
     double limit_per_s; /* that it names; -1: none that can be read */
     bool names_limit;
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -112,6 +112,7 @@
     struct sas_http_request request =
         SasRelay_MakeRequest(call, headers, count);
     SasRelay_ClearAnswer(call);
+    call->conn = (struct sas_pooled_facts){0};
     call->peers_asked++;
     call->sent_at = SasRelay_Now(relay);
     call->listener.vtable = &listener_vtable;
--- a/tests/e2e/test_late_answers.py
+++ b/tests/e2e/test_late_answers.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from entry_harness import Fleet, HOST, SEAL, exchange, wait_for
 
@@ -80,6 +81,44 @@
                 ran = sum(w.ids().count(answer.id) for w in workers)
                 self.assertEqual((answer.status, ran), (200, 1))
 
+    def test_the_log_tells_the_attempts_of_a_request_apart(self):
+        """Guards against a refusal of which no log line says on which
+        connection it came, and whether it named its request."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            worker.faults = ["shed", "", ""]
+            worker.copies = copy_once(503)
+            first = vm.request("POST", "/filings/1", b"x")
+            second = vm.request("POST", "/filings/2", b"x")
+            vm.request("POST", "/filings/3", b"x")
+            self.assertEqual((first.status, second.status), (200, 200))
+            refused, = vm.find_lines("attempt.refused", request=first.id)
+            self.assertEqual(
+                [refused[k] for k in ("peer", "status", "named", "nth")],
+                ["d1", 503, True, 1])
+            served, = vm.find_lines("request", request=first.id)
+            self.assertNotEqual(served["conn"], refused["conn"])
+            # The second copy comes with the next request on its connection.
+            fleet.workers["d1"].held.clear()
+            with ThreadPoolExecutor(2) as pool:
+                both = [pool.submit(vm.request, "POST", "/filings/%d" % i,
+                                    b"x") for i in (4, 5)]
+                wait_for(lambda: len(worker.ran) == 5, "both run")
+                worker.held.set()
+                self.assertEqual([b.result().status for b in both],
+                                 [200, 200])
+            stray, = vm.find_lines("attempt.stray", answer_to=first.id)
+            self.assertEqual((stray["conn"], stray["nth"], stray["status"]),
+                             (refused["conn"], 2, 503))
+            metrics = exchange(vm.address("ready"), "GET",
+                               "/metrics").body.decode()
+            self.assertIn('sas_server_refusals_total{status="503"} 1',
+                          metrics)
+            self.assertIn('sas_skipped_answers_total{cause="another id"} 1',
+                          metrics)
+
 
 class Caller(threading.Thread):
     """Sends requests one after another, some without an id; keeps what is
