--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -17,13 +17,16 @@
                  requests are refused
     poison       targets whose requests crash the server when they start: it
                  resets all connections and accepts none for down_s
-    copies       called with the status of each answer: None, or the number of
+    copies       called with the status of each answer: None, the number of
                  requests that arrive on the connection, after the next one,
-                 before a second copy of the answer is sent
+                 before a second copy of the answer is sent, or a Copy
     faults       list of faults; each request for this server consumes the
                  first one:
                  "shed"       503, not executed
                  "busy"       429, not executed
+                 "shed close", "shed half", "shed interim", "shed unframed"
+                              the same with "Connection: close", reset in the
+                              head, behind an interim answer, without a length
                  "cut"        runs, then closes without an answer
                  "late-extra" answers, and 100 ms later sends an unsolicited
                               second answer
@@ -32,6 +35,9 @@
                  "early"      a final answer before the body is read
                  "unsealed"   a success without a seal
                  "error"      a 500 with a seal, after the run
+                 "denied", "denied error"
+                              a success, or a 500, after the run, which says
+                              all the same that it wasn't executed
                  a key of ENDLESS: begins an answer, and sends bytes without
                               end until the caller closes; with "slow " before
                               it 1 kB every 20 ms
@@ -104,6 +110,18 @@
         self.rest = rest  # None: leaving
 
 
+class Copy:
+    """Further copies of an answer: each when `after` requests have arrived
+    behind the next one, or delay_s after the answer; size: its first bytes
+    only."""
+
+    def __init__(self, after=0, delay_s=None, times=1, size=None):
+        self.after = after
+        self.delay_s = delay_s
+        self.times = times
+        self.size = size
+
+
 class Endless:
     """Bytes without end that the caller has ended."""
 
@@ -142,6 +160,7 @@
         self.on_crash = lambda: None
         self.connections = set()
         self.lock = threading.Lock()
+        self.sending = threading.Lock()
         self.ran = []        # Request, in the order of their start
         self.refused = []    # ids of requests addressed to another server
         self.left = []       # ids whose caller disconnected while they ran
@@ -239,8 +258,26 @@
             copy[0] -= 1
             if copy[0] < 0:
                 late.remove(copy)
-                self.copied += 1
-                connection.sendall(copy[1])
+                self.send_copy(connection, copy[1])
+
+    def send_copy(self, connection, text):
+        self.copied += 1
+        try:
+            with self.sending:
+                connection.sendall(text)
+        except OSError:
+            pass  # the caller has closed the connection
+
+    def keep_copies(self, connection, copy, text):
+        if not isinstance(copy, Copy):
+            copy = Copy(after=copy)
+        text = text[:copy.size]
+        for _ in range(copy.times):
+            if copy.delay_s is None:
+                self.late.setdefault(connection, []).append([copy.after, text])
+            else:
+                threading.Timer(copy.delay_s, self.send_copy,
+                                (connection, text)).start()
 
     def handle(self, connection, reader, method, target, headers):
         """Serves one request; false if the connection is to be closed."""
@@ -269,18 +306,32 @@
             self.heard.append(request)
             if self.sheds and self.running >= self.slot_count:
                 fault = "shed"
-            refused = fault in ("shed", "busy") or rest is not None
+            refused = fault.split(" ")[0] in ("shed", "busy") or \
+                rest is not None
             if not refused:
                 self.ran.append(request)
         if refused:
-            self.answer(connection, 429 if fault == "busy" else 503, b"",
-                        headers, not_run=True, rest=rest)
-            return True
+            return self.refuse(connection, headers, fault, rest)
         if target in self.poison:
             self.crash()
             return False
         return self.run(connection, request, fault)
 
+    def refuse(self, connection, headers, fault, rest):
+        """False if the connection is to be closed."""
+        if fault == "shed interim":
+            connection.sendall(_INTERIM)
+        if fault == "shed half":
+            connection.sendall(b"HTTP/1.1 503 Answer\r\n"
+                               b"X-Sassafrassill-Not-Executed: 1\r\n")
+            reset(connection)
+            return False
+        closes = fault in ("shed close", "shed unframed")
+        self.answer(connection, 429 if fault == "busy" else 503, b"", headers,
+                    not_run=True, rest=rest, closes=closes,
+                    unframed=fault == "shed unframed")
+        return not closes
+
     def run(self, connection, request, fault):
         with self.slots:
             self.running += 1
@@ -317,8 +368,9 @@
             else:
                 connection.sendall(head + body)
             return False
-        self.answer(connection, 500 if fault == "error" else 200, body,
-                    request.headers, sealed=fault != "unsealed")
+        self.answer(connection, 500 if "error" in fault else 200, body,
+                    request.headers, sealed=fault != "unsealed",
+                    not_run=fault.startswith("denied"))
         if fault == "late-extra":
             time.sleep(0.1)
             self.answer(connection, 200, b"of another caller",
@@ -345,11 +397,14 @@
         self.endless.append(Endless(kind, size, time.monotonic() - began))
 
     def answer(self, connection, status, body, headers, sealed=False,
-               not_run=False, rest=None):
+               not_run=False, rest=None, closes=False, unframed=False):
         lines = ["HTTP/1.1 %d Answer" % status,
-                 "Content-Length: %d" % len(body),
                  "X-Sassafrassill-Server-Load: %d,0,%d" %
                  (self.running, self.slot_count)]
+        if not unframed:
+            lines.append("Content-Length: %d" % len(body))
+        if closes:
+            lines.append("Connection: close")
         if ID.lower() in headers:
             lines.append("%s: %s" % (ID, headers[ID.lower()]))
         if self.limit is not None:
@@ -365,7 +420,8 @@
         if not_run:
             lines.append("X-Sassafrassill-Not-Executed: 1")
         text = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-        connection.sendall(text)
-        wait_for = self.copies(status)
-        if wait_for is not None:
-            self.late.setdefault(connection, []).append([wait_for, text])
+        with self.sending:
+            connection.sendall(text)
+        copy = self.copies(status)
+        if copy is not None:
+            self.keep_copies(connection, copy, text)
