A success or a server error is no refusal, whatever its header says

Callers saw (own test): an unsafe request ran twice. A server runs it and ends with 200 or 500, with the header that says that it wasn't executed; the entry VM sends it to the next one, or answers 503, "not run".

Cause: the header alone decided. Now it is believed with 4xx and 503. A server's 421 needs no header, as before.

Not seen on the users' machines: their servers refuse with 503 and 429.

--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -570,6 +570,16 @@
     }
 }
 
+/* Whether the server hasn't run the request, by its own word. Of a success or
+ * a server error, which a run ends with, it isn't believed: to send an unsafe
+ * request once more for it might run that twice. */
+static bool
+is_refusal(const struct relay_call *call)
+{
+    bool follows_a_run = call->status / 100 != 4 && call->status != 503;
+    return call->status == 421 || (call->not_run && !follows_a_run);
+}
+
 static void
 on_end(struct sas_http_listener *listener, bool whole, bool reusable)
 {
@@ -590,9 +600,9 @@
     if (call->says_leaving && call->relayed && call->status != 421) {
         SasRelay_AddLeaving(call);
     }
-    bool not_run = call->not_run || call->status == 421;
+    bool not_run = is_refusal(call);
     call->retry_same_server =
-        call->not_run && call->status != 421 && call->pause_ms == 0 &&
+        not_run && call->status != 421 && call->pause_ms == 0 &&
         server != NULL && SasTraffic_FoundSlot(server, call->load_when_sent);
     if (server != NULL) {
         SasTraffic_NoteReport(relay->options.fleet, call->server.slot,
--- a/tests/e2e/test_refused_and_run.py
+++ b/tests/e2e/test_refused_and_run.py
@@ -26,7 +26,7 @@
 PROMISES = (408, 421, 429, 503)  # not run, and never will be
 REFUSALS = ["shed", "shed", "busy", "shed close", "shed half", "shed interim",
             "shed unframed"]
-FAILURES = ["error", "cut", "unsealed"]
+FAILURES = ["error", "cut", "unsealed", "denied", "denied error"]
 REFUSED_SHARE = 0.33
 FAILED_SHARE = 0.05
 COPIED_SHARE = 0.33
@@ -280,6 +280,20 @@
                 self.check(Play(shape, 3, vms=3, servers=5, callers=12,
                                 shape=shape, disturbed=False))
 
+    def test_what_a_run_ends_with_is_no_refusal(self):
+        """Guards against an unsafe request that runs once more, as its
+        server's success or error says all the same that it wasn't executed.
+        """
+        for fault, status in (("denied", 200), ("denied error", 500)):
+            with Fleet(vms=("a",), first_start=True) as fleet:
+                worker = fleet.add_worker("d1")
+                fleet.start()
+                worker.faults = [fault]
+                answer = fleet.vms[0].request("POST", "/filings/1", b"x")
+                self.assertEqual((answer.status, answer.body),
+                                 (status, b"d1 /filings/1 1"))
+                self.assertEqual(worker.ids(), [answer.id])
+
     def test_drawn_copies_cuts_and_ends(self):
         """Guards against the same where cuts, stops, kills and freezes of
         entry VMs and returning callers come between an attempt, its refusal
