A connection's ids cost the same at any pace, in bounded memory

Cause: carried_ids kept the ids of 30 s in one array, walked it for each lookup and moved it for each note, so a request cost more the more the connection had carried. The pool prefers the connection that was used last, so one of them gets most of a server's pace.

Now two hash sets (GLib), the newer and the older 30 s: the same promise, known for 30 s, in constant time. With 2,048 ids within 30 s a connection is full and isn't used again.

Weighed: one table of ids for the pool (has to be cleared of each connection that ends); asking only for second attempts (blind to another entry VM's try and to a caller that comes back with its id).

--- a/packages/core/include/sas/carried_ids.h
+++ b/packages/core/include/sas/carried_ids.h
@@ -6,8 +6,11 @@
  * request goes on another connection than the first, and an answer with its id
  * is its own.
  *
- * Ids are remembered for as long as a request may last. They are kept as
- * hashes: two ids with the same hash cost a connection, no more.
+ * Ids are remembered for as long as a request may last, and forgotten within
+ * three times that. They are kept as hashes: two ids with the same hash cost a
+ * connection, no more. The time for each operation doesn't depend on the
+ * number of ids, and the memory is bounded: a connection that has carried too
+ * many must not be used again.
  *
  * Times are monotonic milliseconds. Initially all zero; Close frees what it
  * holds.
@@ -23,16 +26,22 @@
 /* No request lasts longer. */
 #define SasCarriedIds_REMEMBER_MS 30000
 
+/* Ids within that time after which a connection is full; two such sets take
+ * 64 kB. */
+#define SasCarriedIds_MAX 2048
+
 struct sas_carried_ids {
-    GArray *entries; /* struct carried_id, oldest first; NULL: none */
+    GHashTable *newer; /* set of hashes; NULL: none */
+    GHashTable *older; /* of ids from before newer_since_ms */
+    int64_t newer_since_ms;
 };
 
-/* Note: the connection carries a request with the id from now on. Forgets
- * those that are too old. */
+/* Note: the connection carries a request with the id from now on. */
 void SasCarriedIds_Note(struct sas_carried_ids *ids, const char *id,
                         int64_t now_ms);
 bool SasCarriedIds_Has(const struct sas_carried_ids *ids, const char *id,
                        int64_t now_ms);
+bool SasCarriedIds_IsFull(const struct sas_carried_ids *ids, int64_t now_ms);
 void SasCarriedIds_Close(struct sas_carried_ids *ids);
 
 #endif
--- a/packages/gateway/src/pool.c
+++ b/packages/gateway/src/pool.c
@@ -262,13 +262,15 @@
 SasPool_Release(struct sas_pooled *pooled, int64_t keep_alive_ms)
 {
     struct sas_pool *pool = pooled->pool;
+    int64_t now_ms = (int64_t)uv_now(pool->loop);
     if (SasFleet_GetServer(pool->fleet, pooled->server) == NULL ||
-        pooled->unidentified) {
+        pooled->unidentified ||
+        SasCarriedIds_IsFull(&pooled->carried, now_ms)) {
         SasHttp_Close(pooled->conn);
         return;
     }
     pooled->idle = true;
-    pooled->idle_since = (int64_t)uv_now(pool->loop);
+    pooled->idle_since = now_ms;
     /* A fifth less than the server states: its timeout began earlier. */
     pooled->idle_limit_ms = keep_alive_ms > 0
                                 ? MIN(keep_alive_ms * 4 / 5, SasPool_IDLE_MS)
--- a/packages/gateway/src/pool.h
+++ b/packages/gateway/src/pool.h
@@ -56,7 +56,8 @@
 
 /* After a whole answer. keep_alive_ms is the server's timeout for idle
  * connections, 0 if it states none. Closes the connection if the server has
- * left the fleet, or the request had no id. */
+ * left the fleet, the request had no id, or the connection has carried too
+ * many. */
 void SasPool_Release(struct sas_pooled *pooled, int64_t keep_alive_ms);
 
 /* Closes it, along with the request on it. */
--- a/tests/e2e/test_late_answers.py
+++ b/tests/e2e/test_late_answers.py
@@ -2,14 +2,18 @@
 """Second copies of servers' answers in platform mode: they come late, and
 belong to no request any more."""
 
+import http.client
 import random
 import threading
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from entry_harness import Fleet, HOST, SEAL, exchange, wait_for
+from entry_harness import Fleet, HOST, ID, SEAL, exchange, wait_for
 
 PROMISES = (408, 421, 429, 503)  # not run, and never will be
+MAX_IDS = 2048  # of requests on a connection, while they are remembered
+REMEMBERED_S = 30
 
 
 def copy_once(status):
@@ -81,6 +85,28 @@
                 ran = sum(w.ids().count(answer.id) for w in workers)
                 self.assertEqual((answer.status, ran), (200, 1))
 
+    def test_a_connection_that_carried_many_ids_is_not_used_on(self):
+        """Guards against a busy connection whose ids fill the memory, or
+        are forgotten while their requests last."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            caller = http.client.HTTPConnection(*vm.address())
+            began = time.monotonic()
+            for i in range(MAX_IDS + 1):
+                caller.request("GET", "/forms/1", headers={
+                    "Host": HOST, ID: "%016x" % i})
+                self.assertEqual(caller.getresponse().read(), b"d1 /forms/1 0")
+            caller.close()
+            time.sleep(1)  # the log has room for one more line
+            answer = vm.request()
+            line, = vm.find_lines("request", request=answer.id)
+            # On a machine so slow that the first ids are forgotten meanwhile
+            # the connection is not full.
+            if time.monotonic() - began < REMEMBERED_S:
+                self.assertEqual((line["conn"], line["nth"]), (2, 2))
+
     def test_the_log_tells_the_attempts_of_a_request_apart(self):
         """Guards against a refusal of which no log line says on which
         connection it came, and whether it named its request."""
