--- a/tests/e2e/test_refused_and_run.py
+++ b/tests/e2e/test_refused_and_run.py
@@ -141,11 +141,12 @@
             for worker in self.workers:
                 self.disturb_server(worker)
             self.ends_at = time.monotonic() + self.seconds
-            faults = [threading.Thread(target=self.disturb_links),
-                      threading.Thread(target=self.disturb_vms)]
-            for thread in self.callers + (faults if self.disturbed else []):
+            faults = [threading.Thread(target=fault) for fault in (
+                self.disturb_links, self.disturb_vms, self.turn_away)]
+            threads = self.callers + (faults if self.disturbed else [])
+            for thread in threads:
                 thread.start()
-            for thread in self.callers + (faults if self.disturbed else []):
+            for thread in threads:
                 thread.join()
             self.settle()
             self.logs = [line for vm in self.fleet.vms for line in vm.log()]
@@ -210,6 +211,25 @@
             vm.start()
             wait_for(vm.is_ready, vm.name + " ready again")
 
+    def turn_away(self):
+        """Servers ask for rest, or drain and start again,
+        while they have requests."""
+        rng = random.Random("%s servers" % self.seed)
+        while not self.is_over():
+            worker = rng.choice(self.workers)
+            zone = "abc"[self.workers.index(worker) % 3]
+            if rng.random() < 0.5:
+                worker.rest = rng.choice(("0.1", "0.5"))
+                self.pause(0.1, 0.5)
+                worker.rest = None
+            else:
+                self.fleet.add_worker(worker.name, zone=zone,
+                                      state="draining", **{"seq-no": 2})
+                self.pause(0.1, 1)
+                self.fleet.add_worker(worker.name, zone=zone,
+                                      born=int(time.time() * 1000))
+            self.pause(0, 0.3)
+
     def settle(self):
         """What was sent may still run."""
         wait_for(lambda: not any(w.running for w in self.workers),
@@ -243,14 +263,16 @@
     def report(self):
         twice, refused, mixed = self.find_violations()
         print("seed %s: %d requests, %d served, %d refused, %d unserved; "
-              "%d refusals, %d copies; twice %d, refused and run %d, mixed %d"
+              "%d refusals, %d copies, %d through another entry VM; "
+              "twice %d, refused and run %d, mixed %d"
               % (self.seed, sum(len(c.requests) for c in self.callers),
                  self.count(200), self.count(503),
                  self.count(502) + self.count(504) + self.count(None),
                  len([1 for line in self.logs
                       if line["step"] == "attempt.refused"]),
-                 sum(w.copied for w in self.workers), len(twice),
-                 len(refused), len(mixed)), flush=True)
+                 sum(w.copied for w in self.workers),
+                 len([1 for line in self.logs if line.get("via")]),
+                 len(twice), len(refused), len(mixed)), flush=True)
         return not (twice or refused or mixed)
 
 
