--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -57,6 +57,7 @@
                      Pipeliner, SlowReader, describe, explain_loss,
                      may_hit_deadline)
 from proxy import Proxy  # noqa: E402
+from workers import Copy  # noqa: E402
 
 SERVERS = 6
 CALLERS = [Caller] * 6 + [Pipeliner] * 3 + \
@@ -361,13 +362,37 @@
 
     def break_answers(self):
         name = self.rng.choice(sorted(self.services))
-        what = self.rng.choice(("shed", "cut", "late-extra", "half",
+        what = self.rng.choice(("shed", "busy", "shed close", "shed half",
+                                "shed interim", "shed unframed", "denied",
+                                "denied error", "cut", "late-extra", "half",
                                 "unframed", "unsealed"))
         self.log("%s answers %s" % (name, what))
         worker = self.fleet.workers[name]
         worker.faults.extend([what] * self.rng.randrange(1, 12))
         time.sleep(1)
 
+    def answer_twice(self):
+        """Servers refuse a part of their requests, and answers come more than
+        once: right away, later, or with a later request."""
+        names = self.rng.sample(sorted(self.services),
+                                self.rng.randrange(1, 5))
+        self.log("twice " + " ".join(names))
+        rng = random.Random(self.rng.random())
+
+        def draw_copy(status):
+            return None if rng.random() < 0.6 else rng.choice(
+                (Copy(), Copy(after=rng.randrange(4)), Copy(times=3),
+                 Copy(delay_s=rng.uniform(0, 0.1)),
+                 Copy(delay_s=0.01, size=40)))
+
+        for name in names:
+            worker = self.fleet.workers[name]
+            worker.copies = draw_copy
+            worker.faults.extend(["shed", "", "busy", "", ""] * 8)
+        time.sleep(self.rng.uniform(0.5, 4))
+        for name in names:
+            self.fleet.workers[name].copies = lambda status: None
+
     def rest_servers(self):
         """Servers refuse all requests for a while and ask for rest."""
         names = self.rng.sample(sorted(self.services),
@@ -416,7 +441,8 @@
                "leave_server")
     FAULTS = ("disrupt_link", "disrupt_link", "cut_links", "cut_links",
               "disrupt_store", "kill_vm", "pause_vm", "stop_vm",
-              "replace_server", "break_answers", "slow_server",
+              "replace_server", "break_answers", "answer_twice",
+              "answer_twice", "slow_server",
               "rest_servers",
               "change_config", "hup_vm", "evacuate", "put_sheet", "put_sheet",
               "poison")
