--- a/tests/e2e/test_refused_and_run.py
+++ b/tests/e2e/test_refused_and_run.py
@@ -30,6 +30,7 @@
 REFUSED_SHARE = 0.33
 FAILED_SHARE = 0.05
 COPIED_SHARE = 0.33
+RESET_SHARE = 0.05  # of new connections to servers
 SHAPES = {
     "next": lambda rng: Copy(),
     "behind": lambda rng: Copy(delay_s=rng.uniform(0.001, 0.03)),
@@ -172,6 +173,8 @@
             return SHAPES[self.shape or rng.choice(sorted(SHAPES))](rng)
 
         worker.copies = draw_copy
+        if self.disturbed:
+            worker.resets = lambda: rng.random() < RESET_SHARE
 
     def pause(self, shortest, longest):
         time.sleep(max(0, min(self.rng.uniform(shortest, longest),
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -17,6 +17,7 @@
                  requests are refused
     poison       targets whose requests crash the server when they start: it
                  resets all connections and accepts none for down_s
+    resets       called for each new connection: whether it is reset at once
     copies       called with the status of each answer: None, the number of
                  requests that arrive on the connection, after the next one,
                  before a second copy of the answer is sent, or a Copy
@@ -144,6 +145,7 @@
         self.held = threading.Event()
         self.held.set()
         self.faults = []
+        self.resets = lambda: False
         self.copies = lambda status: None
         self.late = {}       # connection -> [requests to wait for, bytes]
         self.copied = 0      # second copies that were sent
@@ -185,6 +187,9 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
+            if self.resets():
+                reset(connection)
+                continue
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
 
