Signals are noted, and settings are read once a second at most

Operators saw (KNOWN-RED, e2e_signals, under sanitizers): a process that had got SIGTERM was still there 30 s later, under a flood of SIGHUP and SIGTERM.

Cause: the loop (libuv) handles signals until none waits, before anything else, and each SIGHUP read the settings file at once. Where that takes longer than the next signal takes to come, no timer runs, so the stop never ends, and no request is served.

Now a SIGHUP starts a timer, and the timer reloads: at once, or a second after the last reload; one that comes meanwhile is not lost. Standalone mode, which reloads nothing, notes a signal without effect once a second.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -26,6 +26,9 @@
 /* The settings file may change without a SIGHUP, so it is polled. */
 #define FILE_POLL_MS 3000
 
+/* Signals may come faster than settings are read. */
+#define RELOAD_GAP_MS 1000
+
 /* Callers' idle connections are closed after this time during a shutdown. */
 #define STOP_IDLE_MS 1500
 
@@ -66,11 +69,13 @@
     GRand *random;
     uv_timer_t sweep_timer;
     uv_timer_t stop_timer;
+    uv_timer_t reload_timer; /* runs from a SIGHUP to its reload */
     uv_signal_t signals[3];
     uv_fs_poll_t settings_poll;
     int open_handles; /* of the handles above, while they are being closed */
     struct sas_shutdown_plan stop_plan;
     bool was_drained; /* at the previous shutdown check */
+    int64_t next_reload_at;
     void (*reload)(void *data);
     void *reload_data;
 };
@@ -228,6 +233,8 @@
     uv_timer_init(loop, &gateway->stop_timer);
     gateway->sweep_timer.data = gateway;
     gateway->stop_timer.data = gateway;
+    uv_timer_init(loop, &gateway->reload_timer);
+    gateway->reload_timer.data = gateway;
     uv_fs_poll_init(loop, &gateway->settings_poll);
     gateway->settings_poll.data = gateway;
     uv_timer_start(&gateway->sweep_timer, on_sweep, SWEEP_MS, SWEEP_MS);
@@ -285,6 +292,7 @@
     SasMesh_Close(gateway->mesh);
     close_handle(gateway, (uv_handle_t *)&gateway->sweep_timer);
     close_handle(gateway, (uv_handle_t *)&gateway->stop_timer);
+    close_handle(gateway, (uv_handle_t *)&gateway->reload_timer);
     close_handle(gateway, (uv_handle_t *)&gateway->settings_poll);
     for (int i = 0; i < 3; i++) {
         close_handle(gateway, (uv_handle_t *)&gateway->signals[i]);
@@ -434,6 +442,20 @@
     }
 }
 
+static void
+on_reload_due(uv_timer_t *timer)
+{
+    struct sas_gateway *gateway = timer->data;
+    gateway->next_reload_at = (int64_t)uv_now(gateway->loop) + RELOAD_GAP_MS;
+    SasLog_Write(SasLog_INFO, "process.reload", "", "signal=%d", SIGHUP);
+    if (gateway->reload != NULL) {
+        gateway->reload(gateway->reload_data);
+    }
+}
+
+/* The loop handles all signals that wait before anything else. So they only
+ * note what is to be done: if each took longer than the next one takes to
+ * come, requests and timers would wait for as long as they come. */
 static void
 on_signal(uv_signal_t *signal, int number)
 {
@@ -442,8 +464,10 @@
         begin_stop(gateway, number);
         return;
     }
-    SasLog_Write(SasLog_INFO, "process.reload", "", "signal=%d", number);
-    if (gateway->reload != NULL) {
-        gateway->reload(gateway->reload_data);
+    if (!uv_is_active((uv_handle_t *)&gateway->reload_timer)) {
+        int64_t wait_ms =
+            gateway->next_reload_at - (int64_t)uv_now(gateway->loop);
+        uv_timer_start(&gateway->reload_timer, on_reload_due,
+                       (uint64_t)MAX(wait_ms, 0), 0);
     }
 }
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -25,6 +25,7 @@
 #define OWN_REGION_PROBE_MS 1000
 #define OTHER_REGION_PROBE_MS 3000
 #define STOP_TICK_MS 50
+#define SIGNAL_NOTE_GAP_MS 1000
 
 enum exit_status {
     EXIT_STOPPED = 0,
@@ -63,6 +64,7 @@
     uv_signal_t signals[3];
     uv_timer_t stop_timer;
     int64_t stopping_at; /* 0: not stopping */
+    int64_t next_signal_note_at;
     bool pending_failed; /* pending requests, at the shutdown deadline */
     int exit_status;
 };
@@ -260,19 +262,31 @@
     }
 }
 
+/* Signals without effect may come faster than log lines are written. */
 static void
-on_signal(uv_signal_t *handle, int number)
+note_ignored_signal(struct sas_node *node, int number)
 {
-    struct sas_node *node = handle->data;
+    int64_t now_ms = (int64_t)uv_now(&node->loop);
+    if (now_ms < node->next_signal_note_at) {
+        return;
+    }
+    node->next_signal_note_at = now_ms + SIGNAL_NOTE_GAP_MS;
     if (number == SIGHUP) {
         SasLog_Write(SasLog_INFO, "node.reload", NULL,
                      "signal %d: settings are read at the next start only",
                      number);
         return;
     }
-    if (node->stopping_at != 0) {
-        SasLog_Write(SasLog_WARN, "node.stop", NULL,
-                     "signal %d again: shutdown is in progress", number);
+    SasLog_Write(SasLog_WARN, "node.stop", NULL,
+                 "signal %d again: shutdown is in progress", number);
+}
+
+static void
+on_signal(uv_signal_t *handle, int number)
+{
+    struct sas_node *node = handle->data;
+    if (number == SIGHUP || node->stopping_at != 0) {
+        note_ignored_signal(node, number);
         return;
     }
     SasLog_Write(SasLog_INFO, "node.stop", NULL, "signal %d: stopping",
--- a/tests/e2e/test_signals.py
+++ b/tests/e2e/test_signals.py
@@ -1,6 +1,7 @@
 #!/usr/bin/python3
 """Signals at any time from the beginning of main to the process's end."""
 
+import datetime
 import errno
 import os
 import shutil
@@ -11,6 +12,14 @@
 from harness import Deployment
 
 GAP_S = 0.0001  # between two signals
+FLOODS = 3
+RELOAD_GAP_S = 0.9  # 1 s, less what the wall clock may be set back
+
+
+def parse_time(line):
+    """Seconds since the epoch of a log line."""
+    return datetime.datetime.fromisoformat(
+        line["time"].replace("Z", "+00:00")).timestamp()
 
 
 class SignalFlood(threading.Thread):
@@ -222,6 +231,26 @@
 class PlatformSignals(Signals, unittest.TestCase):
     mode = PlatformMode
 
+    # Guards against a flood of reloads that keeps the process from its
+    # requests and timers, and fills the log.
+    def test_a_flood_of_reloads_is_one_reload_a_second(self):
+        with self.mode() as vm:
+            vm.start()
+            self.wait_ready(vm)
+            floods = [SignalFlood(vm.process(), signal.SIGHUP)
+                      for _ in range(FLOODS)]
+            for flood in floods:
+                self.addCleanup(flood.stop_sending)
+            times = []
+            while len(times) < 4:
+                self.assertEqual(vm.vm.request().status, 200)
+                times = [parse_time(line) for line in
+                         vm.vm.find_lines("process.reload")]
+            for before, after in zip(times, times[1:]):
+                self.assertGreaterEqual(after - before, RELOAD_GAP_S)
+            vm.process().send_signal(signal.SIGTERM)
+            self.assertEqual(vm.process().wait(30), 0)
+
 
 class StandaloneSignals(Signals, unittest.TestCase):
     mode = StandaloneMode
