Answers that callers do not read are bounded

Cause: 32 pending requests hold up a connection's further ones, but an answer that is ready moved to libuv's queue and no longer counted, and all connections together had no bound.

Now further requests of a connection wait while more than 256 kB of its answers are unsent; reading goes on, so the caller's leaving is seen. All answers in memory that callers have not read share an eighth of it (a tenth for other entry VMs); past it the connection with most of them is closed, and caller.closed says "memory". It is done in the loop's next turn, as the relay may be going through its calls. A closed caller gets no answer, which promises nothing; the alternative is the process's end, for all callers.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -20,6 +20,9 @@
 /* Those of requests that come through other entry VMs. */
 #define RELAYED_BODIES_SHARE 0.1
 
+/* Part of the process's memory for answers that callers have not read. */
+#define UNREAD_ANSWERS_SHARE 0.125
+
 /* Descriptors reserved for backend servers, the store and files. */
 #define OTHER_DESCRIPTORS 1200
 
@@ -92,6 +95,8 @@
         .body_bytes = DEFAULT_BODY_BYTES,
         .bodies_bytes =
             (size_t)((double)gateway->settings->memory_bytes * BODIES_SHARE),
+        .answers_bytes = (size_t)((double)gateway->settings->memory_bytes *
+                                  UNREAD_ANSWERS_SHARE),
         .header_timeout_ms = DEFAULT_HEADER_MS,
         .idle_timeout_ms = DEFAULT_IDLE_MS,
         .connections =
@@ -115,6 +120,7 @@
     limits.header_bytes += RELAY_HEADER_BYTES;
     limits.bodies_bytes = (size_t)((double)gateway->settings->memory_bytes *
                                    RELAYED_BODIES_SHARE);
+    limits.answers_bytes = limits.bodies_bytes;
     limits.idle_timeout_ms = DEFAULT_IDLE_MS;
     limits.connections = SIDE_CONNECTIONS;
     return limits;
--- a/packages/net/include/sas/http_server.h
+++ b/packages/net/include/sas/http_server.h
@@ -41,6 +41,10 @@
  * ones. */
 #define SasHttpServer_MAX_AHEAD (512 * 1024)
 
+/* While more of its answers than this wait for the caller to read, bytes,
+ * further requests of a connection wait too. */
+#define SasHttpServer_MAX_UNSENT (256 * 1024)
+
 struct sas_http_server;
 struct sas_http_exchange;
 
@@ -48,6 +52,9 @@
     size_t header_bytes; /* of the target; also of all names and values */
     size_t body_bytes;   /* of one request */
     size_t bodies_bytes; /* of all requests in memory, read ahead or not */
+    /* Of the answers that callers have not read yet, outside the kernel. Past
+     * it the connections with most of them are closed. 0: no limit. */
+    size_t answers_bytes;
     /* From the first byte of a request to the end of its head. */
     int64_t header_timeout_ms;
     /* Between two requests, or while the caller reads nothing of an answer;
@@ -62,6 +69,7 @@
     SAS_HTTP_CLOSE_ANSWER, /* after an answer with Connection: close */
     SAS_HTTP_CLOSE_IDLE, /* idle_timeout_ms, or idle_ms of a drain, is over */
     SAS_HTTP_CLOSE_SERVER, /* by SasHttpServer_Close */
+    SAS_HTTP_CLOSE_MEMORY, /* answers_bytes is exceeded */
     SAS_HTTP_CLOSE_COUNT
 };
 
@@ -92,7 +100,7 @@
                       const struct sas_http_close_stats *close_stats);
 };
 
-/* "caller", "answer", "idle" or "server". */
+/* "caller", "answer", "idle", "server" or "memory". */
 const char *SasHttp_GetCloseReasonName(enum sas_http_close_reason end);
 
 struct sas_http_reply {
@@ -131,6 +139,9 @@
 int SasHttpServer_CountPending(const struct sas_http_server *server);
 int SasHttpServer_CountConnections(const struct sas_http_server *server);
 
+/* Bytes of answers that callers have not read yet, outside the kernel. */
+size_t SasHttpServer_CountUnsent(const struct sas_http_server *server);
+
 /* Connections with unfinished work: a request that is in the socket, being
  * read or unanswered, an answer that the caller hasn't acknowledged in full,
  * or a close that the caller hasn't answered with its own. */
--- a/packages/net/src/http_exchange.c
+++ b/packages/net/src/http_exchange.c
@@ -85,6 +85,7 @@
                       const struct sas_http_reply *reply)
 {
     e->answer = format_reply(e, reply);
+    SasHttpServerConn_NoteAnswerBytes(e->connection, (ssize_t)e->answer->len);
     SasHttpServerConn_Flush(e->connection);
 }
 
@@ -145,6 +146,7 @@
     c->server->exchange_count--;
     c->server->body_bytes -= e->body->len;
     if (e->answer != NULL) {
+        SasHttpServerConn_NoteAnswerBytes(c, -(ssize_t)e->answer->len);
         g_string_free(e->answer, TRUE);
     }
     SasHttpHead_Close(&e->head);
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -14,10 +14,9 @@
 SasHttp_GetCloseReasonName(enum sas_http_close_reason end)
 {
     static const char *const names[SAS_HTTP_CLOSE_COUNT] = {
-        [SAS_HTTP_CLOSE_CALLER] = "caller",
-        [SAS_HTTP_CLOSE_ANSWER] = "answer",
-        [SAS_HTTP_CLOSE_IDLE] = "idle",
-        [SAS_HTTP_CLOSE_SERVER] = "server",
+        [SAS_HTTP_CLOSE_CALLER] = "caller", [SAS_HTTP_CLOSE_ANSWER] = "answer",
+        [SAS_HTTP_CLOSE_IDLE] = "idle",     [SAS_HTTP_CLOSE_SERVER] = "server",
+        [SAS_HTTP_CLOSE_MEMORY] = "memory",
     };
     return names[end];
 }
@@ -38,6 +37,13 @@
            now_ms < server->stalled_until;
 }
 
+bool
+SasHttpServer_HasTooManyAnswers(const struct sas_http_server *server)
+{
+    return server->limits.answers_bytes > 0 &&
+           server->answer_bytes > server->limits.answers_bytes;
+}
+
 static void
 on_sweep(uv_timer_t *timer)
 {
@@ -58,11 +64,34 @@
     }
 }
 
+static struct sas_http_server_conn *
+find_most_unread(const struct sas_http_server *server)
+{
+    struct sas_http_server_conn *most = server->connections;
+    for (struct sas_http_server_conn *c = most; c != NULL; c = c->next) {
+        if (c->answer_bytes > most->answer_bytes) {
+            most = c;
+        }
+    }
+    return most;
+}
+
+/* Callers that don't read would take the memory that others' answers need. */
+static void
+limit_answers(struct sas_http_server *server)
+{
+    while (SasHttpServer_HasTooManyAnswers(server)) {
+        SasHttpServerConn_Close(find_most_unread(server),
+                                SAS_HTTP_CLOSE_MEMORY);
+    }
+}
+
 void
 SasHttpServer_OnResume(uv_idle_t *resume)
 {
     struct sas_http_server *server = resume->data;
     uv_idle_stop(resume);
+    limit_answers(server);
     struct sas_http_server_conn *c = server->connections;
     while (c != NULL) {
         struct sas_http_server_conn *next = c->next;
@@ -170,6 +199,12 @@
     return server->connection_count;
 }
 
+size_t
+SasHttpServer_CountUnsent(const struct sas_http_server *server)
+{
+    return server->answer_bytes;
+}
+
 int
 SasHttpServer_CountBusyConnections(const struct sas_http_server *server)
 {
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -48,25 +48,20 @@
     }
 }
 
-static void
-on_written(uv_write_t *request, int status)
+/* Whether further requests wait: many are pending, or the caller doesn't read
+ * its answers. */
+static bool
+is_full(const struct sas_http_server_conn *c)
 {
-    struct write *write = (struct write *)request;
-    struct sas_http_server_conn *c = write->connection;
-    if (status != 0) {
-        SasHttpServerConn_Close(c, SAS_HTTP_CLOSE_CALLER);
-    }
-    else if (write->close_after && c->state != CONNECTION_CLOSED) {
-        linger(c);
-    }
-    g_string_free(write->bytes, TRUE);
-    g_free(write);
+    return c->pending >= SasHttpServer_MAX_PIPELINE ||
+           uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) >
+               SasHttpServer_MAX_UNSENT;
 }
 
 static bool
-is_full(const struct sas_http_server_conn *c)
+waits(const struct sas_http_server_conn *c)
 {
-    return c->pending >= SasHttpServer_MAX_PIPELINE;
+    return c->state == CONNECTION_OPEN && (c->ahead.size > 0 || c->overflowed);
 }
 
 /* Requests that wait are parsed in the loop's next iteration: the caller of
@@ -78,6 +73,40 @@
     uv_idle_start(&c->server->resume, SasHttpServer_OnResume);
 }
 
+/* What is too much is given up in the loop's next iteration, for the same
+ * reason. */
+void
+SasHttpServerConn_NoteAnswerBytes(struct sas_http_server_conn *c,
+                                  ssize_t change)
+{
+    c->answer_bytes += (size_t)change;
+    c->server->answer_bytes += (size_t)change;
+    if (SasHttpServer_HasTooManyAnswers(c->server)) {
+        uv_idle_start(&c->server->resume, SasHttpServer_OnResume);
+    }
+}
+
+static void
+on_written(uv_write_t *request, int status)
+{
+    struct write *write = (struct write *)request;
+    struct sas_http_server_conn *c = write->connection;
+    if (c->state != CONNECTION_CLOSED) {
+        SasHttpServerConn_NoteAnswerBytes(c, -(ssize_t)write->bytes->len);
+    }
+    if (status != 0) {
+        SasHttpServerConn_Close(c, SAS_HTTP_CLOSE_CALLER);
+    }
+    else if (write->close_after && c->state != CONNECTION_CLOSED) {
+        linger(c);
+    }
+    else if (waits(c) && !is_full(c)) {
+        schedule_resume(c);
+    }
+    g_string_free(write->bytes, TRUE);
+    g_free(write);
+}
+
 /* While draining, the answer to the last request closes the connection. If
  * further requests follow, it stays open: callers take requests after a
  * closing answer as not processed and would retry them while they run. */
@@ -127,6 +156,7 @@
         }
     }
     c->active_at = (int64_t)uv_now(c->server->loop);
+    SasHttpServerConn_NoteAnswerBytes(c, (ssize_t)write->bytes->len);
     uv_buf_t buffer =
         uv_buf_init(write->bytes->str, (unsigned int)write->bytes->len);
     if (uv_write(&write->request, (uv_stream_t *)&c->tcp, &buffer, 1,
@@ -248,6 +278,7 @@
     report_close(c, end);
     clear_ahead(c);
     abandon_exchanges(c, end);
+    server->answer_bytes -= c->answer_bytes; /* of what is being sent */
     uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
 }
 
--- a/packages/net/src/http_server_conn.h
+++ b/packages/net/src/http_server_conn.h
@@ -49,7 +49,8 @@
     int pending;        /* exchanges from first to last */
     struct sas_read_ahead ahead; /* while too many are pending */
     int64_t active_at;
-    size_t last_unsent; /* unsent bytes at the last check of send progress */
+    size_t last_unsent;  /* unsent bytes at the last check of send progress */
+    size_t answer_bytes; /* of answers in memory: ready, or being sent */
     enum connection_state state;
     uv_shutdown_t shutdown;
     bool caller_closed; /* end of stream; acknowledgements may be missing */
@@ -73,6 +74,7 @@
     int connection_count;
     int exchange_count;
     size_t body_bytes; /* in memory: request bodies, and what was read ahead */
+    size_t answer_bytes; /* in memory, of all connections */
     bool draining;
     bool closed;
     int64_t drain_idle_ms;
@@ -84,7 +86,10 @@
  * behind it is read. */
 bool SasHttpServer_HasStalled(const struct sas_http_server *server);
 
-/* Resumes all connections; called by the handle of that name. */
+bool SasHttpServer_HasTooManyAnswers(const struct sas_http_server *server);
+
+/* Closes connections if their answers take too much memory, and resumes all
+ * others; called by the handle of that name. */
 void SasHttpServer_OnResume(uv_idle_t *resume);
 
 /* Accepts a connection from the listener's queue. */
@@ -110,6 +115,10 @@
 void SasHttpServerConn_Close(struct sas_http_server_conn *c,
                              enum sas_http_close_reason end);
 
+/* Answers in memory have become more, or less; negative: less. */
+void SasHttpServerConn_NoteAnswerBytes(struct sas_http_server_conn *c,
+                                       ssize_t change);
+
 /* Appends a new exchange to a connection; frees the oldest one. */
 struct sas_http_exchange *SasHttpExchange_New(struct sas_http_server_conn *c);
 void SasHttpExchange_FreeFirst(struct sas_http_server_conn *c);
--- a/packages/net/tests/http_fixture.c
+++ b/packages/net/tests/http_fixture.c
@@ -108,6 +108,7 @@
         .header_bytes = 1000,
         .body_bytes = given->body_bytes,
         .bodies_bytes = 2 * given->body_bytes,
+        .answers_bytes = given->answers_bytes,
         .header_timeout_ms = given->header_ms,
         .idle_timeout_ms = given->idle_ms,
         .connections = 4,
--- a/packages/net/tests/http_fixture.h
+++ b/packages/net/tests/http_fixture.h
@@ -40,8 +40,9 @@
 struct fixture_limits {
     size_t body_bytes;
     int64_t header_ms;
-    int64_t idle_ms; /* 0: no limit */
-    int window;      /* receive buffer of the caller, bytes; 0: default */
+    int64_t idle_ms;      /* 0: no limit */
+    size_t answers_bytes; /* 0: no limit */
+    int window;           /* receive buffer of the caller, bytes; 0: default */
 };
 
 /* Starts a server and connects a caller. Stop closes both and checks that no
--- a/packages/net/tests/test_http_server.c
+++ b/packages/net/tests/test_http_server.c
@@ -224,6 +224,58 @@
     stop(f);
 }
 
+/* Guards against memory that a caller fills by sending on without reading its
+ * answers. */
+static void
+test_a_caller_that_reads_nothing_begins_no_more_requests(void **state)
+{
+    (void)state;
+    struct fixture *f = start(1000);
+    uv_read_stop((uv_stream_t *)&f->client);
+    write_and_run(f, "GET /1 HTTP/1.1\r\n\r\n");
+    g_autofree char *body = g_strnfill(LARGE_BODY, 'x');
+    reply(f, 0, body);
+    write_and_run(f, "GET /2 HTTP/1.1\r\n\r\nGET /3 HT");
+    write_and_run(f, "TP/1.1\r\n\r\n");
+    assert_int_equal(f->held_count, 1);
+    uv_read_start((uv_stream_t *)&f->client, on_alloc, on_read);
+    for (int i = 0; i < 250 && f->held_count < 3; i++) {
+        run_loop(f);
+    }
+    assert_int_equal(f->held_count, 3);
+    reply(f, 2, "third");
+    reply(f, 1, "second");
+    assert_non_null(strstr(f->received->str + LARGE_BODY, "third"));
+    assert_int_equal(f->end, 0);
+    stop(f);
+}
+
+/* The same by the answers of all callers together: the one that most waits for
+ * is closed, and the reason is given. */
+static void
+test_answers_that_nobody_reads_are_given_up(void **state)
+{
+    (void)state;
+    const struct fixture_limits limits = {
+        .body_bytes = 1000,
+        .header_ms = LONG_MS,
+        .answers_bytes = LARGE_BODY / 2,
+    };
+    struct fixture *f = start_with(&limits);
+    uv_read_stop((uv_stream_t *)&f->client);
+    write_and_run(f, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    g_autofree char *body = g_strnfill(LARGE_BODY / 4, 'x');
+    reply(f, 0, body);
+    assert_int_equal(f->closed, 0);
+    g_autofree char *large = g_strnfill(LARGE_BODY, 'x');
+    write_and_run(f, "GET /3 HTTP/1.1\r\n\r\n");
+    reply(f, 1, large);
+    assert_int_equal(f->closed, 1);
+    assert_int_equal(f->close_stats.end, SAS_HTTP_CLOSE_MEMORY);
+    assert_int_equal(SasHttpServer_CountUnsent(f->server), 0);
+    stop(f);
+}
+
 static void
 expect_refusal(const char *text, const char *status)
 {
@@ -626,6 +678,9 @@
         cmocka_unit_test(test_a_request_that_waited_out_a_stall_begins),
         cmocka_unit_test(test_requests_that_wait_begin_in_turn),
         cmocka_unit_test(test_what_is_too_much_to_wait_is_refused),
+        cmocka_unit_test(
+            test_a_caller_that_reads_nothing_begins_no_more_requests),
+        cmocka_unit_test(test_answers_that_nobody_reads_are_given_up),
         cmocka_unit_test(
             test_pipelined_requests_run_concurrently_and_answer_in_order),
         cmocka_unit_test(test_bodies_with_a_length_or_in_chunks_are_whole),
--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -156,6 +156,14 @@
         return [line for line in self.log() if line["step"] == step and
                 all(line.get(k) == v for k, v in fields.items())]
 
+    def read_peak(self):
+        """The most memory that the process has used, bytes."""
+        with open("/proc/%d/status" % self.process.pid) as file:
+            for line in file:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) << 10
+        raise ValueError("no peak")
+
     def signal(self, number):
         self.process.send_signal(number)
 
--- a/tests/e2e/test_endless_answers.py
+++ b/tests/e2e/test_endless_answers.py
@@ -17,15 +17,6 @@
 KINDS = sorted(ENDLESS) + ["slow " + kind for kind in sorted(ENDLESS)]
 
 
-def read_peak(vm):
-    """The most memory that the process has used, bytes."""
-    with open("/proc/%d/status" % vm.process.pid) as file:
-        for line in file:
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) << 10
-    raise ValueError("no peak")
-
-
 class EndlessAnswers(unittest.TestCase):
     def test_they_are_given_up(self):
         """Guards against callers that wait for bytes without end up to their
@@ -72,11 +63,11 @@
                 fleet.start()
                 vm = fleet.vms[0]
                 self.assertEqual(vm.request().status, 200)
-                before = read_peak(vm)
+                before = vm.read_peak()
                 for worker in workers:
                     worker.faults = [kind] * 1000
                 self.load(vm, 24)
-                self.assertLess(read_peak(vm) - before, MAX_GROWTH)
+                self.assertLess(vm.read_peak() - before, MAX_GROWTH)
                 for worker in workers:
                     worker.faults = []
                 wait_for(lambda: vm.request().status == 200, "served again")
@@ -118,7 +109,7 @@
             worker.work_s = 0.03
         for worker in workers[:3]:
             worker.faults = [kind, "", ""] * 10000
-        before = {vm.name: read_peak(vm) for vm in fleet.vms}
+        before = {vm.name: vm.read_peak() for vm in fleet.vms}
         results = []
         end = time.monotonic() + seconds
 
@@ -146,7 +137,7 @@
                   len(results), times[int(len(times) * 0.99)], times[-1],
                   len(endless), max((e.took_s for e in endless), default=0),
                   max((e.size for e in endless), default=0) / 1e6,
-                  max((read_peak(vm) - before[vm.name]) / 1e6
+                  max((vm.read_peak() - before[vm.name]) / 1e6
                       for vm in fleet.vms)), flush=True)
 
 
--- a/tests/e2e/test_entry_slow_callers.py
+++ b/tests/e2e/test_entry_slow_callers.py
@@ -1,6 +1,7 @@
 #!/usr/bin/python3
 """A graceful shutdown of an entry VM while callers read slowly."""
 
+import contextlib
 import http.client
 import unittest
 
@@ -12,6 +13,9 @@
 SEGMENT_BYTES = 1400
 # About the time that an answer of this size takes at 2.4 Mbit/s.
 READS_AFTER_S = 1
+SILENT_CALLERS = 4
+UNREAD_ANSWERS = 150
+MORE_MEMORY = 64 << 20  # bytes
 
 
 def read_answer(caller):
@@ -51,6 +55,41 @@
                 self.assertGreater(size, LARGE_BYTES)
             self.assertEqual(vm.process.wait(30), 0)
 
+    # Guards against memory that callers fill by sending on without reading
+    # their answers.
+    def test_callers_that_read_nothing_fill_no_memory(self):
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            worker = fleet.add_worker("d1", slots=60)
+            worker.pads = {"/forms/large": LARGE_BYTES}
+            vm = fleet.vms[0]
+            vm.environment["ASAN_OPTIONS"] = "quarantine_size_mb=1"
+            fleet.start()
+            before = vm.read_peak()
+            with contextlib.ExitStack() as stack:
+                callers = []
+                for number in range(SILENT_CALLERS):
+                    caller = stack.enter_context(socket.socket())
+                    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                      WINDOW_BYTES)
+                    caller.connect(vm.address())
+                    callers.append(caller)
+                for i in range(UNREAD_ANSWERS):
+                    for number, caller in enumerate(callers):
+                        caller.sendall(format_request(
+                            "/forms/large", "%d-%d" % (number, i)))
+                    if i % 10 == 0:
+                        self.assertEqual(vm.request().status, 200)
+                count = 0
+                while len(worker.ran) > count:  # what goes on has ended
+                    count = len(worker.ran)
+                    time.sleep(1)
+                self.assertEqual(vm.request().status, 200)
+                self.assertLess(vm.read_peak() - before, MORE_MEMORY)
+                # One that reads at last gets what it has sent for.
+                answers = callers[0].makefile("rb")
+                head = answers.readline()
+                self.assertEqual(head.split()[1], b"200")
+
 
 if __name__ == "__main__":
     unittest.main()
