An attempt id may be of any length

Cause: ids were kept in 64 bytes and cut, so no answer matched an id of 64 characters or more and each was skipped as another request's. Now the caller's header field itself is compared; it lives as long as its exchange.

test_an_id_may_be_long: 504 for 64 characters before, 63 to 1,000 served now.

--- a/packages/gateway/src/relay.c
+++ b/packages/gateway/src/relay.c
@@ -439,8 +439,7 @@
     call->answer_body = g_string_new(NULL);
     const char *id =
         SasHttpExchange_FindHeader(exchange, relay->options.wire->request_id);
-    g_strlcpy(call->request_id, id != NULL ? id : "",
-              sizeof(call->request_id));
+    call->request_id = id != NULL ? id : "";
     SasHttpExchange_SetUser(exchange, call);
     call->link.data = call;
     g_queue_push_tail_link(&relay->calls, &call->link);
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -120,7 +120,7 @@
     const char *split_by;
     struct sas_split_pick split_pick;
     bool keyed; /* the route is sticky and the caller has named the object */
-    char request_id[64];
+    const char *request_id; /* of the exchange; "": none */
     int64_t began_at;
     int64_t deadline_at;
     int tried[SasRelay_MAX_TRIED];
--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -5,8 +5,8 @@
 import threading
 import unittest
 
-from entry_harness import (Fleet, HOST, SEAL, exchange, format_request,
-                           signal, socket, time, wait_for)
+from entry_harness import (Fleet, HOST, ID, SEAL, exchange,
+                           format_request, signal, socket, time, wait_for)
 
 
 def read_answers(connection, count):
@@ -128,6 +128,19 @@
             self.assertEqual(answer.status, 502)
             self.assertNotIn(SEAL, answer.headers)
 
+    def test_an_id_may_be_long(self):
+        """Guards against an id that is cut: no answer matches it, and the
+        caller gets 504 though its request ran."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            for size in (63, 64, 1000):
+                answer = fleet.vms[0].request(
+                    "POST", "/filings/%d" % size, b"", deadline_ms=2000,
+                    headers={ID: "x" * size})
+                self.assertEqual((answer.status, answer.body),
+                                 (200, b"d1 /filings/%d 0" % size))
+
     def test_only_safe_requests_are_retried(self):
         """Guards against running an unsafe request twice: a server ran it, its
         answer was lost, and another server gets it. A safe one is retried."""
