--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -295,7 +295,8 @@
         """Adds the row of a server that has no process."""
         self.store.put("servers", name, {
             "service": "other", "zone": "a", "address": "127.0.0.1:%d" % port,
-            "slots": 3, "state": "ready", "cold-left-ms": 0, "born": 1})
+            "version": "v1", "slots": 3, "state": "ready", "cold-left-ms": 0,
+            "seq-no": 1, "born": 1})
 
 
 def format_request(path, request_id, method="GET"):
