The limit on a head is its bytes, not 100 fields

Cause: tables of fields held 100.

test_many_fields_within_the_limit_on_bytes_are_passed_on: 431 for 1,000 short fields before; they are passed on now, and 20 kB still get 431.

--- a/tests/e2e/test_entry_requests.py
+++ b/tests/e2e/test_entry_requests.py
@@ -128,6 +128,20 @@
             self.assertEqual(answer.status, 502)
             self.assertNotIn(SEAL, answer.headers)
 
+    def test_many_fields_within_the_limit_on_bytes_are_passed_on(self):
+        """Guards against 431 for a request whose head is smaller than the
+        configuration allows."""
+        with Fleet(vms=("a",), first_start=True) as fleet:
+            worker = fleet.add_worker("d1")
+            fleet.start()
+            fields = {"X-%d" % i: str(i) for i in range(1000)}
+            answer = fleet.vms[0].request(headers=fields)
+            self.assertEqual(answer.status, 200)
+            for name, value in fields.items():
+                self.assertEqual(worker.ran[0].headers[name.lower()], value)
+            fields = {"X-%d" % i: "x" * 100 for i in range(200)}
+            self.assertEqual(fleet.vms[0].request(headers=fields).status, 431)
+
     def test_an_id_may_be_long(self):
         """Guards against an id that is cut: no answer matches it, and the
         caller gets 504 though its request ran."""
