--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -153,6 +153,13 @@
     call->has_retry = false;
 }
 
+void
+SasRelay_NoteMayHaveRun(struct relay_call *call)
+{
+    call->attempts++;
+    SasRelay_NoteArrival(call);
+}
+
 static void
 end_attempt(struct relay_call *call, bool answered)
 {
@@ -355,8 +362,7 @@
 static void
 give_up_answer(struct relay_call *call)
 {
-    call->attempts++;
-    SasRelay_NoteArrival(call);
+    SasRelay_NoteMayHaveRun(call);
     SasRelay_RetryOrFail(call, "spoiled answer");
 }
 
@@ -708,7 +714,7 @@
     struct relay_call *call = (struct relay_call *)listener;
     end_attempt(call, false);
     if (failure->error.code == SAS_ETIMEOUT) {
-        call->attempts++;
+        SasRelay_NoteMayHaveRun(call);
         note_path(call, failure);
         note_result(call, true);
         SasRelay_FailUnlessAnswered(call, "timed out", 504);
@@ -739,8 +745,7 @@
         give_up_answer(call);
         return;
     }
-    call->attempts++;
-    SasRelay_NoteArrival(call);
+    SasRelay_NoteMayHaveRun(call);
     note_lost(call);
     SasRelay_RetryOrFail(call, "connection lost");
 }
--- a/packages/gateway/src/relay_call.h
+++ b/packages/gateway/src/relay_call.h
@@ -247,7 +247,9 @@
 void SasRelay_FailUnlessAnswered(struct relay_call *call, const char *outcome,
                                  int status);
 void SasRelay_Deliver(struct relay_call *call);
+/* A server has got the request; or it may have run it, too. */
 void SasRelay_NoteArrival(struct relay_call *call);
+void SasRelay_NoteMayHaveRun(struct relay_call *call);
 /* The request may have run: retries it if it is safe, fails it otherwise. */
 void SasRelay_RetryOrFail(struct relay_call *call, const char *outcome);
 /* The caller's request with these header fields. */
--- a/packages/gateway/src/relay_via.c
+++ b/packages/gateway/src/relay_via.c
@@ -214,8 +214,7 @@
 {
     switch (call->verdict) {
     case RELAY_ANSWER:
-        SasRelay_NoteArrival(call);
-        call->attempts++;
+        SasRelay_NoteMayHaveRun(call);
         if (whole && !call->unusable) {
             SasRelay_Deliver(call);
             return;
@@ -266,8 +265,7 @@
         ask_next(call, failure->error.text);
         return;
     }
-    call->attempts++;
-    SasRelay_NoteArrival(call);
+    SasRelay_NoteMayHaveRun(call);
     if (failure->error.code == SAS_ETIMEOUT) {
         SasRelay_FailUnlessAnswered(call, "timed out", 504);
         return;
--- a/packages/net/src/http_server_conn.c
+++ b/packages/net/src/http_server_conn.c
@@ -234,11 +234,19 @@
     handler->on_closed(handler, &close_stats);
 }
 
+/* What was read ahead has changed its size from before. */
+static void
+note_ahead_bytes(struct sas_http_server_conn *c, size_t before)
+{
+    c->server->body_bytes += c->ahead.size - before;
+}
+
 static void
 clear_ahead(struct sas_http_server_conn *c)
 {
-    c->server->body_bytes -= c->ahead.size;
+    size_t before = c->ahead.size;
     SasReadAhead_Clear(&c->ahead);
+    note_ahead_bytes(c, before);
 }
 
 /* Frees all exchanges; reports those that the handler hasn't answered. */
@@ -452,7 +460,7 @@
     }
     size_t before = c->ahead.size;
     SasReadAhead_Append(&c->ahead, data, size, c->active_at);
-    server->body_bytes += c->ahead.size - before;
+    note_ahead_bytes(c, before);
 }
 
 static void
@@ -460,7 +468,7 @@
 {
     size_t before = c->ahead.size;
     struct sas_read_ahead_piece *piece = SasReadAhead_Take(&c->ahead);
-    c->server->body_bytes -= before - c->ahead.size;
+    note_ahead_bytes(c, before);
     parse(c, (const char *)piece->bytes->data, piece->bytes->len,
           piece->read_at);
     SasReadAhead_FreePiece(piece);
