--- a/packages/net/include/sas/http_head.h
+++ b/packages/net/include/sas/http_head.h
@@ -12,7 +12,7 @@
 
 #include <glib.h>
 
-#define SasHttp_MAX_HEADERS 4096 /* as many as fit into 16 kB */
+#define SasHttp_MAX_HEADERS 1024
 #define SasHttp_MAX_HEADER_BYTES 65536
 
 struct sas_http_header {
