--- a/tests/e2e/test_entry_slow_callers.py
+++ b/tests/e2e/test_entry_slow_callers.py
@@ -94,7 +94,7 @@
             with contextlib.ExitStack() as stack:
                 callers = []
                 closed = set()
-                for number in range(SILENT_CALLERS):
+                for _ in range(SILENT_CALLERS):
                     caller = stack.enter_context(socket.socket())
                     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                       WINDOW_BYTES)
--- a/tests/e2e/test_late_answers.py
+++ b/tests/e2e/test_late_answers.py
@@ -10,8 +10,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from entry_harness import Fleet, HOST, ID, SEAL, exchange, wait_for
+from workers import PROMISES
 
-PROMISES = (408, 421, 429, 503)  # not run, and never will be
 MAX_IDS = 2048  # of requests on a connection, while they are remembered
 REMEMBERED_S = 30
 
--- a/tests/e2e/test_refused_and_run.py
+++ b/tests/e2e/test_refused_and_run.py
@@ -21,9 +21,8 @@
 
 from cut_links import MODES
 from entry_harness import Fleet, HOST, ID, SEAL, signal, wait_for
-from workers import Copy
+from workers import Copy, PROMISES
 
-PROMISES = (408, 421, 429, 503)  # not run, and never will be
 REFUSALS = ["shed", "shed", "busy", "shed close", "shed half", "shed interim",
             "shed unframed"]
 FAILURES = ["error", "cut", "unsealed", "denied", "denied error"]
@@ -52,7 +51,6 @@
     def __init__(self, vm):
         self.vm = vm
         self.sent_at = time.monotonic()
-        self.ended_at = None
         self.status = None  # None: no whole answer
 
     def may_have_run(self):
@@ -105,11 +103,9 @@
             body = answer.read()
         except (OSError, http.client.HTTPException):
             connection.close()
-            attempt.ended_at = time.monotonic()
             time.sleep(0.05)
             return None
         attempt.status = answer.status
-        attempt.ended_at = time.monotonic()
         self.connections[vm] = connection
         return answer.headers, body
 
@@ -215,8 +211,8 @@
             wait_for(vm.is_ready, vm.name + " ready again")
 
     def turn_away(self):
-        """Servers ask for rest, or drain and start again,
-        while they have requests."""
+        """Servers ask for rest, or drain and start again, while they have
+        requests."""
         rng = random.Random("%s servers" % self.seed)
         while not self.is_over():
             worker = rng.choice(self.workers)
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -51,6 +51,7 @@
 
 SEAL = "X-Sassafrassill-Server-Seal"
 ID = "X-Sassafrassill-Attempt-Id"
+PROMISES = (408, 421, 429, 503)  # not run, and never will be
 
 FILL = b"x" * 65536
 SLOW_BYTES = 1000
