A status outside 100 to 599 is no answer

Callers saw: status 000 of a server in trouble was passed on as an answer; a usual client then fails on the line "HTTP/1.1 0 <unknown>". The same with 001, 099, 600 and 999.

Cause: http-parser takes any number up to 999 for a status, and nothing behind it looked whether RFC 9110 (15) knows such a status. It is checked where all answers are read, in the HTTP client, before anybody hears of the head: the request may have run, so a safe one goes elsewhere and others get 502. The status may be any of the three digits' numbers, so the range is checked and not the one status of the report.

Ruled out: a check in the relay alone: neighbours, the store's calls and the standalone mode read answers too.

--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -14,6 +14,10 @@
 
 #define READ_BUFFER_SIZE 65536
 
+/* RFC 9110, 15: others are invalid. */
+#define MIN_STATUS 100
+#define MAX_STATUS 599
+
 enum conn_state {
     CONN_CONNECTING,
     CONN_IDLE,
@@ -559,6 +563,9 @@
 on_headers_complete(http_parser *parser)
 {
     struct sas_http_conn *conn = parser->data;
+    if (parser->status_code < MIN_STATUS || parser->status_code > MAX_STATUS) {
+        return -1;
+    }
     if (parser->status_code / 100 == 1) {
         return 0;
     }
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -330,6 +330,29 @@
     expect(&client, 1, true, false, "hi");
 }
 
+/* Guards against a caller that gets status 000, or 999, as an answer. */
+static void
+test_a_status_out_of_range_is_no_answer(void **state)
+{
+    (void)state;
+    static const char *const statuses[] = {"000", "001", "099", "600", "999"};
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        g_autofree char *answer = g_strdup_printf(
+            "HTTP/1.1 %s x\r\nx-test: 1\r\ncontent-length: 2\r\n\r\nhi",
+            statuses[i]);
+        struct client client = exchange(answer, false, "GET");
+        assert_int_equal(client.status, 0);
+        assert_int_equal(client.failure.error.code, SAS_EIO);
+        assert_true(client.failure.begun);
+        expect(&client, 0, false, false, "");
+    }
+    struct client client =
+        exchange("HTTP/1.1 599 x\r\nx-test: 1\r\ncontent-length: 2\r\n\r\nhi",
+                 false, "GET");
+    assert_int_equal(client.status, 599);
+    expect(&client, 1, true, true, "hi");
+}
+
 static void
 test_informational_answers_are_skipped(void **state)
 {
@@ -631,6 +654,7 @@
         cmocka_unit_test(test_close_delimited_answer_is_not_whole),
         cmocka_unit_test(test_a_reset_after_a_close_delimited_answer_fails),
         cmocka_unit_test(test_bytes_after_the_answer_close_the_connection),
+        cmocka_unit_test(test_a_status_out_of_range_is_no_answer),
         cmocka_unit_test(test_informational_answers_are_skipped),
         cmocka_unit_test(test_a_paused_answer_leaves_the_connection_readable),
         cmocka_unit_test(test_a_connection_closed_by_its_server_is_not_idle),
--- /dev/null
+++ b/tests/e2e/test_broken_answers.py
@@ -0,0 +1,146 @@
+#!/usr/bin/python3
+"""Servers in trouble in platform mode whose answers are none by RFC 9110 and
+RFC 9112, and servers that use all that these allow."""
+
+import http.client
+import unittest
+
+from entry_harness import SEAL, Fleet
+from answers import BODY, BROKEN, SOUND, STATUSES
+from workers import Exact
+
+SERVERS = 8
+DEADLINE_MS = 4000
+NOT_RUN = [("X-Sassafrassill-Not-Executed", "1")]
+SAYS = [("X-Sassafrassill-Server-Load", "900,900,3"),
+        ("X-Sassafrassill-Server-Limit", "0.001"),
+        ("Server-Leaving", "1"), ("Retry-After", "600")] + NOT_RUN
+BELIEVED = ("server.limit", "server.leaving", "server.rest", "server.state")
+REFUSAL = (b" 200 OK\r\n", b" 503 Full\r\n")
+EARLY_BYTES = 1000
+
+http.client._MAXHEADERS = 2000  # of the answers with many fields
+
+
+class AnswersTestCase(unittest.TestCase):
+    asked = 0  # no request comes again and again: it would be taken for poison
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(vms=("a",), first_start=True)
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+        cls.workers = [cls.fleet.add_worker("d%d" % i) for i in range(SERVERS)]
+        cls.workers += [cls.fleet.add_worker("v%d" % i, service="vault")
+                        for i in range(SERVERS)]
+        cls.fleet.start()
+        cls.vm = cls.fleet.vms[0]
+
+    def ask(self, exact, method="GET", prefix="/forms/", body=None):
+        """The first server that is asked answers so; the others are sound."""
+        fault = [exact]
+        AnswersTestCase.asked += 1
+        path = prefix + str(AnswersTestCase.asked)
+        for worker in self.workers:
+            worker.faults = fault
+        answer = self.vm.request(method, path, body, key=path,
+                                 deadline_ms=DEADLINE_MS)
+        self.assertEqual(fault, [])
+        answer.path = path
+        answer.ran = sum(worker.ids().count(answer.id)
+                         for worker in self.workers)
+        return answer
+
+    def recover(self):
+        """No server is left out for what it has sent before."""
+        for i in range(2 * SERVERS):
+            self.vm.request(path="/forms/sound-%d" % i, key=str(i))
+            self.vm.request("POST", "/scans/sound-%d" % i, b"x", key=str(i))
+
+
+class BrokenTestCase(AnswersTestCase):
+    """Guards against callers that get what is no answer, or less than one, as
+    an answer."""
+
+    def check(self, answers):
+        for name, text in answers.items():
+            with self.subTest(name):
+                self.check_one(Exact(text))
+            refusal = text.replace(*REFUSAL)
+            if refusal != text:
+                with self.subTest(name + ", refusal"):
+                    self.check_one(Exact(refusal, NOT_RUN))
+
+    def check_one(self, exact):
+        answer = self.ask(exact)
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.body.endswith(b" %s 0" % answer.path.encode()),
+                        answer.body)
+        self.assertEqual(answer.ran, 2)
+        for prefix in ("/filings/", "/scans/"):
+            answer = self.ask(exact, "POST", prefix, b"x")
+            self.assertEqual(answer.status, 502)
+            self.assertIsNone(answer.headers[SEAL])
+            self.assertEqual(answer.ran, 1)
+        self.recover()
+
+    def test_statuses(self):
+        self.check(STATUSES)
+
+
+class BelievedTestCase(AnswersTestCase):
+    # Guards against an entry VM that leaves a server out, or sends a request
+    # once more, for what stands in a broken answer.
+    def test_nothing_in_them_is_believed(self):
+        for name, text in BROKEN.items():
+            for start in (text, text.replace(*REFUSAL)):
+                with self.subTest(name):
+                    answer = self.ask(Exact(start, SAYS), "POST",
+                                      "/filings/", b"x")
+                    self.assertEqual(answer.status, 502)
+                    self.assertEqual(answer.ran, 1)
+                    self.recover()
+        for step in BELIEVED:
+            self.assertEqual(self.vm.find_lines(step), [])
+
+
+class SoundTestCase(AnswersTestCase):
+    def check(self, exact):
+        for method, prefix in (("GET", "/forms/"), ("POST", "/filings/"),
+                               ("POST", "/scans/")):
+            answer = self.ask(exact, method, prefix)
+            self.assertIn(answer.status, (200, 299))
+            self.assertEqual(answer.body, BODY)
+            self.assertTrue(answer.headers[SEAL])
+            self.assertEqual(answer.ran, 1)
+        return answer
+
+    # Guards against a reader that is so strict that it refuses what a sound
+    # server may send.
+    def test_all_that_the_rfc_allows_arrives(self):
+        for name, text in SOUND.items():
+            with self.subTest(name):
+                self.check(Exact(text))
+
+    def test_bytes_that_come_one_by_one_arrive(self):
+        for name in ("length", "chunks", "no length", "trailers",
+                     "interim answers", "folded line", "chunk extensions"):
+            with self.subTest(name):
+                self.check(Exact(SOUND[name], pause_s=0.02))
+
+    def test_fields_arrive(self):
+        answer = self.check(Exact(SOUND["all characters of a token"]))
+        self.assertEqual(answer.headers["!#$%&'*+-.^_`|~09AZaz"], "z")
+
+    # A failure is the server's own answer; only one that may be retried goes
+    # elsewhere.
+    def test_statuses_up_to_599_arrive(self):
+        for status in (301, 400, 404, 418, 499, 500, 501, 599):
+            with self.subTest(status):
+                text = SOUND["length"].replace(b"200", b"%d" % status)
+                answer = self.ask(Exact(text), "POST", "/filings/", b"x")
+                self.assertEqual(answer.status, status)
+                self.assertEqual(answer.body, BODY)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -39,6 +39,7 @@
                  "denied", "denied error"
                               a success, or a 500, after the run, which says
                               all the same that it wasn't executed
+                 an Exact: the bytes of an answer as they stand there
                  a key of ENDLESS: begins an answer, and sends bytes without
                               end until the caller closes; with "slow " before
                               it 1 kB every 20 ms
@@ -49,6 +50,8 @@
 import threading
 import time
 
+from answers import fill
+
 SEAL = "X-Sassafrassill-Server-Seal"
 ID = "X-Sassafrassill-Attempt-Id"
 PROMISES = (408, 421, 429, 503)  # not run, and never will be
@@ -124,6 +127,19 @@
         self.size = size
 
 
+class Exact:
+    """An answer as in answers.py, after the run. says: what stands for @SAYS,
+    pairs of name and value; pause_s: sent byte by byte, with such a pause
+    before the last one; before_body: sent when of the request only this many
+    bytes of the body have been read."""
+
+    def __init__(self, text, says=(), pause_s=None, before_body=None):
+        self.text = text
+        self.says = says
+        self.pause_s = pause_s
+        self.before_body = before_body
+
+
 class Endless:
     """Bytes without end that the caller has ended."""
 
@@ -301,6 +317,9 @@
         with self.lock:
             if self.faults:
                 fault = self.faults.pop(0)
+        if isinstance(fault, Exact):
+            return self.run_exact(connection, reader, method, target, headers,
+                                  fault)
         if fault == "early":
             self.answer(connection, 400, b"too much", headers, sealed=True)
             reader.read(int(headers.get("content-length", 0)))
@@ -383,6 +402,27 @@
                         request.headers, sealed=True)
         return True
 
+    def run_exact(self, connection, reader, method, target, headers, exact):
+        size = int(headers.get("content-length", 0))
+        if exact.before_body is not None:
+            size = min(size, exact.before_body)
+        request = Request(method, target, headers, reader.read(size))
+        with self.lock:
+            self.heard.append(request)
+            self.ran.append(request)
+        text, resets = fill(exact.text, request.id, ID, SEAL, self.name,
+                            exact.says)
+        if exact.pause_s is None:
+            connection.sendall(text)
+        else:
+            for i in range(len(text) - 1):
+                connection.sendall(text[i:i + 1])
+            time.sleep(exact.pause_s)
+            connection.sendall(text[-1:])
+        if resets:
+            reset(connection)
+        return False
+
     def send_endless(self, connection, request, kind):
         began = time.monotonic()
         first, unit = ENDLESS[kind.replace("slow ", "")]
