A reset that a write meets leaves no whole answer

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the complete answer.

Cause: a reset leaves one error on the socket, for the first call that asks. If the loop finds the socket readable and writable, it reads the part, and when the reset arrives before the write that follows in the same iteration, the write takes the error. A failed write does not fail a request (an early answer may still be unread), so the error was dropped; the next read finds the end of the stream without any error, which is how an answer without a length ends. was_reset() looked at SO_ERROR only, which is empty by then. The client now remembers that a write has failed: such an answer has not ended in order (RFC 9112, 8). Answers with a length or chunks don't depend on it.

Forced, not awaited: in the unit test the server resets inside the callback of the body, behind which libuv writes; with real processes the object that cuts links got a mode that holds a write until the connection is reset.

A server that closes in order and resets afterwards, before we have read, can't be told from this one by every kernel: such an answer counts as cut, as RFC 9112 (9.6) warns its server.

--- a/packages/net/src/http.c
+++ b/packages/net/src/http.c
@@ -51,6 +51,7 @@
     bool head_method;
     bool sent;
     bool writing;
+    bool write_failed;
     bool begun;
     bool paused;
 
@@ -189,6 +190,7 @@
     conn->max_answer_bytes = request->max_answer_bytes;
     conn->head_method = strcmp(request->method, "HEAD") == 0;
     conn->sent = false;
+    conn->write_failed = false;
     conn->begun = false;
     conn->ended = false;
     conn->close_delimited = false;
@@ -311,6 +313,7 @@
     /* A failed write doesn't fail the request: the server may have rejected
      * the body early, and its answer may still be unread. on_read reports the
      * end of the connection. */
+    conn->write_failed = status != 0;
 }
 
 static void
@@ -427,16 +430,18 @@
 }
 
 /* When a reset arrives in the same loop iteration as the last bytes before it,
- * libuv reports the end of the stream and leaves the socket's error unread.
- * Without this check a close-delimited answer would seem to have ended, though
- * the server crashed in the middle of it. */
+ * libuv reports the end of the stream and leaves the socket's error unread. A
+ * write that meets the reset before any read takes that error, and the reads
+ * find the end of the stream. Without this check a close-delimited answer
+ * would seem to have ended, though the server crashed in the middle of it. */
 static bool
 was_reset(const struct sas_http_conn *conn)
 {
     uv_os_fd_t fd;
     int cause = 0;
     socklen_t size = sizeof(cause);
-    return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0 ||
+    return conn->write_failed ||
+           uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0 ||
            getsockopt(fd, SOL_SOCKET, SO_ERROR, &cause, &size) != 0 ||
            cause != 0;
 }
--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -592,6 +592,162 @@
     g_string_free(client.body, TRUE);
 }
 
+/* A client that sends a large request to a raw socket of the test, which
+ * plays the server. */
+struct upload {
+    struct client client;
+    uv_loop_t loop;
+    int server; /* -1 once it is reset */
+    bool resets_in_body;
+};
+
+static void
+reset_server(struct upload *upload)
+{
+    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(upload->server, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    close(upload->server);
+    upload->server = -1;
+}
+
+/* What follows in the same iteration of the loop is a write. */
+static void
+upload_body(struct sas_http_listener *listener, const char *data, size_t size)
+{
+    struct upload *upload = (struct upload *)listener;
+    client_body(listener, data, size);
+    if (upload->resets_in_body && upload->server >= 0) {
+        reset_server(upload);
+    }
+}
+
+/* Reads what the client has sent so far, so that its socket takes more. */
+static void
+drain_server(const struct upload *upload)
+{
+    static char bytes[65536];
+    while (recv(upload->server, bytes, sizeof(bytes), MSG_DONTWAIT) > 0) {
+    }
+}
+
+static struct upload *
+start_upload(void)
+{
+    static const struct sas_http_listener_vtable vtable = {
+        client_head, upload_body, client_end_keep_open, client_fail};
+    static const char body[LARGE_BODY];
+    struct upload *upload = g_new0(struct upload, 1);
+    uv_loop_init(&upload->loop);
+    struct sas_address address;
+    int listener = listen_unread(&address);
+    static struct server none;
+    memset(&none, 0, sizeof(none));
+    uv_tcp_init(&upload->loop, &none.listener);
+    upload->client = (struct client){
+        .listener.vtable = &vtable,
+        .owner.on_closed = client_closed,
+        .server = &none,
+        .body = g_string_new(NULL),
+    };
+    struct sas_http_request request = {.method = "POST",
+                                       .target = "/",
+                                       .body = body,
+                                       .body_size = LARGE_BODY};
+    upload->client.conn =
+        SasHttp_Connect(&upload->loop, &address, 5000, &upload->client.owner);
+    SasHttp_Send(upload->client.conn, &request, 5000,
+                 &upload->client.listener);
+    uv_run(&upload->loop, UV_RUN_ONCE);
+    upload->server = accept(listener, NULL, NULL);
+    assert_true(upload->server >= 0);
+    close(listener);
+    return upload;
+}
+
+static void
+send_text(const struct upload *upload, const char *text)
+{
+    assert_int_equal(send(upload->server, text, strlen(text), 0),
+                     strlen(text));
+}
+
+static void
+end_upload(struct upload *upload)
+{
+    while (upload->client.ends + upload->client.fails == 0) {
+        uv_run(&upload->loop, UV_RUN_ONCE);
+    }
+    stop_server(upload->client.server);
+    uv_run(&upload->loop, UV_RUN_DEFAULT);
+    assert_int_equal(uv_loop_close(&upload->loop), 0);
+    if (upload->server >= 0) {
+        close(upload->server);
+    }
+    g_string_free(upload->client.body, TRUE);
+    g_free(upload);
+}
+
+/* Guards against a part of a close-delimited answer that is reported as its
+ * end: its server resets the connection, the write of the request takes the
+ * socket's error, and the next read finds the end of the stream. */
+static void
+test_a_reset_that_a_write_meets_fails_the_answer(void **state)
+{
+    (void)state;
+    struct upload *upload = start_upload();
+    upload->resets_in_body = true;
+    drain_server(upload);
+    send_text(upload, "HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nha");
+    while (upload->client.ends + upload->client.fails == 0) {
+        uv_run(&upload->loop, UV_RUN_ONCE);
+    }
+    assert_int_equal(upload->client.ends, 0);
+    assert_int_equal(upload->client.failure.error.code, SAS_EIO);
+    assert_true(upload->client.failure.begun);
+    end_upload(upload);
+}
+
+/* The same while the listener has paused reading. */
+static void
+test_a_reset_while_reading_is_paused_fails_the_answer(void **state)
+{
+    (void)state;
+    struct upload *upload = start_upload();
+    upload->client.pauses = true;
+    drain_server(upload);
+    send_text(upload, "HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nha");
+    while (upload->client.body->len == 0) {
+        uv_run(&upload->loop, UV_RUN_ONCE);
+    }
+    reset_server(upload);
+    uv_run(&upload->loop, UV_RUN_ONCE);
+    uv_run(&upload->loop, UV_RUN_NOWAIT);
+    SasHttp_Resume(upload->client.conn);
+    while (upload->client.ends + upload->client.fails == 0) {
+        uv_run(&upload->loop, UV_RUN_ONCE);
+    }
+    assert_int_equal(upload->client.ends, 0);
+    end_upload(upload);
+}
+
+/* Guards against the loss of a whole answer to a request that its server does
+ * not read to the end. */
+static void
+test_an_answer_that_ends_in_order_arrives_during_the_request(void **state)
+{
+    (void)state;
+    struct upload *upload = start_upload();
+    drain_server(upload);
+    send_text(upload, "HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nhi");
+    shutdown(upload->server, SHUT_WR);
+    while (upload->client.ends + upload->client.fails == 0) {
+        uv_run(&upload->loop, UV_RUN_ONCE);
+    }
+    assert_int_equal(upload->client.ends, 1);
+    assert_string_equal(upload->client.body->str, "hi");
+    end_upload(upload);
+}
+
 static void
 expect_excess(const char *answer)
 {
@@ -661,6 +817,11 @@
         cmocka_unit_test(test_refused_connection_sent_nothing),
         cmocka_unit_test(test_bytes_without_end_fail_the_request),
         cmocka_unit_test(test_an_answer_within_its_limit_is_whole),
+        cmocka_unit_test(test_a_reset_that_a_write_meets_fails_the_answer),
+        cmocka_unit_test(
+            test_a_reset_while_reading_is_paused_fails_the_answer),
+        cmocka_unit_test(
+            test_an_answer_that_ends_in_order_arrives_during_the_request),
         cmocka_unit_test(test_a_request_that_times_out_is_reset),
         cmocka_unit_test(test_a_request_that_is_dropped_is_reset),
         cmocka_unit_test(
--- a/tests/e2e/cut_links.py
+++ b/tests/e2e/cut_links.py
@@ -66,5 +66,9 @@
         except FileNotFoundError:
             return None
 
+    def is_holding(self, vm):
+        """Whether a write waits in the mode hold."""
+        return os.path.exists(self.get_path(vm) + ".held")
+
     def heal(self, vm):
         os.remove(self.get_path(vm))
--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -243,7 +243,8 @@
 
     # Configuration.
 
-    def configure(self, routes=None, version=None, idle_s=15):
+    def configure(self, routes=None, version=None, idle_s=15,
+                  body_bytes=1 << 20):
         self.version = version if version is not None else self.version + 3
         names = set()
         for route in routes or self.default_routes():
@@ -256,7 +257,7 @@
             "version": self.version,
             "routes": routes or self.default_routes(),
             "services": services,
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1 << 20,
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": body_bytes,
                        "header-timeout-ms": 3000,
                        "idle-timeout-ms": int(idle_s * 1000)}})
 
--- a/tests/e2e/test_broken_answers.py
+++ b/tests/e2e/test_broken_answers.py
@@ -6,7 +6,7 @@
 import unittest
 
 from entry_harness import SEAL, Fleet
-from answers import BODY, BROKEN, SOUND, STATUSES
+from answers import BODY, BROKEN, RESET, SOUND, STATUSES
 from workers import Exact
 
 SERVERS = 8
@@ -17,7 +17,8 @@
         ("Server-Leaving", "1"), ("Retry-After", "600")] + NOT_RUN
 BELIEVED = ("server.limit", "server.leaving", "server.rest", "server.state")
 REFUSAL = (b" 200 OK\r\n", b" 503 Full\r\n")
-EARLY_BYTES = 1000
+UPLOAD = bytes(16 << 20)
+READ_BYTES = 1 << 20
 
 http.client._MAXHEADERS = 2000  # of the answers with many fields
 
@@ -142,5 +143,66 @@
                 self.assertEqual(answer.body, BODY)
 
 
+class EarlyTestCase(unittest.TestCase):
+    """Answers to an upload that is still being written, which is more than the
+    buffers of a connection hold."""
+
+    def start(self, cuts=False):
+        self.fleet = Fleet(vms=("a",), cuts=cuts)
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        self.servers = [self.fleet.add_worker("v%d" % i, service="vault")
+                        for i in range(2)]
+        self.fleet.configure(body_bytes=2 * len(UPLOAD))
+        self.fleet.start()
+        self.vm = self.fleet.vms[0]
+
+    def upload(self, exact, path="/scans/1"):
+        for server in self.servers:
+            server.faults = [exact]
+        return self.vm.request("POST", path, UPLOAD, deadline_ms=20000)
+
+    # Guards against a part of an answer that is taken for the whole: it has no
+    # length, its connection is reset, and the writing of the upload learns of
+    # the reset before the reading of the answer does.
+    def test_a_reset_that_a_write_meets_leaves_no_answer(self):
+        self.start(cuts=True)
+        self.fleet.cut([self.vm], "hold", self.servers)
+        exact = Exact(
+            SOUND["no length"][:-5] + RESET, before_body=0,
+            until=lambda: self.fleet.cutter.is_holding(self.vm))
+        answer = self.upload(exact)
+        self.assertEqual(answer.status, 502)
+        self.assertIsNone(answer.headers[SEAL])
+        self.assertTrue(self.vm.find_lines("attempt.failed"))
+
+    def test_a_reset_that_a_read_meets_leaves_no_answer(self):
+        self.start()
+        text = SOUND["no length"][:-5] + RESET
+        answer = self.upload(Exact(text, before_body=0))
+        self.assertEqual(answer.status, 502)
+
+    # Guards against the loss of a whole answer whose server has not waited for
+    # the end of the request.
+    def test_whole_answers_arrive(self):
+        self.start()
+        for name in ("length", "chunks", "no length", "trailers"):
+            for size in (0, READ_BYTES):
+                with self.subTest(name, size=size):
+                    answer = self.upload(Exact(SOUND[name], before_body=size),
+                                         "/scans/%d-%s" % (size, name[:2]))
+                    self.assertEqual(answer.status, 200)
+                    self.assertEqual(answer.body, BODY)
+
+    def test_an_answer_with_a_length_is_whole_before_a_reset(self):
+        self.start()
+        for name in ("length", "chunks"):
+            with self.subTest(name):
+                answer = self.upload(Exact(SOUND[name] + RESET,
+                                           before_body=READ_BYTES),
+                                     "/scans/" + name)
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.body, BODY)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/standins/cut_links.c
+++ b/tests/standins/cut_links.c
@@ -11,11 +11,16 @@
  *   stale    bytes written to connections that are open now vanish for good,
  *            also once the file is gone; new ones work. Their number is
  *            written to the file with ".stale" after its name
+ *   hold     a second write on a connection waits until the peer has reset it,
+ *            as if the process had not run meanwhile: the write, and no read,
+ *            meets the reset. The file with ".held" after its name shows that
+ *            one waits
  */
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -26,6 +31,7 @@
 #include <sys/uio.h>
 
 #define MAX_DESCRIPTORS 1024
+#define HOLD_MS 30000 /* a write that no reset ends */
 
 struct cut {
     char mode[16]; /* empty: none */
@@ -94,7 +100,8 @@
 connect(int fd, const struct sockaddr *address, socklen_t size)
 {
     struct cut cut = find_cut(address);
-    if (cut.mode[0] == '\0' || strcmp(cut.mode, "stale") == 0) {
+    if (cut.mode[0] == '\0' || strcmp(cut.mode, "stale") == 0 ||
+        strcmp(cut.mode, "hold") == 0) {
         return real_connect(fd, address, size);
     }
     if (strcmp(cut.mode, "silent") != 0) {
@@ -109,8 +116,10 @@
     return real_connect(fd, (struct sockaddr *)&hole, sizeof(hole));
 }
 
-/* Inodes of the sockets that are stale; 0: none. */
+/* Inodes of the sockets that are stale, and that were written to in the mode
+ * hold; 0: none. */
 static ino_t stale[MAX_DESCRIPTORS];
+static ino_t written[MAX_DESCRIPTORS];
 
 static ino_t
 get_inode(int fd)
@@ -126,6 +135,23 @@
            stale[fd] == get_inode(fd);
 }
 
+static void
+hold_write(int fd)
+{
+    if (fd >= MAX_DESCRIPTORS || written[fd] != get_inode(fd)) {
+        written[fd % MAX_DESCRIPTORS] = get_inode(fd);
+        return;
+    }
+    char name[4096];
+    snprintf(name, sizeof(name), "%s.held", getenv("SAS_CUT_LINKS"));
+    FILE *file = fopen(name, "we");
+    if (file != NULL) {
+        fclose(file);
+    }
+    struct pollfd peer = {.fd = fd};
+    poll(&peer, 1, HOLD_MS);
+}
+
 /* Whether bytes written to a connection vanish. */
 static bool
 is_swallowed(int fd)
@@ -134,6 +160,10 @@
         return true;
     }
     struct cut cut = find_cut_of(fd);
+    if (strcmp(cut.mode, "hold") == 0) {
+        hold_write(fd);
+        return false;
+    }
     if (strcmp(cut.mode, "reset") == 0) {
         shutdown(fd, SHUT_RDWR);
         return true;
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -45,6 +45,7 @@
                               it 1 kB every 20 ms
 """
 
+import contextlib
 import socket
 import struct
 import threading
@@ -131,13 +132,17 @@
     """An answer as in answers.py, after the run. says: what stands for @SAYS,
     pairs of name and value; pause_s: sent byte by byte, with such a pause
     before the last one; before_body: sent when of the request only this many
-    bytes of the body have been read."""
+    bytes of the body have been read, whose rest is read then to the end of the
+    connection; until: the connection is reset when this is true, and read
+    up to then."""
 
-    def __init__(self, text, says=(), pause_s=None, before_body=None):
+    def __init__(self, text, says=(), pause_s=None, before_body=None,
+                 until=lambda: True):
         self.text = text
         self.says = says
         self.pause_s = pause_s
         self.before_body = before_body
+        self.until = until
 
 
 class Endless:
@@ -420,7 +425,15 @@
             time.sleep(exact.pause_s)
             connection.sendall(text[-1:])
         if resets:
+            connection.setblocking(False)
+            while not exact.until():
+                with contextlib.suppress(BlockingIOError):
+                    connection.recv(65536)
             reset(connection)
+        elif exact.before_body is not None:
+            connection.shutdown(socket.SHUT_WR)
+            while reader.read1(65536):
+                pass
         return False
 
     def send_endless(self, connection, request, kind):
