Standalone mode believes a load only when its answer has ended well

Callers saw: 503 where servers were free. A server in trouble whose answer broke behind its head (a chunk with a wrong size, a cut, a trailer that is none) had stated in the head that it is leaving, or its load, and the entry VM took that as soon as the head was there.

Cause: upstream.c applied Sas-Load in on_head, when nobody knows yet whether the bytes are an answer. It is now kept with the call and applied at the answer's end; one that has become old while a long answer was read is dropped, since it would be counted as of now (a leaving is not: it doesn't go by).

Green now; sound answers of all shapes arrive (test_sound_answers_arrive).

Ruled out: that the servers' health was the cause: they answer the next request as soon as they are asked.

--- a/packages/node/src/upstream.c
+++ b/packages/node/src/upstream.c
@@ -6,9 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sas/load_estimate.h"
 #include "sas/log.h"
 #include "sas/metrics.h"
 
+/* Between the head of an answer, which has the report, and its end. */
+#define MAX_REPORT_AGE_MS SasLoadEstimate_MIN_OVERLAP_MS
+
 struct backend_state {
     struct sas_http_conn_listener owner; /* first: on_closed */
     struct sas_upstream *upstream;
@@ -201,20 +205,33 @@
 }
 
 static void
-apply_load_header(struct sas_upstream *upstream, int backend,
-                  const struct sas_http_header *headers, int header_count)
+read_load_header(struct sas_upstream_call *call,
+                 const struct sas_http_header *headers, int header_count)
 {
     const char *value = SasHttp_FindHeader(headers, header_count, "sas-load");
+    call->reported = value != NULL;
     if (value == NULL) {
         return;
     }
-    struct sas_load_report report = {
+    call->report = (struct sas_load_report){
         .running = parse_number(value, "running=", 0),
         .queued = parse_number(value, "queued=", 0),
         .slots = parse_number(value, "slots=", 0),
         .leaving = parse_number(value, "leaving=", 0) != 0,
     };
-    apply_report(upstream, backend, &report);
+}
+
+/* Only now, at its end, is it known that the answer is none of a server in
+ * trouble, whose report would be as wrong. A report that has become old
+ * meanwhile is dropped, but for a leaving, which does not go by. */
+static void
+apply_load_header(const struct sas_upstream_call *call)
+{
+    int64_t age_ms = (int64_t)uv_now(call->upstream->loop) - call->head_at;
+    if (call->reported &&
+        (age_ms <= MAX_REPORT_AGE_MS || call->report.leaving)) {
+        apply_report(call->upstream, call->backend, &call->report);
+    }
 }
 
 /* Records an answer on a connection opened at opened_at. */
@@ -277,9 +294,10 @@
         return;
     }
     call->head_seen = true;
+    call->head_at = (int64_t)uv_now(call->upstream->loop);
     note_answer(call->upstream, call->backend,
                 SasHttp_GetOpenedAt(call->conn));
-    apply_load_header(call->upstream, call->backend, headers, header_count);
+    read_load_header(call, headers, header_count);
     call->vtable->on_head(call, status, headers, header_count);
 }
 
@@ -296,6 +314,7 @@
 {
     struct sas_upstream_call *call = (struct sas_upstream_call *)http_listener;
     struct sas_upstream *upstream = call->upstream;
+    apply_load_header(call);
     remove_call(call);
     if (reusable && may_keep(upstream, call->backend)) {
         g_queue_push_head(&upstream->states[call->backend].idle, call->conn);
--- a/packages/node/src/upstream.h
+++ b/packages/node/src/upstream.h
@@ -32,6 +32,16 @@
     void (*on_stall)(struct sas_upstream_call *call, bool unknown_to_server);
 };
 
+/* A backend server's report of its own load. */
+struct sas_load_report {
+    int running;
+    int queued;
+    int slots;
+    bool leaving;
+    char incarnation[SasModel_NAME_SIZE]; /* "" when not reported */
+    int64_t asked_at; /* start of the probe; 0: from an answer's header */
+};
+
 /* Embedded in the owner's struct. */
 struct sas_upstream_call {
     struct sas_http_listener http_listener;
@@ -42,17 +52,10 @@
     char request_id[SasUpstream_ID_SIZE]; /* set before Send */
     bool reused;
     bool head_seen;
+    bool reported; /* the answer's head has a report */
+    struct sas_load_report report;
     int64_t started_at;
-};
-
-/* A backend server's report of its own load. */
-struct sas_load_report {
-    int running;
-    int queued;
-    int slots;
-    bool leaving;
-    char incarnation[SasModel_NAME_SIZE]; /* "" when not reported */
-    int64_t asked_at; /* start of the probe; 0: from an answer's header */
+    int64_t head_at;
 };
 
 /* Receives load and health updates; embedded in the owner's struct. */
--- a/tests/e2e/test_whole_answers.py
+++ b/tests/e2e/test_whole_answers.py
@@ -2,10 +2,17 @@
 error."""
 
 import http.client
+import sys
 import threading
 import unittest
+import urllib.parse
 
-from harness import Deployment, wait_until
+from harness import ROOT, Deployment, wait_until
+
+sys.path.insert(0, ROOT + "/tests/standins")
+from answers import BODY, BROKEN, RESET, SOUND  # noqa: E402
+
+LEAVING = b"Sas-Load: running=900,queued=900,slots=3,leaving=1"
 
 
 class WholeAnswersTest(unittest.TestCase):
@@ -51,6 +58,39 @@
         self.assertEqual(answer.reason, "answer-unframed")
         self.assertEqual(answer.outcome, "ran")
 
+    def get_exact(self, text, number):
+        """All servers answer with these bytes, and then close."""
+        ends = b"\r\n" if b"\r\n" in text else b"\n"
+        text = text.replace(b"@ID", b"").replace(b"@SEAL", b"")
+        text = text.replace(b"@SAYS", LEAVING + ends)
+        return self.get("/exact/%d?fault=exact&answer=%s" % (
+            number, urllib.parse.quote_from_bytes(text, safe="")))
+
+    # Guards against callers that get what is no answer by RFC 9110 and RFC
+    # 9112, and against an entry VM that believes the load stated in it: all
+    # servers would be leaving.
+    def test_what_is_no_answer_is_502(self):
+        for number, (name, text) in enumerate(BROKEN.items()):
+            if RESET in text:
+                continue
+            with self.subTest(name):
+                answer = self.get_exact(text, number)
+                self.assertEqual(answer.status, 502)
+                self.assertEqual(answer.outcome, "unknown")
+                self.assertEqual(self.get("/sound/%d" % number).status, 200)
+
+    def test_sound_answers_arrive(self):
+        for number, (name, text) in enumerate(SOUND.items()):
+            if len(text) > 5000:
+                continue  # longer than a target
+            with self.subTest(name):
+                answer = self.get_exact(text.replace(b"@SAYS", b""), number)
+                if "no length" in name:
+                    self.assertEqual(answer.reason, "answer-unframed")
+                    continue
+                self.assertIn(answer.status, (200, 299))
+                self.assertEqual(answer.body, BODY)
+
     # Guards against delivering late bytes of an earlier answer to the next
     # caller on that backend connection.
     def test_late_bytes_reach_no_caller(self):
--- a/tests/standins/backend_server.c
+++ b/tests/standins/backend_server.c
@@ -417,6 +417,13 @@
     else if (g_str_equal(fault, "reset-mid")) {
         request->ending = END_RESET;
     }
+    else if (g_str_equal(fault, "exact")) {
+        g_autofree char *text = Http_GetParameter(request, "answer");
+        g_autoptr(GBytes) bytes = g_uri_unescape_bytes(text, -1, NULL, NULL);
+        g_string_append_len(answer, g_bytes_get_data(bytes, NULL),
+                            (gssize)g_bytes_get_size(bytes));
+        request->ending = END_CLOSE;
+    }
     else {
         Http_SetAnswer(request, 400, "", "unknown fault", 13);
     }
