A caller that leaves while a large "once" answer is sent ends no process

Callers saw (standalone mode): the entry VM's process ended by itself, and all its callers' requests with it, after the caller of a "once" request had left while an answer over 1 MB was being sent to it.

Cause: such an attempt goes on without its caller, so that the answer can be stored. An answer that is too large for that is sent on as it comes, and the next bytes were passed to the caller that was gone: a NULL pointer. If reading was paused at that moment, for the caller read slowly, the attempt stayed paused and held its slot up to the deadline instead. The attempt now ends when its caller leaves, as any other: the claim stays held, for the request ran.

Found by looking at who reads bytes without end in this mode. Forced: a proxy lets the servers fall silent until the caller has gone, then brings the rest so slowly that nothing is paused.

--- a/packages/node/src/forward.c
+++ b/packages/node/src/forward.c
@@ -239,9 +239,31 @@
 }
 
 void
-SasForward_Cancel(struct sas_forward_call *call)
+SasForwardCall_LeaveClaimHeld(struct sas_forward_call *call)
+{
+    struct sas_claims_claim *claim = call->claim;
+    call->claim = NULL;
+    if (claim != NULL) {
+        SasClaims_LeaveHeld(claim);
+    }
+}
+
+void
+SasForwardCall_Abandon(struct sas_forward_call *call)
 {
     const struct sas_counters *counters = call->forward->options.counters;
+    SasMetrics_Add(counters->metrics,
+                   counters->refusals[SAS_REFUSE_CALLER_GONE], 1);
+    SasForwardCall_LeaveClaimHeld(call);
+    SasUpstream_Cancel(&call->attempt);
+    call->state = CALL_ENDED;
+    SasForwardCall_ReleaseGrant(call);
+    SasForwardCall_Finish(call);
+}
+
+void
+SasForward_Cancel(struct sas_forward_call *call)
+{
     call->reply = NULL;
     switch (call->state) {
     case CALL_CLAIMING:
@@ -253,15 +275,11 @@
                               SAS_OUTCOME_NOT_RUN, 0);
         return;
     case CALL_RUNNING:
-        if (call->at_most_once) {
-            return;
+        /* An answer that can be stored is waited for. One that is sent on as
+         * it comes is too large for that. */
+        if (!call->at_most_once || call->streaming) {
+            SasForwardCall_Abandon(call);
         }
-        SasMetrics_Add(counters->metrics,
-                       counters->refusals[SAS_REFUSE_CALLER_GONE], 1);
-        SasUpstream_Cancel(&call->attempt);
-        call->state = CALL_ENDED;
-        SasForwardCall_ReleaseGrant(call);
-        SasForwardCall_Finish(call);
         return;
     case CALL_ENDED:
         return;
--- a/packages/node/src/forward_attempt.c
+++ b/packages/node/src/forward_attempt.c
@@ -330,11 +330,7 @@
 end_streaming(struct sas_forward_call *call, bool whole)
 {
     const struct sas_counters *counters = call->forward->options.counters;
-    if (call->claim != NULL) {
-        struct sas_claims_claim *claim = call->claim;
-        call->claim = NULL;
-        SasClaims_LeaveHeld(claim); /* ran, but too large to be stored */
-    }
+    SasForwardCall_LeaveClaimHeld(call); /* too large to be stored */
     if (whole) {
         SasForwardCall_Complete(call);
         return;
--- a/packages/node/src/forward_call.h
+++ b/packages/node/src/forward_call.h
@@ -82,6 +82,13 @@
 void SasForwardCall_Complete(struct sas_forward_call *call);
 void SasForwardCall_Finish(struct sas_forward_call *call);
 
+/* The request has run, or may have, and its answer is not stored: it must not
+ * run again. */
+void SasForwardCall_LeaveClaimHeld(struct sas_forward_call *call);
+
+/* Ends a running attempt, whose caller has left; it may have run. */
+void SasForwardCall_Abandon(struct sas_forward_call *call);
+
 /* Asks the poison guard; sets call->query.isolated when the request may run
  * only isolated. */
 enum sas_quarantine_decision
--- a/tests/e2e/test_at_most_once.py
+++ b/tests/e2e/test_at_most_once.py
@@ -1,10 +1,23 @@
 """Requests with an idempotency key run at most once, and "not-run" is true."""
 
+import contextlib
 import signal
+import socket
+import sys
 import threading
+import time
 import unittest
 
-from harness import Deployment, wait_until
+from harness import ROOT, Deployment, wait_until
+
+sys.path.insert(0, ROOT + "/tests/standins")
+from proxy import Proxy  # noqa: E402
+
+LEFT = (b"POST /s/dossiers/certificates/7%s HTTP/1.1\r\nHost: x\r\n"
+        b"Sas-Caller: inspector\r\nIdempotency-Key: %s\r\n"
+        b"Content-Length: 6\r\n\r\nhood 7")
+LARGE_BYTES = 200 << 20
+SILENCE_S = 0.5
 
 SERVICES = {"dossiers": {"backends": 2, "once": ["/certificates"]}}
 
@@ -196,5 +209,63 @@
                 self.assertEqual(d.count_key(key), 1)
 
 
+class ProxiedDeployment(Deployment):
+    """A proxy before each backend server."""
+
+    def write_settings(self):
+        self.proxies = []
+        for name, (service, region, port) in self.backends.items():
+            self.proxies.append(Proxy(port))
+            self.backends[name] = (service, region, self.proxies[-1].port)
+        super().write_settings()
+
+    def __exit__(self, *error):
+        super().__exit__(*error)
+        for proxy in self.proxies:
+            proxy.stop()
+
+    def set_mode(self, mode):
+        for proxy in self.proxies:
+            proxy.mode = mode
+
+
+class LeavingCallersTest(unittest.TestCase):
+    def setUp(self):
+        self.d = ProxiedDeployment(regions=("montreal",), vms=1,
+                                   services=SERVICES)
+        self.d.__enter__()
+        self.addCleanup(self.d.__exit__, None, None, None)
+
+    issue = AtMostOnceTest.issue
+
+    def leave(self, key, query, read_bytes):
+        """Issues a certificate, and leaves when so much of the answer is
+        read, and all that comes then while the servers are not heard."""
+        with socket.create_connection(self.d.caller_address("montreal-1")) \
+                as caller:
+            caller.sendall(LEFT % (query.encode(), key.encode()))
+            while read_bytes > 0:
+                read_bytes -= len(caller.recv(65536))
+            self.d.set_mode("deaf")
+            caller.settimeout(SILENCE_S)
+            with contextlib.suppress(TimeoutError):
+                while caller.recv(65536):
+                    pass
+        time.sleep(SILENCE_S)
+
+    def check_alive(self, key):
+        self.assertEqual(self.issue(key + "-next").status, 200)
+        self.assertIsNone(self.d.nodes["montreal-1"].process.poll())
+
+    # Guards against a process that ends: the caller leaves while an answer
+    # that is too large to be stored is sent to it.
+    def test_a_caller_leaves_while_a_large_answer_is_sent(self):
+        self.leave("left", "?bytes=%d" % LARGE_BYTES, 2 << 20)
+        self.d.set_mode("delay")  # so slowly that reading is never paused
+        time.sleep(SILENCE_S)
+        self.check_alive("left")
+        self.assertEqual(self.d.count_key("left"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/standins/backend_server.c
+++ b/tests/standins/backend_server.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-#define MAX_ANSWER_BYTES (64 * 1024 * 1024)
+#define MAX_ANSWER_BYTES (256 << 20)
 #define RESTART_MS 500
 
 static void on_restart(uv_timer_t *timer);
