An answer that nobody waits for is not kept without bound

Callers saw (standalone mode): all requests of an entry VM ended with its process, which had run out of memory.

Cause: the answer to a "once" request is kept up to 1 MB, to be stored, and sent on as it comes from then on; but if its caller had left, it was kept to its end, however long. A server in trouble that sends without end fills the memory up to the deadline of the request (seconds at the pace of a local link). An answer that is too large to be stored, and whose caller has left, is of no use: the attempt ends, and the claim stays held.

What else reads answers: platform mode's relay and neighbours (e2e_endless_answers, green before and now), rows of the store and of neighbours (8 MB kept, 10 s), the store over HTTP (32 MB kept), the tool (64 MB), heads, trailers and lines of chunks (68 kB in all modes, test_a_head_without_end_is_given_up), standalone answers with a caller (256 kB ahead of it).

Red before: test_an_answer_without_a_caller_is_not_kept, 600 not less than 64 (MB of growth by one answer of 200 MB), 3 of 3 runs. Green now, 3 of 3.

--- a/packages/node/src/forward_attempt.c
+++ b/packages/node/src/forward_attempt.c
@@ -320,10 +320,17 @@
     g_string_append_len(call->buffered, data, (gssize)size);
     size_t limit = call->at_most_once ? SasClaims_MAX_STORED_BYTES
                                       : SasForward_FIRST_BUFFER_BYTES;
-    if (call->buffered->len > limit && call->reply != NULL) {
-        call->streaming = true;
-        SasForwardCall_PassAnswer(call);
+    if (call->buffered->len <= limit) {
+        return;
+    }
+    if (call->reply == NULL) {
+        /* Too large to be stored, and nobody waits for it: a server in
+         * trouble may go on without end. */
+        SasForwardCall_Abandon(call);
+        return;
     }
+    call->streaming = true;
+    SasForwardCall_PassAnswer(call);
 }
 
 static void
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -302,6 +302,14 @@
 
     # Callers.
 
+    def peak_mb(self, name):
+        """The most memory that the entry VM's process has used."""
+        with open("/proc/%d/status" % self.nodes[name].process.pid) as file:
+            for line in file:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) >> 10
+        raise ValueError("no peak")
+
     def caller_address(self, name):
         return self.ip, self.vms[name][1][0]
 
--- a/tests/e2e/test_at_most_once.py
+++ b/tests/e2e/test_at_most_once.py
@@ -17,6 +17,7 @@
         b"Sas-Caller: inspector\r\nIdempotency-Key: %s\r\n"
         b"Content-Length: 6\r\n\r\nhood 7")
 LARGE_BYTES = 200 << 20
+MAX_GROWTH_MB = 64
 SILENCE_S = 0.5
 
 SERVICES = {"dossiers": {"backends": 2, "once": ["/certificates"]}}
@@ -266,6 +267,17 @@
         self.check_alive("left")
         self.assertEqual(self.d.count_key("left"), 1)
 
+    # Guards against a process that runs out of memory: the caller has left,
+    # and a server in trouble goes on sending.
+    def test_an_answer_without_a_caller_is_not_kept(self):
+        before = self.d.peak_mb("montreal-1")
+        self.leave("unheard", "?bytes=%d" % LARGE_BYTES, 0)
+        self.d.set_mode("")
+        time.sleep(SILENCE_S)
+        self.check_alive("unheard")
+        self.assertEqual(self.d.count_key("unheard"), 1)
+        self.assertLess(self.d.peak_mb("montreal-1") - before, MAX_GROWTH_MB)
+
 
 if __name__ == "__main__":
     unittest.main()
