--- a/tests/e2e/test_entry_stops.py
+++ b/tests/e2e/test_entry_stops.py
@@ -1,14 +1,17 @@
 #!/usr/bin/python3
 """Graceful shutdown of an entry VM in platform mode, as callers see it."""
 
+import collections
 import http.client
 import threading
 import unittest
 
-from entry_harness import (Fleet, exchange, format_request, signal, socket,
-                           time, wait_for)
+from entry_harness import (HOST, ID, Fleet, exchange, format_request, signal,
+                           socket, time, wait_for)
+from workers import PROMISES
 
 LARGE_BYTES = 12 << 20  # more than the socket buffers hold
+LATE_PAUSE_S = 0.02    # between two requests of a caller
 LATE_S = 3.1      # after SIGTERM: callers with an old lookup still connect
 EMPTY_S = 2.8     # after SIGTERM: a process without connections exits
 QUIET_S = 4.0     # after SIGTERM: a process without requests exits
@@ -55,7 +58,85 @@
             pass  # the process ends before the store answers
 
 
+class LateCaller(threading.Thread):
+    """Sends requests of both kinds up to the end of the process, over a kept
+    connection or new ones. Notes the status of each; None: no answer."""
+
+    def __init__(self, vm, kept, deadline_ms, path):
+        super().__init__()
+        self.vm = vm
+        self.kept = kept
+        self.deadline_ms = deadline_ms
+        self.path = path
+        self.connection = None
+        self.statuses = {}
+        self.start()
+
+    def run(self):
+        number = 0
+        while self.vm.process.poll() is None:
+            number += 1
+            safe = number % 3 == 0
+            name = "%x-%d" % (id(self), number)
+            try:
+                self.send(name, "GET" if safe else "POST",
+                          "/forms/" if safe else self.path)
+            except ConnectionRefusedError:
+                return
+            except (OSError, http.client.HTTPException):
+                self.connection = None
+            time.sleep(LATE_PAUSE_S)
+
+    def send(self, name, method, path):
+        if self.connection is None or not self.kept:
+            self.connection = http.client.HTTPConnection(*self.vm.address(),
+                                                         timeout=20)
+            self.connection.connect()
+        self.statuses[name] = None
+        fields = {"Host": HOST, ID: name}
+        if self.deadline_ms is not None:
+            fields["X-Sassafrassill-Deadline-Ms"] = str(self.deadline_ms)
+        self.connection.request(method, path + name, headers=fields)
+        answer = self.connection.getresponse()
+        answer.read()
+        self.statuses[name] = answer.status
+        if answer.getheader("Connection") == "close":
+            self.connection.close()
+            self.connection = None
+
+
 class EntryStops(unittest.TestCase):
+    # Guards against requests that come late in a stop, are passed on, and are
+    # cut with the process, without an answer.
+    def test_no_request_that_is_passed_on_is_cut(self):
+        with Fleet(vms=("a",)) as fleet:
+            servers = [fleet.add_worker("d%d" % i, slots=40) for i in range(2)]
+            servers += [fleet.add_worker("v1", service="vault", slots=40)]
+            fleet.start()
+            vm = fleet.vms[0]
+            for server, work_s in zip(servers, (0.2, 1.5, 3.0)):
+                server.work_s = work_s
+            callers = [LateCaller(vm, kept, deadline_ms, path)
+                       for kept in (False, True)
+                       for deadline_ms in (None, 400, 1000, 2500, 8000)
+                       for path in ("/filings/", "/scans/")]
+            time.sleep(0.5)
+            vm.signal(signal.SIGTERM)
+            for caller in callers:
+                caller.join()
+            self.assertEqual(vm.process.wait(30), 0)
+            answers = {}
+            for caller in callers:
+                answers.update(caller.statuses)
+            ran = [name for server in servers for name in server.ids()]
+            self.assertGreater(len(ran), 100)
+            for name in ran:
+                self.assertIsNotNone(answers[name], name)
+            for name, count in collections.Counter(ran).items():
+                if int(name.split("-")[1]) % 3:  # must not run twice
+                    self.assertEqual(count, 1)
+                    self.assertNotIn(answers[name], PROMISES)
+
     def stop_with_an_upload(self, fleet):
         """Sends SIGTERM while an upload runs, which keeps the process from
         exiting early. Returns the time of SIGTERM."""
