--- a/tests/e2e/test_odd_rows.py
+++ b/tests/e2e/test_odd_rows.py
@@ -28,7 +28,8 @@
         "deep object": b'{"a":' * DEEP + b"1" + b"}" * DEEP,
         "empty": b"", "null": b"null", "list": b"[]", "NUL": b"\0",
         "no UTF-8": make(port, version='"\xff"').replace(b"\xc3\xbf", b"\xff"),
-        "bytes behind": make(port) + b"}", "cut": make(port)[:-1],
+        "bytes behind": make(port) + b"}",
+        "NUL and bytes behind": make(port) + b"\0}", "cut": make(port)[:-1],
         "surrogate": make(port, version='"\\ud800"'),
         "NUL in a text": make(port, service='"desk\\u0000x"'),
         "long text": make(port, state='"%s"' % ("x" * 30000)),
@@ -83,7 +84,7 @@
 
     def test_ids_that_can_not_be_sent_name_no_server(self):
         sound = make(self.unused.getsockname()[1])
-        for key in ("odd\r\nX: y", "odd\n", "o d", "\x7f", "\t"):
+        for key in ("odd\r\nX: y", "odd\n", "o d", "odd\0", "\x7f", "\t"):
             with self.subTest(key):
                 self.fleet.store.put("servers", key, sound)
                 self.check()
