Test of a reset while reading is paused: the upload is never written whole

That was the test's mistake: the body fitted into the kernel's buffers, so no write was left to meet the reset, and the request ended by its time limit after 5 s instead. The test is stricter now: the failure must be the connection's.

--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -10,7 +10,8 @@
 
 #include "sas/http.h"
 
-#define LARGE_BODY (8 * 1024 * 1024) /* more than sockets hold */
+#define LARGE_BODY (8 * 1024 * 1024)    /* more than sockets hold */
+#define UPLOAD_BYTES (64 * 1024 * 1024) /* never written at once */
 #define GIVE_UP_MS 50
 #define MAX_ANSWER 1000 /* bytes */
 
@@ -657,7 +658,7 @@
 {
     static const struct sas_http_listener_vtable vtable = {
         client_head, upload_body, client_end_keep_open, client_fail};
-    static const char body[LARGE_BODY];
+    static const char body[UPLOAD_BYTES];
     struct upload *upload = g_new0(struct upload, 1);
     uv_loop_init(&upload->loop);
     struct sas_address address;
@@ -674,7 +675,7 @@
     struct sas_http_request request = {.method = "POST",
                                        .target = "/",
                                        .body = body,
-                                       .body_size = LARGE_BODY};
+                                       .body_size = UPLOAD_BYTES};
     upload->client.conn =
         SasHttp_Connect(&upload->loop, &address, 5000, &upload->client.owner);
     SasHttp_Send(upload->client.conn, &request, 5000,
@@ -749,6 +750,7 @@
         uv_run(&upload->loop, UV_RUN_ONCE);
     }
     assert_int_equal(upload->client.ends, 0);
+    assert_int_equal(upload->client.failure.error.code, SAS_EIO);
     end_upload(upload);
 }
 
