An answer that names two requests belongs to none

Callers saw nothing yet: an answer with two different request ids went to its request if that one stood first, and was believed, although it may as well be another request's. With the other one first it was skipped, and the caller waited for its time limit.

Cause: the first field of the name was taken. RFC 9110 (5.3) has a sender give such a field once, and says of no recipient which of two to take. The attempt ends at once now: a safe request goes elsewhere, others get 502. The same id twice is one.

Red before: test_answers_with_two_ids: "False is not true: b'the body of this answer'".

--- a/packages/gateway/src/relay_attempt.c
+++ b/packages/gateway/src/relay_attempt.c
@@ -331,6 +331,15 @@
         (json_int_t)(SasRelay_Now(call->relay) - call->sent_at));
 }
 
+/* What a server has sent is no answer, or too much of one. It may have run the
+ * request. */
+static void
+give_up_answer(struct relay_call *call)
+{
+    SasRelay_NoteMayHaveRun(call);
+    SasRelay_RetryOrFail(call, "spoiled answer");
+}
+
 static void
 on_head(struct sas_http_listener *listener, int status,
         const struct sas_http_header *headers, int header_count)
@@ -339,6 +348,14 @@
     const struct sas_entry_wire *wire = call->relay->options.wire;
     const char *id =
         SasHttp_FindHeader(headers, header_count, wire->request_id);
+    /* With two ids it may be any of two requests'. */
+    if (id != NULL &&
+        SasHttp_HasOtherValue(headers, header_count, wire->request_id, id)) {
+        note_skipped(call, id, status);
+        SasRelay_Cancel(call);
+        give_up_answer(call);
+        return;
+    }
     /* A second answer to an earlier request may arrive first, and a caller
      * could get another's data, or an attempt the refusal of the one before
      * it. The connection carries an id once, and only a request without one is
@@ -357,15 +374,6 @@
     SasRelay_ReadNotice(call, headers, header_count);
 }
 
-/* What a server has sent is no answer, or too much of one. It may have run the
- * request. */
-static void
-give_up_answer(struct relay_call *call)
-{
-    SasRelay_NoteMayHaveRun(call);
-    SasRelay_RetryOrFail(call, "spoiled answer");
-}
-
 static struct relay_call *
 find_largest(const struct sas_relay *relay, size_t *sum)
 {
--- a/packages/net/include/sas/http_head.h
+++ b/packages/net/include/sas/http_head.h
@@ -47,6 +47,11 @@
 const char *SasHttp_FindHeader(const struct sas_http_header *headers,
                                int header_count, const char *name);
 
+/* Whether a field of this name has another value. */
+bool SasHttp_HasOtherValue(const struct sas_http_header *headers,
+                           int header_count, const char *name,
+                           const char *value);
+
 /* True for hop-by-hop header fields (RFC 9110, 7.6.1) and for those that frame
  * the body, Content-Length included: a proxy doesn't forward them. */
 bool SasHttp_IsHopByHopHeader(const char *name);
--- a/packages/net/src/http_head.c
+++ b/packages/net/src/http_head.c
@@ -106,6 +106,19 @@
     return NULL;
 }
 
+bool
+SasHttp_HasOtherValue(const struct sas_http_header *headers, int header_count,
+                      const char *name, const char *value)
+{
+    for (int i = 0; i < header_count; i++) {
+        if (strcasecmp(headers[i].name, name) == 0 &&
+            strcmp(headers[i].value, value) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 SasHttp_IsHopByHopHeader(const char *name)
 {
--- a/packages/node/src/upstream.c
+++ b/packages/node/src/upstream.c
@@ -265,9 +265,8 @@
 is_mismatched_answer(const struct sas_upstream_call *call,
                      const struct sas_http_header *headers, int header_count)
 {
-    const char *id =
-        SasHttp_FindHeader(headers, header_count, "sas-request-id");
-    return id != NULL && strcmp(id, call->request_id) != 0;
+    return SasHttp_HasOtherValue(headers, header_count, "sas-request-id",
+                                 call->request_id);
 }
 
 static void
--- a/tests/e2e/test_broken_answers.py
+++ b/tests/e2e/test_broken_answers.py
@@ -5,7 +5,7 @@
 import http.client
 import unittest
 
-from entry_harness import SEAL, Fleet
+from entry_harness import ID, SEAL, Fleet
 from answers import (BODY, BROKEN, CHUNKS, LENGTHS, NAMES, RESET, SOUND,
                      START_LINES, STATUSES, VALUES)
 from workers import Exact
@@ -104,6 +104,16 @@
         self.check(CHUNKS)
 
 
+    # Guards against an answer of two requests that one of them gets.
+    def test_answers_with_two_ids(self):
+        own_first = SOUND["length"]
+        other_first = own_first.replace(b"@ID@SEAL@SAYS", b"@SAYS@SEAL@ID")
+        for text in (own_first, other_first):
+            for start in (text, text.replace(*REFUSAL)):
+                self.check_one(Exact(start, [(ID, "other")] + NOT_RUN,
+                                     stays_open=True))
+
+
 class BelievedTestCase(AnswersTestCase):
     # Guards against an entry VM that leaves a server out, or sends a request
     # once more, for what stands in a broken answer.
@@ -152,6 +162,9 @@
         answer = self.check(Exact(SOUND["all characters of a token"]))
         self.assertEqual(answer.headers["!#$%&'*+-.^_`|~09AZaz"], "z")
 
+    def test_the_same_id_twice_arrives(self):
+        self.check(Exact(SOUND["length"].replace(b"@ID", b"@ID@ID")))
+
     # A failure is the server's own answer; only one that may be retried goes
     # elsewhere.
     def test_statuses_up_to_599_arrive(self):
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -134,15 +134,16 @@
     before the last one; before_body: sent when of the request only this many
     bytes of the body have been read, whose rest is read then to the end of the
     connection; until: the connection is reset when this is true, and read
-    up to then."""
+    up to then; stays_open: it is not closed."""
 
     def __init__(self, text, says=(), pause_s=None, before_body=None,
-                 until=lambda: True):
+                 until=lambda: True, stays_open=False):
         self.text = text
         self.says = says
         self.pause_s = pause_s
         self.before_body = before_body
         self.until = until
+        self.stays_open = stays_open
 
 
 class Endless:
@@ -434,7 +435,7 @@
             connection.shutdown(socket.SHUT_WR)
             while reader.read1(65536):
                 pass
-        return False
+        return exact.stays_open
 
     def send_endless(self, connection, request, kind):
         began = time.monotonic()
