--- a/tests/e2e/test_broken_answers.py
+++ b/tests/e2e/test_broken_answers.py
@@ -3,9 +3,10 @@
 RFC 9112, and servers that use all that these allow."""
 
 import http.client
+import json
 import unittest
 
-from entry_harness import ID, SEAL, Fleet
+from entry_harness import ID, SEAL, Fleet, wait_for
 from answers import (BODY, BROKEN, CHUNKS, LENGTHS, NAMES, RESET, SOUND,
                      START_LINES, STATUSES, VALUES)
 from workers import Exact
@@ -237,5 +238,48 @@
                 self.assertEqual(answer.body, BODY)
 
 
+class StoreTestCase(unittest.TestCase):
+    # Guards against an entry VM that takes what is no answer for one of the
+    # store's: all servers and the configuration would be gone.
+    def test_broken_answers_of_the_store_change_nothing(self):
+        with Fleet(vms=("a",)) as fleet:
+            fleet.add_worker("d1")
+            fleet.start()
+            vm = fleet.vms[0]
+            for name, text in make_gone(fleet.store.version + 1).items():
+                with self.subTest(name):
+                    seen = fleet.store.exact_count
+                    fleet.store.exact = text
+                    fleet.add_worker("d2", seq_no=seen)  # ends the long polls
+                    wait_for(lambda: fleet.store.exact_count > seen + 2, name)
+                    fleet.store.exact = None
+                    fleet.add_worker("d2")
+                    self.assertEqual(vm.request().status, 200)
+                    self.assertEqual(vm.find_lines("server.gone"), [])
+                    self.assertIsNone(vm.process.poll())
+
+
+def make_gone(version):
+    """Answers that say that the rows are gone, each broken."""
+    body = json.dumps({"rows": [
+        {"table": table, "part": "", "key": key, "deleted": True,
+         "ver": version} for table, key in (("servers", "d1"),
+                                            ("op", "config"))],
+        "ver": version, "has-more": False, "now-ms": 1}).encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
+    chunked = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+               b"%x\r\n%s" % (len(body), body))
+    return {
+        "blank in a name": head + b"X Y: z\r\n\r\n" + body,
+        "blank before a colon": head + b"X : z\r\n\r\n" + body,
+        "control byte in a value": head + b"X: \x01\r\n\r\n" + body,
+        "version": head.replace(b"1.1", b"2.0") + b"\r\n" + body,
+        "status": head.replace(b"200", b"0200") + b"\r\n" + body,
+        "chunk": chunked + b"XY0\r\n\r\n",
+        "trailer": chunked + b"\r\n0\r\nX Y: z\r\n\r\n",
+        "no length, cut": b"HTTP/1.1 200 OK\r\n\r\n" + body[:-2],
+    }
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -14,6 +14,8 @@
     lose_acks   number of writes that are applied and whose connection closes
                 without an answer; one with a failed precondition counts too
     bytes_per_s limit on the rate of each answer's body; 0: none
+    exact       None, or the bytes with which reads are answered; the
+                connection closes behind them
     stop_after  answers stall after this many bytes of the body, with the
                 connection open; 0: never
     compact()   discards the change log: a feed from an older version gets 410
@@ -72,6 +74,8 @@
         self.lose_acks = 0
         self.bytes_per_s = 0
         self.stop_after = 0
+        self.exact = None
+        self.exact_count = 0  # how often it was sent
         self.stopped = False
         self.servers = []
 
@@ -245,6 +249,11 @@
             if url.path not in ("/rows-get", "/rows-feed"):
                 self.answer(404, {"error": "no such call"})
                 return
+            if store.exact is not None:
+                self.wfile.write(store.exact)
+                self.close_connection = True
+                store.exact_count += 1
+                return
             call = store.get if url.path == "/rows-get" else store.feed
             with store.lock:
                 body = call(query)
