--- a/packages/net/include/sas/http_head.h
+++ b/packages/net/include/sas/http_head.h
@@ -1,8 +1,8 @@
 /* http_head - the header fields of one HTTP/1.1 message.
  *
- * http-parser passes names and values in pieces; a struct sas_http_head joins
- * them. Its table of fields is valid from SasHttpHead_Finish until the head is
- * reset or closed.
+ * Readers pass names and values in pieces; a struct sas_http_head joins them.
+ * Its table of fields is valid from SasHttpHead_Finish until the head is reset
+ * or closed.
  */
 #ifndef SAS_HTTP_HEAD_H
 #define SAS_HTTP_HEAD_H
