Tests of broken answers: through another entry VM too; no class without tests

The class that the others share is no test case any more, and the loops that wait for the end of an upload are one.

--- a/packages/net/tests/test_http.c
+++ b/packages/net/tests/test_http.c
@@ -695,11 +695,16 @@
 }
 
 static void
-end_upload(struct upload *upload)
+await_end(struct upload *upload)
 {
     while (upload->client.ends + upload->client.fails == 0) {
         uv_run(&upload->loop, UV_RUN_ONCE);
     }
+}
+
+static void
+end_upload(struct upload *upload)
+{
     stop_server(upload->client.server);
     uv_run(&upload->loop, UV_RUN_DEFAULT);
     assert_int_equal(uv_loop_close(&upload->loop), 0);
@@ -721,9 +726,7 @@
     upload->resets_in_body = true;
     drain_server(upload);
     send_text(upload, "HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nha");
-    while (upload->client.ends + upload->client.fails == 0) {
-        uv_run(&upload->loop, UV_RUN_ONCE);
-    }
+    await_end(upload);
     assert_int_equal(upload->client.ends, 0);
     assert_int_equal(upload->client.failure.error.code, SAS_EIO);
     assert_true(upload->client.failure.begun);
@@ -746,9 +749,7 @@
     uv_run(&upload->loop, UV_RUN_ONCE);
     uv_run(&upload->loop, UV_RUN_NOWAIT);
     SasHttp_Resume(upload->client.conn);
-    while (upload->client.ends + upload->client.fails == 0) {
-        uv_run(&upload->loop, UV_RUN_ONCE);
-    }
+    await_end(upload);
     assert_int_equal(upload->client.ends, 0);
     assert_int_equal(upload->client.failure.error.code, SAS_EIO);
     end_upload(upload);
@@ -764,9 +765,7 @@
     drain_server(upload);
     send_text(upload, "HTTP/1.1 200 OK\r\nx-test: 1\r\n\r\nhi");
     shutdown(upload->server, SHUT_WR);
-    while (upload->client.ends + upload->client.fails == 0) {
-        uv_run(&upload->loop, UV_RUN_ONCE);
-    }
+    await_end(upload);
     assert_int_equal(upload->client.ends, 1);
     assert_string_equal(upload->client.body->str, "hi");
     end_upload(upload);
--- a/tests/e2e/test_broken_answers.py
+++ b/tests/e2e/test_broken_answers.py
@@ -25,12 +25,16 @@
 http.client._MAXHEADERS = 2000  # of the answers with many fields
 
 
-class AnswersTestCase(unittest.TestCase):
+class Answers:
+    """Servers, the first of which that is asked answers as a test says."""
+
+    vms = ("a",)
     asked = 0  # no request comes again and again: it would be taken for poison
 
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Fleet(vms=("a",), first_start=True)
+        cls.fleet = Fleet(vms=cls.vms, first_start=True,
+                          cuts=len(cls.vms) > 1)
         cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
         cls.workers = [cls.fleet.add_worker("d%d" % i) for i in range(SERVERS)]
         cls.workers += [cls.fleet.add_worker("v%d" % i, service="vault")
@@ -41,8 +45,8 @@
     def ask(self, exact, method="GET", prefix="/forms/", body=None):
         """The first server that is asked answers so; the others are sound."""
         fault = [exact]
-        AnswersTestCase.asked += 1
-        path = prefix + str(AnswersTestCase.asked)
+        Answers.asked += 1
+        path = prefix + str(Answers.asked)
         for worker in self.workers:
             worker.faults = fault
         answer = self.vm.request(method, path, body, key=path,
@@ -53,6 +57,19 @@
                          for worker in self.workers)
         return answer
 
+    def check_broken(self, exact):
+        answer = self.ask(exact)
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.body.endswith(b" %s 0" % answer.path.encode()),
+                        answer.body)
+        self.assertEqual(answer.ran, 2)
+        for prefix in ("/filings/", "/scans/"):
+            answer = self.ask(exact, "POST", prefix, b"x")
+            self.assertEqual(answer.status, 502)
+            self.assertIsNone(answer.headers[SEAL])
+            self.assertEqual(answer.ran, 1)
+        self.recover()
+
     def recover(self):
         """No server is left out for what it has sent before."""
         for i in range(2 * SERVERS):
@@ -60,31 +77,18 @@
             self.vm.request("POST", "/scans/sound-%d" % i, b"x", key=str(i))
 
 
-class BrokenTestCase(AnswersTestCase):
+class BrokenTestCase(Answers, unittest.TestCase):
     """Guards against callers that get what is no answer, or less than one, as
     an answer."""
 
     def check(self, answers):
         for name, text in answers.items():
             with self.subTest(name):
-                self.check_one(Exact(text))
+                self.check_broken(Exact(text))
             refusal = text.replace(*REFUSAL)
             if refusal != text:
                 with self.subTest(name + ", refusal"):
-                    self.check_one(Exact(refusal, NOT_RUN))
-
-    def check_one(self, exact):
-        answer = self.ask(exact)
-        self.assertEqual(answer.status, 200)
-        self.assertTrue(answer.body.endswith(b" %s 0" % answer.path.encode()),
-                        answer.body)
-        self.assertEqual(answer.ran, 2)
-        for prefix in ("/filings/", "/scans/"):
-            answer = self.ask(exact, "POST", prefix, b"x")
-            self.assertEqual(answer.status, 502)
-            self.assertIsNone(answer.headers[SEAL])
-            self.assertEqual(answer.ran, 1)
-        self.recover()
+                    self.check_broken(Exact(refusal, NOT_RUN))
 
     def test_statuses(self):
         self.check(STATUSES)
@@ -111,11 +115,11 @@
         other_first = own_first.replace(b"@ID@SEAL@SAYS", b"@SAYS@SEAL@ID")
         for text in (own_first, other_first):
             for start in (text, text.replace(*REFUSAL)):
-                self.check_one(Exact(start, [(ID, "other")] + NOT_RUN,
+                self.check_broken(Exact(start, [(ID, "other")] + NOT_RUN,
                                      stays_open=True))
 
 
-class BelievedTestCase(AnswersTestCase):
+class BelievedTestCase(Answers, unittest.TestCase):
     # Guards against an entry VM that leaves a server out, or sends a request
     # once more, for what stands in a broken answer.
     def test_nothing_in_them_is_believed(self):
@@ -131,7 +135,29 @@
             self.assertEqual(self.vm.find_lines(step), [])
 
 
-class SoundTestCase(AnswersTestCase):
+class ThroughAnotherTestCase(Answers, unittest.TestCase):
+    """The entry VM that is asked reaches no server: another one gets the
+    answers."""
+
+    vms = ("a", "a")
+
+    def test_broken_and_sound_answers(self):
+        self.fleet.cut([self.vm], "refuse")
+        wait_for(lambda: self.vm.request(key="x").status == 200 and
+                 self.vm.find_lines("path.lost"), "the way through another")
+        self.vm.request("POST", "/scans/1", b"x")
+        for answers in (STATUSES, START_LINES, NAMES, VALUES, LENGTHS, CHUNKS):
+            for name in list(answers)[::8]:
+                with self.subTest(name):
+                    self.check_broken(Exact(answers[name], SAYS))
+        for name in list(SOUND)[::4]:
+            with self.subTest(name):
+                answer = self.ask(Exact(SOUND[name]), "POST", "/filings/")
+                self.assertEqual(answer.body, BODY)
+        self.assertGreater(len(self.vm.find_lines("request", via="vm-1")), 0)
+
+
+class SoundTestCase(Answers, unittest.TestCase):
     def check(self, exact):
         for method, prefix in (("GET", "/forms/"), ("POST", "/filings/"),
                                ("POST", "/scans/")):
