Tests: a process's memory is read in one place

In the object that holds writes, a descriptor out of range is passed by in place of being noted under another's number. Assertions are unchanged.

--- a/tests/e2e/entry_harness.py
+++ b/tests/e2e/entry_harness.py
@@ -21,7 +21,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 
 from cut_links import LinkCutter  # noqa: E402
-from harness import BUILD, exchange, wait_until  # noqa: E402
+from harness import BUILD, exchange, read_memory, wait_until  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from rows import RowStore  # noqa: E402
 from workers import ID, SEAL, Worker  # noqa: E402
@@ -158,11 +158,7 @@
 
     def read_peak(self):
         """The most memory that the process has used, bytes."""
-        with open("/proc/%d/status" % self.process.pid) as file:
-            for line in file:
-                if line.startswith("VmHWM:"):
-                    return int(line.split()[1]) << 10
-        raise ValueError("no peak")
+        return read_memory(self.process.pid, "VmHWM")
 
     def signal(self, number):
         self.process.send_signal(number)
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -52,6 +52,15 @@
         time.sleep(0.02)
 
 
+def read_memory(pid, name):
+    """A figure of the process's memory, bytes: VmRSS (now), VmHWM (peak)."""
+    with open("/proc/%d/status" % pid) as file:
+        for line in file:
+            if line.startswith(name + ":"):
+                return int(line.split()[1]) << 10
+    raise ValueError("no " + name)
+
+
 def exchange(address, method, path, body=None, headers=None, source=None,
              timeout=WAIT_LIMIT_S):
     connection = http.client.HTTPConnection(
@@ -294,21 +303,13 @@
         wait_until(lambda: self.health(name) == 200, name + " is ready")
 
     def memory_mb(self, name):
-        with open("/proc/%d/status" % self.nodes[name].process.pid) as file:
-            for line in file:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-        return 0
+        return read_memory(self.nodes[name].process.pid, "VmRSS") / (1 << 20)
 
     # Callers.
 
     def peak_mb(self, name):
         """The most memory that the entry VM's process has used."""
-        with open("/proc/%d/status" % self.nodes[name].process.pid) as file:
-            for line in file:
-                if line.startswith("VmHWM:"):
-                    return int(line.split()[1]) >> 10
-        raise ValueError("no peak")
+        return read_memory(self.nodes[name].process.pid, "VmHWM") / (1 << 20)
 
     def caller_address(self, name):
         return self.ip, self.vms[name][1][0]
--- a/tests/standins/cut_links.c
+++ b/tests/standins/cut_links.c
@@ -138,8 +138,12 @@
 static void
 hold_write(int fd)
 {
-    if (fd >= MAX_DESCRIPTORS || written[fd] != get_inode(fd)) {
-        written[fd % MAX_DESCRIPTORS] = get_inode(fd);
+    if (fd < 0 || fd >= MAX_DESCRIPTORS) {
+        return;
+    }
+    ino_t inode = get_inode(fd);
+    if (written[fd] != inode) {
+        written[fd] = inode; /* the first write on this connection */
         return;
     }
     char name[4096];
